--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,43 @@
+#!/usr/bin/env bash
+# The whole test command: formatting, lints, release build, all tests, and a start of both programs.
+# Needs cargo and bash only. Any failure ends it with a non-zero exit.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+cargo fmt --check
+cargo clippy --workspace --all-targets --locked -- -D warnings
+cargo build --workspace --release --locked
+cargo test --workspace --locked
+
+# The adapter answers an empty batch with an empty reply.
+reply=$(printf 'sync 1.5\ngo\n' | target/release/mallowpaddle-adapter)
+[ "$reply" = ack ] || { echo "adapter: 'ack' expected, got '$reply'" >&2; exit 1; }
+echo "adapter answers an empty batch"
+
+# The node, on ports of its own, until it says that it is ready; then SIGTERM ends it with success.
+out=$(mktemp)
+LB_NAME=n0 LB_LISTEN=127.0.0.1:0 LB_DISCOVERY=127.0.0.1:1 LB_CONFIG=deploy/example.json \
+    target/release/tackstage >"$out" 2>/dev/null &
+node=$!
+trap 'kill "$node" 2>/dev/null || true; rm -f "$out"' EXIT
+ready() {
+    local address line
+    address=$(sed -n 's/.* listens on //p' "$out")
+    [ -n "$address" ] || return 1
+    exec 3<>"/dev/tcp/${address%:*}/${address##*:}" || return 1
+    printf 'GET /health/ready HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n' >&3
+    read -r line <&3
+    exec 3>&-
+    [[ $line == "HTTP/1.1 200"* ]]
+}
+for _ in $(seq 300); do
+    if ready; then
+        kill "$node"
+        wait "$node"
+        echo "node is ready and ends on SIGTERM"
+        exit 0
+    fi
+    sleep 0.1
+done
+echo "node: not ready within 30 s" >&2
+exit 1
