Let crowded servers pass on a stable part of their keys

Any two nodes whose request timed out made all nodes leave the server alone for 4 s; its keys jammed the next ones, up to 53 of 60 servers were left alone at once, and requests were held and refused with servers idle. Ruled out: the origin (its answers stayed at 50 ms) and dead servers.

The load reports in answers, which nobody read, tell of a queue before answers come late. A node that sees one, or a late answer, eases its part of the server's keys and tells all nodes in one short message, at most one in 0.5 s for a server. The part is chosen by key and server, so all nodes pass on the same keys, which stay cached where they went; it grows back by itself. Parts are set against their mean, so a fleet that is crowded as a whole sheds nothing. Among many nodes a time-out no longer rests a server.

--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -168,7 +168,8 @@
                 Some(3) => Some(CacheNote::MissFetching),
                 _ => None,
             };
-            Event::Outcome(Outcome { request, attempt, status, elapsed, finished, note })
+            let load = f.text().and_then(|report| mallowpaddle_settings::load(report, ':'));
+            Event::Outcome(Outcome { request, attempt, status, elapsed, finished, note, load })
         }
         "withdrawn" => Event::Withdrawn(RequestId(f.need("request id")?)),
         "ring" => Event::Timer(TimerToken(f.need("timer label")?)),
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -270,6 +270,7 @@
             elapsed: attempt.launched.elapsed().as_secs_f64(),
             finished,
             note: ended.note,
+            load: ended.load,
         }));
     }
 }
--- a/node/src/reply.rs
+++ b/node/src/reply.rs
@@ -7,12 +7,13 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{header, Response, StatusCode};
-use mallowpaddle::{CacheNote, Status};
+use mallowpaddle::{CacheNote, Load, Status};
 
 use crate::upstream::LONGEST_BODY;
 
 const NOT_RUN: HeaderName = HeaderName::from_static("x-not-run");
 const CACHE: HeaderName = HeaderName::from_static("x-cache");
+const LOAD: HeaderName = HeaderName::from_static("x-load");
 
 /// A whole answer of a server.
 pub struct Reply {
@@ -24,13 +25,14 @@
 pub struct Ended {
     pub status: Status,
     pub note: Option<CacheNote>,
+    pub load: Option<Load>,
     /// Only with a success.
     pub reply: Option<Reply>,
 }
 
 impl Ended {
     pub fn without_reply(status: Status) -> Self {
-        Ended { status, note: None, reply: None }
+        Ended { status, note: None, load: None, reply: None }
     }
 }
 
@@ -55,7 +57,9 @@
     };
     let reply = (status == Status::Success)
         .then(|| Reply { content_type: head.headers.get(header::CONTENT_TYPE).cloned(), body });
-    Ended { status, note: note_of(&head.headers), reply }
+    let load =
+        head.headers.get(LOAD).and_then(|value| mallowpaddle_settings::load(value.to_str().ok()?, '='));
+    Ended { status, note: note_of(&head.headers), load, reply }
 }
 
 /// How an exchange ended whose request was written whole: the connection is gone, or what came on it is no
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -37,6 +37,17 @@
     }
 }
 
+/// Reads a load report: pairs of a name and a number, set apart by commas. `None` where it lacks a figure, or
+/// one makes no sense: a report that can't be read must not be taken for an idle server.
+pub fn load(report: &str, separator: char) -> Option<Load> {
+    let figure = |name| {
+        let mut pairs = report.split(',').filter_map(|pair| pair.split_once(separator));
+        let (_, value) = pairs.find(|(key, _)| key.trim() == name)?;
+        value.trim().parse::<f64>().ok().filter(|v| v.is_finite() && *v >= 0.0)
+    };
+    Some(Load { held: figure("busy_reqs")?, rate: figure("served_ps")? })
+}
+
 type Object = Map<String, Value>;
 
 fn object<'a>(from: &'a Object, name: &str) -> Result<&'a Object, String> {
@@ -203,3 +214,21 @@
     let price = |name| Ok::<_, String>(number(from, name)?.unwrap_or(0.0));
     Ok(Prices { connection: price("connection")?, handshake: price("handshake")? })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_is_read_whole_or_not_at_all() {
+        let read = Some(Load { held: 7.0, rate: 140.5 });
+        assert_eq!(load("x0:0.4,x1:1.25,served_ps:140.5,busy_reqs:7", ':'), read);
+        assert_eq!(load("busy_reqs=7, served_ps=140.5", '='), read);
+        for report in ["", "-", "busy_reqs=7", "busy_reqs=7,served_ps=", "busy_reqs=-1,served_ps=2"] {
+            assert_eq!(load(report, '='), None, "{report}");
+        }
+        for report in ["busy_reqs=nan,served_ps=2", "busy_reqs=7,served_ps=inf", "\u{1},=,=="] {
+            assert_eq!(load(report, '='), None, "{report}");
+        }
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -62,10 +62,26 @@
 const CUT: f64 = 0.8;
 /// The same for the fetch limit: slow fetches end late, so cuts are few and must be deep.
 const FETCH_CUT: f64 = 0.5;
+/// With more nodes than this a time-out tells of a crowd only: each sends a server too little to tell silence
+/// from a queue, and any two of 100 nodes soon agree. They left half of the fleet alone and jammed the rest.
+const FEW_NODES: f64 = 10.0;
 /// A server found failing or silent twice in the first time is left alone for about the second, by all nodes
 /// that are told: what is jammed comes back only when left idle.
 const AGREED: Seconds = 2.0;
 const QUIET: Seconds = 4.0;
+/// Requests held from which a server may be crowded, if it also serves fewer in this part of the tightest
+/// aim: it tells of a queue long before answers come too late.
+const HELD: f64 = 4.0;
+const HELD_TIME: f64 = 0.3;
+/// A crowded server takes this part of what it took of its keys, once in so long whatever is heard of it: its
+/// reports come about so often. What it takes grows back by this much a second, as slowly as queues drain.
+const EASE: f64 = 0.7;
+const EASE_TIME: Seconds = 0.5;
+const REGAIN: f64 = 0.1;
+/// Least part of its keys that a crowded server takes: enough to see when it is no longer.
+const LEAST_PART: f64 = 0.05;
+/// What begins a message that a server is crowded; its name follows.
+const CROWDED_MARK: u8 = b'~';
 /// Resets without an answer between from which a server is taken for dead.
 const DEAD: u32 = 3;
 /// Weight of a new observation in smoothed figures, and the time that rare ones are set against.
@@ -211,6 +227,10 @@
     rested: Seconds,
     /// Attempts that broke or found no connection since it last answered.
     resets: u32,
+    /// The part of its keys that it is asked for: less than 1 once it was crowded, the same at all nodes that
+    /// are told. And when it was last found crowded.
+    part: f64,
+    crowded: Seconds,
     /// When a node last found it failing, and until when it is left alone.
     failed: Seconds,
     quiet: Seconds,
@@ -299,6 +319,8 @@
     ready: f64,
     sizes: f64,
     shares: f64,
+    /// Mean of the parts of their keys that servers are asked for, by share.
+    parts: f64,
     in_flight: u32,
     /// Over all servers, smoothed: the time of hits and of time-outs.
     hit_time: Mean,
@@ -422,8 +444,14 @@
             // The time of a request is nearly up.
             Event::Timer(TimerToken(token)) => self.end(RequestId(token - 1)),
             Event::Message { bytes, .. } => {
-                if let Ok(address) = std::str::from_utf8(&bytes) {
-                    self.found_failing(&ServerId(address.into()));
+                let crowded = bytes.first() == Some(&CROWDED_MARK);
+                if let Ok(address) = std::str::from_utf8(&bytes[usize::from(crowded)..]) {
+                    let id = ServerId(address.into());
+                    if crowded {
+                        self.found_crowded(&id);
+                    } else {
+                        self.found_failing(&id);
+                    }
                 }
             }
             Event::Probed { .. } => {}
@@ -461,7 +489,7 @@
         // Set against the largest weight, in powers of two: one scale while like servers come and go.
         let scale = if by_weight && listed > 0.0 { listed.log2().floor().exp2() } else { 1.0 };
         let mut resized = Vec::new();
-        (self.ready, self.sizes, self.shares) = (0.0, 0.0, 0.0);
+        (self.ready, self.sizes, self.shares, self.parts) = (0.0, 0.0, 0.0, 0.0);
         for (id, s) in &mut self.servers {
             let size = match s.entry.weight {
                 _ if s.entry.state == ServerState::Gone || is_origin(&self.settings, s) => 0.0,
@@ -478,8 +506,10 @@
                 self.ready += 1.0;
                 self.sizes += size;
                 self.shares += s.share;
+                self.parts += s.share * s.part;
             }
         }
+        self.parts /= self.shares.max(f64::MIN_POSITIVE);
         if !resized.is_empty() {
             self.slots.update(&resized);
         }
@@ -491,6 +521,9 @@
         let left = 1.0 - TICK / self.ramp();
         self.tenants.iter_mut().for_each(|t| t.used *= left);
         let multiple = self.settings.guarantees.fall_multiple / 2.0;
+        for s in self.servers.values_mut().filter(|s| self.now - s.crowded >= EASE_TIME) {
+            s.part = (s.part + REGAIN * TICK).min(1.0);
+        }
         for s in self.servers.values_mut().filter(|s| s.share < s.size) {
             let rate = multiple * s.share / self.sizes.max(s.size) * self.total.at(self.now) / MEMORY;
             s.allowance = (s.allowance + rate * TICK).min(SPARE);
@@ -513,12 +546,15 @@
             .max(self.part(FLEET_FLOOR).ceil().max(floor))
     }
 
-    /// A cold server takes a stable part of its keys, as it is warm and allowed, and no overflow.
+    /// A cold server takes a stable part of its keys, as it is warm and allowed, and no overflow. A crowded
+    /// one takes a stable part as well, set against what the others take: where all are crowded alike, there
+    /// is nobody to pass keys to, and each is asked for all of its own.
     fn takes(&self, server: &Server, key: Key, place: u64, hash: u32) -> bool {
         let part = mix(key.0 ^ u64::from(hash)) as f64 / u64::MAX as f64;
         let cold = server.share < server.size;
         server.share > 0.0
-            && (!cold || (place == 0 && server.allowance >= 1.0 && part * server.size < server.share))
+            && part * server.size * self.parts < server.share * server.part
+            && (!cold || (place == 0 && server.allowance >= 1.0))
     }
 
     /// The first server below its cap along the key's places; `None` if all are full.
@@ -914,6 +950,7 @@
         let (now, status, time) = (self.now, outcome.status, outcome.elapsed);
         let (through, scarce) = (self.settings.cache == CacheMode::Through, self.unreachable.value > SCARCE);
         let fetched = outcome.note == Some(CacheNote::Miss);
+        let few = f64::from(self.settings.balancers) <= FEW_NODES;
         let stale_from = self.stale_from();
         let Some(s) = self.servers.get_mut(&place.1) else { return };
         // No answer, though others that were sent later have been answered, and not for its work.
@@ -947,7 +984,7 @@
         let failed = (status == Status::Error && known && !write && self.late.value <= LATE)
             || (status == Status::Broken && !stale && dead)
             || (status == Status::Unreachable && !scarce && dead)
-            || (status == Status::TimedOut && !alive && wait > CROWDED);
+            || (status == Status::TimedOut && !alive && wait > CROWDED && few);
         // What the origin serves is its own work, though no cache had it: else no answer would let its limit
         // grow again, and each cut, whatever its cause (a jam, a pause, lost answers), would be for good. Its
         // times vary much, so it is slow when they are so by the mean: single slow ones come at any load.
@@ -968,6 +1005,15 @@
         } else if served {
             s.limit.grow(load);
         }
+        let queue = outcome.load.is_some_and(|l| l.held >= HELD.max(l.rate * HELD_TIME * self.tightest_aim));
+        let unanswered = status == Status::TimedOut && !overtaken;
+        let jammed = queue || ((hit || unanswered) && wait > CROWDED);
+        // In mode `Through` a jump is a miss that holds a place: there a crowded server is waited for.
+        if jammed && !at_origin && !through && self.found_crowded(&place.1) && self.settings.limits.peers {
+            let name = place.1 .0.bytes();
+            self.out.push(Action::Tell(std::iter::once(CROWDED_MARK).chain(name).collect()));
+        }
+        let Some(s) = self.servers.get_mut(&place.1) else { return };
         if failed && now - time > s.quiet {
             if self.settings.limits.peers {
                 self.out.push(Action::Tell(place.1 .0.as_bytes().to_vec()));
@@ -1007,6 +1053,15 @@
         }
     }
 
+    /// This node or another has found that a server holds more than it can answer in time.
+    fn found_crowded(&mut self, id: &ServerId) -> bool {
+        let Some(s) = self.servers.get_mut(id).filter(|s| self.now - s.crowded >= EASE_TIME) else {
+            return false;
+        };
+        (s.part, s.crowded) = ((s.part * EASE).max(LEAST_PART), self.now);
+        true
+    }
+
     /// This node or, where nodes may tell, another had no answer or a failure from a server.
     fn found_failing(&mut self, id: &ServerId) {
         let wait = QUIET * (0.75 + 0.5 * self.random());
@@ -1059,11 +1114,19 @@
             let (now, allowance, least) = (self.now, self.random(), self.part(1.0).min(LEAST));
             let (value, changed) = (self.part(2.0 * FLEET_FLOOR), 0.0);
             let limit = Limit { value, least, changed };
-            let new = Server { entry: entry.clone(), limit, allowance, answered: now, ..Server::default() };
+            let new = Server {
+                entry: entry.clone(),
+                limit,
+                allowance,
+                part: 1.0,
+                answered: now,
+                ..Server::default()
+            };
             let s = self.servers.entry(entry.server.clone()).or_insert(new);
             // A fresh start time is a fresh process: what was held against the old one is void.
             if entry.started.is_some_and(|at| s.entry.started.is_none_or(|old| at > old)) {
                 (s.quiet, s.resets, s.allowance, s.entry.started) = (0.0, 0, allowance, entry.started);
+                s.part = 1.0;
                 s.limit.value = s.limit.value.max(value);
             }
             s.entry = RosterEntry { started: s.entry.started, ..entry };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -397,6 +397,15 @@
     MissFetching,
 }
 
+/// What a server reports of its load. Reports come now and then, late and a little noisy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    /// Requests that it holds.
+    pub held: f64,
+    /// Requests that it serves a second.
+    pub rate: f64,
+}
+
 /// The one outcome of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Outcome {
@@ -412,6 +421,8 @@
     pub finished: bool,
     /// What the server told of its cache.
     pub note: Option<CacheNote>,
+    /// What it reported of its load.
+    pub load: Option<Load>,
 }
 
 /// What a host tells a balancer.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 //!     elapsed: 0.02,
 //!     finished: true,
 //!     note: Some(CacheNote::Hit),
+//!     load: None,
 //! };
 //! actions.clear();
 //! balancer.handle(0.12, Event::Outcome(outcome), &mut actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -138,6 +138,21 @@
             elapsed,
             finished: status == Status::Success,
             note,
+            load: None,
+        }))
+    }
+
+    /// The last attempt of a request is served from cache, with a load report.
+    pub fn serve_reporting(&mut self, request: u64, held: f64, rate: f64) -> Vec<Action> {
+        let attempt = AttemptId(self.sends[&RequestId(request)].len() as u32 - 1);
+        self.event(Event::Outcome(Outcome {
+            request: RequestId(request),
+            attempt,
+            status: Status::Success,
+            elapsed: 0.01,
+            finished: true,
+            note: Some(CacheNote::Hit),
+            load: Some(Load { held, rate }),
         }))
     }
 
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -60,6 +60,7 @@
                         elapsed: 0.01,
                         finished: true,
                         note: None,
+                        load: None,
                     }));
                 }
             }
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -192,6 +192,7 @@
                 elapsed,
                 finished,
                 note: None,
+                load: None,
             }));
         }
         match rng.below(10) {
