Allow cold servers what they can bear, and look at fewer held requests

The allowance went by what the node had sent over 15 s, which a node younger than that takes for too little, and by an even spread. It now goes by the tenants' quotas, which are shares of what the whole fleet can do: half of rule four's multiple of that, over all nodes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -22,8 +22,12 @@
 const NODE_FLOOR: f64 = 3.0;
 /// Over quota a limit is divided by 1 + this x the usual answer time / the aim: two or so, in a jam four.
 const OVER: f64 = 6.0;
-/// Places tried before a request is held, and points that may be passed over at each.
-const MAX_JUMPS: u64 = 32;
+/// Places tried before a request is held, and points that may be passed over at each. In a jam each request
+/// held costs their product: 32 x 32 took more than the node's CPU.
+const MAX_JUMPS: u64 = 16;
+const MAX_PASSED: usize = 8;
+/// Requests held that are looked at when an attempt ends: that frees one place. The others wait for a tick.
+const FREED: usize = 2;
 /// Requests that may be saved up of a tenant's quota and of a cold server's allowance: few come unevenly.
 const SPARE: f64 = 4.0;
 /// A key may add this part of what a server is sent by the mean to each of its places.
@@ -145,7 +149,7 @@
     fn owner(&self, key: Key, attempt: u64, takes: impl Fn(&ServerId, u32) -> bool) -> Option<&ServerId> {
         let slot = slot_of(key, attempt);
         let (before, after) = self.points.split_at(self.points.partition_point(|p| usize::from(p.0) < slot));
-        after.iter().chain(before).take(MAX_JUMPS as usize).find_map(|&(_, hash, index)| {
+        after.iter().chain(before).take(MAX_PASSED).find_map(|&(_, hash, index)| {
             self.members[usize::from(index)].as_ref().filter(|id| takes(id, hash))
         })
     }
@@ -321,6 +325,8 @@
     shares: f64,
     /// Mean of the parts of their keys that servers are asked for, by share.
     parts: f64,
+    /// The largest sum of sizes so far: the whole fleet.
+    most_sizes: f64,
     in_flight: u32,
     /// Over all servers, smoothed: the time of hits and of time-outs.
     hit_time: Mean,
@@ -479,7 +485,7 @@
         if self.now >= self.next_close {
             self.close_drained();
         }
-        self.dispatch();
+        self.dispatch(usize::MAX);
     }
 
     /// Points by size, kept while a server is listed; shares by size and warmth.
@@ -510,22 +516,28 @@
             }
         }
         self.parts /= self.shares.max(f64::MIN_POSITIVE);
+        self.most_sizes = self.most_sizes.max(self.sizes);
         if !resized.is_empty() {
             self.slots.update(&resized);
         }
     }
 
-    /// What a cold server may be sent grows by half the rule's multiple of what warm ones get by the mean:
-    /// popular keys alone, asked for by all nodes, could push it over.
+    /// What a cold server may be sent grows by half the rule's multiple of what warm ones get by the mean, or
+    /// bear at least: popular keys alone, asked for by all nodes, could push it over.
     fn refresh_allowances(&mut self) {
         let left = 1.0 - TICK / self.ramp();
         self.tenants.iter_mut().for_each(|t| t.used *= left);
         let multiple = self.settings.guarantees.fall_multiple / 2.0;
+        // Tenants' quotas are shares of what the fleet can do when whole: what a warm server bears at least.
+        // What is sent now says less where many servers are new, or the node itself.
+        let quotas = self.settings.tenants.iter().map(|t| t.quota).sum::<f64>();
+        let able = self.part(quotas) / self.most_sizes.max(1.0);
         for s in self.servers.values_mut().filter(|s| self.now - s.crowded >= EASE_TIME) {
             s.part = (s.part + REGAIN * TICK).min(1.0);
         }
         for s in self.servers.values_mut().filter(|s| s.share < s.size) {
-            let rate = multiple * s.share / self.sizes.max(s.size) * self.total.at(self.now) / MEMORY;
+            let borne = self.total.at(self.now) / MEMORY / self.sizes.max(s.size);
+            let rate = multiple * s.share * borne.max(able);
             s.allowance = (s.allowance + rate * TICK).min(SPARE);
         }
     }
@@ -879,7 +891,7 @@
             self.go_on(outcome.request, &outcome, to_origin);
         }
         self.close_idle(&place.1);
-        self.dispatch();
+        self.dispatch(FREED);
     }
 
     /// Closes what is idle where open connections of every node cost more than new ones, where servers that
@@ -937,8 +949,10 @@
         self.stale.map_or(f64::MAX, |(from, at)| from * ((self.now - at) / RARE).exp2())
     }
 
-    fn dispatch(&mut self) {
-        for id in std::mem::take(&mut self.pending) {
+    /// Places the requests that have been held longest, so many at most.
+    fn dispatch(&mut self, most: usize) {
+        let most = most.min(self.pending.len());
+        for id in self.pending.drain(..most).collect::<Vec<_>>() {
             self.place(id);
         }
     }
@@ -1134,6 +1148,6 @@
         self.refresh_slots();
         self.close_drained();
         self.servers.retain(|_, s| s.entry.state != ServerState::Gone || s.in_flight > 0);
-        self.dispatch();
+        self.dispatch(usize::MAX);
     }
 }
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1163,3 +1163,80 @@
     // It goes on being asked for some of its keys, fewer and fewer.
     assert!((4..30).contains(&asked), "asked {asked} times");
 }
+
+/// Six of ten servers were new. What they were allowed went by what a node had sent lately, which a node that is
+/// new itself, or sees its few requests come unevenly, takes for little; their keys jammed the four warm ones.
+#[test]
+fn nodes_that_know_of_little_traffic_yet_use_cold_servers_as_they_can_bear() {
+    let mut entries = fleet(10);
+    entries[..6].iter_mut().for_each(|e| e.started = Some(100.0));
+    let tenants = vec![Tenant { name: "all".into(), quota: 600.0 }];
+    let many = Settings { balancers: 100, tenants, ..settings() };
+    let (mut at_cold, mut all) = (0, 0);
+    for seed in 0..100 {
+        let mut node = Node::with(many.clone(), seed, entries.clone());
+        for n in 0..12 {
+            node.pass(0.3);
+            let home = node.home(n, (100 * seed + n) * 7919);
+            at_cold += u32::from((1..=6).any(|server| home == id(server)));
+            all += 1;
+        }
+    }
+    // From a quarter of its capacity on, six are 1.5 of 5.5 and more.
+    let share = f64::from(at_cold) / f64::from(all);
+    assert!((0.18..0.45).contains(&share), "{share} of all");
+}
+
+/// Rule four, by 100 nodes at once: the work sent to a cold server stays under the rule's multiple of what it can
+/// then do, in any window of the rule's length, however popular its keys are.
+#[test]
+fn all_nodes_together_keep_rule_four_when_every_request_is_for_a_cold_server() {
+    let quota = 600.0;
+    let tenants = vec![Tenant { name: "all".into(), quota }];
+    let many = Settings { balancers: 100, tenants, ..settings() };
+    let started = RosterEntry { started: Some(110.0), ..entry(1) };
+    let mut other = Node::with(settings(), 1, fleet(10));
+    let keys: Vec<u64> = (0..4000).filter(|&n| other.home(n, n) == id(1)).take(60).collect();
+    let mut sends: Vec<Seconds> = Vec::new();
+    for seed in 0..100 {
+        let mut node = Node::with(many.clone(), seed, fleet(10));
+        node.pass(10.0);
+        node.event(Event::Roster(RosterNews::Delta(vec![started.clone()])));
+        for n in 0..160 {
+            if node.home(n, keys[(n + seed) as usize % 60]) == id(1) {
+                sends.push(node.now);
+            }
+            node.pass(0.05);
+        }
+    }
+    sends.sort_by(f64::total_cmp);
+    assert!(sends.len() > 100, "{} sends", sends.len());
+    let rules = &many.guarantees;
+    for (n, &from) in sends.iter().enumerate() {
+        let in_window = sends[n..].iter().take_while(|&&at| at < from + rules.fall_for).count() as f64;
+        let warmth = rules.cold_from + (1.0 - rules.cold_from) * ((from - 110.0) / rules.ramp).min(1.0);
+        let allowed = rules.fall_multiple * warmth * quota / 10.0 * rules.fall_for;
+        assert!(in_window < allowed, "{in_window} sends from {from}, {allowed} allowed");
+    }
+}
+
+/// Each answer looked at all requests held, and each of them at all places: more CPU than the node has.
+#[test]
+fn an_answer_frees_one_place_and_few_of_the_requests_held_are_looked_at() {
+    let cache = CacheMode::Aside { origin_kind: "origin".into() };
+    let mut node = Node::with(Settings { cache, ..settings() }, 1, fleet(1));
+    assert_eq!(sent(&node.request(NewRequest { left: 30.0, ..read(1, 1) })).len(), 1);
+    // Left alone for 5 s at most.
+    for from in [3, 4] {
+        node.event(Event::Message { from, bytes: id(1).0.as_bytes().to_vec() });
+    }
+    node.now += 2.9;
+    for n in 2..20 {
+        let held = NewRequest { left: 30.0, ..read(n, n) };
+        assert!(sent(&node.request(held)).is_empty(), "{n} is held");
+    }
+    node.now += 2.2;
+    assert_eq!(sent(&node.serve(1)).len(), 2);
+    node.now += 0.05;
+    assert!(sent(&node.event(Event::Timer(TimerToken(0)))).len() > 2, "the others at the next tick");
+}
