Give every node its list, and let all know of servers that refuse

A refused connection is told to the others, two of them rest a server; and an attempt without a connection does not count against the node's own budget, as it made no work.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -52,6 +52,10 @@
 const TICK: Seconds = 0.05;
 /// First wait, about, before a failed call for the list is made again; doubled three times at most.
 const REASK: Seconds = 0.2;
+/// With more than `FEW_NODES`, calls for the list are spread over this much time a node: discovery works
+/// through them in turn, at 50 to 80 ms each, those included that nobody waits for any more. 100 nodes that called
+/// at once, and again at each failure, kept it so far behind that 62 of them never had a list.
+const CALL_TIME: Seconds = 0.07;
 /// How long a key is taken to be kept where it was last served.
 const MEMORY: Seconds = 15.0;
 /// Reads of keys not known to be kept that all nodes first have out at once; learnt from then on.
@@ -294,9 +298,12 @@
         self.attempts.iter().filter(|a| a.status.is_none()).count()
     }
 
-    /// The next attempt counts against the budget: all do but the first and one after each `Absent`.
-    fn costs_budget(&self) -> bool {
-        self.attempts.last().is_some_and(|a| a.status != Some(Status::Absent))
+    /// The next attempt counts against the budget: all do but the first and one after each `Absent`. Against
+    /// the node's `own` budget, which is to keep work from multiplying, nor does one after `Unreachable`:
+    /// that made none. A node with an old list meets several such in a row.
+    fn costs_budget(&self, own: bool) -> bool {
+        let free = |status| status == Status::Absent || (own && status == Status::Unreachable);
+        self.attempts.last().is_some_and(|a| !a.status.is_some_and(free))
     }
 }
 
@@ -436,6 +443,7 @@
         if !self.started {
             self.started = true;
             self.out.push(Action::SetTimer { token: TICK_TOKEN, after: TICK });
+            self.roster.next_ask = self.now + self.random() * self.call_spread();
             self.follow_roster();
         }
         match event {
@@ -700,7 +708,8 @@
     /// Sends a request that has no attempt out on its way, holds it, or ends it.
     fn place(&mut self, id: RequestId) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.ended && r.attempts_out() == 0) else { return };
-        if r.costs_budget() && !self.ration.allows_one(&self.budget, self.now, self.settings.round) {
+        let own = self.settings.guarantees.budget.is_none();
+        if r.costs_budget(own) && !self.ration.allows_one(&self.budget, self.now, self.settings.round) {
             return self.end(id);
         }
         let Some(r) = self.requests.get(&id) else { return };
@@ -765,8 +774,9 @@
 
     fn send(&mut self, id: RequestId, server: &ServerId, to_origin: bool) {
         let stale_from = self.stale_from();
+        let own = self.settings.guarantees.budget.is_none();
         let Some(r) = self.requests.get_mut(&id) else { return };
-        if r.costs_budget() {
+        if r.costs_budget(own) {
             self.ration.extra.push_back(self.now);
         }
         let busy = |s: &Server| s.in_flight > 0 || s.used == 0.0;
@@ -997,7 +1007,7 @@
         // Errors of unknown keys or while fetches fail are the origin's; connections may just be scarce.
         let failed = (status == Status::Error && known && !write && self.late.value <= LATE)
             || (status == Status::Broken && !stale && dead)
-            || (status == Status::Unreachable && !scarce && dead)
+            || (status == Status::Unreachable && (!few || (!scarce && dead)))
             || (status == Status::TimedOut && !alive && wait > CROWDED && few);
         // What the origin serves is its own work, though no cache had it: else no answer would let its limit
         // grow again, and each cut, whatever its cause (a jam, a pause, lost answers), would be for good. Its
@@ -1089,6 +1099,16 @@
 
     // ---- Roster following -----------------------------------------------------------------------------
 
+    /// The time over which all nodes together spread their calls for the list.
+    fn call_spread(&self) -> Seconds {
+        let nodes = f64::from(self.settings.balancers);
+        if nodes > FEW_NODES {
+            (CALL_TIME * nodes).min(self.settings.guarantees.ask_every / 2.0)
+        } else {
+            0.0
+        }
+    }
+
     fn follow_roster(&mut self) {
         let roster = &self.roster;
         // A call that is never answered is taken as failed before the time to ask has run out.
@@ -1103,7 +1123,7 @@
     fn on_roster(&mut self, news: RosterNews) {
         if news == RosterNews::Failed {
             // Calls that failed together must not come again together.
-            let wait = REASK * f64::from(1u32 << self.roster.failures.min(3));
+            let wait = (REASK * f64::from(1u32 << self.roster.failures.min(3))).max(self.call_spread());
             self.roster = Roster {
                 next_ask: self.now + wait * (0.5 + self.random()),
                 failures: self.roster.failures + 1,
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -1240,3 +1240,78 @@
     node.now += 0.05;
     assert!(sent(&node.event(Event::Timer(TimerToken(0)))).len() > 2, "the others at the next tick");
 }
+
+// ---- Old lists and discovery among many nodes ----
+
+/// 70 of 100 nodes came back at once and asked for the list at once, and again at each failure: discovery, which
+/// works through calls in turn, fell ever further behind, and 62 nodes had no list for the rest of the day.
+#[test]
+fn many_nodes_spread_their_calls_for_the_list_and_ask_within_half_the_time_allowed() {
+    let calls = |balancers| -> Vec<Seconds> {
+        let first = |seed| {
+            let mut node = Node::new(Settings { balancers, ..asking() }, seed);
+            let start = node.now;
+            let mut actions = node.event(Event::Roster(RosterNews::Cached(fleet(8))));
+            while asks(&actions) == 0 {
+                actions = node.pass(0.05);
+                assert!(node.now - start <= 5.1, "asked too late");
+            }
+            let asked = node.now - start;
+            // And after a failure, spread alike.
+            node.event(Event::Roster(RosterNews::Failed));
+            let failed = node.now;
+            while asks(&node.pass(0.05)) == 0 {
+                assert!(node.now - failed <= 8.0, "asked again too late");
+            }
+            (balancers <= 10 || node.now - failed >= 2.0).then_some(asked).expect("not at once again")
+        };
+        (0..100).map(first).collect()
+    };
+    assert!(calls(3).iter().all(|&at| at == 0.0));
+    let mut many = calls(100);
+    many.sort_by(f64::total_cmp);
+    for second in 0..5 {
+        let from = f64::from(second);
+        let count = many.iter().filter(|&&at| (from..from + 1.0).contains(&at)).count();
+        assert!((10..=32).contains(&count), "{count} calls in second {second}");
+    }
+}
+
+/// Nodes with an old list met one dead server after another, the budget for repeats ran out, and up to four in ten
+/// requests were refused unsent while most servers stood idle.
+#[test]
+fn attempts_that_found_no_connection_cost_none_of_the_node_s_own_budget() {
+    let mut node = one_of_many(fleet(20));
+    let dead: BTreeSet<ServerId> = (1..=6).map(id).collect();
+    let mut served = 0;
+    for n in 0..200 {
+        let mut to = sent(&node.request(read(n, n)));
+        while let [server] = &to[..] {
+            if !dead.contains(server) {
+                node.serve(n);
+                served += 1;
+                break;
+            }
+            to = sent(&node.outcome(n, Status::Unreachable, None));
+        }
+        node.pass(0.05);
+    }
+    assert!(served > 190, "{served} of 200 served");
+}
+
+/// Among many nodes each meets a dead server seldom: two refused connections, wherever, and all leave it alone.
+#[test]
+fn among_many_nodes_a_server_that_refuses_two_connections_is_left_alone() {
+    let mut node = one_of_many(fleet(10));
+    let keys: Vec<u64> = (0..1000).filter(|&n| node.home(n, n) == id(1)).take(3).collect();
+    node.request(read(5000, keys[0]));
+    let told = Action::Tell(id(1).0.as_bytes().to_vec());
+    assert!(node.outcome(5000, Status::Unreachable, None).contains(&told));
+    node.serve(5000);
+    node.pass(0.5);
+    assert_eq!(node.home(5001, keys[1]), id(1), "one may be chance");
+    node.event(Event::Message { from: 9, bytes: id(1).0.as_bytes().to_vec() });
+    assert_ne!(node.home(5002, keys[1]), id(1));
+    node.pass(6.0);
+    assert_eq!(node.home(5003, keys[1]), id(1), "asked again later");
+}
