--- a/src/balance.rs
+++ b/src/balance.rs
@@ -53,7 +53,7 @@
 /// First wait, about, before a failed call for the list is made again; doubled three times at most.
 const REASK: Seconds = 0.2;
 /// With more than `FEW_NODES`, calls for the list are spread over this much time a node: discovery works
-/// through them in turn, at 50 to 80 ms each, those included that nobody waits for any more. 100 nodes that called
+/// through them in turn, at some 52 ms each, those included that have failed meanwhile. 100 nodes that called
 /// at once, and again at each failure, kept it so far behind that 62 of them never had a list.
 const CALL_TIME: Seconds = 0.07;
 /// How long a key is taken to be kept where it was last served.
@@ -70,8 +70,9 @@
 const CUT: f64 = 0.8;
 /// The same for the fetch limit: slow fetches end late, so cuts are few and must be deep.
 const FETCH_CUT: f64 = 0.5;
-/// With more nodes than this a time-out tells of a crowd only: each sends a server too little to tell silence
-/// from a queue, and any two of 100 nodes soon agree. They left half of the fleet alone and jammed the rest.
+/// With more nodes than this, each sees little of a server. A time-out then tells of a crowd only, as it can't
+/// be told from silence: any two of 100 nodes soon agreed, left half of the fleet alone and jammed the rest.
+/// A refused connection is told at once instead of after some: it comes seldom to any one node.
 const FEW_NODES: f64 = 10.0;
 /// A server found failing or silent twice in the first time is left alone for about the second, by all nodes
 /// that are told: what is jammed comes back only when left idle.
