--- a/src/balance.rs
+++ b/src/balance.rs
@@ -70,7 +70,7 @@
 const CUT: f64 = 0.8;
 /// The same for the fetch limit: slow fetches end late, so cuts are few and must be deep.
 const FETCH_CUT: f64 = 0.5;
-/// With more nodes than this, each sees little of a server. A time-out then tells of a crowd only, as it can't
+/// With more nodes than this, each sees little of a server. A time-out then tells of a crowd only: it can't
 /// be told from silence: any two of 100 nodes soon agreed, left half of the fleet alone and jammed the rest.
 /// A refused connection is told at once instead of after some: it comes seldom to any one node.
 const FEW_NODES: f64 = 10.0;
