Let writes wait first for the connections of a full origin

Ruled out: the origin's queue (its answers stayed quick for who held a connection).

Writes that wait are now woken first and reads leave them the next connection.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -103,8 +103,11 @@
 struct Places {
     /// How many are open or being opened.
     open: Cell<usize>,
-    /// One has fallen idle or closed.
-    freed: Notify,
+    /// One has fallen idle or closed. Writes that wait come first: they are few, and reads that have missed
+    /// come in crowds.
+    freed_for_writes: Notify,
+    freed_for_reads: Notify,
+    writes_waiting: Cell<usize>,
     /// When the server last turned away a connection just opened.
     turned_away: Cell<Option<Instant>>,
 }
@@ -114,6 +117,30 @@
     fn must_wait(&self) -> bool {
         self.open.get() > 0 && self.turned_away.get().is_some_and(|at| at.elapsed() < NO_ROOM)
     }
+
+    fn freed(&self) {
+        let waits = self.writes_waiting.get() > 0;
+        let freed = if waits { &self.freed_for_writes } else { &self.freed_for_reads };
+        freed.notify_one();
+    }
+}
+
+/// A write that waits for a connection.
+struct WaitingWrite(Rc<Places>);
+
+impl WaitingWrite {
+    fn begin(places: Rc<Places>) -> Self {
+        places.writes_waiting.set(places.writes_waiting.get() + 1);
+        WaitingWrite(places)
+    }
+}
+
+impl Drop for WaitingWrite {
+    fn drop(&mut self) {
+        self.0.writes_waiting.set(self.0.writes_waiting.get() - 1);
+        // Given up, it may have been told of what another can use; who wakes in vain looks again.
+        self.0.freed();
+    }
 }
 
 /// One of the connections to a server, from before it is opened.
@@ -129,7 +156,7 @@
 impl Drop for ServerPlace {
     fn drop(&mut self) {
         self.0.open.set(self.0.open.get() - 1);
-        self.0.freed.notify_one();
+        self.0.freed();
     }
 }
 
@@ -210,9 +237,10 @@
     pub async fn exchange(&self, server: &ServerId, payload: &Payload, wait: Duration, sent: &Sent) -> Ended {
         let started = Instant::now();
         loop {
-            let (mut connection, reused) = match self.take_idle(server) {
+            let write = payload.method != Method::GET;
+            let (mut connection, reused) = match self.take_idle(server, write) {
                 Some(connection) => (connection, true),
-                None if self.await_place(server).await => continue,
+                None if self.await_place(server, write).await => continue,
                 None => match self.connect(server).await {
                     Ok(connection) => (connection, false),
                     Err(status) => return Ended::without_reply(status),
@@ -274,9 +302,27 @@
         status.map_or(Status::TimedOut, |status| status.unwrap_or_else(|failed| failed))
     }
 
-    fn take_idle(&self, server: &ServerId) -> Option<Connection> {
+    /// Closes what would be unused for too long by the next sweep.
+    fn close_unused(&self, now: Instant) {
+        for server in self.servers.borrow_mut().values_mut() {
+            // The last used is at the end, and kept longest.
+            let surplus = server.idle.len().saturating_sub(1);
+            let mut index = 0;
+            server.idle.retain(|connection| {
+                let time = if index < surplus { self.surplus_time } else { self.idle_time };
+                index += 1;
+                !connection.sender.is_closed() && now.duration_since(connection.idle_since) + SWEEP < time
+            });
+        }
+    }
+
+    fn take_idle(&self, server: &ServerId, write: bool) -> Option<Connection> {
         let mut servers = self.servers.borrow_mut();
-        let idle = &mut servers.get_mut(server)?.idle;
+        let server = servers.get_mut(server)?;
+        if !write && server.places.must_wait() && server.places.writes_waiting.get() > 0 {
+            return None;
+        }
+        let idle = &mut server.idle;
         while let Some(connection) = idle.pop() {
             if !connection.sender.is_closed() && connection.idle_since.elapsed() < self.idle_time {
                 return Some(connection);
@@ -287,10 +333,15 @@
 
     /// Where a server has no room for more, waits until one of this node's connections there may be free, and
     /// says whether it has waited. The caller looks again.
-    async fn await_place(&self, server: &ServerId) -> bool {
+    async fn await_place(&self, server: &ServerId, write: bool) -> bool {
         let places = self.servers.borrow().get(server).map(|server| Rc::clone(&server.places));
         let Some(places) = places.filter(|places| places.must_wait()) else { return false };
-        places.freed.notified().await;
+        if write {
+            let waiting = WaitingWrite::begin(places);
+            waiting.0.freed_for_writes.notified().await;
+        } else {
+            places.freed_for_reads.notified().await;
+        }
         true
     }
 
@@ -338,8 +389,8 @@
         let mut servers = self.servers.borrow_mut();
         let kept = servers.get_mut(server).filter(|server| server.ready && server.addr == connection.addr);
         let Some(server) = kept else { return false };
-        server.places.freed.notify_one();
         server.idle.push(connection);
+        server.places.freed();
         true
     }
 }
@@ -349,16 +400,7 @@
     loop {
         tokio::time::sleep(SWEEP).await;
         let Some(upstreams) = upstreams.upgrade() else { return };
-        for server in upstreams.servers.borrow_mut().values_mut() {
-            // The last used is at the end, and kept longest.
-            let surplus = server.idle.len().saturating_sub(1);
-            let mut index = 0;
-            server.idle.retain(|connection| {
-                let time = if index < surplus { upstreams.surplus_time } else { upstreams.idle_time };
-                index += 1;
-                !connection.sender.is_closed() && connection.idle_since.elapsed() + SWEEP < time
-            });
-        }
+        upstreams.close_unused(Instant::now());
     }
 }
 
@@ -525,6 +567,10 @@
                 async {
                     begun.notified().await;
                     let ended = exchange(1).await;
+                    // However slowly the test runs, the server has no room.
+                    let places = Rc::clone(&upstreams.servers.borrow()[&server].places);
+                    assert!(places.must_wait());
+                    places.turned_away.set(Some(Instant::now() + WAIT));
                     turned_away.notify_one();
                     ended
                 },
@@ -566,6 +612,45 @@
         });
     }
 
+    #[test]
+    fn of_those_that_wait_for_a_connection_writes_go_first() {
+        on_loopback(|listener| async move {
+            let upstreams = Upstreams::start(&limits(), 100, 8);
+            upstreams.update(&list(listener.local_addr().unwrap(), ServerState::Ready));
+            let server = ServerId("s-1".into());
+            let places = Rc::clone(&upstreams.servers.borrow()[&server].places);
+            places.turned_away.set(Some(Instant::now() + WAIT));
+            let open = ServerPlace::claim(&places);
+            let (reads, write) = ([payload(""), payload("")], payload("body"));
+            let sent = [Sent::default(), Sent::default(), Sent::default()];
+            let served = async {
+                drop(open);
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let mut methods = Vec::new();
+                for _ in 0..3 {
+                    let mut seen = Vec::new();
+                    while !(seen.ends_with(b"body")
+                        || seen.ends_with(b"\r\n\r\n") && seen.starts_with(b"GET"))
+                    {
+                        assert!(stream.read_buf(&mut seen).await.unwrap() > 0);
+                    }
+                    methods.push(seen[..3].to_vec());
+                    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+                }
+                (methods, stream)
+            };
+            let (one, two, three, (methods, _stream)) = tokio::join! {
+                biased;
+                upstreams.exchange(&server, &reads[0], WAIT, &sent[0]),
+                upstreams.exchange(&server, &reads[1], WAIT, &sent[1]),
+                upstreams.exchange(&server, &write, WAIT, &sent[2]),
+                served,
+            };
+            assert_eq!([one.status, two.status, three.status], [Status::Success; 3]);
+            assert_eq!(methods, [b"PUT", b"GET", b"GET"]);
+        });
+    }
+
     #[test]
     fn the_more_nodes_the_sooner_a_surplus_connection_is_closed() {
         let surplus = |nodes| {
@@ -581,6 +666,7 @@
     #[test]
     fn of_two_idle_connections_the_one_used_last_outlives_the_other() {
         on_loopback(|listener| async move {
+            // At 100 nodes the surplus is closed after a tenth of the time; the test's own sweeps alone matter.
             let limits = Limits { idle_close: 15.0, ..limits() };
             let upstreams = Upstreams::start(&limits, 100, 8);
             upstreams.update(&list(listener.local_addr().unwrap(), ServerState::Ready));
@@ -597,7 +683,10 @@
                 },
             };
             let idle = |upstreams: &Upstreams| upstreams.servers.borrow()[&server].idle.len();
+            let used = Instant::now();
+            upstreams.close_unused(used);
             assert_eq!(idle(&upstreams), 2);
+            upstreams.close_unused(used + Duration::from_secs(2));
             let (mut a, mut b) = ([0], [0]);
             tokio::select! {
                 end = one.read(&mut a) => assert_eq!(end.unwrap(), 0),
