--- a/tests/random.rs
+++ b/tests/random.rs
@@ -185,6 +185,9 @@
             checker.used.insert(r.sent[index].server.clone(), now);
             let finished = r.answered || status == Status::Success;
             let attempt = AttemptId(index as u32);
+            // Reports come now and then, of queues and of idle servers.
+            let load =
+                (rng.below(2) == 0).then(|| Load { held: rng.below(40) as f64, rate: rng.below(100) as f64 });
             events.push(Event::Outcome(Outcome {
                 request: id,
                 attempt,
@@ -192,7 +195,7 @@
                 elapsed,
                 finished,
                 note: None,
-                load: None,
+                load,
             }));
         }
         match rng.below(10) {
@@ -232,7 +235,9 @@
             }
             8 => events.push(Event::Probed { server: id(1 + rng.below(8)), status: Status::Success }),
             9 if settings.limits.peers => {
-                let bytes = id(1 + rng.below(8)).0.as_bytes().to_vec();
+                // A failing server, a crowded one, or what no node sends.
+                let mark: &[u8] = [&b""[..], b"~", b"~~", b"\xff"][rng.below(4) as usize];
+                let bytes = [mark, id(1 + rng.below(8)).0.as_bytes()].concat();
                 events.push(Event::Message { from: 1, bytes });
             }
             _ => {}
