--- /dev/null
+++ b/glenfall/src/boot.rs
@@ -0,0 +1,198 @@
+//! The settings file that a process starts with.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::PathBuf;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// Names the settings file.
+pub const VARIABLE: &str = "GLENFALL_CONFIG";
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Boot {
+    pub node: String,
+    pub zone: String,
+    pub bind_ip: Ipv4Addr,
+    /// First and last port that the system's processes have for each other.
+    pub port_range: (u16, u16),
+    /// `controlAddr` of some control nodes.
+    pub seed_nodes: Vec<SocketAddrV4>,
+    /// The whole system starts for the first time.
+    #[serde(default)]
+    pub bootstrap: bool,
+    #[serde(default)]
+    pub state_dir: Option<PathBuf>,
+    /// How often servers call.
+    #[serde(default = "default_beat")]
+    pub beat_ms: u64,
+    /// Where agent and control feed the proxy beside them; another than 127.0.0.1 only where several machines
+    /// are played on one.
+    #[serde(default = "default_feed_ip")]
+    pub feed_ip: Ipv4Addr,
+    pub listeners: Listeners,
+    #[serde(default)]
+    pub req_limits: Limits,
+    #[serde(default)]
+    pub timing: Timing,
+}
+
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Listeners {
+    pub http: Option<SocketAddrV4>,
+    pub ready_addr: Option<SocketAddrV4>,
+    pub control_addr: Option<SocketAddrV4>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Limits {
+    pub mem_mb: u64,
+    pub max_fds: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { mem_mb: 256, max_fds: 1024 }
+    }
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Timing {
+    pub grace_s: f64,
+    pub drain_ms: u64,
+    pub ceiling_window_s: f64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing { grace_s: 6.0, drain_ms: 3000, ceiling_window_s: 5.0 }
+    }
+}
+
+fn default_beat() -> u64 {
+    1500
+}
+
+fn default_feed_ip() -> Ipv4Addr {
+    Ipv4Addr::LOCALHOST
+}
+
+/// Why the settings can't be used; one line.
+#[derive(Debug, thiserror::Error)]
+pub enum BootError {
+    #[error("{VARIABLE} is not set: the path of the settings file expected")]
+    NoPath,
+    #[error("{path}: {what}")]
+    Unreadable { path: String, what: std::io::Error },
+    #[error("{path}: {what}")]
+    Wrong { path: String, what: String },
+}
+
+impl Boot {
+    /// Reads the file that the environment names.
+    pub fn load() -> Result<Boot, BootError> {
+        let path = std::env::var(VARIABLE).map_err(|_| BootError::NoPath)?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|what| BootError::Unreadable { path: path.clone(), what })?;
+        Boot::parse(&text).map_err(|what| BootError::Wrong { path, what })
+    }
+
+    /// Reads settings; an error names the place.
+    pub fn parse(text: &str) -> Result<Boot, String> {
+        let boot: Boot = toml::from_str(text).map_err(|e| {
+            let place = e.span().map(|span| {
+                let before = &text[..span.start.min(text.len())];
+                let line = before.matches('\n').count() + 1;
+                let column = before.len() - before.rfind('\n').map_or(0, |at| at + 1) + 1;
+                format!("line {line}, column {column}: ")
+            });
+            format!("{}{}", place.unwrap_or_default(), e.message().replace('\n', " "))
+        })?;
+        if boot.port_range.1 < boot.port_range.0.saturating_add(FEED) {
+            return Err(format!("portRange: {} ports expected, got {:?}", FEED + 1, boot.port_range));
+        }
+        if boot.seed_nodes.is_empty() {
+            return Err("seedNodes: one address at least expected, got none".into());
+        }
+        if !(boot.timing.grace_s.is_finite() && boot.timing.grace_s >= 0.0) {
+            return Err(format!("timing.graceS: seconds of 0 or more expected, got {}", boot.timing.grace_s));
+        }
+        Ok(boot)
+    }
+
+    /// A listener that the role can't do without.
+    pub fn need(
+        &self,
+        what: &str,
+        pick: impl Fn(&Listeners) -> Option<SocketAddrV4>,
+    ) -> Result<SocketAddrV4, BootError> {
+        let path = std::env::var(VARIABLE).unwrap_or_default();
+        let wrong = || BootError::Wrong { path, what: format!("listeners.{what}: missing") };
+        pick(&self.listeners).ok_or_else(wrong)
+    }
+
+    /// Where the control node on a machine takes links; ports are alike on all machines.
+    pub fn link(&self, machine: Ipv4Addr) -> SocketAddrV4 {
+        SocketAddrV4::new(machine, self.port_range.0)
+    }
+
+    /// Where this machine's shield takes reads.
+    pub fn shield(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.bind_ip, self.port_range.0 + SHIELD)
+    }
+
+    /// Where the proxy of this machine is fed.
+    pub fn feed(&self) -> SocketAddrV4 {
+        SocketAddrV4::new(self.feed_ip, self.port_range.0 + FEED)
+    }
+
+    /// How long after SIGTERM a process may go on before it is killed, less what ending takes.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64((self.timing.grace_s - 0.7).max(0.3))
+    }
+}
+
+/// Ports, counted from the first of the range, which takes links.
+const SHIELD: u16 = 1;
+const FEED: u16 = 2;
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const TEXT: &str = r#"
+node = "edge-1"
+zone = "z"
+bindIp = "127.0.0.2"
+portRange = [7720, 7735]
+seedNodes = ["127.0.0.3:80"]
+surprise = 1
+[listeners]
+http = "127.0.0.2:81"
+"#;
+
+    #[test]
+    fn unknown_fields_are_ignored_and_defaults_are_stated() {
+        let boot = Boot::parse(TEXT).unwrap();
+        assert_eq!((boot.beat_ms, boot.bootstrap, boot.feed().port()), (1500, false, 7722));
+        assert_eq!(boot.link([127, 0, 0, 9].into()).to_string(), "127.0.0.9:7720");
+    }
+
+    #[test]
+    fn what_is_wrong_is_told_in_one_line_with_its_place() {
+        for (from, to, told) in [
+            ("[7720, 7735]", "[7720, 7721]", "portRange: 3 ports expected"),
+            ("\"127.0.0.2\"", "\"here\"", "line 4, column 10"),
+            ("node = \"edge-1\"", "", "missing field `node`"),
+            ("[\"127.0.0.3:80\"]", "[]", "seedNodes"),
+            ("zone = \"z\"", "zone = \"z", "line 3"),
+        ] {
+            let why = Boot::parse(&TEXT.replace(from, to)).expect_err(from);
+            assert!(why.contains(told) && !why.contains('\n'), "{from}: {why}");
+        }
+    }
+}
--- /dev/null
+++ b/glenfall/src/feed.rs
@@ -0,0 +1,155 @@
+//! What a proxy knows of the system: the configuration, the servers and the shields, as its agent feeds them.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use glenfall_plane::config::Config;
+use glenfall_plane::messages::{Down, Fleet, Member, News, Open, Proxy, Purge, Up};
+use tokio::sync::{watch, Notify};
+use tokio::time::sleep;
+
+use crate::boot::Boot;
+use crate::link::{self, Frames, Outbox};
+use crate::sessions;
+
+/// Pause before the agent is called again: it starts beside the proxy, or has just been killed.
+const AGAIN: Duration = Duration::from_millis(100);
+
+/// What follows from news, for the proxy that it concerns.
+pub trait Follower {
+    fn config(&self, config: &Arc<Config>);
+    fn fleet(&self, fleet: &Fleet);
+    fn purge(&self, purges: &[Purge]);
+    /// Counters for `status`.
+    fn report(&self) -> Vec<(String, u64)>;
+}
+
+pub struct Feed {
+    boot: Rc<Boot>,
+    proxy: Proxy,
+    config: RefCell<Option<Arc<Config>>>,
+    fleet_known: Cell<bool>,
+    leaving: Cell<bool>,
+    changed: Notify,
+    /// The version in force, for those who wait for one.
+    rev: watch::Sender<u64>,
+}
+
+impl Feed {
+    pub fn new(boot: Rc<Boot>, proxy: Proxy) -> Rc<Self> {
+        Rc::new(Feed {
+            boot,
+            proxy,
+            config: RefCell::default(),
+            fleet_known: Cell::new(false),
+            leaving: Cell::new(false),
+            changed: Notify::new(),
+            rev: watch::Sender::new(0),
+        })
+    }
+
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Waits until the version in force is `rev` or newer.
+    pub async fn reaches(&self, rev: u64) {
+        // It can't fail while the sender is here.
+        let _ = self.rev.subscribe().wait_for(|now| *now >= rev).await;
+    }
+
+    /// Knows enough to serve, and does not leave.
+    pub fn ready(&self) -> bool {
+        self.config.borrow().is_some() && self.fleet_known.get() && !self.leaving.get()
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.leaving.get()
+    }
+
+    /// The process stops soon: members are told, new work goes elsewhere.
+    pub fn leave(&self) {
+        self.leaving.set(true);
+        self.changed.notify_one();
+    }
+
+    fn hello(&self) -> Up {
+        let http = match self.proxy {
+            Proxy::Shield => self.boot.shield(),
+            Proxy::Edge => self.boot.listeners.http.unwrap_or(self.boot.shield()),
+        };
+        let member = Member {
+            node: self.boot.node.clone(),
+            zone: self.boot.zone.clone(),
+            proxy: self.proxy,
+            http,
+            ready: self.ready(),
+        };
+        Up::Hello { node: self.boot.node.clone(), member: Some(member) }
+    }
+
+    fn take(&self, news: News, follower: &impl Follower) {
+        let was_ready = self.ready();
+        match news {
+            News::Config { rev, document } => self.take_config(rev, &document, follower),
+            News::Fleet(fleet) => {
+                follower.fleet(&fleet);
+                self.fleet_known.set(true);
+            }
+            News::Purges(purges) => follower.purge(&purges),
+        }
+        if self.ready() != was_ready {
+            self.changed.notify_one();
+        }
+    }
+
+    fn take_config(&self, rev: u64, document: &[u8], follower: &impl Follower) {
+        // Never backwards in one life, whoever is asked.
+        if rev <= *self.rev.borrow() {
+            return;
+        }
+        match Config::read(document) {
+            Ok(config) => {
+                let config = Arc::new(config);
+                follower.config(&config);
+                self.config.replace(Some(config));
+                self.rev.send_replace(rev);
+                tracing::info!(rev, "configuration in force");
+            }
+            Err(e) => tracing::error!(rev, error = %e, "configuration can't be used"),
+        }
+    }
+
+    /// Follows the agent for as long as the process runs.
+    pub async fn run(&self, follower: &impl Follower) {
+        loop {
+            if let Ok((read, write)) = link::open(self.boot.feed(), &Open::Session).await {
+                let outbox = Outbox::start(write);
+                let take = async |down| {
+                    if let Down::Push { news, .. } = down {
+                        self.take(news, follower);
+                    }
+                };
+                let reports = async {
+                    loop {
+                        sleep(REPORT).await;
+                        if !outbox.send(Up::Report(follower.report())) {
+                            return;
+                        }
+                    }
+                };
+                tokio::select! {
+                    () = sessions::follow(Frames::new(read), outbox.clone(), || self.hello(), &self.changed, take) => {}
+                    () = reports => {}
+                }
+                tracing::warn!("agent lost");
+            }
+            sleep(AGAIN).await;
+        }
+    }
+}
+
+/// Counters are for people to look at.
+const REPORT: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/glenfall/src/link.rs
@@ -0,0 +1,154 @@
+//! Held connections between the system's processes: `postcard` in frames with a length in front.
+
+use std::io;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::{Buf, BytesMut};
+use glenfall_plane::messages::LONGEST_FRAME;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{timeout, timeout_at, Instant};
+
+/// Silence on a link after which the other side is taken for lost, and how often something is said. A dark
+/// machine answers nothing, not even a reset.
+pub const SILENCE: Duration = Duration::from_millis(1500);
+pub const PING: Duration = Duration::from_millis(500);
+/// Frames that may wait to be written; a reader that is further behind than this is cut off, and catches up
+/// on a new link.
+const WAITING: usize = 1024;
+const CONNECT: Duration = Duration::from_millis(700);
+
+fn invalid(what: impl std::fmt::Display) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what.to_string())
+}
+
+/// Settings of all held connections.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENCE))?;
+    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(SILENCE).with_interval(SILENCE))
+}
+
+/// Opens a held connection and says what it is for.
+pub async fn open(
+    addr: SocketAddrV4,
+    first: &impl Serialize,
+) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
+    let stream = timeout(CONNECT, TcpStream::connect(addr)).await??;
+    tune(&stream)?;
+    let (read, mut write) = stream.into_split();
+    let mut buffer = Vec::new();
+    encode(first, &mut buffer)?;
+    write.write_all(&buffer).await?;
+    Ok((read, write))
+}
+
+fn encode(message: &impl Serialize, buffer: &mut Vec<u8>) -> io::Result<()> {
+    let at = buffer.len();
+    buffer.extend_from_slice(&[0; 4]);
+    let taken = std::mem::take(buffer);
+    *buffer = postcard::to_extend(message, taken).map_err(invalid)?;
+    let length = buffer.len() - at - 4;
+    if length > LONGEST_FRAME {
+        return Err(invalid("frame too long"));
+    }
+    buffer[at..at + 4].copy_from_slice(&(length as u32).to_le_bytes());
+    Ok(())
+}
+
+/// Reads frames. Cancelling a read loses nothing.
+pub struct Frames {
+    read: OwnedReadHalf,
+    buffer: BytesMut,
+    /// When something last came.
+    heard: Instant,
+}
+
+impl Frames {
+    pub fn new(read: OwnedReadHalf) -> Self {
+        Frames { read, buffer: BytesMut::new(), heard: Instant::now() }
+    }
+
+    /// The next message; an error where the other side is gone or says nothing that can be read.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> io::Result<T> {
+        loop {
+            if let Some(length) = self.buffer.first_chunk::<4>() {
+                let length = u32::from_le_bytes(*length) as usize;
+                if length > LONGEST_FRAME {
+                    return Err(invalid("frame too long"));
+                }
+                if self.buffer.len() >= 4 + length {
+                    self.buffer.advance(4);
+                    let frame = self.buffer.split_to(length);
+                    return postcard::from_bytes(&frame).map_err(invalid);
+                }
+            }
+            if self.read.read_buf(&mut self.buffer).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            self.heard = Instant::now();
+        }
+    }
+
+    /// The same, where silence means that the other side is lost. It counts from what came last, however
+    /// often the wait is begun anew.
+    pub async fn next_in_time<T: DeserializeOwned>(&mut self) -> io::Result<T> {
+        timeout_at(self.heard + SILENCE, self.next()).await?
+    }
+}
+
+/// The sending side of a link, for any number of senders. Dropping all of them closes it.
+pub struct Outbox<T>(mpsc::Sender<T>);
+
+impl<T> Clone for Outbox<T> {
+    fn clone(&self) -> Self {
+        Outbox(self.0.clone())
+    }
+}
+
+impl<T: Serialize + 'static> Outbox<T> {
+    pub fn start(write: OwnedWriteHalf) -> Self {
+        let (sender, waiting) = mpsc::channel(WAITING);
+        spawn_local(send_all(write, waiting));
+        Outbox(sender)
+    }
+
+    /// Queues a message. False where the link is lost or too far behind: the caller lets go of it.
+    #[must_use]
+    pub fn send(&self, message: T) -> bool {
+        self.0.try_send(message).is_ok()
+    }
+
+    /// Ends once the link can take no more messages.
+    pub async fn closed(&self) {
+        self.0.closed().await;
+    }
+}
+
+async fn send_all<T: Serialize>(mut write: OwnedWriteHalf, mut waiting: mpsc::Receiver<T>) {
+    let mut buffer = Vec::new();
+    while let Some(message) = waiting.recv().await {
+        buffer.clear();
+        if encode(&message, &mut buffer).is_err() {
+            return;
+        }
+        while buffer.len() < 64 << 10 {
+            let Ok(message) = waiting.try_recv() else { break };
+            if encode(&message, &mut buffer).is_err() {
+                return;
+            }
+        }
+        // The other side reads what it is sent within this time, or it is lost.
+        if !matches!(timeout(SILENCE, write.write_all(&buffer)).await, Ok(Ok(()))) {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/glenfall/src/pool.rs
@@ -0,0 +1,222 @@
+//! Connections to servers and shields, one request at a time on each, and whole answers read from them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall_http::{Connection, Failed, OpenSocket, Sent};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderMap};
+use hyper::{Method, Request, Response, StatusCode};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
+
+/// A connection not up by then is not waited for: the opening packet was lost, or the machine is dark.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Idle connections are closed this long before their server does, as a request that crosses the close ends
+/// as a reset.
+const EARLY: Duration = Duration::from_millis(1500);
+/// How long servers keep idle connections where they don't say.
+const KEPT: Duration = Duration::from_secs(6);
+/// Longest head of an answer.
+const LONGEST_HEAD: usize = 32 << 10;
+/// Largest body of an answer that is held in memory.
+const LARGEST: usize = 16 << 20;
+/// From its first byte an answer comes whole within this time, or it is spoilt.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// No connection, or not all was written: it has not run.
+    Unsent,
+    /// Written, and nothing that can be used came back: it may have run.
+    Unknown,
+    /// The same, as time ran out.
+    TimedOut,
+}
+
+struct Idle {
+    connection: Connection,
+    until: Instant,
+}
+
+/// All connections that one process opens.
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+    /// Connections opened so far.
+    pub opened: Cell<u64>,
+}
+
+impl Pool {
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, opened: Cell::new(0) })
+    }
+
+    /// Closes what would be unused for too long, for as long as the process runs.
+    pub async fn sweep(&self) {
+        loop {
+            sleep(SWEEP).await;
+            let now = Instant::now();
+            self.idle.borrow_mut().retain(|_, idle| {
+                idle.retain(|i| i.until > now && !i.connection.is_closed());
+                !idle.is_empty()
+            });
+        }
+    }
+
+    /// Closes the idle connections to a server that takes nothing more.
+    pub fn forget(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
+    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let idle = idle.get_mut(&addr)?;
+        let now = Instant::now();
+        while let Some(last) = idle.pop() {
+            if last.until > now && !last.connection.is_closed() {
+                return Some(last.connection);
+            }
+        }
+        None
+    }
+
+    async fn connect(&self, addr: SocketAddr) -> Option<Connection> {
+        if self.open.get() >= self.most {
+            // The connection that would be closed first makes room.
+            let mut all = self.idle.borrow_mut();
+            let first = all.values_mut().filter(|idle| !idle.is_empty()).min_by_key(|idle| idle[0].until)?;
+            first.remove(0);
+        }
+        self.opened.set(self.opened.get() + 1);
+        let opening = Connection::open(addr, OpenSocket::claim(&self.open), LONGEST_HEAD);
+        timeout(CONNECT, opening).await.ok().flatten()
+    }
+
+    /// Sends a request and reads the whole answer. `still` is asked when a connection is up: the server may
+    /// have begun to drain meanwhile.
+    pub async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: impl Fn() -> Request<Full<Bytes>>,
+        until: Instant,
+        still: impl Fn() -> bool,
+    ) -> Result<Reply, Trouble> {
+        loop {
+            let (mut connection, reused) = match self.take_idle(addr) {
+                Some(connection) => (connection, true),
+                None => match timeout_at(until, self.connect(addr)).await {
+                    Ok(Some(connection)) => (connection, false),
+                    _ => return Err(Trouble::Unsent),
+                },
+            };
+            if !still() {
+                return Err(Trouble::Unsent);
+            }
+            let sent = Sent::default();
+            let request = request();
+            let method = request.method().clone();
+            let progress = Rc::clone(&connection.progress);
+            let exchange = async {
+                match connection.send(request, &sent).await {
+                    Ok(response) => read(response, &method).await.ok_or(Some(Trouble::Unknown)),
+                    // It had been closed, or something came on it unasked; the server has seen nothing.
+                    Err(Failed::Unsent) if reused => Err(None),
+                    Err(Failed::Unsent) => Err(Some(Trouble::Unsent)),
+                    Err(Failed::Broken(_)) => Err(Some(Trouble::Unknown)),
+                }
+            };
+            let ended = tokio::select! {
+                biased;
+                ended = exchange => ended,
+                () = progress.stalled(ANSWER_TIME) => Err(Some(Trouble::Unknown)),
+                () = tokio::time::sleep_until(until) => {
+                    Err(Some(if sent.whole() { Trouble::TimedOut } else { Trouble::Unsent }))
+                }
+            };
+            match ended {
+                Ok((reply, kept)) => {
+                    if let Some(kept) = kept {
+                        if connection.is_free().await {
+                            let idle = Idle { connection, until: Instant::now() + kept };
+                            self.idle.borrow_mut().entry(addr).or_default().push(idle);
+                        }
+                    }
+                    return Ok(reply);
+                }
+                Err(None) => {}
+                Err(Some(trouble)) => return Err(trouble),
+            }
+        }
+    }
+}
+
+/// Reads an answer whole, and for how long its connection may be kept. `None` where it is no whole answer.
+async fn read(response: Response<Incoming>, method: &Method) -> Option<(Reply, Option<Duration>)> {
+    let (head, body) = response.into_parts();
+    if head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return None;
+    }
+    let length = head.headers.contains_key(header::CONTENT_LENGTH);
+    let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    let bodiless = method == Method::HEAD
+        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    // With both, the two sides may not mean the same end; with neither, only a close would be the end, and
+    // an early one looks the same.
+    if (length == chunked && !bodiless) || body.size_hint().lower() > LARGEST as u64 {
+        return None;
+    }
+    let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
+    let kept = kept_for(&head.headers);
+    Some((Reply { status: head.status, headers: head.headers, body }, kept))
+}
+
+/// How long a connection may be kept idle after an answer.
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let words = |name| headers.get_all(name).iter().filter_map(|value| value.to_str().ok());
+    let mut closes = words(header::CONNECTION).flat_map(|value| value.split(','));
+    if closes.any(|word| word.trim().eq_ignore_ascii_case("close")) {
+        return None;
+    }
+    let keep_alive = header::HeaderName::from_static("keep-alive");
+    let stated = words(keep_alive).flat_map(|value| value.split(',')).find_map(|part| {
+        let (name, value) = part.split_once('=')?;
+        (name.trim().eq_ignore_ascii_case("timeout")).then(|| value.trim().parse().ok()).flatten()
+    });
+    let kept = stated.map_or(KEPT, |seconds: u64| Duration::from_secs(seconds.min(3600)).saturating_sub(EARLY));
+    (!kept.is_zero()).then_some(kept)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_is_kept_for_less_than_the_server_says() {
+        let kept = |name: &'static str, value: &'static str| {
+            let mut headers = HeaderMap::new();
+            headers.insert(name, value.parse().unwrap());
+            kept_for(&headers)
+        };
+        assert_eq!(kept("keep-alive", "timeout=5, max=100"), Some(Duration::from_millis(3500)));
+        assert_eq!(kept("keep-alive", "timeout=1"), None);
+        assert_eq!(kept("connection", "Close"), None);
+        assert_eq!(kept("server", "x"), Some(KEPT));
+    }
+}
--- /dev/null
+++ b/glenfall/src/sessions.rs
@@ -0,0 +1,236 @@
+//! Sessions: an agent or a control node pushes numbered changes to those below it and counts what they have
+//! applied.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use glenfall_plane::messages::{Down, Member, News, Up};
+use tokio::sync::Notify;
+use tokio::time::{interval, timeout, MissedTickBehavior};
+
+use crate::link::{Frames, Outbox, PING};
+
+/// Sessions that one node holds at most: all proxies of a large system.
+const MOST: usize = 1024;
+
+struct Session {
+    outbox: Outbox<Down>,
+    node: String,
+    member: Option<Member>,
+    sent: u64,
+    applied: u64,
+    report: Vec<(String, u64)>,
+}
+
+/// What `status` tells of a session.
+pub struct Seen {
+    pub node: String,
+    pub member: Option<Member>,
+    pub sent: u64,
+    pub applied: u64,
+    pub report: Vec<(String, u64)>,
+}
+
+#[derive(Default)]
+pub struct Sessions {
+    all: RefCell<BTreeMap<u64, Session>>,
+    next: Cell<u64>,
+    applied: Notify,
+}
+
+impl Sessions {
+    /// Serves one session until it is lost. `greet` is what the other side has to know first; `changed` is
+    /// called whenever members come, change or go.
+    pub async fn serve(
+        &self,
+        mut frames: Frames,
+        outbox: Outbox<Down>,
+        greet: impl FnOnce() -> (Vec<Down>, Vec<News>),
+        changed: impl Fn(),
+    ) {
+        let Ok(Up::Hello { node, member }) = frames.next_in_time().await else { return };
+        if self.all.borrow().len() >= MOST {
+            tracing::warn!(%node, "session turned away: too many");
+            return;
+        }
+        let id = self.next.replace(self.next.get() + 1);
+        let (first, news) = greet();
+        let mut session =
+            Session { outbox: outbox.clone(), node, member, sent: 0, applied: 0, report: Vec::new() };
+        let greeted = first.into_iter().all(|down| outbox.send(down)) && news.into_iter().all(|n| session.push(n));
+        if !greeted {
+            return;
+        }
+        tracing::info!(node = %session.node, "session begins");
+        self.all.borrow_mut().insert(id, session);
+        let _guard = Guard { sessions: self, id, changed: &changed };
+        changed();
+        let mut ping = interval(PING);
+        ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                up = frames.next_in_time() => {
+                    let Ok(up) = up else { return };
+                    self.hear(id, up, &changed);
+                }
+                _ = ping.tick() => {
+                    if !outbox.send(Down::Ping) {
+                        return;
+                    }
+                }
+                () = outbox.closed() => return,
+            }
+        }
+    }
+
+    fn hear(&self, id: u64, up: Up, changed: &impl Fn()) {
+        let mut all = self.all.borrow_mut();
+        let Some(session) = all.get_mut(&id) else { return };
+        match up {
+            Up::Ping => {}
+            Up::Report(report) => session.report = report,
+            Up::Applied(number) => {
+                session.applied = session.applied.max(number);
+                self.applied.notify_waiters();
+            }
+            Up::Hello { node, member } => {
+                (session.node, session.member) = (node, member);
+                drop(all);
+                changed();
+            }
+        }
+    }
+
+    /// Pushes a change to all.
+    pub fn push(&self, news: &News) {
+        // A session that can't be written to ends by itself.
+        for session in self.all.borrow_mut().values_mut() {
+            session.push(news.clone());
+        }
+    }
+
+    pub fn tell(&self, down: &Down) {
+        for session in self.all.borrow().values() {
+            let _ = session.outbox.send(down.clone());
+        }
+    }
+
+    /// Waits until every session that stands has applied what it was sent so far; false where that takes
+    /// longer than `most`.
+    pub async fn applied(&self, most: Duration) -> bool {
+        let due: Vec<(u64, u64)> = self.all.borrow().iter().map(|(id, s)| (*id, s.sent)).collect();
+        let done = || {
+            let all = self.all.borrow();
+            due.iter().all(|(id, sent)| all.get(id).is_none_or(|s| s.applied >= *sent))
+        };
+        let wait = async {
+            loop {
+                let applied = self.applied.notified();
+                if done() {
+                    return;
+                }
+                applied.await;
+            }
+        };
+        timeout(most, wait).await.is_ok()
+    }
+
+    /// Ends the sessions that have not applied what they were sent: what they hold can't be vouched for.
+    pub fn drop_behind(&self) {
+        self.all.borrow_mut().retain(|_, session| {
+            if session.applied < session.sent {
+                tracing::warn!(node = %session.node, "session ended: it does not apply what it is sent");
+            }
+            session.applied >= session.sent
+        });
+    }
+
+    pub fn members(&self) -> Vec<Member> {
+        self.all.borrow().values().filter_map(|session| session.member.clone()).collect()
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        let all = self.all.borrow();
+        let seen = |s: &Session| Seen {
+            node: s.node.clone(),
+            member: s.member.clone(),
+            sent: s.sent,
+            applied: s.applied,
+            report: s.report.clone(),
+        };
+        all.values().map(seen).collect()
+    }
+}
+
+impl Session {
+    fn push(&mut self, news: News) -> bool {
+        self.sent += 1;
+        self.outbox.send(Down::Push { number: self.sent, news })
+    }
+}
+
+/// Takes a session off the list however it ends.
+struct Guard<'a, F: Fn()> {
+    sessions: &'a Sessions,
+    id: u64,
+    changed: &'a F,
+}
+
+impl<F: Fn()> Drop for Guard<'_, F> {
+    fn drop(&mut self) {
+        if let Some(session) = self.sessions.all.borrow_mut().remove(&self.id) {
+            tracing::info!(node = %session.node, "session ends");
+        }
+        self.sessions.applied.notify_waiters();
+        (self.changed)();
+    }
+}
+
+/// The lower side of a session: says hello, hands each change to `take`, and tells that it is applied.
+/// Returns when the session is lost or the other side leaves.
+pub async fn follow(
+    mut frames: Frames,
+    outbox: Outbox<Up>,
+    hello: impl Fn() -> Up,
+    changed: &Notify,
+    mut take: impl AsyncFnMut(Down),
+) {
+    if !outbox.send(hello()) {
+        return;
+    }
+    let mut ping = interval(PING);
+    ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            down = frames.next_in_time::<Down>() => {
+                let Ok(down) = down else { return };
+                let number = match &down {
+                    Down::Push { number, .. } => Some(*number),
+                    Down::Leaving => return,
+                    _ => None,
+                };
+                if !matches!(down, Down::Ping) {
+                    take(down).await;
+                }
+                if number.is_some_and(|number| !outbox.send(Up::Applied(number))) {
+                    return;
+                }
+            }
+            () = changed.notified() => {
+                if !outbox.send(hello()) {
+                    return;
+                }
+            }
+            _ = ping.tick() => {
+                if !outbox.send(Up::Ping) {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// What a session holds is shared between its tasks on one thread.
+pub type Shared = Rc<Sessions>;
--- /dev/null
+++ b/http/src/connection.rs
@@ -0,0 +1,90 @@
+//! An open connection to a server, and one exchange on it.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, JoinHandle};
+
+use crate::socket::{OpenSocket, Progress, Sent, Socket};
+
+/// A connection whose answer has been read whole is free at once; one that is not is of no further use.
+const SETTLE: Duration = Duration::from_millis(5);
+
+/// An open connection. Dropping it closes it, whatever is out on it.
+pub struct Connection {
+    pub addr: SocketAddr,
+    pub progress: Rc<Progress>,
+    sender: http1::SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Why there is no head of an answer.
+#[derive(Debug)]
+pub enum Failed {
+    /// Not all of the request was written: it has not run.
+    Unsent,
+    /// It was written whole and may have run.
+    Broken(hyper::Error),
+}
+
+impl Connection {
+    /// Opens a connection; `None` where that fails. The caller bounds its time.
+    pub async fn open(addr: SocketAddr, open: OpenSocket, longest_head: usize) -> Option<Self> {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        stream.set_nodelay(true).ok()?;
+        let (socket, progress) = Socket::new(stream, open);
+        let mut builder = http1::Builder::new();
+        let (sender, driving) = builder.max_buf_size(longest_head).handshake(socket).await.ok()?;
+        let driver = spawn_local(async move {
+            // How it ended shows in the answers of `sender`.
+            let _ = driving.await;
+        });
+        Some(Connection { addr, progress, sender, driver })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+        sent: &Sent,
+    ) -> Result<Response<Incoming>, Failed> {
+        sent.begin(&self.progress);
+        self.progress.watch(&mut request);
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(e) if sent.whole() => Err(Failed::Broken(e.into_error())),
+            Err(_) => Err(Failed::Unsent),
+        }
+    }
+
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Whether it can carry another request, its last answer having been read whole.
+    pub async fn is_free(&mut self) -> bool {
+        matches!(tokio::time::timeout(SETTLE, self.sender.ready()).await, Ok(Ok(())))
+    }
+}
+
+/// Whether what came on a connection is no answer, rather than the connection having been lost: the first
+/// does not tell of the server's process, the second does.
+pub fn unreadable(error: &hyper::Error) -> bool {
+    let io = std::error::Error::source(error).and_then(|e| e.downcast_ref::<std::io::Error>());
+    error.is_parse()
+        || io.is_some_and(|e| matches!(e.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData))
+}
--- /dev/null
+++ b/http/src/lib.rs
@@ -0,0 +1,10 @@
+//! HTTP/1.1 towards servers: a connection carries one request at a time, knows how far it has been written,
+//! and never takes what came unasked for an answer.
+
+#![forbid(unsafe_code)]
+
+mod connection;
+mod socket;
+
+pub use connection::{unreadable, Connection, Failed};
+pub use socket::{OpenSocket, Progress, Sent, Socket};
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -22,8 +22,8 @@
 use crate::log::log;
 use crate::peers::Peers;
 use crate::reply::{Ended, Reply};
-use crate::socket::Sent;
 use crate::upstream::{Payload, Upstreams};
+use glenfall_http::Sent;
 
 /// The final answer to a request.
 pub enum Answer {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,7 +11,6 @@
 mod reply;
 mod request;
 mod server;
-mod socket;
 mod upstream;
 
 use std::io::Write;
--- a/node/src/reply.rs
+++ b/node/src/reply.rs
@@ -1,7 +1,5 @@
 //! What the answer of a server means: read whole, or found spoilt.
 
-use std::io::ErrorKind;
-
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -65,9 +63,7 @@
 /// How an exchange ended whose request was written whole: the connection is gone, or what came on it is no
 /// answer. The first tells of the server's process, the second does not.
 pub fn broken(error: Option<&hyper::Error>) -> Status {
-    let io = error.and_then(|e| std::error::Error::source(e)?.downcast_ref::<std::io::Error>());
-    let unreadable = io.is_some_and(|e| matches!(e.kind(), ErrorKind::InvalidInput | ErrorKind::InvalidData));
-    if unreadable || error.is_some_and(hyper::Error::is_parse) {
+    if error.is_some_and(glenfall_http::unreadable) {
         Status::Spoilt
     } else {
         Status::Broken
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -8,18 +8,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use glenfall_http::{Connection, Failed, OpenSocket, Sent};
 use http_body_util::Full;
-use hyper::client::conn::http1;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{header, Method, Request, StatusCode, Uri};
 use mallowpaddle::{Limits, ServerId, ServerState, Status};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::task::{spawn_local, JoinHandle};
+use tokio::task::spawn_local;
 
 use crate::config::List;
 use crate::reply::{self, Ended};
-use crate::socket::{OpenSocket, Progress, Sent, Socket};
 
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
@@ -42,8 +40,6 @@
 const NO_ROOM: Duration = Duration::from_secs(2);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
-/// A connection whose answer has been read whole is free at once; one that is not is of no further use.
-const SETTLE: Duration = Duration::from_millis(5);
 /// From its first byte an answer comes whole within this time, or it is spoilt.
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Longest head of an answer, and the size of reads: a head without end is noticed early.
@@ -81,23 +77,14 @@
     HeaderValue::from_str(&addr.to_string()).unwrap_or(HeaderValue::from_static("localhost"))
 }
 
-/// An open connection. Dropping it closes it, whatever is out on it.
-struct Connection {
-    addr: SocketAddr,
-    sender: http1::SendRequest<Full<Bytes>>,
-    progress: Rc<Progress>,
-    driver: JoinHandle<()>,
+/// An open connection to a server of the list.
+struct Held {
+    connection: Connection,
     idle_since: Instant,
     /// Counts it at its server; dropped with it.
     place: ServerPlace,
 }
 
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 /// What all connections of this node to one server share.
 #[derive(Default)]
 struct Places {
@@ -164,7 +151,7 @@
 struct Upstream {
     addr: SocketAddr,
     ready: bool,
-    idle: Vec<Connection>,
+    idle: Vec<Held>,
     places: Rc<Places>,
 }
 
@@ -214,7 +201,7 @@
                 places: Rc::default(),
             });
             (server.addr, server.ready) = (*addr, ready);
-            server.idle.retain(|connection| ready && connection.addr == *addr);
+            server.idle.retain(|held| ready && held.connection.addr == *addr);
         }
     }
 
@@ -238,31 +225,30 @@
         let started = Instant::now();
         loop {
             let write = payload.method != Method::GET;
-            let (mut connection, reused) = match self.take_idle(server, write) {
-                Some(connection) => (connection, true),
+            let (mut held, reused) = match self.take_idle(server, write) {
+                Some(held) => (held, true),
                 None if self.await_place(server, write).await => continue,
                 None => match self.connect(server).await {
-                    Ok(connection) => (connection, false),
+                    Ok(held) => (held, false),
                     Err(status) => return Ended::without_reply(status),
                 },
             };
+            let connection = &mut held.connection;
             // The server may have begun to drain during the connect: then nothing new goes to it, and the
             // module hears what the server itself would have said.
             if self.addr(server) != Some(connection.addr) {
                 return Ended::without_reply(Status::Overloaded);
             }
-            sent.begin(&connection.progress);
-            let mut request = payload.request(connection.addr, wait.saturating_sub(started.elapsed()));
-            connection.progress.watch(&mut request);
+            let request = payload.request(connection.addr, wait.saturating_sub(started.elapsed()));
             let progress = Rc::clone(&connection.progress);
             let answer = async {
-                match connection.sender.try_send_request(request).await {
+                match connection.send(request, sent).await {
                     Ok(response) => Some(reply::read(response).await),
                     // It had been closed, or something came on it unasked: the server has not failed, and
                     // has seen no request.
-                    Err(_) if reused && !sent.whole() => None,
-                    Err(e) if sent.whole() => Some(Ended::without_reply(reply::broken(Some(e.error())))),
-                    Err(_) => Some(Ended::without_reply(Status::Unreachable)),
+                    Err(Failed::Unsent) if reused => None,
+                    Err(Failed::Unsent) => Some(Ended::without_reply(Status::Unreachable)),
+                    Err(Failed::Broken(e)) => Some(Ended::without_reply(reply::broken(Some(&e)))),
                 }
             };
             let ended = tokio::select! {
@@ -273,8 +259,8 @@
             let Some(ended) = ended else { continue };
             if !matches!(ended.status, Status::Spoilt | Status::Broken | Status::Unreachable) {
                 // Before the outcome is told, as the module may answer it with the next attempt.
-                let places = Rc::clone(&connection.place.0);
-                let kept = self.keep(server, connection).await;
+                let places = Rc::clone(&held.place.0);
+                let kept = self.keep(server, held).await;
                 // A queue that is full leaves the connection open.
                 if ended.status == Status::Overloaded && !reused && !kept {
                     places.turned_away.set(Some(Instant::now()));
@@ -287,11 +273,11 @@
     /// Health-checks a server on a connection of its own.
     pub async fn probe(&self, server: &ServerId) -> Status {
         let probe = async {
-            let mut connection = self.connect(server).await?;
+            let mut connection = self.connect(server).await?.connection;
             let mut request = Request::new(Full::default());
             *request.uri_mut() = Uri::from_static("/health/live");
             request.headers_mut().insert(header::HOST, host_value(connection.addr));
-            let response = connection.sender.send_request(request).await;
+            let response = connection.send(request, &Sent::default()).await;
             match response.map(|response| response.status()) {
                 Ok(StatusCode::OK) => Ok(Status::Success),
                 Ok(_) => Ok(Status::Error),
@@ -308,24 +294,24 @@
             // The last used is at the end, and kept longest.
             let surplus = server.idle.len().saturating_sub(1);
             let mut index = 0;
-            server.idle.retain(|connection| {
+            server.idle.retain(|held| {
                 let time = if index < surplus { self.surplus_time } else { self.idle_time };
                 index += 1;
-                !connection.sender.is_closed() && now.duration_since(connection.idle_since) + SWEEP < time
+                !held.connection.is_closed() && now.duration_since(held.idle_since) + SWEEP < time
             });
         }
     }
 
-    fn take_idle(&self, server: &ServerId, write: bool) -> Option<Connection> {
+    fn take_idle(&self, server: &ServerId, write: bool) -> Option<Held> {
         let mut servers = self.servers.borrow_mut();
         let server = servers.get_mut(server)?;
         if !write && server.places.must_wait() && server.places.writes_waiting.get() > 0 {
             return None;
         }
         let idle = &mut server.idle;
-        while let Some(connection) = idle.pop() {
-            if !connection.sender.is_closed() && connection.idle_since.elapsed() < self.idle_time {
-                return Some(connection);
+        while let Some(held) = idle.pop() {
+            if !held.connection.is_closed() && held.idle_since.elapsed() < self.idle_time {
+                return Some(held);
             }
         }
         None
@@ -345,7 +331,7 @@
         true
     }
 
-    async fn connect(&self, server: &ServerId) -> Result<Connection, Status> {
+    async fn connect(&self, server: &ServerId) -> Result<Held, Status> {
         let (addr, place) = {
             let servers = self.servers.borrow();
             let server = servers.get(server).filter(|server| server.ready).ok_or(Status::Overloaded)?;
@@ -353,20 +339,10 @@
         };
         // No socket left is this node's want, not the server's: nothing was sent.
         let open = self.claim_socket().ok_or(Status::Void)?;
-        let connecting = async {
-            let stream = TcpStream::connect(addr).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            let (socket, progress) = Socket::new(stream, open);
-            let mut builder = http1::Builder::new();
-            let (sender, driving) = builder.max_buf_size(LONGEST_HEAD).handshake(socket).await.ok()?;
-            let driver = spawn_local(async move {
-                // How it ended shows in the answers of `sender`.
-                let _ = driving.await;
-            });
-            Some(Connection { addr, sender, progress, driver, idle_since: Instant::now(), place })
-        };
+        let connecting = Connection::open(addr, open, LONGEST_HEAD);
         let connection = tokio::time::timeout(self.connect_timeout, connecting).await;
-        connection.ok().flatten().ok_or(Status::Unreachable)
+        let connection = connection.ok().flatten().ok_or(Status::Unreachable)?;
+        Ok(Held { connection, idle_since: Instant::now(), place })
     }
 
     /// Counts one more socket; at the limit the connection that has been idle longest makes room.
@@ -380,16 +356,15 @@
     }
 
     /// Keeps a connection whose answer has been read whole, if it can go on.
-    async fn keep(&self, server: &ServerId, mut connection: Connection) -> bool {
-        let free = tokio::time::timeout(SETTLE, connection.sender.ready()).await;
-        if !matches!(free, Ok(Ok(()))) {
+    async fn keep(&self, server: &ServerId, mut held: Held) -> bool {
+        if !held.connection.is_free().await {
             return false;
         }
-        connection.idle_since = Instant::now();
+        held.idle_since = Instant::now();
         let mut servers = self.servers.borrow_mut();
-        let kept = servers.get_mut(server).filter(|server| server.ready && server.addr == connection.addr);
+        let kept = servers.get_mut(server).filter(|s| s.ready && s.addr == held.connection.addr);
         let Some(server) = kept else { return false };
-        server.idle.push(connection);
+        server.idle.push(held);
         server.places.freed();
         true
     }
@@ -409,7 +384,7 @@
     use super::*;
     use mallowpaddle::RosterEntry;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
+    use tokio::net::{TcpListener, TcpStream};
     use tokio::task::LocalSet;
 
     fn list(addr: SocketAddr, state: ServerState) -> List {
--- /dev/null
+++ b/plane/src/chain.rs
@@ -0,0 +1,917 @@
+//! The chain that keeps the configuration, and the agreed view that mends it.
+//!
+//! The voters are fixed when the system first starts. Some of them, a majority at least, form the chain of the
+//! current view. A change enters at the head; each member makes it durable before it passes it on; the tail
+//! commits it. A view has a number; whoever proposes one gathers promises from a majority, which fence all
+//! older views, takes the newest record among them and has it made durable by all members of the new chain
+//! before the view stands. Two majorities meet, so that nothing committed is lost and an old head or tail can
+//! commit nothing more. This is Paxos with the chain as the accepting quorum.
+//!
+//! A view stands on unbroken links and one life of each process: a lost link, a restart, a member that leaves
+//! or whose disk stalls makes a new view. A voter without its disk ([`Start::Wiped`]) may have forgotten a
+//! promise: it gives none until a chain has taken it in.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::config::{Change, Invalid};
+use crate::Millis;
+
+/// A core machine, by its address.
+pub type NodeId = Ipv4Addr;
+
+/// How often beats go out, and so the longest wait for news of a peer.
+pub const BEAT: Millis = 200;
+/// A peer that has not been heard for so long is taken for lost: four beats, and a stall of a small machine.
+const SILENCE: Millis = 1000;
+/// How long a change of who is there must last before a view is proposed: links come up one after the other.
+const SETTLE: Millis = 60;
+/// Each voter lets those before it propose first, for so long apiece.
+const TURN: Millis = 200;
+/// A proposal that has not stood by then is given up, and who did not answer is left out for [`SHUN`].
+const PROPOSAL: Millis = 800;
+const SHUN: Millis = 3000;
+/// With a majority of promises, the others are waited for no longer than this.
+const GATHER: Millis = 150;
+/// A sync that takes longer is a stalled disk: the chain goes on without it.
+const STALL: Millis = 600;
+/// A change that has not come through the chain by then has been lost on the way.
+const STUCK: Millis = 1500;
+/// A call is answered by then, if only with `Unavailable`: callers move on after a second.
+const CALL: Millis = 900;
+/// Calls that may wait at one node; operators are few.
+const MOST_CALLS: usize = 64;
+/// Fingerprints of changes that are kept to know a repeated call.
+const MOST_TAKEN: usize = 64;
+
+/// What the chain keeps.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Counts the changes.
+    pub seq: u64,
+    /// The version of the document; 0 before the first.
+    pub rev: u64,
+    /// The newest configuration document; empty before the first.
+    pub document: Vec<u8>,
+    /// Version and fingerprint of the changes taken last, the newest at the end.
+    pub taken: Vec<(u64, u64)>,
+}
+
+/// What must be on disk before what follows from it is said.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Durable {
+    pub voters: Vec<NodeId>,
+    /// No part in views below this one.
+    pub promised: u64,
+    /// The view in which `record` was accepted.
+    pub accepted: u64,
+    pub record: Arc<Record>,
+}
+
+/// How a node begins its life.
+pub enum Start {
+    /// For the first time, with these voters.
+    Fresh(Vec<NodeId>),
+    /// From its disk.
+    Kept(Durable),
+    /// Without its disk, or as a node that never was a voter; the voters are learnt.
+    Wiped,
+}
+
+/// An operator's call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Call {
+    /// A change that builds on a version.
+    Change { builds_on: u64, change: Change },
+    /// The newest committed document.
+    Read,
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The change is in force, now or from an earlier call.
+    Done {
+        rev: u64,
+    },
+    /// Another version is current.
+    Conflict {
+        current: u64,
+    },
+    Invalid(Invalid),
+    Document(Arc<Record>),
+    /// No clear answer: try again elsewhere.
+    Unavailable,
+}
+
+/// A view: its number and its chain, the head first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct View {
+    pub number: u64,
+    pub chain: Vec<NodeId>,
+}
+
+impl View {
+    fn head(&self) -> Option<NodeId> {
+        self.chain.first().copied()
+    }
+
+    fn tail(&self) -> Option<NodeId> {
+        self.chain.last().copied()
+    }
+
+    fn after(&self, node: NodeId) -> Option<NodeId> {
+        let place = self.chain.iter().position(|member| *member == node)?;
+        self.chain.get(place + 1).copied()
+    }
+
+    fn before(&self, node: NodeId) -> Option<NodeId> {
+        let place = self.chain.iter().position(|member| *member == node)?;
+        self.chain.get(place.checked_sub(1)?).copied()
+    }
+}
+
+/// What a node says of itself, at every [`BEAT`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    pub voters: Vec<NodeId>,
+    pub promised: u64,
+    /// The standing and unbroken view that it is a member of.
+    pub view: Option<View>,
+    /// Whom it hears.
+    pub hears: Vec<NodeId>,
+    /// It may have forgotten promises.
+    pub wiped: bool,
+    /// It leaves, or its disk stalls: the chain goes on without it.
+    pub unfit: bool,
+    /// Number of the newest committed record that it knows.
+    pub committed: u64,
+}
+
+/// What core nodes say to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    Beat(Beat),
+    Prepare {
+        view: u64,
+    },
+    /// `accepted` is `None` from a voter that may have forgotten promises: it may join, but has no vote.
+    Promise {
+        view: u64,
+        accepted: Option<u64>,
+        record: Arc<Record>,
+    },
+    Nack {
+        promised: u64,
+    },
+    Install {
+        view: View,
+        voters: Vec<NodeId>,
+        record: Arc<Record>,
+    },
+    Installed {
+        view: u64,
+    },
+    Stands {
+        view: View,
+    },
+    Update {
+        view: u64,
+        record: Arc<Record>,
+    },
+    /// From the tail to the chain.
+    Acked {
+        view: u64,
+        seq: u64,
+    },
+    /// To those who are not in the chain.
+    Committed {
+        record: Arc<Record>,
+    },
+    Forward {
+        call: u64,
+        what: Call,
+    },
+    ReadDown {
+        view: u64,
+        origin: NodeId,
+        call: u64,
+    },
+    Answer {
+        call: u64,
+        outcome: Outcome,
+    },
+}
+
+/// What the caller has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    Send(NodeId, Message),
+    /// Make durable, in this order; then call [`Chain::synced`] with the number.
+    Persist(u64, Durable),
+    Answer(u64, Outcome),
+    /// The newest committed record has changed.
+    Publish(Arc<Record>),
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    up: bool,
+    heard: Millis,
+    beat: Beat,
+    shunned_until: Millis,
+}
+
+struct Installed {
+    view: View,
+    /// All members have made it durable.
+    stands: bool,
+    /// A member was lost since.
+    broken: bool,
+}
+
+struct Proposal {
+    number: u64,
+    since: Millis,
+    target: Vec<NodeId>,
+    promises: BTreeMap<NodeId, Option<(u64, Arc<Record>)>>,
+    /// Once the promises are in: the view, and who has made it durable.
+    view: Option<(View, BTreeSet<NodeId>)>,
+}
+
+struct Waiting {
+    what: Call,
+    until: Millis,
+    /// The view to whose head it went.
+    sent: Option<u64>,
+}
+
+/// A change on its way through the chain.
+struct Pending {
+    origin: NodeId,
+    call: u64,
+    seq: u64,
+    rev: u64,
+    since: Millis,
+}
+
+/// One node's part.
+pub struct Chain {
+    me: NodeId,
+    durable: Durable,
+    wiped: bool,
+    leaving: bool,
+    installed: Option<Installed>,
+    /// The newest view known to stand.
+    known: Option<View>,
+    committed: Arc<Record>,
+    highest: u64,
+    peers: BTreeMap<NodeId, Peer>,
+    proposal: Option<Proposal>,
+    need_since: Option<Millis>,
+    hold_until: Millis,
+    last_beat: Option<Millis>,
+    pending: Option<Pending>,
+    queue: VecDeque<(NodeId, u64, u64, Change)>,
+    waiting: BTreeMap<u64, Waiting>,
+    /// Persists that are under way: number, since when, and what follows.
+    syncs: VecDeque<(u64, Millis, Vec<Output>)>,
+    next_sync: u64,
+    inbox: VecDeque<Message>,
+    out: Vec<Output>,
+    now: Millis,
+}
+
+impl Chain {
+    pub fn new(me: NodeId, start: Start) -> Self {
+        let empty = |voters| Durable { voters, promised: 0, accepted: 0, record: Arc::default() };
+        let (durable, wiped) = match start {
+            Start::Fresh(mut voters) => {
+                voters.sort();
+                voters.dedup();
+                (empty(voters), false)
+            }
+            Start::Kept(durable) => (durable, false),
+            Start::Wiped => (empty(Vec::new()), true),
+        };
+        Chain {
+            me,
+            highest: durable.promised,
+            durable,
+            wiped,
+            leaving: false,
+            installed: None,
+            known: None,
+            committed: Arc::default(),
+            peers: BTreeMap::new(),
+            proposal: None,
+            need_since: None,
+            hold_until: 0,
+            last_beat: None,
+            pending: None,
+            queue: VecDeque::new(),
+            waiting: BTreeMap::new(),
+            syncs: VecDeque::new(),
+            next_sync: 0,
+            inbox: VecDeque::new(),
+            out: Vec::new(),
+            now: 0,
+        }
+    }
+
+    pub fn voters(&self) -> &[NodeId] {
+        &self.durable.voters
+    }
+
+    /// The newest view known to stand.
+    pub fn view(&self) -> Option<&View> {
+        self.known.as_ref()
+    }
+
+    pub fn committed(&self) -> &Arc<Record> {
+        &self.committed
+    }
+
+    /// Whether this node reaches a majority of the voters, itself included: what it acknowledges binds all.
+    pub fn in_majority(&self) -> bool {
+        let reached = self.durable.voters.iter().filter(|v| **v == self.me || self.hears(**v)).count();
+        !self.durable.voters.is_empty() && reached >= self.majority()
+    }
+
+    // ---- Inputs ----
+
+    pub fn tick(&mut self, now: Millis) -> Vec<Output> {
+        self.now = now;
+        if self.last_beat.is_none_or(|at| now >= at + BEAT) {
+            self.send_beats();
+        }
+        let late: Vec<u64> =
+            self.waiting.iter().filter(|(_, w)| now >= w.until).map(|(call, _)| *call).collect();
+        for call in late {
+            self.waiting.remove(&call);
+            self.out.push(Output::Answer(call, Outcome::Unavailable));
+        }
+        if self.pending.as_ref().is_some_and(|p| now >= p.since + STUCK) {
+            self.break_view();
+        }
+        self.tend_proposal();
+        self.consider();
+        self.finish()
+    }
+
+    pub fn peer_up(&mut self, now: Millis, peer: NodeId) -> Vec<Output> {
+        self.now = now;
+        let entry = self.peers.entry(peer).or_default();
+        (entry.up, entry.heard) = (true, now);
+        let beat = Message::Beat(self.beat());
+        self.out.push(Output::Send(peer, beat));
+        self.finish()
+    }
+
+    pub fn peer_down(&mut self, now: Millis, peer: NodeId) -> Vec<Output> {
+        self.now = now;
+        if let Some(entry) = self.peers.get_mut(&peer) {
+            entry.up = false;
+            entry.beat = Beat { voters: Vec::new(), ..Beat::default() };
+        }
+        if self.installed.as_ref().is_some_and(|i| i.view.chain.contains(&peer)) {
+            self.break_view();
+        }
+        self.consider();
+        self.finish()
+    }
+
+    pub fn message(&mut self, now: Millis, from: NodeId, message: Message) -> Vec<Output> {
+        self.now = now;
+        self.peers.entry(from).or_default().heard = now;
+        self.handle(from, message);
+        self.finish()
+    }
+
+    pub fn synced(&mut self, now: Millis, number: u64) -> Vec<Output> {
+        self.now = now;
+        while self.syncs.front().is_some_and(|(first, ..)| *first <= number) {
+            if let Some((_, _, then)) = self.syncs.pop_front() {
+                for output in then {
+                    self.emit(output);
+                }
+            }
+        }
+        self.finish()
+    }
+
+    pub fn call(&mut self, now: Millis, call: u64, what: Call) -> Vec<Output> {
+        self.now = now;
+        if self.waiting.len() >= MOST_CALLS {
+            self.out.push(Output::Answer(call, Outcome::Unavailable));
+        } else {
+            self.waiting.insert(call, Waiting { what, until: now + CALL, sent: None });
+            self.dispatch();
+        }
+        self.finish()
+    }
+
+    /// The node is about to stop: the others mend the chain without it, at once.
+    pub fn leave(&mut self, now: Millis) -> Vec<Output> {
+        self.now = now;
+        self.leaving = true;
+        self.send_beats();
+        self.finish()
+    }
+
+    /// Whether any other voter still counts on this node.
+    pub fn is_needed(&self) -> bool {
+        self.known.as_ref().is_some_and(|view| view.chain.contains(&self.me) && view.chain.len() > 1)
+    }
+
+    // ---- Sending ----
+
+    /// Carries out what a sync was waited for, or says it at once.
+    fn emit(&mut self, output: Output) {
+        match output {
+            Output::Send(to, message) if to == self.me => self.inbox.push_back(message),
+            output => self.out.push(output),
+        }
+    }
+
+    fn send(&mut self, to: NodeId, message: Message) {
+        self.emit(Output::Send(to, message));
+    }
+
+    /// Makes the present state durable; `then` follows once it is.
+    fn persist(&mut self, then: Vec<Output>) {
+        self.next_sync += 1;
+        self.out.push(Output::Persist(self.next_sync, self.durable.clone()));
+        self.syncs.push_back((self.next_sync, self.now, then));
+    }
+
+    fn finish(&mut self) -> Vec<Output> {
+        while let Some(message) = self.inbox.pop_front() {
+            self.handle(self.me, message);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn beat(&self) -> Beat {
+        let installed = self.installed.as_ref().filter(|i| i.stands && !i.broken);
+        Beat {
+            voters: self.durable.voters.clone(),
+            promised: self.highest,
+            view: installed.map(|i| i.view.clone()),
+            hears: self.peers.keys().copied().filter(|peer| self.hears(*peer)).collect(),
+            wiped: self.wiped,
+            unfit: self.unfit(),
+            committed: self.committed.seq,
+        }
+    }
+
+    fn send_beats(&mut self) {
+        self.last_beat = Some(self.now);
+        let beat = self.beat();
+        let up: Vec<NodeId> = self.peers.iter().filter(|(_, p)| p.up).map(|(id, _)| *id).collect();
+        for peer in up {
+            self.out.push(Output::Send(peer, Message::Beat(beat.clone())));
+        }
+    }
+
+    // ---- Who is there ----
+
+    fn majority(&self) -> usize {
+        self.durable.voters.len() / 2 + 1
+    }
+
+    fn is_voter(&self) -> bool {
+        self.durable.voters.contains(&self.me)
+    }
+
+    fn unfit(&self) -> bool {
+        self.leaving || self.syncs.front().is_some_and(|(_, since, _)| self.now >= since + STALL)
+    }
+
+    /// The peer is connected and has been heard lately.
+    fn hears(&self, peer: NodeId) -> bool {
+        self.peers.get(&peer).is_some_and(|p| p.up && self.now < p.heard + SILENCE)
+    }
+
+    /// The peer can take part: it is there, hears this node too, and is fit.
+    fn takes_part(&self, peer: NodeId) -> bool {
+        self.hears(peer)
+            && self.peers.get(&peer).is_some_and(|p| {
+                p.beat.hears.contains(&self.me) && !p.beat.unfit && self.now >= p.shunned_until
+            })
+    }
+
+    /// The voters that the chain should consist of: this node, and in order each that all chosen before it
+    /// hear and that hears them.
+    fn target(&self) -> Vec<NodeId> {
+        let mut chosen = Vec::new();
+        if !self.is_voter() || self.unfit() {
+            return chosen;
+        }
+        let mut voters: Vec<NodeId> =
+            self.durable.voters.iter().copied().filter(|v| *v != self.me && self.takes_part(*v)).collect();
+        voters.sort();
+        for voter in voters {
+            let heard_by = |other: &NodeId| {
+                self.peers.get(other).is_some_and(|p| p.beat.hears.contains(&voter))
+                    && self.peers.get(&voter).is_some_and(|p| p.beat.hears.contains(other))
+            };
+            if chosen.iter().all(heard_by) {
+                chosen.push(voter);
+            }
+        }
+        chosen.push(self.me);
+        chosen.sort();
+        chosen
+    }
+
+    fn wiped_node(&self, node: NodeId) -> bool {
+        if node == self.me {
+            self.wiped
+        } else {
+            self.peers.get(&node).is_some_and(|p| p.beat.wiped)
+        }
+    }
+
+    /// A member of the installed view was lost: it does not stand any more, until a new one does.
+    fn break_view(&mut self) {
+        if let Some(installed) = &mut self.installed {
+            installed.broken = true;
+        }
+    }
+
+    // ---- Proposing ----
+
+    /// Proposes a view where one is needed and it is this node's turn.
+    fn consider(&mut self) {
+        let target = self.target();
+        let able = target.iter().filter(|node| !self.wiped_node(**node)).count() >= self.majority()
+            && !self.durable.voters.is_empty()
+            && !self.wiped;
+        let member = self.installed.as_ref().filter(|i| i.stands && !i.broken).map(|i| &i.view.chain);
+        let lost = member.is_some_and(|chain| chain.iter().any(|m| *m != self.me && !self.hears(*m)));
+        if lost {
+            self.break_view();
+            return self.consider();
+        }
+        // Who is not in a chain that stands waits to be taken in by those who are.
+        let others_stand = member.is_none()
+            && self.peers.iter().any(|(id, p)| {
+                self.hears(*id) && p.beat.view.as_ref().is_some_and(|view| !view.chain.contains(&self.me))
+            });
+        let needed = member.is_none_or(|chain| *chain != target);
+        if !able || others_stand || !needed || self.proposal.is_some() {
+            self.need_since = None;
+            return;
+        }
+        let since = *self.need_since.get_or_insert(self.now);
+        let before = target.iter().filter(|node| **node < self.me && !self.wiped_node(**node)).count();
+        if self.now >= self.hold_until && self.now >= since + SETTLE + TURN * before as Millis {
+            self.propose(target);
+        }
+    }
+
+    fn propose(&mut self, target: Vec<NodeId>) {
+        // The low bits tell the proposer: no two propose the same number.
+        let place = self.durable.voters.iter().position(|v| *v == self.me).unwrap_or(0) as u64;
+        let number = ((self.highest >> 4) + 1) << 4 | (place & 15);
+        self.highest = number;
+        self.need_since = None;
+        self.proposal = Some(Proposal {
+            number,
+            since: self.now,
+            target: target.clone(),
+            promises: BTreeMap::new(),
+            view: None,
+        });
+        for node in target {
+            self.send(node, Message::Prepare { view: number });
+        }
+    }
+
+    /// Goes on with a proposal whose promises are in, and gives up one that takes too long.
+    fn tend_proposal(&mut self) {
+        let Some(p) = &mut self.proposal else { return };
+        if self.now >= p.since + PROPOSAL {
+            let answered: Vec<NodeId> = match &p.view {
+                Some((_, installed)) => installed.iter().copied().collect(),
+                None => p.promises.keys().copied().collect(),
+            };
+            let silent: Vec<NodeId> = p
+                .target
+                .iter()
+                .copied()
+                .filter(|node| !answered.contains(node) && *node != self.me)
+                .collect();
+            for node in silent {
+                if let Some(peer) = self.peers.get_mut(&node) {
+                    peer.shunned_until = self.now + SHUN;
+                }
+            }
+            self.proposal = None;
+            return;
+        }
+        if p.view.is_some() {
+            return;
+        }
+        let votes = p.promises.values().flatten().count();
+        let all = p.target.iter().all(|node| p.promises.contains_key(node));
+        if votes < self.durable.voters.len() / 2 + 1 || !(all || self.now >= p.since + GATHER) {
+            return;
+        }
+        let newest = p.promises.values().flatten().max_by_key(|(accepted, record)| (*accepted, record.seq));
+        let Some((_, record)) = newest.cloned() else { return };
+        let view = View { number: p.number, chain: p.promises.keys().copied().collect() };
+        p.view = Some((view.clone(), BTreeSet::new()));
+        // Taken in again later, not by the next proposal.
+        for node in p.target.iter().filter(|node| !p.promises.contains_key(node)) {
+            if let Some(peer) = self.peers.get_mut(node) {
+                peer.shunned_until = self.now + SHUN;
+            }
+        }
+        let voters = self.durable.voters.clone();
+        for node in view.chain.clone() {
+            let record = Arc::clone(&record);
+            self.send(node, Message::Install { view: view.clone(), voters: voters.clone(), record });
+        }
+    }
+
+    // ---- Messages ----
+
+    fn handle(&mut self, from: NodeId, message: Message) {
+        match message {
+            Message::Beat(beat) => self.take_beat(from, beat),
+            Message::Prepare { view } => self.prepare(from, view),
+            Message::Promise { view, accepted, record } => {
+                if let Some(p) = self.proposal.as_mut().filter(|p| p.number == view && p.view.is_none()) {
+                    p.promises.insert(from, accepted.map(|accepted| (accepted, record)));
+                    self.tend_proposal();
+                }
+            }
+            Message::Nack { promised } => {
+                self.highest = self.highest.max(promised);
+                if self.proposal.as_ref().is_some_and(|p| p.number < promised) {
+                    self.proposal = None;
+                }
+            }
+            Message::Install { view, voters, record } => self.install(from, view, voters, record),
+            Message::Installed { view } => self.note_installed(from, view),
+            Message::Stands { view } => self.stands(view),
+            Message::Update { view, record } => self.update(from, view, record),
+            Message::Acked { view, seq } => {
+                let current = self.member_of(view).is_some() && self.durable.record.seq == seq;
+                if current {
+                    self.commit();
+                }
+            }
+            Message::Committed { record } => self.publish(record),
+            Message::Forward { call, what } => self.head_takes(from, call, what),
+            Message::ReadDown { view, origin, call } => self.read_down(view, origin, call),
+            Message::Answer { call, outcome } => {
+                // A head that could not tell leaves the call to the next view, or to its end.
+                if outcome == Outcome::Unavailable {
+                    return;
+                }
+                if self.waiting.remove(&call).is_some() {
+                    self.out.push(Output::Answer(call, outcome));
+                }
+            }
+        }
+    }
+
+    fn take_beat(&mut self, from: NodeId, beat: Beat) {
+        self.highest = self.highest.max(beat.promised);
+        if self.durable.voters.is_empty() {
+            self.durable.voters = beat.voters.clone();
+        }
+        if let Some(view) = &beat.view {
+            if self.known.as_ref().is_none_or(|known| known.number < view.number) {
+                self.known = Some(view.clone());
+                self.dispatch();
+            }
+            // A member that missed the word that the view stands.
+            if self.installed.as_ref().is_some_and(|i| i.view == *view && !i.stands) {
+                self.stands(view.clone());
+            }
+        }
+        if beat.committed < self.committed.seq {
+            let record = Arc::clone(&self.committed);
+            self.send(from, Message::Committed { record });
+        }
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.beat = beat;
+        }
+    }
+
+    fn prepare(&mut self, from: NodeId, view: u64) {
+        self.highest = self.highest.max(view);
+        if from != self.me {
+            self.hold_until = self.now + PROPOSAL;
+        }
+        if self.wiped {
+            return self.send(from, Message::Promise { view, accepted: None, record: Arc::default() });
+        }
+        if view <= self.durable.promised {
+            return self.send(from, Message::Nack { promised: self.durable.promised });
+        }
+        self.durable.promised = view;
+        // Older views are fenced from here on.
+        self.break_view();
+        self.pending = None;
+        let accepted = Some(self.durable.accepted);
+        let record = Arc::clone(&self.durable.record);
+        self.persist(vec![Output::Send(from, Message::Promise { view, accepted, record })]);
+    }
+
+    fn install(&mut self, from: NodeId, view: View, voters: Vec<NodeId>, record: Arc<Record>) {
+        if view.number < self.durable.promised {
+            return self.send(from, Message::Nack { promised: self.durable.promised });
+        }
+        let number = view.number;
+        self.highest = self.highest.max(number);
+        self.durable = Durable { voters, promised: number, accepted: number, record };
+        self.wiped = false;
+        self.pending = None;
+        let broken = view.chain.iter().any(|member| *member != self.me && !self.hears(*member));
+        self.installed = Some(Installed { view, stands: false, broken });
+        self.persist(vec![Output::Send(from, Message::Installed { view: number })]);
+    }
+
+    fn note_installed(&mut self, from: NodeId, number: u64) {
+        let Some(p) = &mut self.proposal else { return };
+        let Some((view, installed)) = p.view.as_mut().filter(|(view, _)| view.number == number) else {
+            return;
+        };
+        installed.insert(from);
+        if installed.len() < view.chain.len() {
+            return;
+        }
+        let view = view.clone();
+        self.proposal = None;
+        let peers: Vec<NodeId> = self.peers.keys().copied().collect();
+        for peer in peers {
+            self.send(peer, Message::Stands { view: view.clone() });
+        }
+        self.stands(view);
+    }
+
+    fn stands(&mut self, view: View) {
+        self.hold_until = self.now;
+        if self.known.as_ref().is_none_or(|known| known.number < view.number) {
+            self.known = Some(view.clone());
+        }
+        // Not where a later promise has fenced it, or a change has been accepted in it already.
+        let fenced = self.durable.promised != view.number;
+        let first = self.installed.as_mut().filter(|i| i.view == view && !i.stands && !fenced);
+        if let Some(installed) = first {
+            installed.stands = true;
+            let record = Arc::clone(&self.durable.record);
+            self.publish(record);
+            self.send_beats();
+        }
+        self.dispatch();
+    }
+
+    /// The installed view, if it has this number and nothing has fenced it.
+    fn member_of(&self, number: u64) -> Option<&View> {
+        let installed = self.installed.as_ref()?;
+        (installed.view.number == number && self.durable.promised == number).then_some(&installed.view)
+    }
+
+    fn update(&mut self, from: NodeId, number: u64, record: Arc<Record>) {
+        let Some(view) = self.member_of(number) else { return };
+        let in_turn = view.before(self.me) == Some(from) && record.seq == self.durable.record.seq + 1;
+        if in_turn {
+            // What comes down the chain shows that the view stands.
+            self.accept(record);
+        }
+    }
+
+    /// Makes a change durable, then passes it on, or commits it at the tail.
+    fn accept(&mut self, record: Arc<Record>) {
+        let Some(installed) = &self.installed else { return };
+        let (number, seq) = (installed.view.number, record.seq);
+        let then = match installed.view.after(self.me) {
+            Some(next) => {
+                vec![Output::Send(next, Message::Update { view: number, record: Arc::clone(&record) })]
+            }
+            None => {
+                // The tail takes its own word too, last, so that it commits after the sync as well.
+                let chain = installed.view.chain.iter();
+                chain.map(|member| Output::Send(*member, Message::Acked { view: number, seq })).collect()
+            }
+        };
+        self.durable.record = record;
+        self.persist(then);
+    }
+
+    /// The whole chain has made the present record durable.
+    fn commit(&mut self) {
+        let record = Arc::clone(&self.durable.record);
+        let tail = self.installed.as_ref().and_then(|i| i.view.tail()) == Some(self.me);
+        if tail {
+            let chain = self.installed.as_ref().map(|i| i.view.chain.clone()).unwrap_or_default();
+            let others: Vec<NodeId> =
+                self.peers.iter().filter(|(id, p)| p.up && !chain.contains(id)).map(|(id, _)| *id).collect();
+            for peer in others {
+                self.send(peer, Message::Committed { record: Arc::clone(&record) });
+            }
+        }
+        let done = self.pending.take_if(|p| p.seq == record.seq);
+        self.publish(record);
+        if let Some(p) = done {
+            self.send(p.origin, Message::Answer { call: p.call, outcome: Outcome::Done { rev: p.rev } });
+        }
+        self.take_next();
+    }
+
+    fn publish(&mut self, record: Arc<Record>) {
+        if record.seq > self.committed.seq {
+            self.committed = Arc::clone(&record);
+            self.out.push(Output::Publish(record));
+        }
+    }
+
+    // ---- Calls ----
+
+    /// Hands waiting calls to the head of the newest view, each once a view.
+    fn dispatch(&mut self) {
+        let Some(view) = &self.known else { return };
+        let Some(head) = view.head() else { return };
+        let number = view.number;
+        let due = self.waiting.iter_mut().filter(|(_, w)| w.sent.is_none_or(|sent| sent < number));
+        let calls: Vec<(u64, Call)> = due
+            .map(|(call, w)| {
+                w.sent = Some(number);
+                (*call, w.what.clone())
+            })
+            .collect();
+        for (call, what) in calls {
+            self.send(head, Message::Forward { call, what });
+        }
+    }
+
+    fn is_head(&self) -> Option<u64> {
+        let installed = self.installed.as_ref().filter(|i| i.stands && !i.broken)?;
+        let number = installed.view.number;
+        (installed.view.head() == Some(self.me) && self.durable.promised == number).then_some(number)
+    }
+
+    fn head_takes(&mut self, origin: NodeId, call: u64, what: Call) {
+        let Some(number) = self.is_head() else { return };
+        match what {
+            Call::Read => self.read_down(number, origin, call),
+            Call::Change { builds_on, change } => {
+                if self.queue.len() < MOST_CALLS {
+                    self.queue.push_back((origin, call, builds_on, change));
+                    self.take_next();
+                }
+            }
+        }
+    }
+
+    fn read_down(&mut self, number: u64, origin: NodeId, call: u64) {
+        let Some(view) = self.member_of(number) else { return };
+        match view.after(self.me) {
+            Some(next) => self.send(next, Message::ReadDown { view: number, origin, call }),
+            None => {
+                let outcome = Outcome::Document(Arc::clone(&self.committed));
+                self.send(origin, Message::Answer { call, outcome });
+            }
+        }
+    }
+
+    /// The head begins with the next change, one at a time: what it builds on is then committed.
+    fn take_next(&mut self) {
+        while self.is_head().is_some() && self.pending.is_none() {
+            let Some((origin, call, builds_on, change)) = self.queue.pop_front() else { return };
+            let current = Arc::clone(&self.durable.record);
+            let digest = change.digest();
+            let taken = |rev: u64| current.taken.contains(&(rev, digest));
+            let outcome = match change.rev() {
+                Some(rev) if taken(rev) => Outcome::Done { rev },
+                _ if builds_on != current.rev => Outcome::Conflict { current: current.rev },
+                _ => match change.apply(&current.document, current.rev) {
+                    Err(invalid) => Outcome::Invalid(invalid),
+                    Ok((rev, document)) => {
+                        let seq = current.seq + 1;
+                        let mut taken = current.taken.clone();
+                        taken.push((rev, digest));
+                        taken.drain(..taken.len().saturating_sub(MOST_TAKEN));
+                        self.pending = Some(Pending { origin, call, seq, rev, since: self.now });
+                        self.accept(Arc::new(Record { seq, rev, document, taken }));
+                        return;
+                    }
+                },
+            };
+            self.send(origin, Message::Answer { call, outcome });
+        }
+        if self.is_head().is_none() {
+            // Whoever sent them sends them to the next head.
+            self.queue.clear();
+        }
+    }
+}
--- /dev/null
+++ b/plane/src/config.rs
@@ -0,0 +1,425 @@
+//! Configuration documents: reading, checking and changing them, and finding the route of a request.
+//!
+//! A document is kept as the JSON that the operator sent, fields that this version does not know included, so
+//! that it is read back whole. [`Config`] is what the data plane makes of it.
+
+use std::collections::{HashMap, HashSet};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+/// Why a document or a change is not taken.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
+pub enum Invalid {
+    #[error("not a configuration: {0}")]
+    Unreadable(String),
+    #[error("rev: a version above {current} expected, got {got}")]
+    OldVersion { current: u64, got: u64 },
+    #[error("paths: {0:?} is named twice")]
+    NameTwice(String),
+    #[error("backends: {0:?} is named twice")]
+    BackendTwice(String),
+    #[error("path {path:?}: no backend is named {backend:?}")]
+    UnknownBackend { path: String, backend: String },
+    #[error("path {path:?}: {other:?} has the same hostname and pathPrefix")]
+    SamePlace { path: String, other: String },
+    #[error("path {0:?}: the weights of its split sum to 0")]
+    NoWeight(String),
+    #[error("path {0:?}: deadlineMs above 0 expected")]
+    NoDeadline(String),
+    #[error("path {0:?}: pathPrefix must begin and end with a slash")]
+    Prefix(String),
+    #[error("path {0:?}: exactly one of backend and split expected")]
+    Target(String),
+}
+
+/// What a route allows to be repeated.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Kind {
+    /// Object reads: may be repeated, answers may be kept.
+    Cacheable,
+    /// May be repeated.
+    Idempotent,
+    /// At most once. What this version does not know is handled as this.
+    #[default]
+    #[serde(other)]
+    Mutating,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Share {
+    pub backend: String,
+    pub weight: f64,
+}
+
+/// A route.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Route {
+    pub name: String,
+    pub hostname: String,
+    pub path_prefix: String,
+    #[serde(rename = "type", default)]
+    pub kind: Kind,
+    pub deadline_ms: u64,
+    #[serde(default)]
+    pub target_ms: Option<f64>,
+    #[serde(default)]
+    pub prio: u32,
+    #[serde(default)]
+    pub backend: Option<String>,
+    #[serde(default)]
+    pub split: Vec<Share>,
+    #[serde(default = "one")]
+    pub tries: u32,
+    #[serde(default)]
+    pub max_age_s: f64,
+}
+
+fn one() -> u32 {
+    1
+}
+
+impl Route {
+    /// The service of a request, by a number from 0 to 1 that stands for it.
+    pub fn service(&self, draw: f64) -> Option<&str> {
+        if let Some(backend) = &self.backend {
+            return Some(backend);
+        }
+        let sum: f64 = self.split.iter().map(|share| share.weight.max(0.0)).sum();
+        let mut left = draw.clamp(0.0, 1.0) * sum;
+        let weighed = self.split.iter().filter(|share| share.weight > 0.0);
+        let mut last = None;
+        for share in weighed {
+            last = Some(share.backend.as_str());
+            if left < share.weight {
+                return last;
+            }
+            left -= share.weight;
+        }
+        last
+    }
+
+    /// The time within which an answer earns its full worth, in milliseconds.
+    pub fn target(&self) -> f64 {
+        self.target_ms.unwrap_or(self.deadline_ms as f64)
+    }
+}
+
+/// A service.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Backend {
+    pub name: String,
+    #[serde(default)]
+    pub health_path: Option<String>,
+    #[serde(default)]
+    pub max_conns: Option<u32>,
+    #[serde(default)]
+    pub rate_per_s: Option<f64>,
+}
+
+/// What clients may send, and how long they may take.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "camelCase", default)]
+pub struct ReqLimits {
+    pub max_header_bytes: usize,
+    pub max_body_bytes: usize,
+    pub header_timeout_ms: u64,
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for ReqLimits {
+    fn default() -> Self {
+        ReqLimits {
+            max_header_bytes: 16 << 10,
+            max_body_bytes: 64 << 20,
+            header_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// A document as the data plane uses it.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Config {
+    pub rev: u64,
+    #[serde(default)]
+    pub paths: Vec<Route>,
+    #[serde(default)]
+    pub backends: Vec<Backend>,
+    #[serde(default)]
+    pub req_limits: ReqLimits,
+    /// Places in `paths`, by host and prefix.
+    #[serde(skip)]
+    places: HashMap<String, HashMap<String, usize>>,
+}
+
+impl Config {
+    /// Reads a document and checks it.
+    pub fn read(document: &[u8]) -> Result<Config, Invalid> {
+        let mut config: Config =
+            serde_json::from_slice(document).map_err(|e| Invalid::Unreadable(e.to_string()))?;
+        config.check()?;
+        for (index, route) in config.paths.iter().enumerate() {
+            let host = config.places.entry(route.hostname.to_ascii_lowercase()).or_default();
+            host.insert(route.path_prefix.clone(), index);
+        }
+        Ok(config)
+    }
+
+    fn check(&self) -> Result<(), Invalid> {
+        let mut backends = HashSet::new();
+        for backend in &self.backends {
+            if !backends.insert(backend.name.as_str()) {
+                return Err(Invalid::BackendTwice(backend.name.clone()));
+            }
+        }
+        let mut names = HashSet::new();
+        let mut places = HashMap::new();
+        for route in &self.paths {
+            let name = || route.name.clone();
+            if !names.insert(route.name.as_str()) {
+                return Err(Invalid::NameTwice(name()));
+            }
+            if !(route.path_prefix.starts_with('/') && route.path_prefix.ends_with('/')) {
+                return Err(Invalid::Prefix(name()));
+            }
+            if route.deadline_ms == 0 {
+                return Err(Invalid::NoDeadline(name()));
+            }
+            if route.backend.is_some() != route.split.is_empty() {
+                return Err(Invalid::Target(name()));
+            }
+            let named = route.backend.iter().chain(route.split.iter().map(|share| &share.backend));
+            for backend in named {
+                if !backends.contains(backend.as_str()) {
+                    return Err(Invalid::UnknownBackend { path: name(), backend: backend.clone() });
+                }
+            }
+            let weight: f64 = route.split.iter().map(|share| share.weight.max(0.0)).sum();
+            if !route.split.is_empty() && weight <= 0.0 {
+                return Err(Invalid::NoWeight(name()));
+            }
+            let place = (route.hostname.to_ascii_lowercase(), route.path_prefix.as_str());
+            if let Some(other) = places.insert(place, &route.name) {
+                return Err(Invalid::SamePlace { path: name(), other: other.clone() });
+            }
+        }
+        Ok(())
+    }
+
+    /// The route of a request: of those of its host the one with the longest prefix that begins the path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        // A port is no part of the name.
+        let name = host.rsplit_once(':').map_or(host, |(name, port)| {
+            if port.bytes().all(|b| b.is_ascii_digit()) {
+                name
+            } else {
+                host
+            }
+        });
+        let prefixes = match self.places.get(name) {
+            Some(prefixes) => prefixes,
+            None => self.places.get(&name.to_ascii_lowercase())?,
+        };
+        let mut end = path.len();
+        while let Some(slash) = path[..end].rfind('/') {
+            if let Some(index) = prefixes.get(&path[..=slash]) {
+                return self.paths.get(*index);
+            }
+            end = slash;
+        }
+        None
+    }
+
+    pub fn backend(&self, name: &str) -> Option<&Backend> {
+        self.backends.iter().find(|backend| backend.name == name)
+    }
+}
+
+/// A change that an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// A whole document.
+    Put(Vec<u8>),
+    /// Named items.
+    Patch(Vec<u8>),
+}
+
+impl Change {
+    /// A fingerprint by which the same call is known again. Not for use against forgers: operators are
+    /// trusted, and a collision needs the same version and the same length as well.
+    pub fn digest(&self) -> u64 {
+        let (tag, bytes) = match self {
+            Change::Put(bytes) => (1u8, bytes),
+            Change::Patch(bytes) => (2u8, bytes),
+        };
+        // FNV-1a: the same on all machines and in all versions, as it is kept on disk.
+        let seed = 0xcbf2_9ce4_8422_2325u64;
+        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        bytes.iter().fold(step(seed, tag), |hash, byte| step(hash, *byte)) ^ bytes.len() as u64
+    }
+
+    /// The version that the change makes, where it can be told.
+    pub fn rev(&self) -> Option<u64> {
+        let bytes = match self {
+            Change::Put(bytes) | Change::Patch(bytes) => bytes,
+        };
+        #[derive(Deserialize)]
+        struct Rev {
+            rev: u64,
+        }
+        serde_json::from_slice::<Rev>(bytes).ok().map(|r| r.rev)
+    }
+
+    /// The document that results from the change to `current`, whose version is `rev`.
+    pub fn apply(&self, current: &[u8], rev: u64) -> Result<(u64, Vec<u8>), Invalid> {
+        let document = match self {
+            Change::Put(bytes) => bytes.clone(),
+            Change::Patch(bytes) => patched(current, bytes)?,
+        };
+        let config = Config::read(&document)?;
+        if config.rev <= rev {
+            return Err(Invalid::OldVersion { current: rev, got: config.rev });
+        }
+        Ok((config.rev, document))
+    }
+}
+
+fn object(bytes: &[u8]) -> Result<Map<String, Value>, Invalid> {
+    serde_json::from_slice(bytes).map_err(|e| Invalid::Unreadable(e.to_string()))
+}
+
+fn patched(current: &[u8], patch: &[u8]) -> Result<Vec<u8>, Invalid> {
+    let unreadable = |what: &str| Invalid::Unreadable(what.to_owned());
+    let mut document = if current.is_empty() { Map::new() } else { object(current)? };
+    let mut patch = object(patch)?;
+    let rev = patch.remove("rev").ok_or_else(|| unreadable("missing field `rev`"))?;
+    document.insert("rev".to_owned(), rev);
+    let section = |patch: &mut Map<String, Value>, name: &str| match patch.remove(name) {
+        None | Some(Value::Null) => Ok(Map::new()),
+        Some(Value::Object(items)) => Ok(items),
+        Some(_) => Err(unreadable(&format!("{name}: an object of lists expected"))),
+    };
+    for (list, names) in section(&mut patch, "remove")? {
+        let Value::Array(names) = names else { return Err(unreadable("remove: lists of names expected")) };
+        if let Some(Value::Array(items)) = document.get_mut(&list) {
+            items.retain(|item| !names.contains(&item["name"]));
+        }
+    }
+    for (list, news) in section(&mut patch, "upsert")? {
+        let Value::Array(news) = news else {
+            // Not a list of named items, such as `reqLimits`: replaced whole.
+            document.insert(list, news);
+            continue;
+        };
+        let items = document.entry(list).or_insert_with(|| Value::Array(Vec::new()));
+        let Value::Array(items) = items else { return Err(unreadable("upsert: not a list")) };
+        for new in news {
+            if !new["name"].is_string() {
+                return Err(unreadable("upsert: an item without a name"));
+            }
+            match items.iter_mut().find(|item| item["name"] == new["name"]) {
+                Some(item) => *item = new,
+                None => items.push(new),
+            }
+        }
+    }
+    serde_json::to_vec(&document).map_err(|e| Invalid::Unreadable(e.to_string()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn document() -> Value {
+        serde_json::json!({
+            "rev": 5, "extra": {"kept": 1.50},
+            "paths": [
+                {"name": "a", "hostname": "One.example", "pathPrefix": "/a/", "type": "cacheable",
+                 "deadlineMs": 900, "targetMs": 80, "prio": 2, "backend": "s", "tries": 2, "maxAgeS": 4.5},
+                {"name": "ab", "hostname": "one.example", "pathPrefix": "/a/b/", "type": "mutating",
+                 "deadlineMs": 900, "split": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}]},
+            ],
+            "backends": [{"name": "s", "ratePerS": 85.0}, {"name": "t"}],
+            "reqLimits": {"maxBodyBytes": 10},
+        })
+    }
+
+    fn read(document: &Value) -> Result<Config, Invalid> {
+        Config::read(document.to_string().as_bytes())
+    }
+
+    #[test]
+    fn the_longest_prefix_of_the_host_decides() {
+        let config = read(&document()).unwrap();
+        let route = |host: &str, path: &str| config.route(host, path).map(|route| route.name.as_str());
+        assert_eq!(route("one.example", "/a/x"), Some("a"));
+        assert_eq!(route("ONE.example:8080", "/a/b/x/y"), Some("ab"));
+        assert_eq!(route("one.example", "/a/b"), Some("a"));
+        assert_eq!(route("one.example", "/a"), None);
+        assert_eq!(route("two.example", "/a/x"), None);
+        assert_eq!(route("one.example", "*"), None);
+        assert_eq!((config.req_limits.max_body_bytes, config.req_limits.header_timeout_ms), (10, 3000));
+    }
+
+    #[test]
+    fn a_split_follows_its_weights() {
+        let config = read(&document()).unwrap();
+        let route = config.route("one.example", "/a/b/").unwrap();
+        let drawn = (0..1000).filter(|n| route.service(f64::from(*n) / 1000.0) == Some("t")).count();
+        assert_eq!(drawn, 100);
+        assert_eq!(route.service(1.0), Some("t"));
+    }
+
+    #[test]
+    fn each_kind_of_invalid_document_is_told() {
+        let cases: [(&str, fn(&mut Value), &str); 8] = [
+            ("unknown service", |d| d["paths"][0]["backend"] = "x".into(), "no backend is named \"x\""),
+            ("same place", |d| d["paths"][1]["pathPrefix"] = "/a/".into(), "same hostname and pathPrefix"),
+            (
+                "no weight",
+                |d| d["paths"][1]["split"] = serde_json::json!([{"backend": "s", "weight": 0}]),
+                "sum to 0",
+            ),
+            ("no time", |d| d["paths"][0]["deadlineMs"] = 0.into(), "deadlineMs above 0"),
+            ("no slash", |d| d["paths"][0]["pathPrefix"] = "/a".into(), "a slash"),
+            ("two names", |d| d["paths"][1]["name"] = "a".into(), "named twice"),
+            ("no target", |d| d["paths"][0]["backend"] = Value::Null, "exactly one"),
+            ("no rev", |d| d["rev"] = Value::Null, "not a configuration"),
+        ];
+        for (case, spoil, told) in cases {
+            let mut document = document();
+            spoil(&mut document);
+            let why = read(&document).expect_err(case).to_string();
+            assert!(why.contains(told), "{case}: {why}");
+        }
+        let whole = document().to_string();
+        assert!(matches!(Config::read(&whole.as_bytes()[..whole.len() - 9]), Err(Invalid::Unreadable(_))));
+    }
+
+    #[test]
+    fn a_patch_replaces_adds_and_removes_by_name_and_keeps_the_rest() {
+        let patch = serde_json::json!({
+            "rev": 8,
+            "upsert": {
+                "paths": [{"name": "c", "hostname": "one.example", "pathPrefix": "/c/", "deadlineMs": 1, "backend": "u"}],
+                "backends": [{"name": "s", "ratePerS": 9.0}, {"name": "u"}],
+            },
+            "remove": {"paths": ["a", "nobody"]},
+        });
+        let current = document().to_string().into_bytes();
+        let change = Change::Patch(patch.to_string().into_bytes());
+        let (rev, made) = change.apply(&current, 5).unwrap();
+        let made_value: Value = serde_json::from_slice(&made).unwrap();
+        assert_eq!((rev, &made_value["extra"]["kept"]), (8, &Value::from(1.5)));
+        let config = Config::read(&made).unwrap();
+        let names: Vec<_> = config.paths.iter().map(|route| route.name.as_str()).collect();
+        assert_eq!(names, ["ab", "c"]);
+        assert_eq!(config.backend("s").unwrap().rate_per_s, Some(9.0));
+        assert_eq!(change.apply(&current, 8), Err(Invalid::OldVersion { current: 8, got: 8 }));
+    }
+}
--- /dev/null
+++ b/plane/src/messages.rs
@@ -0,0 +1,153 @@
+//! What the system's processes say to each other, carried as `postcard` in frames with a length in front.
+//!
+//! A *session* runs between a proxy and its agent, between an agent and a control node, and between a shield
+//! and the control node beside it, with the same messages: downwards numbered changes, upwards the count of
+//! those applied. Control nodes speak as *peers*.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::chain;
+use crate::registry::Entry;
+
+/// Longest frame: a configuration of many hundred routes, and room.
+pub const LONGEST_FRAME: usize = 4 << 20;
+
+/// What a proxy is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Proxy {
+    Edge,
+    Shield,
+}
+
+/// A proxy as its session tells of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The machine's name.
+    pub node: String,
+    pub zone: String,
+    pub proxy: Proxy,
+    /// Where a shield takes reads.
+    pub http: SocketAddrV4,
+    pub ready: bool,
+}
+
+/// From proxy to agent and from agent to control.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Up {
+    /// First, and again whenever it changes. An agent whose proxy is away says `None`.
+    Hello {
+        node: String,
+        member: Option<Member>,
+    },
+    /// All changes up to this number are applied.
+    Applied(u64),
+    /// Counters since the start, for `status`.
+    Report(Vec<(String, u64)>),
+    Ping,
+}
+
+/// A server as proxies know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    pub id: String,
+    pub backend: String,
+    pub addr: SocketAddrV4,
+    pub zone: String,
+    pub capacity: u32,
+    pub ready: bool,
+    /// How much longer it is slow from its start.
+    pub warmup_left_ms: u64,
+}
+
+/// All servers and shields.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// The sender has heard of all there are: who is absent is gone. Otherwise it only adds.
+    pub complete: bool,
+    pub servers: Vec<Server>,
+    pub shields: Vec<Member>,
+    /// How many edges there are.
+    pub edges: u32,
+}
+
+/// What copies a purge ends.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Purge {
+    Object {
+        hostname: String,
+        path: String,
+    },
+    Label(String),
+    /// All copies: too many purges were missed to name them.
+    Everything,
+}
+
+/// A change pushed down a session.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    Config { rev: u64, document: Arc<Vec<u8>> },
+    Fleet(Fleet),
+    Purges(Vec<Purge>),
+}
+
+/// From control to agent and from agent to proxy.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Down {
+    /// Other control nodes, where an agent may turn to when this one is lost.
+    Controls(Vec<Ipv4Addr>),
+    Push {
+        number: u64,
+        news: News,
+    },
+    /// The sender stops soon: turn to another now.
+    Leaving,
+    Ping,
+}
+
+/// Between control nodes, each on the connection that it opened.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Peer {
+    Chain(chain::Message),
+    /// The members whose sessions stand at the sender, all of them.
+    Sessions(Vec<Member>),
+    /// What servers have told; `age_ms` since the sender heard of each.
+    Servers(Vec<(Entry, u64)>),
+    /// The same, and the sender waits for the word that it is pushed on.
+    Urgent {
+        id: u64,
+        entry: Entry,
+    },
+    /// Purges, each with its number at its origin. The sender waits where `id` is above 0.
+    Purges {
+        id: u64,
+        purges: Vec<Stamped>,
+    },
+    /// What `Urgent` or `Purges` asked for is done at the sender and its sessions.
+    Done {
+        id: u64,
+    },
+}
+
+/// A purge with the name that it is known by at all control nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamped {
+    pub origin: Ipv4Addr,
+    /// Of the origin's process, so that numbers of a restarted one do not pass for the last one's.
+    pub life: u64,
+    pub number: u64,
+    /// How long ago it was taken, for its end.
+    pub age_ms: u64,
+    pub purge: Purge,
+}
+
+/// The first frame on any connection between processes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Open {
+    /// A session follows.
+    Session,
+    /// A control node, whose life tells one process from the next at the same address, and the others it knows.
+    Peer { ip: Ipv4Addr, life: u64, others: Vec<Ipv4Addr> },
+}
--- /dev/null
+++ b/plane/src/purges.rs
@@ -0,0 +1,103 @@
+//! The purges that a control node remembers, so that whoever was away for a while hears of all that it missed.
+
+use std::collections::{HashSet, VecDeque};
+use std::net::Ipv4Addr;
+
+use crate::messages::{Purge, Stamped};
+use crate::Millis;
+
+/// Purges are remembered for so long: no route keeps copies longer without being asked for it, and a
+/// process that was out of touch for longer begins with an empty cache.
+pub const REMEMBERED: Millis = 120_000;
+/// Most that are remembered; past that, who comes back is told to drop everything.
+const MOST: usize = 4096;
+
+type Name = (Ipv4Addr, u64, u64);
+
+/// The purges of the last while, in the order in which this node heard of them.
+#[derive(Default)]
+pub struct Purges {
+    known: VecDeque<(Name, Millis, Purge)>,
+    names: HashSet<Name>,
+    /// Some were dropped for want of room, the last at this time.
+    overflowed: Option<Millis>,
+}
+
+impl Purges {
+    /// Takes purges and returns those not heard of before.
+    pub fn take(&mut self, now: Millis, purges: Vec<Stamped>) -> Vec<Purge> {
+        let mut fresh = Vec::new();
+        for stamped in purges {
+            let name = (stamped.origin, stamped.life, stamped.number);
+            if self.names.insert(name) {
+                fresh.push(stamped.purge.clone());
+                self.known.push_back((name, now.saturating_sub(stamped.age_ms), stamped.purge));
+            }
+        }
+        while self.known.len() > MOST {
+            self.overflowed = Some(now);
+            self.forget_first();
+        }
+        while self.known.front().is_some_and(|(_, at, _)| now >= at + REMEMBERED) {
+            self.forget_first();
+        }
+        if self.overflowed.is_some_and(|at| now >= at + REMEMBERED) {
+            self.overflowed = None;
+        }
+        fresh
+    }
+
+    fn forget_first(&mut self) {
+        if let Some((name, ..)) = self.known.pop_front() {
+            self.names.remove(&name);
+        }
+    }
+
+    /// All that is remembered, for a peer.
+    pub fn all(&self, now: Millis) -> Vec<Stamped> {
+        let stamped = |((origin, life, number), at, purge): &(Name, Millis, Purge)| Stamped {
+            origin: *origin,
+            life: *life,
+            number: *number,
+            age_ms: now.saturating_sub(*at),
+            purge: purge.clone(),
+        };
+        self.known.iter().map(stamped).collect()
+    }
+
+    /// What a session that has just begun has to drop.
+    pub fn missed(&self) -> Vec<Purge> {
+        if self.overflowed.is_some() {
+            return vec![Purge::Everything];
+        }
+        self.known.iter().map(|(_, _, purge)| purge.clone()).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn purge(number: u64, age_ms: u64) -> Stamped {
+        let purge = Purge::Label(number.to_string());
+        Stamped { origin: Ipv4Addr::LOCALHOST, life: 1, number, age_ms, purge }
+    }
+
+    #[test]
+    fn a_purge_is_new_once_and_forgotten_in_time() {
+        let mut purges = Purges::default();
+        assert_eq!(purges.take(1000, vec![purge(1, 0), purge(2, 500), purge(1, 0)]).len(), 2);
+        assert!(purges.take(1000, vec![purge(2, 0)]).is_empty());
+        assert_eq!(purges.all(1500).iter().map(|p| p.age_ms).collect::<Vec<_>>(), [500, 1000]);
+        purges.take(REMEMBERED + 1000, vec![]);
+        assert!(purges.missed().is_empty());
+    }
+
+    #[test]
+    fn past_the_bound_whoever_comes_back_drops_everything() {
+        let mut purges = Purges::default();
+        purges.take(0, (0..=MOST as u64).map(|n| purge(n, 0)).collect());
+        assert_eq!(purges.missed(), [Purge::Everything]);
+        assert_eq!(purges.all(0).len(), MOST);
+    }
+}
--- /dev/null
+++ b/plane/src/registry.rs
@@ -0,0 +1,252 @@
+//! The servers, as their own beats tell of them. Soft state: it is rebuilt from beats, and each control node
+//! passes on to its peers what it hears.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use serde::{Deserialize, Serialize};
+
+use crate::messages::Server;
+use crate::Millis;
+
+/// A server that has been silent for so many beats has crashed: one may be lost, and a second late.
+const MISSED_BEATS: u64 = 4;
+/// Servers and tombstones kept at most; what beats beyond is turned away.
+pub const MOST: usize = 4096;
+/// How long the end of a server is remembered: its last beats may still be under way.
+const TOMBSTONE: Millis = 60_000;
+/// Longest name that is believed.
+const LONGEST_NAME: usize = 128;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Status {
+    Ready,
+    Draining,
+    /// A state that this version does not know takes nothing new.
+    #[serde(other)]
+    Unknown,
+}
+
+/// The body of a beat.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Beat {
+    pub backend: String,
+    pub addr: SocketAddrV4,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub rev: String,
+    #[serde(default)]
+    pub capacity: u32,
+    pub status: Status,
+    #[serde(default)]
+    pub warmup_left_ms: u64,
+    #[serde(default)]
+    pub call_seq: u64,
+}
+
+/// What is known of a server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    pub id: String,
+    pub backend: String,
+    pub addr: SocketAddrV4,
+    pub zone: String,
+    pub capacity: u32,
+    pub status: EntryStatus,
+    pub warmup_left_ms: u64,
+    pub call_seq: u64,
+}
+
+/// As between control nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum EntryStatus {
+    Ready,
+    Draining,
+    Gone,
+}
+
+impl Entry {
+    pub fn of(id: &str, beat: Beat) -> Option<Entry> {
+        let fits = |name: &str| name.len() <= LONGEST_NAME;
+        if id.is_empty() || !fits(id) || !fits(&beat.backend) || !fits(&beat.zone) {
+            return None;
+        }
+        let status = if beat.status == Status::Ready { EntryStatus::Ready } else { EntryStatus::Draining };
+        Some(Entry {
+            id: id.to_owned(),
+            backend: beat.backend,
+            addr: beat.addr,
+            zone: beat.zone,
+            capacity: beat.capacity,
+            status,
+            warmup_left_ms: beat.warmup_left_ms,
+            call_seq: beat.call_seq,
+        })
+    }
+}
+
+struct Known {
+    entry: Entry,
+    heard: Millis,
+}
+
+/// What a beat changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Proxies have to know.
+    Changed,
+    /// It is alive, no more; peers have to know that too.
+    Alive,
+    /// An old call, overtaken by a later one.
+    Late,
+    /// There is no room for it.
+    Full,
+}
+
+/// The servers that one control node knows.
+pub struct Registry {
+    beat: Millis,
+    known: BTreeMap<String, Known>,
+}
+
+impl Registry {
+    /// `beat` is how often servers call.
+    pub fn new(beat: Millis) -> Self {
+        Registry { beat: beat.max(1), known: BTreeMap::new() }
+    }
+
+    /// Takes what a server said `age` ago.
+    pub fn hear(&mut self, now: Millis, age: Millis, entry: Entry) -> Heard {
+        let heard = now.saturating_sub(age);
+        if let Some(known) = self.known.get_mut(&entry.id) {
+            // A goodbye is final; a drain is not taken back by a beat sent before it.
+            let old = entry.status != EntryStatus::Gone
+                && (known.entry.status == EntryStatus::Gone || entry.call_seq < known.entry.call_seq);
+            if old {
+                return Heard::Late;
+            }
+            let same = |a: &Entry, b: &Entry| {
+                (&a.backend, a.addr, &a.zone, a.capacity, a.status)
+                    == (&b.backend, b.addr, &b.zone, b.capacity, b.status)
+            };
+            let changed = !same(&known.entry, &entry);
+            known.heard = known.heard.max(heard);
+            known.entry = entry;
+            return if changed { Heard::Changed } else { Heard::Alive };
+        }
+        if self.known.len() >= MOST {
+            return Heard::Full;
+        }
+        if entry.status != EntryStatus::Gone {
+            // The address has a new owner: who had it before is gone, though it never said so.
+            let before = self.known.values_mut().filter(|known| known.entry.addr == entry.addr);
+            for known in before.filter(|known| known.entry.status != EntryStatus::Gone) {
+                if known.heard <= heard {
+                    (known.entry.status, known.heard) = (EntryStatus::Gone, now);
+                }
+            }
+        }
+        self.known.insert(entry.id.clone(), Known { entry, heard });
+        Heard::Changed
+    }
+
+    /// A server said goodbye. `None` if it is not known, or has done so before.
+    pub fn leave(&mut self, now: Millis, id: &str) -> Option<Entry> {
+        let known = self.known.get_mut(id).filter(|known| known.entry.status != EntryStatus::Gone)?;
+        (known.entry.status, known.heard) = (EntryStatus::Gone, now);
+        Some(known.entry.clone())
+    }
+
+    /// Forgets who has been silent for too long; says whether proxies have to know.
+    pub fn expire(&mut self, now: Millis) -> bool {
+        let silent = self.beat * MISSED_BEATS;
+        let before = self.known.len();
+        let mut changed = false;
+        self.known.retain(|_, known| match known.entry.status {
+            EntryStatus::Gone => now < known.heard + TOMBSTONE,
+            _ => now < known.heard + silent,
+        });
+        changed |= self.known.len() != before;
+        changed
+    }
+
+    /// All that are not gone, as proxies see them.
+    pub fn servers(&self, now: Millis) -> Vec<Server> {
+        let present = self.known.values().filter(|known| known.entry.status != EntryStatus::Gone);
+        present
+            .map(|known| Server {
+                id: known.entry.id.clone(),
+                backend: known.entry.backend.clone(),
+                addr: known.entry.addr,
+                zone: known.entry.zone.clone(),
+                capacity: known.entry.capacity,
+                ready: known.entry.status == EntryStatus::Ready,
+                warmup_left_ms: known.entry.warmup_left_ms.saturating_sub(now.saturating_sub(known.heard)),
+            })
+            .collect()
+    }
+
+    /// All entries and how long ago each was heard of, for a peer that has just come.
+    pub fn all(&self, now: Millis) -> Vec<(Entry, Millis)> {
+        self.known.values().map(|known| (known.entry.clone(), now.saturating_sub(known.heard))).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn entry(id: &str, port: u16, status: EntryStatus, call_seq: u64) -> Entry {
+        Entry {
+            id: id.into(),
+            backend: "s".into(),
+            addr: SocketAddrV4::new([127, 0, 0, 1].into(), port),
+            zone: "z".into(),
+            capacity: 4,
+            status,
+            warmup_left_ms: 3000,
+            call_seq,
+        }
+    }
+
+    fn ready(registry: &Registry, now: Millis) -> Vec<String> {
+        registry.servers(now).into_iter().filter(|server| server.ready).map(|server| server.id).collect()
+    }
+
+    #[test]
+    fn a_late_beat_does_not_take_back_a_drain_and_nothing_takes_back_a_goodbye() {
+        let mut registry = Registry::new(1500);
+        assert_eq!(registry.hear(0, 0, entry("a", 1, EntryStatus::Ready, 1)), Heard::Changed);
+        assert_eq!(registry.hear(10, 0, entry("a", 1, EntryStatus::Draining, 3)), Heard::Changed);
+        assert_eq!(registry.hear(20, 0, entry("a", 1, EntryStatus::Ready, 2)), Heard::Late);
+        assert_eq!(ready(&registry, 20), Vec::<String>::new());
+        assert!(registry.leave(30, "a").is_some());
+        assert!(registry.leave(30, "a").is_none());
+        assert_eq!(registry.hear(40, 0, entry("a", 1, EntryStatus::Ready, 9)), Heard::Late);
+        assert!(registry.servers(40).is_empty());
+    }
+
+    #[test]
+    fn a_new_server_at_an_address_ends_the_one_before() {
+        let mut registry = Registry::new(1500);
+        registry.hear(0, 0, entry("a", 1, EntryStatus::Ready, 1));
+        registry.hear(100, 0, entry("b", 1, EntryStatus::Ready, 1));
+        assert_eq!(ready(&registry, 100), ["b"]);
+    }
+
+    #[test]
+    fn the_silent_are_forgotten_after_some_beats_and_warmth_comes_with_time() {
+        let mut registry = Registry::new(1500);
+        registry.hear(0, 0, entry("a", 1, EntryStatus::Ready, 1));
+        registry.hear(4000, 0, entry("b", 2, EntryStatus::Ready, 1));
+        assert_eq!(registry.hear(4000, 500, entry("a", 1, EntryStatus::Ready, 2)), Heard::Alive);
+        assert!(!registry.expire(9000));
+        let warmup: Vec<u64> = registry.servers(5000).iter().map(|server| server.warmup_left_ms).collect();
+        assert_eq!(warmup, [1500, 2000]);
+        assert!(registry.expire(9600));
+        assert_eq!(ready(&registry, 9600), ["b"]);
+    }
+}
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,25 +7,16 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use crate::rjch::{cap, mix, SlotArray};
 
 // ---- Constants ----------------------------------------------------------------------------------------
 
-/// Length m of the slot array: many times the points of a large fleet, so that few points collide.
-const SLOTS: usize = 1 << 16;
-/// Points of a server of weight 1 on the scale of `refresh_slots`; shares vary by about 1/sqrt(128), 9 %.
-const POINTS: f64 = 128.0;
-/// ε of the cap. A jump costs a miss at the slow origin: the cap is to stop crowding, not to even out.
-const EPSILON: f64 = 0.7;
 /// Requests that all nodes together may always have at one server: a few a core; and each node in aside mode,
 /// where a jump into a miss costs attempts and the origin.
 const FLEET_FLOOR: f64 = 8.0;
 const NODE_FLOOR: f64 = 3.0;
 /// Over quota a limit is divided by 1 + this x the usual answer time / the aim: two or so, in a jam four.
 const OVER: f64 = 6.0;
-/// Places tried before a request is held, and points that may be passed over at each. In a jam each request
-/// held costs their product: 32 x 32 took more than the node's CPU.
-const MAX_JUMPS: u64 = 16;
-const MAX_PASSED: usize = 8;
 /// Requests held that are looked at when an attempt ends: that frees one place. The others wait for a tick.
 const FREED: usize = 2;
 /// Requests that may be saved up of a tenant's quota and of a cold server's allowance: few come unevenly.
@@ -99,67 +90,6 @@
 
 const TICK_TOKEN: TimerToken = TimerToken(0);
 
-// ---- Slot array ---------------------------------------------------------------------------------------
-
-/// The splitmix64 finaliser, written out so that every port computes the same homes.
-fn mix(mut x: u64) -> u64 {
-    x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// h(key, attempt) of the paper.
-fn slot_of(key: Key, attempt: u64) -> usize {
-    (mix(mix(key.0) ^ attempt.wrapping_mul(0xd6e8_feb8_6659_fd93)) % SLOTS as u64) as usize
-}
-
-/// Where the points of the servers lie. Depends on their addresses and sizes alone, not on any order or seed.
-#[derive(Default)]
-struct SlotArray {
-    /// Slot, hash and place in `members`, in this order: where two points collide the smaller hash wins.
-    points: Vec<(u16, u32, u16)>,
-    members: Vec<Option<ServerId>>,
-}
-
-impl SlotArray {
-    /// Gives servers as many points as go with their sizes; at size 0 none. The others' points stay.
-    fn update(&mut self, sizes: &[(ServerId, f64)]) {
-        let mut stays = vec![true; self.members.len()];
-        for (index, member) in self.members.iter_mut().enumerate() {
-            if member.as_ref().is_some_and(|id| sizes.iter().any(|(changed, _)| changed == id)) {
-                (*member, stays[index]) = (None, false);
-            }
-        }
-        self.points.retain(|point| stays[usize::from(point.2)]);
-        let mut free = 0;
-        for (server, size) in sizes.iter().filter(|(_, size)| *size > 0.0) {
-            free += self.members[free..].iter().take_while(|member| member.is_some()).count();
-            if free == self.members.len() {
-                self.members.push(None);
-            }
-            self.members[free] = Some(server.clone());
-            let base = server.0.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
-            let count = (POINTS * size).round().max(1.0) as u64;
-            self.points.extend((0..count).map(|point| {
-                let hash = mix(base ^ mix(point));
-                ((hash % SLOTS as u64) as u16, (hash >> 32) as u32, free as u16)
-            }));
-        }
-        // Stable, as what is sorted already then costs one merge only.
-        self.points.sort();
-    }
-
-    /// The owner of slot h(key, attempt): that of the nearest point clockwise that takes the key.
-    fn owner(&self, key: Key, attempt: u64, takes: impl Fn(&ServerId, u32) -> bool) -> Option<&ServerId> {
-        let slot = slot_of(key, attempt);
-        let (before, after) = self.points.split_at(self.points.partition_point(|p| usize::from(p.0) < slot));
-        after.iter().chain(before).take(MAX_PASSED).find_map(|&(_, hash, index)| {
-            self.members[usize::from(index)].as_ref().filter(|id| takes(id, hash))
-        })
-    }
-}
-
 // ---- Servers ------------------------------------------------------------------------------------------
 
 /// A smoothed figure. Where observations are rare each counts for more, as many nodes each see few.
@@ -560,11 +490,8 @@
 
     /// max(floor, ⌈(1+ε)n/k⌉), with n/k in proportion to the server's share where sizes differ.
     fn cap(&self, server: &Server) -> f64 {
-        let n = f64::from(self.in_flight + 1);
         let floor = if self.settings.cache == CacheMode::Through { 1.0 } else { NODE_FLOOR };
-        ((1.0 + EPSILON) * n * server.share / self.shares)
-            .ceil()
-            .max(self.part(FLEET_FLOOR).ceil().max(floor))
+        cap(self.in_flight + 1, server.share / self.shares, self.part(FLEET_FLOOR).ceil().max(floor))
     }
 
     /// A cold server takes a stable part of its keys, as it is warm and allowed, and no overflow. A crowded
@@ -586,9 +513,8 @@
         let slow = through && self.wait.value > BUSY;
         let share = if r.over_quota { 1.0 + OVER * self.hit_time.value / self.tightest_aim } else { 1.0 };
         let first = (r.draw * self.places(r.key)) as u64;
-        for place in 0..MAX_JUMPS {
-            let takes = |id: &ServerId, hash| self.takes(&self.servers[id], r.key, place, hash);
-            let Some(id) = self.slots.owner(r.key, first + place, takes) else { continue };
+        let takes = |place, id: &ServerId, hash| self.takes(&self.servers[id], r.key, place, hash);
+        for id in self.slots.walk(r.key, first, takes) {
             let server = &self.servers[id];
             // On a connection that was dead when used, the server did not fail.
             let stale = |a: &Attempt| a.status == Some(Status::Broken) && a.idle >= IDLE;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -83,13 +83,18 @@
 //! # }
 //! ```
 //!
-//! All decisions are in `src/balance.rs`, all types in `src/interface.rs`.
+//! The node's decisions are in `src/balance.rs`, the edge's in `src/shields.rs`, the slot array that both use
+//! in `src/rjch.rs`, and the node's types in `src/interface.rs`.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod balance;
 mod interface;
+mod rjch;
+mod shields;
 
 pub use balance::Balancer;
 pub use interface::*;
+pub use rjch::mix;
+pub use shields::Shields;
--- /dev/null
+++ b/src/shields.rs
@@ -0,0 +1,81 @@
+//! The edge's decision: the shield that answers a read.
+//!
+//! The ordinary path is RJ-CH over the ready shields, with the edge's own requests in flight. What departs
+//! from it: a shield that has just failed this edge is passed over for [`REST`], unless all have; and a
+//! request that is tried again never goes to a shield it has been to.
+
+use std::collections::BTreeMap;
+
+use crate::interface::{Key, Seconds, ServerId};
+use crate::rjch::{cap, SlotArray};
+
+/// Requests that one edge may always have at one shield. An edge has few in flight, and the bare cap would
+/// send every second one away from the copy of its object; a shield bears far more from all edges together.
+const FLOOR: f64 = 16.0;
+/// How long a shield that has failed is passed over: longer than a lost packet is resent, shorter than a
+/// machine takes to start again.
+const REST: Seconds = 2.0;
+
+#[derive(Debug, Default)]
+struct Shield {
+    in_flight: u32,
+    rests_until: Seconds,
+}
+
+/// The ready shields as one edge sees them.
+#[derive(Debug, Default)]
+pub struct Shields {
+    slots: SlotArray,
+    ready: BTreeMap<ServerId, Shield>,
+    in_flight: u32,
+}
+
+impl Shields {
+    /// Takes the ready set from the membership. Those that stay keep their slots and counts.
+    pub fn update(&mut self, ready: &[ServerId]) {
+        let left: Vec<_> = self.ready.keys().filter(|id| !ready.contains(id)).cloned().collect();
+        let joined = ready.iter().filter(|id| !self.ready.contains_key(*id)).cloned();
+        let changes: Vec<_> =
+            left.iter().map(|id| (id.clone(), 0.0)).chain(joined.map(|id| (id, 1.0))).collect();
+        self.slots.update(&changes);
+        self.ready.retain(|id, _| !left.contains(id));
+        for (id, _) in changes.into_iter().filter(|(_, size)| *size > 0.0) {
+            self.ready.insert(id, Shield::default());
+        }
+    }
+
+    /// How many shields are ready.
+    pub fn count(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// The shield for a request: the first below its cap along the key's walk. `None` where there is none
+    /// but those it `tried`; where all others are full, the first of them.
+    pub fn choose(&self, now: Seconds, key: Key, tried: &[ServerId]) -> Option<&ServerId> {
+        let bound = cap(self.in_flight + 1, 1.0 / self.ready.len().max(1) as f64, FLOOR);
+        let rests = |id: &ServerId| self.ready.get(id).is_some_and(|s| now < s.rests_until);
+        let all_rest = self.ready.keys().all(rests);
+        let open = |id: &ServerId| !tried.contains(id) && (all_rest || !rests(id));
+        let mut walk = self.slots.walk(key, 0, |_, _, _| true).filter(|id| open(id)).peekable();
+        let first = walk.peek().copied();
+        let below = |id: &&ServerId| self.ready.get(*id).is_some_and(|s| f64::from(s.in_flight) < bound);
+        walk.find(below).or(first).or_else(|| self.ready.keys().find(|id| !tried.contains(id)))
+    }
+
+    /// A request goes to a shield.
+    pub fn begin(&mut self, shield: &ServerId) {
+        self.in_flight += 1;
+        if let Some(s) = self.ready.get_mut(shield) {
+            s.in_flight += 1;
+        }
+    }
+
+    /// It has ended there; `failed` where the shield gave no answer at all.
+    pub fn end(&mut self, now: Seconds, shield: &ServerId, failed: bool) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(s) = self.ready.get_mut(shield) {
+            s.in_flight = s.in_flight.saturating_sub(1);
+            s.rests_until = if failed { now + REST } else { s.rests_until };
+        }
+    }
+}
--- /dev/null
+++ b/tests/shields.rs
@@ -0,0 +1,101 @@
+//! The edge's decision: RJ-CH over the ready shields, and what departs from it.
+
+use mallowpaddle::{mix, Key, ServerId, Shields};
+
+fn id(n: u64) -> ServerId {
+    ServerId(format!("10.0.0.{n}:7721").as_str().into())
+}
+
+fn shields(ids: impl IntoIterator<Item = u64>) -> Shields {
+    let mut shields = Shields::default();
+    shields.update(&ids.into_iter().map(id).collect::<Vec<_>>());
+    shields
+}
+
+fn key(n: u64) -> Key {
+    Key(mix(n))
+}
+
+fn homes(shields: &Shields) -> Vec<ServerId> {
+    (0..3000).map(|n| shields.choose(0.0, key(n), &[]).expect("a shield").clone()).collect()
+}
+
+#[test]
+fn edges_with_one_membership_agree_on_every_home_whatever_order_they_learnt_it_in() {
+    let mut late = shields([5, 1]);
+    late.update(&[id(4), id(2), id(1), id(3)]);
+    assert_eq!(homes(&shields([1, 2, 3, 4])), homes(&late));
+}
+
+#[test]
+fn a_shield_that_leaves_or_joins_moves_its_own_keys_only() {
+    let (all, without) = (homes(&shields([1, 2, 3, 4])), homes(&shields([1, 2, 3])));
+    let moved = all.iter().zip(&without).filter(|(a, w)| a != w).count();
+    assert!((300..1400).contains(&moved), "{moved} of 3000 moved");
+    assert!(all.iter().zip(&without).all(|(a, w)| a == w || *a == id(4)));
+}
+
+#[test]
+fn below_the_cap_a_key_stays_home_and_at_it_goes_on_along_its_own_walk() {
+    let mut shields = shields([1, 2, 3]);
+    let home = shields.choose(0.0, key(1), &[]).unwrap().clone();
+    let mut taken = 0;
+    while shields.choose(0.0, key(1), &[]) == Some(&home) {
+        shields.begin(&home);
+        taken += 1;
+        assert!(taken < 100, "a cap");
+    }
+    // The floor, as (1+ε)n/k is less here.
+    assert_eq!(taken, 16);
+    // Keys of one full home go on to both others.
+    let next: std::collections::BTreeSet<_> = (0..200)
+        .map(key)
+        .filter(|k| shields.choose(0.0, *k, &[]).is_some_and(|s| *s != home))
+        .map(|k| shields.choose(0.0, k, &[]).unwrap().clone())
+        .collect();
+    assert_eq!(next.len(), 2);
+    shields.end(0.0, &home, false);
+    assert_eq!(shields.choose(0.0, key(1), &[]), Some(&home));
+}
+
+#[test]
+fn the_cap_grows_with_the_requests_in_flight() {
+    let mut shields = shields([1, 2, 3]);
+    let others: Vec<_> = [1, 2, 3].map(id).into_iter().collect();
+    for _ in 0..40 {
+        others.iter().for_each(|s| shields.begin(s));
+    }
+    // 120 in flight: ⌈1.7 · 121 / 3⌉ = 69 at each.
+    let home = shields.choose(0.0, key(1), &[]).unwrap().clone();
+    let mut taken = 40;
+    while shields.choose(0.0, key(1), &[]) == Some(&home) {
+        shields.begin(&home);
+        taken += 1;
+    }
+    assert!((69..=120).contains(&taken), "{taken}");
+}
+
+#[test]
+fn a_shield_that_failed_is_passed_over_for_a_while_unless_all_have() {
+    let mut shields = shields([1, 2, 3]);
+    let home = shields.choose(0.0, key(1), &[]).unwrap().clone();
+    shields.begin(&home);
+    shields.end(1.0, &home, true);
+    assert_ne!(shields.choose(2.0, key(1), &[]), Some(&home));
+    assert_eq!(shields.choose(3.1, key(1), &[]), Some(&home));
+    for n in 1..=3 {
+        shields.begin(&id(n));
+        shields.end(4.0, &id(n), true);
+    }
+    assert_eq!(shields.choose(4.1, key(1), &[]), Some(&home));
+}
+
+#[test]
+fn a_request_never_goes_to_a_shield_twice_and_nowhere_without_shields() {
+    let shields = shields([1, 2]);
+    let first = shields.choose(0.0, key(1), &[]).unwrap().clone();
+    let second = shields.choose(0.0, key(1), std::slice::from_ref(&first)).unwrap().clone();
+    assert_ne!(first, second);
+    assert_eq!(shields.choose(0.0, key(1), &[first, second]), None);
+    assert_eq!(Shields::default().choose(0.0, key(1), &[]), None);
+}
