--- /dev/null
+++ b/glenfall/src/agent.rs
@@ -0,0 +1,229 @@
+//! The agent beside an edge: holds the link to control and feeds the edge over loopback. It remembers the
+//! configuration and the fleet, so that an edge that starts again, or control that is away, costs nothing.
+
+use std::cell::RefCell;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use glenfall_plane::messages::{Down, Fleet, News, Open, Purge, Up};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::boot::Boot;
+use crate::link::{self, Frames, Outbox};
+use crate::sessions::{self, Sessions};
+
+/// Pause after all known control nodes were tried in vain; it grows to the longest.
+const PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// The proxy has so long to apply a change before the agent goes on.
+const APPLY: Duration = Duration::from_secs(1);
+/// How often counters go on to control.
+const REPORT: Duration = Duration::from_secs(5);
+
+#[derive(Default)]
+struct Known {
+    config: Option<(u64, Arc<Vec<u8>>)>,
+    fleet: Option<Fleet>,
+    controls: Vec<Ipv4Addr>,
+}
+
+struct Agent {
+    boot: Rc<Boot>,
+    known: RefCell<Known>,
+    proxies: Sessions,
+    changed: Notify,
+}
+
+pub async fn run(boot: Rc<Boot>) -> std::io::Result<()> {
+    let listener = TcpListener::bind(boot.feed()).await?;
+    let agent = Rc::new(Agent {
+        boot,
+        known: RefCell::default(),
+        proxies: Sessions::default(),
+        changed: Notify::new(),
+    });
+    tokio::join!(agent.accept(listener), agent.follow_control());
+    Ok(())
+}
+
+impl Agent {
+    async fn accept(self: &Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(Rc::clone(self).feed(stream));
+                }
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+
+    async fn feed(self: Rc<Self>, stream: TcpStream) {
+        if link::tune(&stream).is_err() {
+            return;
+        }
+        let (read, write) = stream.into_split();
+        let mut frames = Frames::new(read);
+        if !matches!(frames.next_in_time().await, Ok(Open::Session)) {
+            return;
+        }
+        let greet = || {
+            let known = self.known.borrow();
+            // What was purged while the proxy was away is not known one by one.
+            let mut news = vec![News::Purges(vec![Purge::Everything])];
+            news.extend(known.config.clone().map(|(rev, document)| News::Config { rev, document }));
+            news.extend(known.fleet.clone().map(News::Fleet));
+            (Vec::new(), news)
+        };
+        self.proxies.serve(frames, Outbox::start(write), greet, || self.changed.notify_one()).await;
+    }
+
+    fn hello(&self) -> Up {
+        Up::Hello { node: self.boot.node.clone(), member: self.proxies.members().into_iter().next() }
+    }
+
+    async fn follow_control(self: &Rc<Self>) {
+        let mut pause = PAUSE;
+        let mut turn = self.boot.node.bytes().map(usize::from).sum::<usize>();
+        loop {
+            let controls = self.controls();
+            let mut met = false;
+            for step in 0..controls.len() {
+                let addr = controls[(turn + step) % controls.len()];
+                let Ok((read, write)) = link::open(addr, &Open::Session).await else { continue };
+                met = true;
+                let outbox = Outbox::start(write);
+                let take = async |down| self.take(down).await;
+                let reports = async {
+                    loop {
+                        sleep(REPORT).await;
+                        let report = self.proxies.seen().into_iter().flat_map(|seen| seen.report).collect();
+                        if !outbox.send(Up::Report(report)) {
+                            return;
+                        }
+                    }
+                };
+                tracing::info!(control = %addr, "control found");
+                tokio::select! {
+                    () = sessions::follow(Frames::new(read), outbox.clone(), || self.hello(), &self.changed, take) => {}
+                    () = reports => {}
+                }
+                tracing::warn!(control = %addr, "control lost");
+                // The next one, not the one just lost.
+                turn = turn + step + 1;
+                break;
+            }
+            pause = if met { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            sleep(pause).await;
+        }
+    }
+
+    /// Where control may be: the nodes that control itself named, then the seeds as the file has them now.
+    fn controls(&self) -> Vec<SocketAddrV4> {
+        let boot = Boot::load();
+        let seeds = boot.as_ref().map_or(&self.boot.seed_nodes, |boot| &boot.seed_nodes);
+        let known = self.known.borrow();
+        let mut addrs: Vec<SocketAddrV4> = Vec::new();
+        for ip in known.controls.iter().copied().chain(seeds.iter().map(|seed| *seed.ip())) {
+            let addr = self.boot.link(ip);
+            if !addrs.contains(&addr) {
+                addrs.push(addr);
+            }
+        }
+        addrs
+    }
+
+    async fn take(&self, down: Down) {
+        let news = match down {
+            Down::Controls(controls) => {
+                self.known.borrow_mut().controls = controls;
+                return;
+            }
+            Down::Push { news, .. } => news,
+            Down::Leaving | Down::Ping => return,
+        };
+        let news = match news {
+            News::Config { rev, document } => {
+                let mut known = self.known.borrow_mut();
+                if known.config.as_ref().is_some_and(|(known, _)| *known >= rev) {
+                    return;
+                }
+                known.config = Some((rev, Arc::clone(&document)));
+                News::Config { rev, document }
+            }
+            News::Fleet(fleet) => {
+                let mut known = self.known.borrow_mut();
+                let fleet = merged(known.fleet.take(), fleet);
+                known.fleet = Some(fleet.clone());
+                News::Fleet(fleet)
+            }
+            News::Purges(purges) => News::Purges(purges),
+        };
+        self.proxies.push(&news);
+        if !self.proxies.applied(APPLY).await {
+            self.proxies.drop_behind();
+        }
+    }
+}
+
+/// A control node that has just started has not heard of all: until it has, what is known stays.
+fn merged(known: Option<Fleet>, mut fleet: Fleet) -> Fleet {
+    if let (false, Some(known)) = (fleet.complete, known) {
+        let addrs: Vec<_> = fleet.servers.iter().map(|server| server.addr).collect();
+        let absent = |id: &str| !fleet.servers.iter().any(|server| server.id == id);
+        let kept: Vec<_> =
+            known.servers.into_iter().filter(|s| absent(&s.id) && !addrs.contains(&s.addr)).collect();
+        fleet.servers.extend(kept);
+        let shields: Vec<_> = known
+            .shields
+            .into_iter()
+            .filter(|s| !fleet.shields.iter().any(|new| new.node == s.node))
+            .collect();
+        fleet.shields.extend(shields);
+        fleet.edges = fleet.edges.max(known.edges);
+    }
+    fleet
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use glenfall_plane::messages::Server;
+
+    fn server(id: &str, port: u16, ready: bool) -> Server {
+        Server {
+            id: id.into(),
+            backend: "s".into(),
+            addr: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+            zone: "z".into(),
+            capacity: 1,
+            ready,
+            warmup_left_ms: 0,
+        }
+    }
+
+    fn fleet(complete: bool, servers: Vec<Server>) -> Fleet {
+        Fleet { complete, servers, shields: Vec::new(), edges: 1 }
+    }
+
+    #[test]
+    fn a_control_node_that_has_just_started_takes_nobody_off() {
+        let known = fleet(true, vec![server("a", 1, true), server("b", 2, true), server("c", 3, true)]);
+        // `b` drains, and a new server has the address of `c`.
+        let new = fleet(false, vec![server("b", 2, false), server("d", 3, true)]);
+        let merged_ids = |new| {
+            let mut servers: Vec<_> =
+                merged(Some(known.clone()), new).servers.into_iter().map(|s| (s.id, s.ready)).collect();
+            servers.sort();
+            servers
+        };
+        let told = |id: &str, ready| (id.to_owned(), ready);
+        assert_eq!(merged_ids(new.clone()), [told("a", true), told("b", false), told("d", true)]);
+        assert_eq!(merged_ids(Fleet { complete: true, ..new }), [told("b", false), told("d", true)]);
+    }
+}
--- /dev/null
+++ b/glenfall/src/cache.rs
@@ -0,0 +1,317 @@
+//! Copies of objects: bounded in bytes, the least recently used go first; ended by age and by purges.
+
+use std::cell::Cell;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall_plane::messages::Purge;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::StatusCode;
+use lru::LruCache;
+use tokio::time::Instant;
+
+use crate::pool::Reply;
+use crate::serve::{passed_on, TRY_ID};
+
+const TAGS: HeaderName = HeaderName::from_static("x-glenfall-tags");
+const SEAL: HeaderName = HeaderName::from_static("x-glenfall-seal");
+/// What a copy costs beside its body: headers, names, places in the tables.
+const OVERHEAD: usize = 1024;
+/// No copy takes more than this part of all room.
+const LARGEST_PART: usize = 8;
+
+/// A whole answer that may be given again.
+#[derive(Debug)]
+pub struct Copy {
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// When the fetch was sent: it is no younger than that.
+    pub born: Cell<Instant>,
+    labels: Vec<Box<str>>,
+}
+
+impl Copy {
+    /// A copy of an answer, if it may be kept.
+    pub fn of(reply: &Reply, born: Instant) -> Option<Copy> {
+        let headers = &reply.headers;
+        let spared = headers.get_all(header::CACHE_CONTROL).iter().any(|value| {
+            let value = value.to_str().unwrap_or("no-store").to_ascii_lowercase();
+            value.contains("no-store") || value.contains("private")
+        });
+        let whole = reply.status == StatusCode::OK
+            && headers.contains_key(SEAL)
+            && !headers.contains_key(header::CONTENT_ENCODING)
+            && !headers.contains_key(header::CONTENT_RANGE);
+        if spared || !whole {
+            return None;
+        }
+        let tags = headers.get_all(TAGS).iter().filter_map(|value| value.to_str().ok());
+        let labels = tags.flat_map(str::split_whitespace).map(Box::from).collect();
+        let mut headers = passed_on(headers);
+        headers.remove(TRY_ID);
+        headers.remove(header::AGE);
+        Some(Copy { headers, body: reply.body.clone(), born: Cell::new(born), labels })
+    }
+
+    fn size(&self) -> usize {
+        self.body.len() + OVERHEAD
+    }
+
+    pub fn age(&self) -> Duration {
+        self.born.get().elapsed()
+    }
+
+    pub fn labelled(&self, label: &str) -> bool {
+        self.labels.iter().any(|own| **own == *label)
+    }
+
+    /// The answer to a request with these headers: all of the object, the range that it names, or the word
+    /// that it has not changed.
+    pub fn answer(&self, request: &HeaderMap) -> Reply {
+        let mut headers = self.headers.clone();
+        headers.insert(header::AGE, HeaderValue::from(self.age().as_secs()));
+        if let Some(id) = request.get(TRY_ID) {
+            headers.insert(TRY_ID, id.clone());
+        }
+        let etag = self.headers.get(header::ETAG);
+        let text = |name| request.get(name).and_then(|value| value.to_str().ok());
+        if etag.is_some() && request.get(header::IF_NONE_MATCH) == etag {
+            return Reply { status: StatusCode::NOT_MODIFIED, headers, body: Bytes::new() };
+        }
+        let length = self.body.len();
+        let current = request.get(header::IF_RANGE).is_none_or(|given| Some(given) == etag);
+        match text(header::RANGE).filter(|_| current).and_then(|range| range_of(range, length)) {
+            None => Reply { status: StatusCode::OK, headers, body: self.body.clone() },
+            Some(Err(Beyond)) => {
+                if let Ok(value) = HeaderValue::from_str(&format!("bytes */{length}")) {
+                    headers.insert(header::CONTENT_RANGE, value);
+                }
+                Reply { status: StatusCode::RANGE_NOT_SATISFIABLE, headers, body: Bytes::new() }
+            }
+            Some(Ok((first, last))) => {
+                if let Ok(value) = HeaderValue::from_str(&format!("bytes {first}-{last}/{length}")) {
+                    headers.insert(header::CONTENT_RANGE, value);
+                }
+                let body = self.body.slice(first..=last);
+                Reply { status: StatusCode::PARTIAL_CONTENT, headers, body }
+            }
+        }
+    }
+}
+
+/// A range that begins past the end.
+#[derive(Debug, PartialEq, Eq)]
+struct Beyond;
+
+/// First and last byte of a single range that names its first; `None` where the whole is to be given.
+fn range_of(range: &str, length: usize) -> Option<Result<(usize, usize), Beyond>> {
+    let (first, last) = range.trim().strip_prefix("bytes=")?.split_once('-')?;
+    let first: usize = first.trim().parse().ok()?;
+    let last = match last.trim() {
+        "" => usize::MAX,
+        last => last.parse().ok()?,
+    };
+    if last < first {
+        return None;
+    }
+    Some(if first >= length { Err(Beyond) } else { Ok((first, last.min(length - 1))) })
+}
+
+/// What a copy is known by: service, host, path and query.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ObjectKey {
+    pub service: Rc<str>,
+    pub host: Rc<str>,
+    /// Path and query.
+    pub path: Rc<str>,
+}
+
+impl ObjectKey {
+    /// Whether a purge by place names it, whatever its query.
+    pub fn at(&self, hostname: &str, path: &str) -> bool {
+        let own = self.path.split_once('?').map_or(&*self.path, |(path, _)| path);
+        own == path && self.host.eq_ignore_ascii_case(hostname)
+    }
+}
+
+pub struct Cache {
+    copies: LruCache<ObjectKey, Rc<Copy>>,
+    labels: HashMap<Box<str>, HashSet<ObjectKey>>,
+    bytes: usize,
+    most: usize,
+}
+
+impl Cache {
+    /// An empty cache that holds no more than `most` bytes.
+    pub fn new(most: usize) -> Self {
+        Cache { copies: LruCache::unbounded(), labels: HashMap::new(), bytes: 0, most }
+    }
+
+    pub fn get(&mut self, key: &ObjectKey) -> Option<Rc<Copy>> {
+        self.copies.get(key).cloned()
+    }
+
+    pub fn insert(&mut self, key: ObjectKey, copy: Rc<Copy>) {
+        if copy.size() > self.most / LARGEST_PART {
+            self.remove(&key);
+            return;
+        }
+        self.bytes += copy.size();
+        for label in &copy.labels {
+            self.labels.entry(label.clone()).or_default().insert(key.clone());
+        }
+        if let Some((old_key, old)) = self.copies.push(key.clone(), copy) {
+            // What was there before under the same name.
+            self.let_go(&old_key, &old);
+            let now: Vec<Box<str>> = self.copies.peek(&key).map(|c| c.labels.clone()).unwrap_or_default();
+            for label in now {
+                self.labels.entry(label).or_default().insert(key.clone());
+            }
+        }
+        while self.bytes > self.most {
+            let Some((key, copy)) = self.copies.pop_lru() else { break };
+            self.let_go(&key, &copy);
+        }
+    }
+
+    fn remove(&mut self, key: &ObjectKey) {
+        if let Some(copy) = self.copies.pop(key) {
+            self.let_go(key, &copy);
+        }
+    }
+
+    /// Counts out a copy that is no longer among the copies.
+    fn let_go(&mut self, key: &ObjectKey, copy: &Copy) {
+        self.bytes -= copy.size();
+        for label in &copy.labels {
+            if let Some(keys) = self.labels.get_mut(label) {
+                keys.remove(key);
+                if keys.is_empty() {
+                    self.labels.remove(label);
+                }
+            }
+        }
+    }
+
+    /// Ends all copies that a purge names.
+    pub fn purge(&mut self, purge: &Purge) {
+        let named: Vec<ObjectKey> = match purge {
+            Purge::Everything => self.copies.iter().map(|(key, _)| key.clone()).collect(),
+            Purge::Label(label) => {
+                self.labels.get(label.as_str()).map(|keys| keys.iter().cloned().collect()).unwrap_or_default()
+            }
+            Purge::Object { hostname, path } => {
+                self.copies.iter().map(|(key, _)| key).filter(|key| key.at(hostname, path)).cloned().collect()
+            }
+        };
+        for key in named {
+            self.remove(&key);
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.copies.len()
+    }
+
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn reply(body: &str, tags: &'static str) -> Reply {
+        let mut headers = HeaderMap::new();
+        headers.insert(SEAL, HeaderValue::from_static("s"));
+        headers.insert(TAGS, HeaderValue::from_static(tags));
+        headers.insert(header::ETAG, HeaderValue::from_static("\"e\""));
+        Reply { status: StatusCode::OK, headers, body: Bytes::from(body.to_owned()) }
+    }
+
+    fn copy(body: &str, tags: &'static str) -> Rc<Copy> {
+        Rc::new(Copy::of(&reply(body, tags), Instant::now()).expect("kept"))
+    }
+
+    fn key(path: &str) -> ObjectKey {
+        ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
+    }
+
+    #[test]
+    fn purges_end_what_they_name_and_nothing_else() {
+        let mut cache = Cache::new(1 << 20);
+        for (path, tags) in [("/a", "x y"), ("/a?q", "y"), ("/ab", "x"), ("/c", "z")] {
+            cache.insert(key(path), copy("body", tags));
+        }
+        cache.purge(&Purge::Label("y".into()));
+        assert_eq!((cache.get(&key("/a")).is_none(), cache.len()), (true, 2));
+        cache.insert(key("/a"), copy("new", "x"));
+        cache.insert(key("/a?q"), copy("new", ""));
+        cache.purge(&Purge::Object { hostname: "H".into(), path: "/a".into() });
+        assert_eq!(cache.len(), 2);
+        assert!(cache.get(&key("/ab")).is_some());
+        // A copy that replaced another is found by its own labels only.
+        cache.insert(key("/ab"), copy("newer", "w"));
+        cache.purge(&Purge::Label("x".into()));
+        assert!(cache.get(&key("/ab")).is_some());
+        cache.purge(&Purge::Label("w".into()));
+        assert_eq!(cache.len(), 1);
+        cache.purge(&Purge::Everything);
+        assert_eq!((cache.len(), cache.bytes(), cache.labels.len()), (0, 0, 0));
+    }
+
+    #[test]
+    fn the_least_recently_used_make_room() {
+        let mut cache = Cache::new(10 * (OVERHEAD + 4));
+        for n in 0..20 {
+            cache.insert(key(&format!("/{n}")), copy("body", "t"));
+            cache.get(&key("/0"));
+        }
+        assert_eq!((cache.len(), cache.get(&key("/0")).is_some()), (10, true));
+        assert!(cache.get(&key("/10")).is_none());
+        cache.insert(key("/huge"), copy(&"x".repeat(5000), ""));
+        assert!(cache.get(&key("/huge")).is_none());
+    }
+
+    #[test]
+    fn ranges_and_conditions_are_answered_from_the_whole() {
+        let copy = copy("0123456789", "");
+        let asked = |name: HeaderName, value: &'static str| {
+            let mut request = HeaderMap::new();
+            request.insert(name, HeaderValue::from_static(value));
+            let reply = copy.answer(&request);
+            let range = reply.headers.get(header::CONTENT_RANGE).map(|v| v.to_str().unwrap().to_owned());
+            (reply.status.as_u16(), String::from_utf8(reply.body.to_vec()).unwrap(), range)
+        };
+        let part = |status, body: &str, range: &str| (status, body.to_owned(), Some(range.to_owned()));
+        assert_eq!(asked(header::RANGE, "bytes=2-4"), part(206, "234", "bytes 2-4/10"));
+        assert_eq!(asked(header::RANGE, "bytes=8-"), part(206, "89", "bytes 8-9/10"));
+        assert_eq!(asked(header::RANGE, "bytes=10-"), part(416, "", "bytes */10"));
+        for whole in ["bytes=-3", "bytes=4-2", "bytes=0-1,3-4", "lines=1-2"] {
+            assert_eq!(asked(header::RANGE, whole).0, 200, "{whole}");
+        }
+        assert_eq!(asked(header::IF_NONE_MATCH, "\"e\"").0, 304);
+        assert_eq!(asked(header::IF_NONE_MATCH, "\"f\"").0, 200);
+    }
+
+    #[test]
+    fn only_whole_sealed_answers_are_kept() {
+        let kept = |spoil: fn(&mut Reply)| {
+            let mut reply = reply("body", "");
+            spoil(&mut reply);
+            Copy::of(&reply, Instant::now()).is_some()
+        };
+        assert!(kept(|_| {}));
+        assert!(!kept(|r| r.status = StatusCode::INTERNAL_SERVER_ERROR));
+        assert!(!kept(|r| drop(r.headers.remove(SEAL))));
+        assert!(!kept(|r| drop(
+            r.headers.insert(header::CONTENT_ENCODING, HeaderValue::from_static("gzip"))
+        )));
+        assert!(!kept(|r| drop(
+            r.headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("No-Store"))
+        )));
+    }
+}
--- /dev/null
+++ b/glenfall/src/control/api.rs
@@ -0,0 +1,207 @@
+//! What servers and operators call.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall_plane::chain::{Call, Outcome};
+use glenfall_plane::config::{Change, ReqLimits};
+use glenfall_plane::messages::Purge;
+use glenfall_plane::registry::{Beat, Entry, EntryStatus, Heard};
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::{Response, StatusCode};
+use serde::Deserialize;
+use serde_json::json;
+
+use super::Control;
+use crate::serve::{Answer, Handler, Whole};
+
+/// Largest configuration that is taken.
+const LARGEST: usize = 3 << 20;
+/// Longest host, path or label of a purge.
+const LONGEST: usize = 8 << 10;
+
+pub struct Api(pub Rc<Control>);
+
+fn answer(status: StatusCode, body: serde_json::Value) -> Answer {
+    raw(status, Bytes::from(body.to_string()))
+}
+
+fn raw(status: StatusCode, body: Bytes) -> Answer {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn wrong(status: StatusCode, why: impl std::fmt::Display) -> Answer {
+    answer(status, json!({ "error": why.to_string() }))
+}
+
+fn out_of_touch() -> Answer {
+    wrong(StatusCode::SERVICE_UNAVAILABLE, "this node does not reach a majority of the core")
+}
+
+impl Handler for Api {
+    async fn answer(&self, whole: Whole) -> Answer {
+        let path = whole.head.uri.path();
+        match (whole.head.method.as_str(), path) {
+            ("GET", "/api/config") => self.read().await,
+            ("PUT", "/api/config") => self.change(&whole, Change::Put).await,
+            ("PATCH", "/api/config") => self.change(&whole, Change::Patch).await,
+            ("POST", "/api/purge") => self.purge(&whole.body).await,
+            ("GET", "/api/status") => answer(StatusCode::OK, self.status()),
+            ("GET", "/api/ready") => answer(StatusCode::OK, json!({})),
+            (method, path) => match (method, path.strip_prefix("/api/servers/")) {
+                ("PUT", Some(id)) => self.beat(id, &whole.body).await,
+                ("DELETE", Some(id)) => self.goodbye(id).await,
+                (_, Some(_)) => wrong(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE expected"),
+                _ if matches!(path, "/api/config" | "/api/purge" | "/api/status") => {
+                    wrong(StatusCode::METHOD_NOT_ALLOWED, "method not known here")
+                }
+                _ => wrong(StatusCode::NOT_FOUND, "no such call"),
+            },
+        }
+    }
+
+    fn limits(&self) -> ReqLimits {
+        ReqLimits {
+            max_header_bytes: 16 << 10,
+            max_body_bytes: LARGEST,
+            header_timeout_ms: 5000,
+            idle_timeout_ms: 20_000,
+        }
+    }
+
+    fn leaving(&self) -> bool {
+        *self.0.stop.borrow()
+    }
+}
+
+impl Api {
+    async fn read(&self) -> Answer {
+        match self.0.call(Call::Read).await {
+            Outcome::Document(record) if record.rev == 0 => {
+                wrong(StatusCode::NOT_FOUND, "no configuration yet")
+            }
+            Outcome::Document(record) => {
+                let mut answer = raw(StatusCode::OK, Bytes::from(record.document.clone()));
+                answer.headers_mut().insert(header::ETAG, HeaderValue::from(record.rev));
+                answer
+            }
+            _ => wrong(StatusCode::SERVICE_UNAVAILABLE, "no view stands"),
+        }
+    }
+
+    async fn change(&self, whole: &Whole, change: impl Fn(Vec<u8>) -> Change) -> Answer {
+        let stated = whole.head.headers.get(header::IF_MATCH).and_then(|value| value.to_str().ok());
+        let Some(builds_on) = stated.and_then(|value| value.trim().trim_matches('"').parse().ok()) else {
+            return wrong(
+                StatusCode::PRECONDITION_REQUIRED,
+                "If-Match: the number of the version that this builds on expected",
+            );
+        };
+        let change = change(whole.body.to_vec());
+        match self.0.call(Call::Change { builds_on, change }).await {
+            Outcome::Done { rev } => answer(StatusCode::OK, json!({ "rev": rev })),
+            Outcome::Conflict { current } => answer(
+                StatusCode::PRECONDITION_FAILED,
+                json!({ "error": "another version is current", "current": current }),
+            ),
+            Outcome::Invalid(why) => wrong(StatusCode::BAD_REQUEST, why),
+            Outcome::Document(_) | Outcome::Unavailable => {
+                wrong(StatusCode::SERVICE_UNAVAILABLE, "no clear answer: the same call may be made again")
+            }
+        }
+    }
+
+    async fn purge(&self, body: &[u8]) -> Answer {
+        #[derive(Deserialize)]
+        #[serde(rename_all = "camelCase")]
+        struct Body {
+            hostname: Option<String>,
+            url_path: Option<String>,
+            label: Option<String>,
+        }
+        let fits = |text: &String| !text.is_empty() && text.len() <= LONGEST;
+        let purge = match serde_json::from_slice(body) {
+            Err(e) => return wrong(StatusCode::BAD_REQUEST, e),
+            Ok(Body { label: Some(label), hostname: None, url_path: None }) if fits(&label) => {
+                Purge::Label(label)
+            }
+            Ok(Body { label: None, hostname: Some(hostname), url_path: Some(path) })
+                if fits(&hostname) && fits(&path) =>
+            {
+                Purge::Object { hostname, path }
+            }
+            Ok(_) => return wrong(StatusCode::BAD_REQUEST, "hostname and urlPath, or label, expected"),
+        };
+        if self.0.chain.borrow().in_majority() && self.0.purge(purge).await {
+            answer(StatusCode::OK, json!({}))
+        } else {
+            out_of_touch()
+        }
+    }
+
+    async fn beat(&self, id: &str, body: &[u8]) -> Answer {
+        let beat: Beat = match serde_json::from_slice(body) {
+            Ok(beat) => beat,
+            Err(e) => return wrong(StatusCode::BAD_REQUEST, e),
+        };
+        let Some(entry) = Entry::of(id, beat) else {
+            return wrong(StatusCode::BAD_REQUEST, "names of 1 to 128 bytes expected");
+        };
+        if !self.0.chain.borrow().in_majority() {
+            return out_of_touch();
+        }
+        let urgent = entry.status != EntryStatus::Ready;
+        match self.0.heard(entry, urgent).await {
+            Heard::Full => wrong(StatusCode::INSUFFICIENT_STORAGE, "no room for more servers"),
+            Heard::Changed | Heard::Alive | Heard::Late => answer(StatusCode::OK, json!({})),
+        }
+    }
+
+    async fn goodbye(&self, id: &str) -> Answer {
+        if !self.0.chain.borrow().in_majority() {
+            return out_of_touch();
+        }
+        let gone = self.0.registry.borrow_mut().leave(self.0.now(), id);
+        if let Some(entry) = gone {
+            self.0.said_goodbye(entry).await;
+        }
+        answer(StatusCode::OK, json!({}))
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let control = &self.0;
+        let chain = control.chain.borrow();
+        let sessions: Vec<_> = control
+            .sessions
+            .seen()
+            .into_iter()
+            .map(|seen| {
+                json!({
+                    "node": seen.node,
+                    "ready": seen.member.as_ref().is_some_and(|member| member.ready),
+                    "pushed": seen.sent,
+                    "applied": seen.applied,
+                    "counters": seen.report.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
+                })
+            })
+            .collect();
+        let fleet = control.fleet.borrow();
+        json!({
+            "node": control.boot.node,
+            "rev": chain.committed().rev,
+            "voters": chain.voters(),
+            "view": chain.view().map(|view| json!({ "number": view.number, "chain": view.chain })),
+            "inMajority": chain.in_majority(),
+            "peers": control.peers.up(),
+            "servers": fleet.servers,
+            "shields": fleet.shields,
+            "sessions": sessions,
+            "upMs": Duration::as_millis(&control.began.elapsed()) as u64,
+        })
+    }
+}
--- /dev/null
+++ b/glenfall/src/control/mod.rs
@@ -0,0 +1,354 @@
+//! A control node: its part of the chain, the registry of servers, the sessions of the agents and of the
+//! shield beside it, and the links to its peers.
+
+mod api;
+mod peers;
+mod store;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start};
+use glenfall_plane::messages::{Down, Fleet, Member, News, Open, Peer, Proxy, Purge, Stamped};
+use glenfall_plane::purges::Purges;
+use glenfall_plane::registry::{Entry, Heard, Registry};
+use glenfall_plane::Millis;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
+
+use crate::boot::Boot;
+use crate::link::{self, Frames, Outbox};
+use crate::serve;
+use crate::sessions::Sessions;
+use peers::Peers;
+
+/// How often the state machines are asked what time has brought.
+const TICK: Duration = Duration::from_millis(25);
+/// How often silent servers are looked for.
+const EXPIRE: Duration = Duration::from_millis(250);
+/// Changes of the fleet within this time are pushed as one.
+const GATHER: Duration = Duration::from_millis(10);
+/// A purge waits this long at most for all who may hold copies; whoever has not applied it by then is cut off
+/// and begins anew. Operators move on after a second.
+const PURGE: Duration = Duration::from_millis(750);
+/// The same for the word of a server that leaves.
+const DRAIN: Duration = Duration::from_millis(400);
+/// A node that has run for so many beats has heard of every server that there is.
+const BEATS_TO_HEAR_ALL: u32 = 4;
+/// Connections of servers and operators held at most.
+const MOST_CALLERS: usize = 512;
+/// After the signal to stop: calls still come for a moment, and the chain is mended meanwhile.
+const LEAVING: Duration = Duration::from_millis(600);
+
+pub struct Control {
+    boot: Rc<Boot>,
+    began: Instant,
+    chain: RefCell<Chain>,
+    writes: std::sync::mpsc::Sender<(u64, Durable)>,
+    calls: RefCell<BTreeMap<u64, oneshot::Sender<Outcome>>>,
+    next_call: Cell<u64>,
+    registry: RefCell<Registry>,
+    purges: RefCell<Purges>,
+    next_purge: Cell<u64>,
+    /// Tells this process from the last at its address.
+    life: u64,
+    sessions: Sessions,
+    peers: Peers,
+    fleet: RefCell<Fleet>,
+    fleet_changed: Notify,
+    stop: watch::Sender<bool>,
+}
+
+/// Anything that differs from one life of a process to the next.
+fn life() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let random = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), since.as_nanos());
+    random ^ since.as_nanos() as u64
+}
+
+pub async fn run(boot: Rc<Boot>) -> Result<(), Box<dyn std::error::Error>> {
+    let listen = boot.need("controlAddr", |listeners| listeners.control_addr)?;
+    let me = boot.bind_ip;
+    let seeds: Vec<Ipv4Addr> = boot.seed_nodes.iter().map(|seed| *seed.ip()).collect();
+    let folder = boot.state_dir.clone().ok_or("stateDir: missing; control keeps its state there")?;
+    let store = store::Store::open(&folder)?;
+    let start = match store.load()? {
+        Some(kept) => Start::Kept(kept),
+        None if boot.bootstrap => Start::Fresh(seeds.clone()),
+        None => Start::Wiped,
+    };
+    let (synced, mut syncs) = mpsc::unbounded_channel();
+    let life = life();
+    let control = Rc::new(Control {
+        began: Instant::now(),
+        chain: RefCell::new(Chain::new(me, start)),
+        writes: store::start(store, synced)?,
+        calls: RefCell::default(),
+        next_call: Cell::new(life >> 16),
+        registry: RefCell::new(Registry::new(boot.beat_ms)),
+        purges: RefCell::default(),
+        next_purge: Cell::new(0),
+        life,
+        sessions: Sessions::default(),
+        peers: Peers::new(me, life),
+        fleet: RefCell::default(),
+        fleet_changed: Notify::new(),
+        stop: watch::Sender::new(false),
+        boot: Rc::clone(&boot),
+    });
+    let links = TcpListener::bind(boot.link(me)).await?;
+    let feed = TcpListener::bind(boot.feed()).await?;
+    for listener in [links, feed] {
+        spawn_local(Rc::clone(&control).accept(listener));
+    }
+    peers::know(&control, &seeds);
+    spawn_local({
+        let control = Rc::clone(&control);
+        async move {
+            while let Some(number) = syncs.recv().await {
+                let now = control.now();
+                let outputs = control.chain.borrow_mut().synced(now, number);
+                control.carry_out(outputs);
+            }
+        }
+    });
+    spawn_local(Rc::clone(&control).tick());
+    spawn_local(Rc::clone(&control).push_fleet());
+    let terms = serve::Terms { listen, most: MOST_CALLERS, still_accepting: LEAVING, grace: boot.grace() };
+    let serving = serve::serve(terms, Rc::new(api::Api(Rc::clone(&control))), control.stop.subscribe());
+    let leaving = async {
+        crate::terminated().await;
+        tracing::info!("leaving");
+        let outputs = {
+            let now = control.now();
+            control.chain.borrow_mut().leave(now)
+        };
+        control.carry_out(outputs);
+        control.sessions.tell(&Down::Leaving);
+        control.stop.send_replace(true);
+        // Until the others have mended the chain.
+        let mended = async {
+            while control.chain.borrow().is_needed() {
+                sleep(TICK).await;
+            }
+        };
+        let _ = timeout(boot.grace(), mended).await;
+    };
+    let (served, ()) = tokio::join!(serving, leaving);
+    Ok(served?)
+}
+
+impl Control {
+    fn now(&self) -> Millis {
+        self.began.elapsed().as_millis() as Millis
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    spawn_local(Rc::clone(&self).opened(stream));
+                }
+                Err(_) => sleep(TICK).await,
+            }
+        }
+    }
+
+    async fn opened(self: Rc<Self>, stream: TcpStream) {
+        if link::tune(&stream).is_err() {
+            return;
+        }
+        let (read, write) = stream.into_split();
+        let mut frames = Frames::new(read);
+        match frames.next_in_time().await {
+            Ok(Open::Session) => {
+                if *self.stop.borrow() {
+                    return;
+                }
+                let greet = || self.greeting();
+                let changed = || self.members_changed();
+                self.sessions.serve(frames, Outbox::start(write), greet, changed).await;
+            }
+            Ok(Open::Peer { ip, life, others }) => {
+                peers::know(&self, &others);
+                peers::know(&self, &[ip]);
+                // Kept open for reading only: each side speaks on the connection that it opened.
+                let _write = write;
+                peers::listen(&self, ip, life, frames).await;
+            }
+            Err(_) => {}
+        }
+    }
+
+    fn greeting(&self) -> (Vec<Down>, Vec<News>) {
+        let mut news = vec![News::Purges(self.purges.borrow().missed())];
+        let chain = self.chain.borrow();
+        let record = chain.committed();
+        if record.rev > 0 {
+            news.push(config_news(record));
+        }
+        news.push(News::Fleet(self.fleet.borrow().clone()));
+        (vec![Down::Controls(self.peers.all())], news)
+    }
+
+    async fn tick(self: Rc<Self>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut expire = Instant::now();
+        loop {
+            ticks.tick().await;
+            let now = self.now();
+            let outputs = self.chain.borrow_mut().tick(now);
+            self.carry_out(outputs);
+            if expire.elapsed() >= EXPIRE {
+                expire = Instant::now();
+                let silent = self.registry.borrow_mut().expire(now);
+                if silent || self.peers.expire() || self.complete() != self.fleet.borrow().complete {
+                    self.fleet_changed.notify_one();
+                }
+            }
+        }
+    }
+
+    /// Does what the chain asks for.
+    fn carry_out(&self, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => self.peers.send(to, Peer::Chain(message)),
+                Output::Persist(number, state) => {
+                    // The thread ends with the process only.
+                    let _ = self.writes.send((number, state));
+                }
+                Output::Answer(call, outcome) => {
+                    if let Some(waiting) = self.calls.borrow_mut().remove(&call) {
+                        let _ = waiting.send(outcome);
+                    }
+                }
+                Output::Publish(record) => {
+                    if record.rev > 0 {
+                        tracing::info!(rev = record.rev, seq = record.seq, "configuration committed");
+                        self.sessions.push(&config_news(&record));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Has the chain decide a call.
+    async fn call(&self, what: Call) -> Outcome {
+        let call = self.next_call.replace(self.next_call.get() + 1);
+        let (tell, told) = oneshot::channel();
+        self.calls.borrow_mut().insert(call, tell);
+        let outputs = {
+            let now = self.now();
+            self.chain.borrow_mut().call(now, call, what)
+        };
+        self.carry_out(outputs);
+        told.await.unwrap_or(Outcome::Unavailable)
+    }
+
+    // ---- Fleet ----
+
+    fn complete(&self) -> bool {
+        self.began.elapsed() >= Duration::from_millis(self.boot.beat_ms) * BEATS_TO_HEAR_ALL
+    }
+
+    fn members_changed(&self) {
+        self.peers.tell(&Peer::Sessions(self.sessions.members()));
+        self.fleet_changed.notify_one();
+    }
+
+    fn present_fleet(&self) -> Fleet {
+        let mut members: Vec<Member> = self.sessions.members();
+        members.extend(self.peers.members());
+        members.sort_by(|a, b| a.node.cmp(&b.node));
+        // Who has just moved from one control node to another stands in both lists for a moment.
+        members.dedup_by(|a, b| a.node == b.node);
+        let edges = members.iter().filter(|member| member.proxy == Proxy::Edge).count() as u32;
+        members.retain(|member| member.proxy == Proxy::Shield);
+        Fleet {
+            complete: self.complete(),
+            servers: self.registry.borrow().servers(self.now()),
+            shields: members,
+            edges,
+        }
+    }
+
+    async fn push_fleet(self: Rc<Self>) {
+        loop {
+            self.fleet_changed.notified().await;
+            sleep(GATHER).await;
+            self.push_fleet_now();
+        }
+    }
+
+    fn push_fleet_now(&self) {
+        let fleet = self.present_fleet();
+        let plain = |fleet: &Fleet| {
+            let mut fleet = fleet.clone();
+            fleet.servers.iter_mut().for_each(|server| server.warmup_left_ms = 0);
+            fleet
+        };
+        if plain(&fleet) != plain(&self.fleet.borrow()) {
+            self.fleet.replace(fleet.clone());
+            self.sessions.push(&News::Fleet(fleet));
+        }
+    }
+
+    /// What a server said here. True once all who matter know, where it matters.
+    async fn heard(&self, entry: Entry, urgent: bool) -> Heard {
+        let heard = self.registry.borrow_mut().hear(self.now(), 0, entry.clone());
+        match heard {
+            Heard::Late | Heard::Full => {}
+            Heard::Changed if urgent => {
+                self.said_goodbye(entry).await;
+            }
+            Heard::Changed => {
+                self.peers.tell(&Peer::Servers(vec![(entry, 0)]));
+                self.fleet_changed.notify_one();
+            }
+            Heard::Alive => self.peers.tell(&Peer::Servers(vec![(entry, 0)])),
+        }
+        heard
+    }
+
+    /// A server said goodbye here.
+    async fn said_goodbye(&self, entry: Entry) {
+        self.push_fleet_now();
+        let peers = self.peers.ask(|id| Peer::Urgent { id, entry: entry.clone() }, DRAIN);
+        tokio::join!(peers, self.sessions.applied(DRAIN));
+    }
+
+    // ---- Purges ----
+
+    /// Ends all copies that a purge names, wherever they are. False where not all who may hold some were
+    /// reached.
+    async fn purge(&self, purge: Purge) -> bool {
+        let number = self.next_purge.replace(self.next_purge.get() + 1);
+        let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
+        self.take_purges(vec![stamped.clone()]);
+        let peers = self.peers.ask(|id| Peer::Purges { id, purges: vec![stamped.clone()] }, PURGE);
+        let (peers, applied) = tokio::join!(peers, self.sessions.applied(PURGE));
+        if !applied {
+            self.sessions.drop_behind();
+        }
+        peers && self.chain.borrow().in_majority()
+    }
+
+    fn take_purges(&self, purges: Vec<Stamped>) {
+        let fresh = self.purges.borrow_mut().take(self.now(), purges);
+        if !fresh.is_empty() {
+            self.sessions.push(&News::Purges(fresh));
+        }
+    }
+}
+
+fn config_news(record: &Record) -> News {
+    News::Config { rev: record.rev, document: Arc::new(record.document.clone()) }
+}
--- /dev/null
+++ b/glenfall/src/control/peers.rs
@@ -0,0 +1,302 @@
+//! Links between control nodes. Each opens a connection to every other one and speaks on it; a peer is there
+//! while both connections stand.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use glenfall_plane::messages::{Member, Open, Peer, Proxy};
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+use super::{Control, PURGE};
+use crate::link::{self, Frames, Outbox};
+
+/// Pause before a peer is called again.
+const AGAIN: Duration = Duration::from_millis(100);
+const LONGEST: Duration = Duration::from_millis(800);
+/// Control nodes known at most.
+const MOST: usize = 64;
+/// The members of a peer stay for so long after the link to it was lost: it may be back at once.
+const KEPT: Duration = Duration::from_millis(1000);
+
+#[derive(Default)]
+struct Link {
+    /// The connection opened from here.
+    outbox: Option<Outbox<Peer>>,
+    /// The life of the peer that speaks on the connection that it opened.
+    hears: Option<u64>,
+    up: bool,
+    members: Vec<Member>,
+    lost: Option<Instant>,
+}
+
+pub struct Peers {
+    me: Ipv4Addr,
+    life: u64,
+    links: RefCell<BTreeMap<Ipv4Addr, Link>>,
+    /// What was asked of whom: those who have not answered yet.
+    asked: RefCell<BTreeMap<u64, BTreeSet<Ipv4Addr>>>,
+    next: Cell<u64>,
+    answered: Notify,
+    /// A peer speaks or stopped speaking: whoever waits to open a connection looks again.
+    changed: Notify,
+}
+
+impl Peers {
+    pub fn new(me: Ipv4Addr, life: u64) -> Self {
+        Peers {
+            me,
+            life,
+            links: RefCell::default(),
+            asked: RefCell::default(),
+            next: Cell::new(1),
+            answered: Notify::new(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// All control nodes, this one first.
+    pub fn all(&self) -> Vec<Ipv4Addr> {
+        std::iter::once(self.me).chain(self.links.borrow().keys().copied()).collect()
+    }
+
+    pub fn up(&self) -> Vec<Ipv4Addr> {
+        self.links.borrow().iter().filter(|(_, link)| link.up).map(|(ip, _)| *ip).collect()
+    }
+
+    pub fn send(&self, to: Ipv4Addr, message: Peer) {
+        if let Some(outbox) = self.links.borrow().get(&to).and_then(|link| link.outbox.as_ref()) {
+            // A link that takes nothing more is found lost by its own task.
+            let _ = outbox.send(message);
+        }
+    }
+
+    pub fn tell(&self, message: &Peer) {
+        for ip in self.up() {
+            self.send(ip, message.clone());
+        }
+    }
+
+    /// Asks all peers that are there and waits until each has answered or is lost. False where that took too
+    /// long.
+    pub async fn ask(&self, question: impl Fn(u64) -> Peer, most: Duration) -> bool {
+        let id = self.next.replace(self.next.get() + 1);
+        let up = self.up();
+        self.asked.borrow_mut().insert(id, up.iter().copied().collect());
+        for ip in up {
+            self.send(ip, question(id));
+        }
+        let done = async {
+            loop {
+                let answered = self.answered.notified();
+                if self.asked.borrow().get(&id).is_none_or(BTreeSet::is_empty) {
+                    return;
+                }
+                answered.await;
+            }
+        };
+        let all = timeout(most, done).await.is_ok();
+        self.asked.borrow_mut().remove(&id);
+        all
+    }
+
+    fn answer(&self, from: Ipv4Addr, id: u64) {
+        if let Some(left) = self.asked.borrow_mut().get_mut(&id) {
+            left.remove(&from);
+        }
+        self.answered.notify_waiters();
+    }
+
+    /// Members that have their sessions at peers.
+    pub fn members(&self) -> Vec<Member> {
+        self.links.borrow().values().flat_map(|link| link.members.iter().cloned()).collect()
+    }
+
+    /// Lets go of the members of peers that are lost; says whether there were any.
+    pub fn expire(&self) -> bool {
+        let mut changed = false;
+        for link in self.links.borrow_mut().values_mut() {
+            if link.lost.is_some_and(|lost| lost.elapsed() >= KEPT) && !link.members.is_empty() {
+                link.members.clear();
+                changed = true;
+            }
+        }
+        changed
+    }
+}
+
+/// Takes note of control nodes and keeps connections to them.
+pub fn know(control: &Rc<Control>, ips: &[Ipv4Addr]) {
+    for ip in ips.iter().copied().filter(|ip| *ip != control.peers.me) {
+        let mut links = control.peers.links.borrow_mut();
+        if links.contains_key(&ip) || links.len() >= MOST {
+            continue;
+        }
+        links.insert(ip, Link::default());
+        spawn_local(speak(Rc::clone(control), ip));
+    }
+}
+
+/// Keeps a connection to a peer for as long as the process runs.
+async fn speak(control: Rc<Control>, ip: Ipv4Addr) {
+    let mut pause = AGAIN;
+    loop {
+        let peers = &control.peers;
+        let first = Open::Peer { ip: peers.me, life: peers.life, others: peers.all() };
+        if let Ok((read, write)) = link::open(control.boot.link(ip), &first).await {
+            pause = AGAIN;
+            let outbox = Outbox::start(write);
+            if let Some(link) = peers.links.borrow_mut().get_mut(&ip) {
+                link.outbox = Some(outbox.clone());
+            }
+            both_up(&control, ip);
+            // The peer says nothing here; it is read for its end alone.
+            let mut frames = Frames::new(read);
+            tokio::select! {
+                _ = frames.next::<Peer>() => {}
+                () = outbox.closed() => {}
+            }
+            if let Some(link) = peers.links.borrow_mut().get_mut(&ip) {
+                link.outbox = None;
+            }
+            lost(&control, ip);
+        } else {
+            pause = (pause * 2).min(LONGEST);
+        }
+        tokio::select! {
+            () = sleep(pause) => {}
+            // It speaks again, so that it can be called.
+            () = peers.changed.notified() => {}
+        }
+    }
+}
+
+/// Hears a peer until its connection ends.
+pub async fn listen(control: &Rc<Control>, ip: Ipv4Addr, life: u64, mut frames: Frames) {
+    let before = {
+        let mut links = control.peers.links.borrow_mut();
+        let Some(link) = links.get_mut(&ip) else { return };
+        link.hears.replace(life)
+    };
+    if before.is_some() {
+        // It has opened a new one; what was said on the old one may be lost.
+        lost(control, ip);
+    }
+    control.peers.changed.notify_waiters();
+    both_up(control, ip);
+    while let Ok(message) = frames.next_in_time().await {
+        take(control, ip, message);
+        let replaced = control.peers.links.borrow().get(&ip).is_none_or(|link| link.hears != Some(life));
+        if replaced {
+            return;
+        }
+    }
+    let ended =
+        control.peers.links.borrow_mut().get_mut(&ip).and_then(|link| link.hears.take_if(|h| *h == life));
+    if ended.is_some() {
+        lost(control, ip);
+    }
+}
+
+fn both_up(control: &Rc<Control>, ip: Ipv4Addr) {
+    {
+        let mut links = control.peers.links.borrow_mut();
+        let Some(link) = links.get_mut(&ip) else { return };
+        if link.up || link.outbox.is_none() || link.hears.is_none() {
+            return;
+        }
+        (link.up, link.lost) = (true, None);
+    }
+    tracing::info!(peer = %ip, "peer up");
+    let now = control.now();
+    let peers = &control.peers;
+    peers.send(ip, Peer::Sessions(control.sessions.members()));
+    peers.send(ip, Peer::Servers(control.registry.borrow().all(now)));
+    peers.send(ip, Peer::Purges { id: 0, purges: control.purges.borrow().all(now) });
+    control.sessions.tell(&glenfall_plane::messages::Down::Controls(peers.all()));
+    let outputs = control.chain.borrow_mut().peer_up(now, ip);
+    control.carry_out(outputs);
+}
+
+fn lost(control: &Rc<Control>, ip: Ipv4Addr) {
+    {
+        let mut links = control.peers.links.borrow_mut();
+        let Some(link) = links.get_mut(&ip) else { return };
+        if !link.up {
+            return;
+        }
+        (link.up, link.lost) = (false, Some(Instant::now()));
+        // Both are opened anew, so that nothing is missed between.
+        (link.outbox, link.hears) = (None, None);
+    }
+    tracing::warn!(peer = %ip, "peer lost");
+    for left in control.peers.asked.borrow_mut().values_mut() {
+        left.remove(&ip);
+    }
+    control.peers.answered.notify_waiters();
+    let outputs = {
+        let now = control.now();
+        control.chain.borrow_mut().peer_down(now, ip)
+    };
+    control.carry_out(outputs);
+}
+
+fn take(control: &Rc<Control>, from: Ipv4Addr, message: Peer) {
+    let now = control.now();
+    match message {
+        Peer::Chain(message) => {
+            let outputs = control.chain.borrow_mut().message(now, from, message);
+            control.carry_out(outputs);
+        }
+        Peer::Sessions(members) => {
+            if let Some(link) = control.peers.links.borrow_mut().get_mut(&from) {
+                // A shield is a member through the control node beside it.
+                link.members = members
+                    .into_iter()
+                    .filter(|m| m.proxy != Proxy::Shield || *m.http.ip() == from)
+                    .collect();
+            }
+            control.fleet_changed.notify_one();
+        }
+        Peer::Servers(entries) => {
+            let mut changed = false;
+            for (entry, age) in entries {
+                let heard = control.registry.borrow_mut().hear(now, age, entry);
+                changed |= heard == glenfall_plane::registry::Heard::Changed;
+            }
+            if changed {
+                control.fleet_changed.notify_one();
+            }
+        }
+        Peer::Urgent { id, entry } => {
+            let heard = control.registry.borrow_mut().hear(now, 0, entry);
+            if heard == glenfall_plane::registry::Heard::Changed {
+                control.push_fleet_now();
+            }
+            confirm(control, from, id);
+        }
+        Peer::Purges { id, purges } => {
+            control.take_purges(purges);
+            if id > 0 {
+                confirm(control, from, id);
+            }
+        }
+        Peer::Done { id } => control.peers.answer(from, id),
+    }
+}
+
+/// Tells a peer once all sessions here have applied what they were sent.
+fn confirm(control: &Rc<Control>, to: Ipv4Addr, id: u64) {
+    let control = Rc::clone(control);
+    spawn_local(async move {
+        // A little less than the peer waits, so that its answer still comes in time.
+        if !control.sessions.applied(PURGE * 4 / 5).await {
+            control.sessions.drop_behind();
+        }
+        control.peers.send(to, Peer::Done { id });
+    });
+}
--- /dev/null
+++ b/glenfall/src/edge.rs
@@ -0,0 +1,285 @@
+//! The edge: takes clients' requests, decides, and forwards: reads to the shield that RJ-CH names, all else
+//! straight to a server.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
+use glenfall_plane::messages::{Fleet, Proxy, Purge};
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use mallowpaddle::{mix, Key, ServerId, Shields};
+use tokio::time::Instant;
+
+use crate::boot::Boot;
+use crate::direct::{Ceiling, Direct, Job, Outcome};
+use crate::feed::{Feed, Follower};
+use crate::origins::Origins;
+use crate::pool::{Pool, Reply};
+use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
+use crate::shield::{object_draw, object_hash, REV, SHIELD};
+
+/// What a request has spent on its way here since the client's clock started, and what its answer needs back.
+const TRANSIT: Duration = Duration::from_millis(12);
+/// Shields that one read may go to.
+const MOST_SHIELDS: usize = 3;
+/// When to come back to a node that is not ready yet.
+const UNREADY: Duration = Duration::from_millis(300);
+
+#[derive(Default)]
+struct Counters {
+    requests: Cell<u64>,
+    reads: Cell<u64>,
+    no_route: Cell<u64>,
+    shield_failed: Cell<u64>,
+    bypassed: Cell<u64>,
+    refused: Cell<u64>,
+    unknown: Cell<u64>,
+    timed_out: Cell<u64>,
+}
+
+fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+pub struct Edge {
+    feed: Rc<Feed>,
+    direct: Direct,
+    shields: RefCell<Shields>,
+    edges: Cell<u32>,
+    ceiling: Ceiling,
+    began: Instant,
+    counters: Counters,
+}
+
+impl Edge {
+    pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
+        let seed = boot.node.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
+        Rc::new(Edge {
+            feed,
+            direct: Direct { pool, origins: Origins::new(&boot.zone, false, seed) },
+            shields: RefCell::default(),
+            edges: Cell::new(1),
+            ceiling: Ceiling::default(),
+            began: Instant::now(),
+            counters: Counters::default(),
+        })
+    }
+
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
+    async fn serve(&self, whole: Whole) -> Answer {
+        count(&self.counters.requests);
+        let Some(config) = self.feed.config() else {
+            return refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", UNREADY);
+        };
+        let Some(route) = config.route(whole.host(), whole.head.uri.path()) else {
+            count(&self.counters.no_route);
+            return plain(StatusCode::NOT_FOUND, "no such route");
+        };
+        let stated = whole.head.headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
+        let wait =
+            Duration::from_millis(stated.map_or(route.deadline_ms, |ms: u64| ms.min(route.deadline_ms)));
+        let until = Instant::now() + wait.saturating_sub(TRANSIT);
+        let mut headers = passed_on(&whole.head.headers);
+        let read = route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
+        if read {
+            count(&self.counters.reads);
+            if let Some(answer) = self.ask_shields(&config, &whole, &headers, until).await {
+                return answer;
+            }
+        }
+        let draw =
+            if read { object_draw(whole.host(), whole.path_and_query()) } else { self.direct.origins.draw() };
+        let Some(service) = route.service(draw) else {
+            return refused(StatusCode::SERVICE_UNAVAILABLE, "no service", UNREADY);
+        };
+        if read {
+            // No shield answers. The edges share the service's ceiling, and ranges are the server's to cut.
+            count(&self.counters.bypassed);
+            if !self.ceiling.take(&config, service, f64::from(self.edges.get())) {
+                count(&self.counters.refused);
+                return refused(
+                    StatusCode::SERVICE_UNAVAILABLE,
+                    "service at its ceiling",
+                    self.ceiling.again(),
+                );
+            }
+        }
+        // A method that writes is not repeated, whatever the route says of its reads.
+        let repeatable = match route.kind {
+            Kind::Mutating => false,
+            Kind::Idempotent => true,
+            Kind::Cacheable => whole.head.method == Method::GET || whole.head.method == Method::HEAD,
+        };
+        headers.remove(SHIELD);
+        let job = Job {
+            service,
+            method: &whole.head.method,
+            uri: &whole.head.uri,
+            headers,
+            body: whole.body.clone(),
+            repeatable,
+            tries: route.tries,
+            until,
+        };
+        let outcome = self.direct.send(job).await;
+        self.told(outcome, route, &whole.head.method)
+    }
+
+    /// Asks the shields for an object. `None` where none answers: the servers are asked instead.
+    async fn ask_shields(
+        &self,
+        config: &Arc<Config>,
+        whole: &Whole,
+        headers: &HeaderMap,
+        until: Instant,
+    ) -> Option<Answer> {
+        let key = Key(object_hash(whole.host(), whole.path_and_query()));
+        let mut tried: Vec<ServerId> = Vec::new();
+        while tried.len() < MOST_SHIELDS {
+            let shield = self.shields.borrow().choose(self.now(), key, &tried).cloned()?;
+            let addr = shield.0.parse().ok()?;
+            let began = Instant::now();
+            let more = tried.len() + 1 < MOST_SHIELDS.min(self.shields.borrow().count());
+            // A dark shield must leave time for another.
+            let attempt = if more { began + until.saturating_duration_since(began) / 2 } else { until };
+            let request = || {
+                let mut request = Request::new(Full::new(Bytes::new()));
+                *request.uri_mut() = whole.head.uri.clone();
+                *request.headers_mut() = headers.clone();
+                let left = attempt.saturating_duration_since(Instant::now()).as_millis() as u64;
+                request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
+                request.headers_mut().insert(REV, HeaderValue::from(config.rev));
+                request
+            };
+            self.shields.borrow_mut().begin(&shield);
+            let ended = self.direct.pool.exchange(addr, request, attempt, || true).await;
+            let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
+            self.shields.borrow_mut().end(self.now(), &shield, reply.is_none());
+            if let Some(reply) = reply {
+                return Some(passed_back(reply, &Method::GET));
+            }
+            count(&self.counters.shield_failed);
+            tried.push(shield);
+            if Instant::now() >= until {
+                count(&self.counters.timed_out);
+                return Some(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
+            }
+        }
+        None
+    }
+
+    fn told(&self, outcome: Outcome, route: &Route, method: &Method) -> Answer {
+        match outcome {
+            Outcome::Answered(reply) => passed_back(reply, method),
+            Outcome::NotRun(after) => {
+                count(&self.counters.refused);
+                tracing::debug!(route = %route.name, "refused");
+                refused(StatusCode::SERVICE_UNAVAILABLE, "not run", after)
+            }
+            Outcome::Unknown => {
+                count(&self.counters.unknown);
+                plain(StatusCode::BAD_GATEWAY, "no answer")
+            }
+            Outcome::TimedOut => {
+                count(&self.counters.timed_out);
+                plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+            }
+        }
+    }
+}
+
+/// A server's answer as the client gets it.
+fn passed_back(reply: Reply, method: &Method) -> Answer {
+    let mut headers = passed_on(&reply.headers);
+    // Without a body of its own, the answer to `HEAD` keeps the length that it tells of.
+    if method == Method::HEAD {
+        if let Some(length) = reply.headers.get(header::CONTENT_LENGTH) {
+            headers.insert(header::CONTENT_LENGTH, length.clone());
+        }
+    }
+    let mut answer = Response::new(Full::new(reply.body));
+    *answer.status_mut() = reply.status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+impl Follower for Edge {
+    fn config(&self, _config: &Arc<Config>) {}
+
+    fn fleet(&self, fleet: &Fleet) {
+        for addr in self.direct.origins.update(&fleet.servers) {
+            self.direct.pool.forget(addr.into());
+        }
+        let ready = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
+        let ready: Vec<ServerId> =
+            ready.map(|member| ServerId(member.http.to_string().as_str().into())).collect();
+        self.shields.borrow_mut().update(&ready);
+        self.edges.set(fleet.edges.max(1));
+    }
+
+    fn purge(&self, _purges: &[Purge]) {}
+
+    fn report(&self) -> Vec<(String, u64)> {
+        let c = &self.counters;
+        [
+            ("requests", c.requests.get()),
+            ("reads", c.reads.get()),
+            ("no_route", c.no_route.get()),
+            ("shield_failed", c.shield_failed.get()),
+            ("bypassed", c.bypassed.get()),
+            ("refused", c.refused.get()),
+            ("unknown", c.unknown.get()),
+            ("timed_out", c.timed_out.get()),
+            ("connections_opened", self.direct.pool.opened.get()),
+        ]
+        .map(|(name, value)| (name.to_owned(), value))
+        .to_vec()
+    }
+}
+
+/// An edge as a handler of clients' requests.
+pub struct Serving(pub Rc<Edge>);
+
+impl Handler for Serving {
+    async fn answer(&self, whole: Whole) -> Answer {
+        self.0.serve(whole).await
+    }
+
+    fn limits(&self) -> ReqLimits {
+        self.0.feed.config().map(|config| config.req_limits).unwrap_or_default()
+    }
+
+    fn leaving(&self) -> bool {
+        self.0.feed.leaving()
+    }
+}
+
+/// Tells whoever asks whether new clients should come here.
+pub struct Readiness(pub Rc<Feed>);
+
+impl Handler for Readiness {
+    async fn answer(&self, _request: Whole) -> Answer {
+        if self.0.ready() {
+            plain(StatusCode::OK, "ready")
+        } else {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+    }
+
+    fn limits(&self) -> ReqLimits {
+        ReqLimits::default()
+    }
+
+    /// Whoever asks goes on asking.
+    fn leaving(&self) -> bool {
+        false
+    }
+}
--- a/glenfall/src/link.rs
+++ b/glenfall/src/link.rs
@@ -38,10 +38,7 @@
 }
 
 /// Opens a held connection and says what it is for.
-pub async fn open(
-    addr: SocketAddrV4,
-    first: &impl Serialize,
-) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
+pub async fn open(addr: SocketAddrV4, first: &impl Serialize) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
     let stream = timeout(CONNECT, TcpStream::connect(addr)).await??;
     tune(&stream)?;
     let (read, mut write) = stream.into_split();
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -67,7 +67,8 @@
         known.retain(|id, _| servers.iter().any(|server| server.id == *id));
         for server in servers {
             let warm_at = now + Duration::from_millis(server.warmup_left_ms);
-            let fresh = || Known { server: server.clone(), warm_at, in_flight: 0, time: 0.0, rests_until: now };
+            let fresh =
+                || Known { server: server.clone(), warm_at, in_flight: 0, time: 0.0, rests_until: now };
             let k = known.entry(server.id.clone()).or_insert_with(fresh);
             (k.server, k.warm_at) = (server.clone(), warm_at);
         }
@@ -87,7 +88,11 @@
         let awake = open.iter().any(|k| k.rests_until <= now);
         let usual = {
             let times: Vec<f64> = open.iter().map(|k| k.time).filter(|time| *time > 0.0).collect();
-            if times.is_empty() { 1.0 } else { times.iter().sum::<f64>() / times.len() as f64 }
+            if times.is_empty() {
+                1.0
+            } else {
+                times.iter().sum::<f64>() / times.len() as f64
+            }
         };
         let weigh = |k: &Known| {
             if awake && k.rests_until > now {
@@ -98,7 +103,8 @@
             let cold = if k.warm_at > now { COLD } else { 1.0 };
             let far = if self.near && k.server.zone != self.zone { FAR } else { 1.0 };
             // Squared: faster and emptier servers take more than their share of what others would queue.
-            (f64::from(k.server.capacity.max(1)) * room * room * cold * far * (usual / time).powi(2)).max(1e-9)
+            (f64::from(k.server.capacity.max(1)) * room * room * cold * far * (usual / time).powi(2))
+                .max(1e-9)
         };
         let weights: Vec<f64> = open.iter().map(|k| weigh(k)).collect();
         let mut left = self.draw() * weights.iter().sum::<f64>();
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -175,8 +175,8 @@
     }
     let length = head.headers.contains_key(header::CONTENT_LENGTH);
     let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-    let bodiless = method == Method::HEAD
-        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let bodiless =
+        method == Method::HEAD || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     // With both, the two sides may not mean the same end; with neither, only a close would be the end, and
     // an early one looks the same.
     if (length == chunked && !bodiless) || body.size_hint().lower() > LARGEST as u64 {
@@ -199,7 +199,8 @@
         let (name, value) = part.split_once('=')?;
         (name.trim().eq_ignore_ascii_case("timeout")).then(|| value.trim().parse().ok()).flatten()
     });
-    let kept = stated.map_or(KEPT, |seconds: u64| Duration::from_secs(seconds.min(3600)).saturating_sub(EARLY));
+    let kept =
+        stated.map_or(KEPT, |seconds: u64| Duration::from_secs(seconds.min(3600)).saturating_sub(EARLY));
     (!kept.is_zero()).then_some(kept)
 }
 
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -1,6 +1,6 @@
 //! The client side of a proxy: accepts connections, reads requests whole, and ends in order.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -103,7 +103,11 @@
             || (name.as_str().starts_with(OWN) && *name != TRY_ID && name.as_str() != "x-glenfall-seal")
             || named.iter().any(|word| name.as_str().eq_ignore_ascii_case(word))
     };
-    headers.iter().filter(|(name, _)| !stays(name)).map(|(name, value)| (name.clone(), value.clone())).collect()
+    headers
+        .iter()
+        .filter(|(name, _)| !stays(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
 }
 
 /// Connections of clients, counted.
@@ -112,8 +116,6 @@
     most: usize,
     bodies: Cell<usize>,
     closed: Notify,
-    /// Those between two requests, to be closed when the process leaves.
-    idle: RefCell<u64>,
 }
 
 struct Client(Rc<Clients>);
@@ -158,7 +160,6 @@
         most: terms.most,
         bodies: Cell::new(0),
         closed: Notify::new(),
-        idle: RefCell::new(0),
     });
     tokio::select! {
         () = accept(&listener, &handler, &clients, &stopping) => {}
@@ -285,7 +286,11 @@
     let mut room = Room(clients, stated.max(1));
     clients.bodies.set(clients.bodies.get() + room.1);
     if clients.bodies.get() > BODIES {
-        return Err(refused(StatusCode::SERVICE_UNAVAILABLE, "no room for the body", Duration::from_millis(200)));
+        return Err(refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no room for the body",
+            Duration::from_millis(200),
+        ));
     }
     let time = Duration::from_millis(limits.idle_timeout_ms.max(1));
     match timeout(time, Limited::new(body, most).collect()).await {
--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -3,7 +3,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::rc::Rc;
 use std::time::Duration;
 
 use glenfall_plane::messages::{Down, Member, News, Up};
@@ -59,7 +58,8 @@
         let (first, news) = greet();
         let mut session =
             Session { outbox: outbox.clone(), node, member, sent: 0, applied: 0, report: Vec::new() };
-        let greeted = first.into_iter().all(|down| outbox.send(down)) && news.into_iter().all(|n| session.push(n));
+        let greeted =
+            first.into_iter().all(|down| outbox.send(down)) && news.into_iter().all(|n| session.push(n));
         if !greeted {
             return;
         }
@@ -231,6 +231,3 @@
         }
     }
 }
-
-/// What a session holds is shared between its tasks on one thread.
-pub type Shared = Rc<Sessions>;
--- /dev/null
+++ b/glenfall/src/shield.rs
@@ -0,0 +1,347 @@
+//! The shield: answers edges' reads from its copies, joins concurrent misses, and fetches from the servers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall_plane::config::{Config, ReqLimits, Route};
+use glenfall_plane::messages::{Fleet, Proxy, Purge};
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Response, StatusCode, Uri};
+use mallowpaddle::mix;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{timeout_at, Instant};
+
+use crate::boot::Boot;
+use crate::cache::{Cache, Copy, ObjectKey};
+use crate::direct::{Ceiling, Direct, Job, Outcome};
+use crate::feed::{Feed, Follower};
+use crate::origins::Origins;
+use crate::pool::{Pool, Reply};
+use crate::serve::{passed_on, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
+
+/// The version that an edge decided under; the shield never answers by an older one.
+pub const REV: HeaderName = HeaderName::from_static("x-glenfall-rev");
+/// What a shield says of its answer; no answer without it is a shield's.
+pub const SHIELD: HeaderName = HeaderName::from_static("x-glenfall-shield");
+
+/// Part of the machine's memory for copies: the rest is for what is under way, and for control beside it.
+const COPIES: f64 = 0.4;
+/// Fetches under way at most; what misses beyond is told to come back.
+const MOST_FETCHES: usize = 1024;
+
+/// What came of a fetch, for all who wait for it.
+#[derive(Clone)]
+enum Fetched {
+    Copy(Rc<Copy>),
+    Other(Rc<Reply>),
+    Refused(Duration),
+    Unknown,
+    TimedOut,
+}
+
+/// No more can be fetched now.
+struct Full;
+
+/// A fetch under way.
+struct Fetch {
+    done: watch::Receiver<Option<Fetched>>,
+    /// Labels purged since it began: what it brings may be older.
+    purged: Rc<RefCell<Vec<String>>>,
+    /// Its object was purged since.
+    stale: Rc<Cell<bool>>,
+}
+
+#[derive(Default)]
+struct Counters {
+    hits: Cell<u64>,
+    misses: Cell<u64>,
+    joined: Cell<u64>,
+    refreshed: Cell<u64>,
+    refused: Cell<u64>,
+}
+
+fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+pub struct Shield {
+    feed: Rc<Feed>,
+    direct: Direct,
+    cache: RefCell<Cache>,
+    fetching: RefCell<HashMap<ObjectKey, Fetch>>,
+    /// Fetches that are no longer joined, as a purge has come since: their number.
+    under_way: Cell<usize>,
+    ceiling: Ceiling,
+    shields: Cell<usize>,
+    counters: Counters,
+}
+
+impl Shield {
+    pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
+        let seed = boot.node.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
+        let most = (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize;
+        Rc::new(Shield {
+            feed,
+            direct: Direct { pool, origins: Origins::new(&boot.zone, true, seed) },
+            cache: RefCell::new(Cache::new(most)),
+            fetching: RefCell::default(),
+            under_way: Cell::new(0),
+            ceiling: Ceiling::default(),
+            shields: Cell::new(1),
+            counters: Counters::default(),
+        })
+    }
+
+    async fn read(self: &Rc<Self>, whole: &Whole) -> Result<(Reply, &'static str), Answer> {
+        let number = |name| whole.head.headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
+        let until = Instant::now() + Duration::from_millis(number(DEADLINE).unwrap_or(1000).min(60_000));
+        let unready = || refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", Duration::from_millis(200));
+        let rev = number(REV).unwrap_or(0);
+        if timeout_at(until, self.feed.reaches(rev)).await.is_err() {
+            return Err(unready());
+        }
+        let config = self.feed.config().ok_or_else(unready)?;
+        let path = whole.path_and_query();
+        let route = config.route(whole.host(), whole.head.uri.path());
+        let Some(route) = route.filter(|_| whole.head.method == Method::GET) else {
+            return Err(plain_404());
+        };
+        let service = route.service(object_draw(whole.host(), path)).ok_or_else(plain_404)?;
+        let key = ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() };
+        let old = self.cache.borrow_mut().get(&key);
+        let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
+        if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
+            count(&self.counters.hits);
+            return Ok((copy.answer(&whole.head.headers), "hit"));
+        }
+        let joined = self.fetching.borrow().get(&key).map(|fetch| fetch.done.clone());
+        let mut done = match joined {
+            Some(done) => {
+                count(&self.counters.joined);
+                done
+            }
+            None => {
+                let fetch = self.fetch(&config, route, key, &whole.head.headers, whole.head.uri.clone(), old);
+                fetch.map_err(|Full| self.refuse(self.ceiling.again()))?
+            }
+        };
+        let fetched = match timeout_at(until, done.wait_for(|fetched| fetched.is_some())).await {
+            Ok(Ok(fetched)) => fetched.clone().unwrap_or(Fetched::Unknown),
+            Ok(Err(_)) => Fetched::Unknown,
+            Err(_) => Fetched::TimedOut,
+        };
+        match fetched {
+            Fetched::Copy(copy) => Ok((copy.answer(&whole.head.headers), "miss")),
+            Fetched::Other(reply) => {
+                let mut headers = passed_on(&reply.headers);
+                if let Some(id) = whole.head.headers.get(TRY_ID) {
+                    headers.insert(TRY_ID, id.clone());
+                }
+                Ok((Reply { status: reply.status, headers, body: reply.body.clone() }, "pass"))
+            }
+            Fetched::Refused(after) => Err(self.refuse(after)),
+            Fetched::Unknown => Err(crate::serve::plain(StatusCode::BAD_GATEWAY, "no answer")),
+            Fetched::TimedOut => Err(crate::serve::plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+        }
+    }
+
+    fn refuse(&self, after: Duration) -> Answer {
+        count(&self.counters.refused);
+        refused(StatusCode::SERVICE_UNAVAILABLE, "service full", after)
+    }
+
+    /// Begins to fetch an object; all who ask for it meanwhile wait for the same answer.
+    fn fetch(
+        self: &Rc<Self>,
+        config: &Arc<Config>,
+        route: &Route,
+        key: ObjectKey,
+        request: &HeaderMap,
+        uri: Uri,
+        old: Option<Rc<Copy>>,
+    ) -> Result<watch::Receiver<Option<Fetched>>, Full> {
+        if self.under_way.get() >= MOST_FETCHES
+            || !self.ceiling.take(config, &key.service, self.shields.get() as f64)
+        {
+            return Err(Full);
+        }
+        count(&self.counters.misses);
+        let (tell, done) = watch::channel(None);
+        let (purged, stale) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Cell::new(false)));
+        let fetch = Fetch { done: done.clone(), purged: Rc::clone(&purged), stale: Rc::clone(&stale) };
+        let mark = Rc::clone(&stale);
+        self.fetching.borrow_mut().insert(key.clone(), fetch);
+        self.under_way.set(self.under_way.get() + 1);
+        let mut headers = passed_on(request);
+        for name in [header::RANGE, header::IF_RANGE, header::IF_NONE_MATCH, header::IF_MODIFIED_SINCE] {
+            headers.remove(name);
+        }
+        if let Some(etag) = old.as_ref().and_then(|old| old.headers.get(header::ETAG)) {
+            headers.insert(header::IF_NONE_MATCH, etag.clone());
+        }
+        let (tries, wait) = (route.tries, Duration::from_millis(route.deadline_ms));
+        let shield = Rc::clone(self);
+        spawn_local(async move {
+            let sent = Instant::now();
+            let job = Job {
+                service: &key.service,
+                method: &Method::GET,
+                uri: &uri,
+                headers,
+                body: Bytes::new(),
+                repeatable: true,
+                tries,
+                until: sent + wait,
+            };
+            let fetched = match shield.direct.send(job).await {
+                Outcome::Answered(reply) => shield.take(&key, reply, sent, old),
+                Outcome::NotRun(after) => Fetched::Refused(after),
+                Outcome::Unknown => Fetched::Unknown,
+                Outcome::TimedOut => Fetched::TimedOut,
+            };
+            shield.under_way.set(shield.under_way.get() - 1);
+            // It may have been taken off by a purge, and another begun under the same name.
+            let mut fetching = shield.fetching.borrow_mut();
+            if fetching.get(&key).is_some_and(|fetch| Rc::ptr_eq(&fetch.stale, &mark)) {
+                fetching.remove(&key);
+            }
+            if let Fetched::Copy(copy) = &fetched {
+                let purged = purged.borrow().iter().any(|label| copy.labelled(label));
+                if !mark.get() && !purged {
+                    shield.cache.borrow_mut().insert(key, Rc::clone(copy));
+                }
+            }
+            tell.send_replace(Some(fetched));
+        });
+        Ok(done)
+    }
+
+    fn take(&self, key: &ObjectKey, reply: Reply, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
+        if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status, old) {
+            tracing::debug!(path = %key.path, "copy still good");
+            count(&self.counters.refreshed);
+            old.born.set(sent);
+            return Fetched::Copy(old);
+        }
+        match Copy::of(&reply, sent) {
+            Some(copy) => Fetched::Copy(Rc::new(copy)),
+            None => Fetched::Other(Rc::new(reply)),
+        }
+    }
+}
+
+fn plain_404() -> Answer {
+    crate::serve::plain(StatusCode::NOT_FOUND, "no such route")
+}
+
+/// Which service of a split an object belongs to, the same at all shields.
+pub fn object_draw(host: &str, path: &str) -> f64 {
+    (object_hash(host, path) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// What stands for an object, the same on all machines. Ranges of it share it.
+pub fn object_hash(host: &str, path: &str) -> u64 {
+    let words = |hash: u64, text: &str| {
+        text.as_bytes().chunks(8).fold(hash, |hash, chunk| {
+            let mut word = [0; 8];
+            word[..chunk.len()].copy_from_slice(chunk);
+            mix(hash ^ u64::from_le_bytes(word))
+        })
+    };
+    words(words(0, host) ^ 1, path)
+}
+
+impl Follower for Shield {
+    fn config(&self, _config: &Arc<Config>) {}
+
+    fn fleet(&self, fleet: &Fleet) {
+        for addr in self.direct.origins.update(&fleet.servers) {
+            self.direct.pool.forget(addr.into());
+        }
+        let shields = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
+        self.shields.set(shields.count().max(1));
+    }
+
+    fn purge(&self, purges: &[Purge]) {
+        let mut cache = self.cache.borrow_mut();
+        let mut fetching = self.fetching.borrow_mut();
+        for purge in purges {
+            cache.purge(purge);
+            match purge {
+                // Nobody joins a fetch that began before; it is told apart when it ends.
+                Purge::Label(label) => {
+                    for fetch in fetching.values() {
+                        fetch.purged.borrow_mut().push(label.clone());
+                    }
+                }
+                Purge::Object { hostname, path } => {
+                    fetching.retain(|key, fetch| {
+                        let named = key.at(hostname, path);
+                        fetch.stale.set(fetch.stale.get() || named);
+                        !named
+                    });
+                }
+                Purge::Everything => {
+                    fetching.values().for_each(|fetch| fetch.stale.set(true));
+                    fetching.clear();
+                }
+            }
+        }
+    }
+
+    fn report(&self) -> Vec<(String, u64)> {
+        let c = &self.counters;
+        let cache = self.cache.borrow();
+        [
+            ("hits", c.hits.get()),
+            ("misses", c.misses.get()),
+            ("joined", c.joined.get()),
+            ("refreshed", c.refreshed.get()),
+            ("refused", c.refused.get()),
+            ("copies", cache.len() as u64),
+            ("copy_bytes", cache.bytes() as u64),
+            ("connections_opened", self.direct.pool.opened.get()),
+        ]
+        .map(|(name, value)| (name.to_owned(), value))
+        .to_vec()
+    }
+}
+
+/// A shield as a handler of edges' requests.
+pub struct Serving(pub Rc<Shield>);
+
+impl Handler for Serving {
+    async fn answer(&self, whole: Whole) -> Answer {
+        let (mut answer, said) = match self.0.read(&whole).await {
+            Ok((reply, said)) => {
+                let mut answer = Response::new(Full::new(reply.body));
+                *answer.status_mut() = reply.status;
+                *answer.headers_mut() = reply.headers;
+                (answer, said)
+            }
+            Err(answer) => (answer, "own"),
+        };
+        answer.headers_mut().insert(SHIELD, HeaderValue::from_static(said));
+        answer
+    }
+
+    fn limits(&self) -> ReqLimits {
+        // Edges have kept clients to the operator's limits; what they add must fit too.
+        ReqLimits {
+            max_header_bytes: 64 << 10,
+            max_body_bytes: 0,
+            header_timeout_ms: 5000,
+            idle_timeout_ms: 30_000,
+        }
+    }
+
+    fn leaving(&self) -> bool {
+        self.0.feed.leaving()
+    }
+}
--- a/plane/src/config.rs
+++ b/plane/src/config.rs
@@ -377,7 +377,8 @@
 
     #[test]
     fn each_kind_of_invalid_document_is_told() {
-        let cases: [(&str, fn(&mut Value), &str); 8] = [
+        type Case = (&'static str, fn(&mut Value), &'static str);
+        let cases: [Case; 8] = [
             ("unknown service", |d| d["paths"][0]["backend"] = "x".into(), "no backend is named \"x\""),
             ("same place", |d| d["paths"][1]["pathPrefix"] = "/a/".into(), "same hostname and pathPrefix"),
             (
