--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -46,7 +46,7 @@
 }
 
 /// No more can be fetched now.
-struct Full;
+struct NoRoom;
 
 /// A fetch under way.
 struct Fetch {
@@ -128,7 +128,7 @@
             }
             None => {
                 let fetch = self.fetch(&config, route, key, &whole.head.headers, whole.head.uri.clone(), old);
-                fetch.map_err(|Full| self.refuse(self.ceiling.again()))?
+                fetch.map_err(|NoRoom| self.refuse(self.ceiling.again()))?
             }
         };
         let fetched = match timeout_at(until, done.wait_for(|fetched| fetched.is_some())).await {
@@ -165,11 +165,11 @@
         request: &HeaderMap,
         uri: Uri,
         old: Option<Rc<Copy>>,
-    ) -> Result<watch::Receiver<Option<Fetched>>, Full> {
+    ) -> Result<watch::Receiver<Option<Fetched>>, NoRoom> {
         if self.under_way.get() >= MOST_FETCHES
             || !self.ceiling.take(config, &key.service, self.shields.get() as f64)
         {
-            return Err(Full);
+            return Err(NoRoom);
         }
         count(&self.counters.misses);
         let (tell, done) = watch::channel(None);
