Keep copies of other zones' hot objects at the edges

An edge now keeps a bounded share (6 % of its memory) of whole answers whose home lies in another zone, asks again with If-None-Match when one has aged, drops what purges name, keeps nothing that a purge of the last 3 s names, and uses none while its link to control is down.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -30,6 +30,8 @@
     config: Option<(u64, Arc<Vec<u8>>)>,
     fleet: Option<Fleet>,
     controls: Vec<Ipv4Addr>,
+    /// Control has told all that was missed.
+    in_touch: bool,
 }
 
 struct Agent {
@@ -78,6 +80,7 @@
             let mut news = vec![News::Purges(vec![Purge::Everything])];
             news.extend(known.config.clone().map(|(rev, document)| News::Config { rev, document }));
             news.extend(known.fleet.clone().map(News::Fleet));
+            news.push(News::InTouch(known.in_touch));
             (Vec::new(), news)
         };
         self.proxies.serve(frames, Outbox::start(write), greet, || self.changed.notify_one()).await;
@@ -114,6 +117,7 @@
                     () = reports => {}
                 }
                 tracing::warn!(control = %addr, "control lost");
+                self.touch(false);
                 // The next one, not the one just lost.
                 turn = turn + step + 1;
                 break;
@@ -138,6 +142,11 @@
         addrs
     }
 
+    fn touch(&self, yes: bool) {
+        self.known.borrow_mut().in_touch = yes;
+        self.proxies.push(&News::InTouch(yes));
+    }
+
     async fn take(&self, down: Down) {
         let news = match down {
             Down::Controls(controls) => {
@@ -162,7 +171,9 @@
                 known.fleet = Some(fleet.clone());
                 News::Fleet(fleet)
             }
+            // The first thing that control tells is all that may have been missed.
             News::Purges(purges) => News::Purges(purges),
+            News::InTouch(yes) => return self.touch(yes),
         };
         self.proxies.push(&news);
         if !self.proxies.applied(APPLY).await {
--- a/glenfall/src/cache.rs
+++ b/glenfall/src/cache.rs
@@ -14,6 +14,7 @@
 
 use crate::pool::Reply;
 use crate::serve::{passed_on, TRY_ID};
+use crate::shield::AGE_MS;
 
 const TAGS: HeaderName = HeaderName::from_static("x-glenfall-tags");
 const SEAL: HeaderName = HeaderName::from_static("x-glenfall-seal");
@@ -55,6 +56,20 @@
         Some(Copy { headers, body: reply.body.clone(), born: Cell::new(born), labels })
     }
 
+    /// Tells an edge what it has to know to keep the copy as well.
+    pub fn hand_on(&self, headers: &mut HeaderMap) {
+        headers.insert(AGE_MS, HeaderValue::from(self.age().as_millis() as u64));
+        if let Ok(tags) = HeaderValue::from_str(&self.labels.join(" ")) {
+            headers.insert(TAGS, tags);
+        }
+    }
+
+    /// When a copy was born that a shield handed on in answer to a request sent at this time.
+    pub fn handed_on(reply: &Reply, asked: Instant) -> Option<Instant> {
+        let age = reply.headers.get(AGE_MS)?.to_str().ok()?.parse().ok()?;
+        asked.checked_sub(Duration::from_millis(age))
+    }
+
     fn size(&self) -> usize {
         self.body.len() + OVERHEAD
     }
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -194,6 +194,7 @@
             news.push(config_news(record));
         }
         news.push(News::Fleet(self.fleet.borrow().clone()));
+        news.push(News::InTouch(true));
         (vec![Down::Controls(self.peers.all())], news)
     }
 
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -2,6 +2,7 @@
 //! straight to a server.
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::boot::Boot;
+use crate::cache::{Cache, Copy, ObjectKey};
 use crate::direct::{Ceiling, Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::origins::Origins;
@@ -27,6 +29,14 @@
 const TRANSIT: Duration = Duration::from_millis(12);
 /// Shields that one read may go to.
 const MOST_SHIELDS: usize = 3;
+/// Part of the machine's memory for copies of its own, of objects whose home lies in another zone: the bytes
+/// between zones are what they save. More would cost more memory than the rarer objects are worth.
+const COPIES: f64 = 0.06;
+/// For so long after a purge nothing that it names is kept: a shield may hear of it later than this edge, and
+/// an answer from before it may be under way.
+const PURGED: Duration = Duration::from_secs(3);
+/// Purges remembered for that.
+const MOST_PURGED: usize = 1024;
 /// When to come back to a node that is not ready yet.
 const UNREADY: Duration = Duration::from_millis(300);
 
@@ -34,6 +44,8 @@
 struct Counters {
     requests: Cell<u64>,
     reads: Cell<u64>,
+    own_copies: Cell<u64>,
+    refreshed: Cell<u64>,
     no_route: Cell<u64>,
     shield_failed: Cell<u64>,
     bypassed: Cell<u64>,
@@ -50,6 +62,12 @@
     feed: Rc<Feed>,
     direct: Direct,
     shields: RefCell<Shields>,
+    /// Shields of the own zone.
+    near: RefCell<Vec<ServerId>>,
+    copies: RefCell<Cache>,
+    purged: RefCell<VecDeque<(Instant, Purge)>>,
+    in_touch: Cell<bool>,
+    zone: String,
     edges: Cell<u32>,
     ceiling: Ceiling,
     began: Instant,
@@ -63,6 +81,13 @@
             feed,
             direct: Direct { pool, origins: Origins::new(&boot.zone, false, seed) },
             shields: RefCell::default(),
+            near: RefCell::default(),
+            copies: RefCell::new(Cache::new(
+                (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize,
+            )),
+            purged: RefCell::default(),
+            in_touch: Cell::new(false),
+            zone: boot.zone.clone(),
             edges: Cell::new(1),
             ceiling: Ceiling::default(),
             began: Instant::now(),
@@ -91,7 +116,7 @@
         let read = route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
         if read {
             count(&self.counters.reads);
-            if let Some(answer) = self.ask_shields(&config, &whole, &headers, until).await {
+            if let Some(answer) = self.ask_shields(&config, route, &whole, &headers, until).await {
                 return answer;
             }
         }
@@ -137,11 +162,29 @@
     async fn ask_shields(
         &self,
         config: &Arc<Config>,
+        route: &Route,
         whole: &Whole,
         headers: &HeaderMap,
         until: Instant,
     ) -> Option<Answer> {
-        let key = Key(object_hash(whole.host(), whole.path_and_query()));
+        let (host, path) = (whole.host(), whole.path_and_query());
+        let key = Key(object_hash(host, path));
+        let service = route.service(object_draw(host, path))?;
+        let object = ObjectKey { service: service.into(), host: host.into(), path: path.into() };
+        let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
+        let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
+        if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
+            count(&self.counters.own_copies);
+            return Some(passed_back(copy.answer(headers), &Method::GET));
+        }
+        // What is not fresh any more is asked for again, whole; it comes only if it has changed.
+        let mut headers = headers.clone();
+        if let Some(etag) = own.as_ref().and_then(|own| own.headers.get(header::ETAG)) {
+            headers.remove(header::RANGE);
+            headers.remove(header::IF_RANGE);
+            headers.insert(header::IF_NONE_MATCH, etag.clone());
+        }
+        let asked_whole = !headers.contains_key(header::RANGE);
         let mut tried: Vec<ServerId> = Vec::new();
         while tried.len() < MOST_SHIELDS {
             let shield = self.shields.borrow().choose(self.now(), key, &tried).cloned()?;
@@ -164,6 +207,22 @@
             let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
             self.shields.borrow_mut().end(self.now(), &shield, reply.is_none());
             if let Some(reply) = reply {
+                if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &own) {
+                    count(&self.counters.refreshed);
+                    if let Some(born) = Copy::handed_on(&reply, began) {
+                        own.born.set(born);
+                    }
+                    return Some(passed_back(own.answer(&whole.head.headers), &Method::GET));
+                }
+                if asked_whole && !self.near.borrow().contains(&shield) {
+                    self.keep(&object, &reply, began);
+                }
+                if own.is_some() && reply.status == StatusCode::OK {
+                    // The range that was taken off the request.
+                    if let Some(copy) = Copy::of(&reply, began) {
+                        return Some(passed_back(copy.answer(&whole.head.headers), &Method::GET));
+                    }
+                }
                 return Some(passed_back(reply, &Method::GET));
             }
             count(&self.counters.shield_failed);
@@ -176,6 +235,24 @@
         None
     }
 
+    /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
+    fn keep(&self, object: &ObjectKey, reply: &Reply, asked: Instant) {
+        let Some(born) = Copy::handed_on(reply, asked) else { return };
+        let Some(copy) = Copy::of(reply, born).filter(|_| self.in_touch.get()) else { return };
+        let mut purged = self.purged.borrow_mut();
+        while purged.front().is_some_and(|(at, _)| at.elapsed() >= PURGED) {
+            purged.pop_front();
+        }
+        let named = purged.iter().any(|(_, purge)| match purge {
+            Purge::Everything => true,
+            Purge::Label(label) => copy.labelled(label),
+            Purge::Object { hostname, path } => object.at(hostname, path),
+        });
+        if !named {
+            self.copies.borrow_mut().insert(object.clone(), Rc::new(copy));
+        }
+    }
+
     fn told(&self, outcome: Outcome, route: &Route, method: &Method) -> Answer {
         match outcome {
             Outcome::Answered(reply) => passed_back(reply, method),
@@ -221,17 +298,36 @@
         let ready = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
         let ready: Vec<ServerId> =
             ready.map(|member| ServerId(member.http.to_string().as_str().into())).collect();
+        let near = fleet.shields.iter().filter(|member| member.zone == self.zone);
+        self.near.replace(near.map(|member| ServerId(member.http.to_string().as_str().into())).collect());
         self.shields.borrow_mut().update(&ready);
         self.edges.set(fleet.edges.max(1));
     }
 
-    fn purge(&self, _purges: &[Purge]) {}
+    fn purge(&self, purges: &[Purge]) {
+        let now = Instant::now();
+        let mut purged = self.purged.borrow_mut();
+        for purge in purges {
+            self.copies.borrow_mut().purge(purge);
+            purged.push_back((now, purge.clone()));
+        }
+        if purged.len() > MOST_PURGED {
+            purged.clear();
+            purged.push_back((now, Purge::Everything));
+        }
+    }
+
+    fn in_touch(&self, yes: bool) {
+        self.in_touch.set(yes);
+    }
 
     fn report(&self) -> Vec<(String, u64)> {
         let c = &self.counters;
         [
             ("requests", c.requests.get()),
             ("reads", c.reads.get()),
+            ("own_copies", c.own_copies.get()),
+            ("refreshed", c.refreshed.get()),
             ("no_route", c.no_route.get()),
             ("shield_failed", c.shield_failed.get()),
             ("bypassed", c.bypassed.get()),
--- a/glenfall/src/feed.rs
+++ b/glenfall/src/feed.rs
@@ -22,6 +22,7 @@
     fn config(&self, config: &Arc<Config>);
     fn fleet(&self, fleet: &Fleet);
     fn purge(&self, purges: &[Purge]);
+    fn in_touch(&self, yes: bool);
     /// Counters for `status`.
     fn report(&self) -> Vec<(String, u64)>;
 }
@@ -99,6 +100,7 @@
                 self.fleet_known.set(true);
             }
             News::Purges(purges) => follower.purge(&purges),
+            News::InTouch(yes) => follower.in_touch(yes),
         }
         if self.ready() != was_ready {
             self.changed.notify_one();
@@ -144,6 +146,7 @@
                     () = sessions::follow(Frames::new(read), outbox.clone(), || self.hello(), &self.changed, take) => {}
                     () = reports => {}
                 }
+                follower.in_touch(false);
                 tracing::warn!("agent lost");
             }
             sleep(AGAIN).await;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -27,6 +27,8 @@
 
 /// The version that an edge decided under; the shield never answers by an older one.
 pub const REV: HeaderName = HeaderName::from_static("x-glenfall-rev");
+/// How old a copy is, in milliseconds.
+pub const AGE_MS: HeaderName = HeaderName::from_static("x-glenfall-age-ms");
 /// What a shield says of its answer; no answer without it is a shield's.
 pub const SHIELD: HeaderName = HeaderName::from_static("x-glenfall-shield");
 
@@ -45,6 +47,20 @@
     TimedOut,
 }
 
+/// What a read comes to.
+struct Read {
+    reply: Reply,
+    said: &'static str,
+    /// Where it comes from a copy.
+    copy: Option<Rc<Copy>>,
+}
+
+impl Read {
+    fn of(copy: &Rc<Copy>, request: &HeaderMap, said: &'static str) -> Read {
+        Read { reply: copy.answer(request), said, copy: Some(Rc::clone(copy)) }
+    }
+}
+
 /// No more can be fetched now.
 struct NoRoom;
 
@@ -98,7 +114,7 @@
         })
     }
 
-    async fn read(self: &Rc<Self>, whole: &Whole) -> Result<(Reply, &'static str), Answer> {
+    async fn read(self: &Rc<Self>, whole: &Whole) -> Result<Read, Answer> {
         let number = |name| whole.head.headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
         let until = Instant::now() + Duration::from_millis(number(DEADLINE).unwrap_or(1000).min(60_000));
         let unready = || refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", Duration::from_millis(200));
@@ -118,7 +134,7 @@
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
             count(&self.counters.hits);
-            return Ok((copy.answer(&whole.head.headers), "hit"));
+            return Ok(Read::of(copy, &whole.head.headers, "hit"));
         }
         let joined = self.fetching.borrow().get(&key).map(|fetch| fetch.done.clone());
         let mut done = match joined {
@@ -137,13 +153,14 @@
             Err(_) => Fetched::TimedOut,
         };
         match fetched {
-            Fetched::Copy(copy) => Ok((copy.answer(&whole.head.headers), "miss")),
+            Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, "miss")),
             Fetched::Other(reply) => {
                 let mut headers = passed_on(&reply.headers);
                 if let Some(id) = whole.head.headers.get(TRY_ID) {
                     headers.insert(TRY_ID, id.clone());
                 }
-                Ok((Reply { status: reply.status, headers, body: reply.body.clone() }, "pass"))
+                let reply = Reply { status: reply.status, headers, body: reply.body.clone() };
+                Ok(Read { reply, said: "pass", copy: None })
             }
             Fetched::Refused(after) => Err(self.refuse(after)),
             Fetched::Unknown => Err(crate::serve::plain(StatusCode::BAD_GATEWAY, "no answer")),
@@ -295,6 +312,9 @@
         }
     }
 
+    /// Whoever reaches this shield is out of touch as well where control beside it is.
+    fn in_touch(&self, _yes: bool) {}
+
     fn report(&self) -> Vec<(String, u64)> {
         let c = &self.counters;
         let cache = self.cache.borrow();
@@ -319,10 +339,13 @@
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
         let (mut answer, said) = match self.0.read(&whole).await {
-            Ok((reply, said)) => {
+            Ok(Read { reply, said, copy }) => {
                 let mut answer = Response::new(Full::new(reply.body));
                 *answer.status_mut() = reply.status;
                 *answer.headers_mut() = reply.headers;
+                if let Some(copy) = copy {
+                    copy.hand_on(answer.headers_mut());
+                }
                 (answer, said)
             }
             Err(answer) => (answer, "own"),
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -88,9 +88,14 @@
 /// A change pushed down a session.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum News {
-    Config { rev: u64, document: Arc<Vec<u8>> },
+    Config {
+        rev: u64,
+        document: Arc<Vec<u8>>,
+    },
     Fleet(Fleet),
     Purges(Vec<Purge>),
+    /// Whether the link to control stands: without it purges may be missed, and copies can't be vouched for.
+    InTouch(bool),
 }
 
 /// From control to agent and from agent to proxy.
