--- /dev/null
+++ b/glenfall/src/demo.rs
@@ -0,0 +1,307 @@
+//! The whole system on loopback, with small stand-in servers, to look at and to try things on. It also shows
+//! that the path works: it ends with an error where a step does not come true in time.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall_plane::config::ReqLimits;
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+use crate::boot::VARIABLE;
+use crate::ops::{self, Controls};
+use crate::pool::{Pool, Reply};
+use crate::serve::{self, plain, Answer, Handler, Whole};
+
+/// Each step of the demo comes true within this time, also on a busy machine.
+const STEP: Duration = Duration::from_secs(30);
+const BEAT_MS: u64 = 500;
+const CORES: u8 = 3;
+const EDGES: u8 = 2;
+const HOST: &str = "demo.example";
+
+#[derive(Debug, thiserror::Error)]
+pub enum DemoError {
+    #[error("demo: {0}")]
+    Io(#[from] std::io::Error),
+    #[error("demo: {what} did not come within {} s", STEP.as_secs())]
+    TooLate { what: &'static str },
+    #[error("demo: {0}")]
+    Ops(#[from] ops::OpsError),
+}
+
+/// A server that stands in for a user's.
+struct StandIn {
+    id: String,
+    /// Requests that it has run.
+    runs: Cell<u64>,
+}
+
+impl Handler for StandIn {
+    async fn answer(&self, whole: Whole) -> Answer {
+        let text = |name: &str| whole.head.headers.get(name).and_then(|value| value.to_str().ok());
+        if text("x-glenfall-want-server").is_some_and(|wanted| wanted != self.id) {
+            return plain(StatusCode::MISDIRECTED_REQUEST, "another server");
+        }
+        self.runs.set(self.runs.get() + 1);
+        let body =
+            format!("{} {} run {} at {}\n", whole.head.method, whole.head.uri, self.runs.get(), self.id);
+        let mut answer = Answer::new(Full::new(Bytes::from(body)));
+        let headers = answer.headers_mut();
+        headers.insert("x-glenfall-seal", HeaderValue::from_static("demo"));
+        headers.insert("x-glenfall-tags", HeaderValue::from_static("demo-label"));
+        if let Some(id) = whole.head.headers.get(serve::TRY_ID) {
+            headers.insert(serve::TRY_ID, id.clone());
+        }
+        answer
+    }
+
+    fn limits(&self) -> ReqLimits {
+        ReqLimits::default()
+    }
+
+    fn leaving(&self) -> bool {
+        false
+    }
+}
+
+/// Children that end with the demo, and their folder.
+struct Children {
+    all: Vec<Child>,
+    folder: PathBuf,
+}
+
+impl Drop for Children {
+    fn drop(&mut self) {
+        for child in &mut self.all {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Free ports of one machine, next to each other as far as the system needs them.
+async fn free_ports() -> std::io::Result<u16> {
+    loop {
+        let port = TcpListener::bind("127.0.0.1:0").await?.local_addr()?.port();
+        let mut held = Vec::new();
+        for offset in 0..6 {
+            let Some(port) = port.checked_add(offset) else { break };
+            match TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).await {
+                Ok(listener) => held.push(listener),
+                Err(_) => break,
+            }
+        }
+        if held.len() == 6 {
+            return Ok(port);
+        }
+    }
+}
+
+fn machine(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 7, number)
+}
+
+fn settings(folder: &Path, node: &str, ip: Ipv4Addr, base: u16) -> String {
+    let seeds: Vec<String> = (1..=CORES).map(|n| format!("\"{}:{}\"", machine(n), base + 3)).collect();
+    format!(
+        "node = \"{node}\"\nzone = \"demo-{}\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nportRange = [{base}, {}]\n\
+         seedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\nbeatMs = {BEAT_MS}\n[listeners]\n\
+         controlAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n",
+        ip.octets()[3] % CORES,
+        base + 2,
+        seeds.join(", "),
+        folder.join(node).display(),
+        base + 3,
+        base + 4,
+        base + 5,
+    )
+}
+
+/// Starts the system and shows its path; then goes on until a signal, or ends if `once`.
+pub async fn run(once: bool) -> Result<(), DemoError> {
+    let base = free_ports().await?;
+    let folder = std::env::temp_dir().join(format!("glenfall-demo-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let mut children = Children { all: Vec::new(), folder };
+    let program = std::env::current_exe()?;
+    let cores = (1..=CORES).flat_map(|n| [("shield", n), ("control", n)]);
+    let edges = (CORES + 1..=CORES + EDGES).flat_map(|n| [("edge", n), ("agent", n)]);
+    for (role, number) in cores.chain(edges) {
+        let node = format!("{}-{number}", if number <= CORES { "core" } else { "edge" });
+        let file = children.folder.join(format!("{node}-{role}.toml"));
+        std::fs::write(&file, settings(&children.folder, &node, machine(number), base))?;
+        let log = std::fs::File::create(children.folder.join(format!("{node}-{role}.log")))?;
+        let child = Command::new(&program).arg(role).env(VARIABLE, &file).stderr(log).spawn()?;
+        children.all.push(child);
+    }
+    let at = Controls { controls: (1..=CORES).map(|n| SocketAddrV4::new(machine(n), base + 3)).collect() };
+    let (_stop, stopping) = watch::channel(false);
+    for number in 0..2 {
+        start_server(number, &at, stopping.clone()).await?;
+    }
+    put_config(&at).await?;
+    println!("configuration 1 is in force at {}", at.controls[0]);
+    settled(&at).await?;
+    println!("all know {CORES} shields and 2 servers");
+    let edges: Vec<_> =
+        (CORES + 1..=CORES + EDGES).map(|n| SocketAddrV4::new(machine(n), base + 4)).collect();
+    let get = |path| ask(edges[0], Method::GET, path);
+    let first = until("a read through edge and shield", || get("/pages/hello")).await?;
+    print!("read:           {}", String::from_utf8_lossy(&first.body));
+    let other =
+        until("the same read at the other edge", || ask(edges[1], Method::GET, "/pages/hello")).await?;
+    print!("other edge:     {}", String::from_utf8_lossy(&other.body));
+    if other.body != first.body {
+        return Err(DemoError::TooLate { what: "the shield's copy at the other edge" });
+    }
+    let body = json!({ "hostname": HOST, "urlPath": "/pages/hello" }).to_string();
+    ops::call(&at, Method::POST, "/api/purge", None, body.into()).await?;
+    let fresh = until("the read after a purge", || get("/pages/hello")).await?;
+    print!("after a purge:  {}", String::from_utf8_lossy(&fresh.body));
+    if fresh.body == first.body {
+        return Err(DemoError::TooLate { what: "a fresh copy after the purge" });
+    }
+    let write = until("a write", || ask(edges[0], Method::POST, "/orders/1")).await?;
+    print!("write:          {}", String::from_utf8_lossy(&write.body));
+    if once {
+        println!("the whole path works");
+        return Ok(());
+    }
+    println!("\ntry:    curl -H 'Host: {HOST}' http://{}/pages/hello", edges[0]);
+    println!("see:    {} status --control {}", program.display(), at.controls[0]);
+    println!("logs:   {}", children.folder.display());
+    println!("Ctrl-C ends it.");
+    crate::terminated().await;
+    Ok(())
+}
+
+/// Starts a stand-in server and its beats.
+async fn start_server(number: u8, at: &Controls, stopping: watch::Receiver<bool>) -> std::io::Result<()> {
+    let ip = machine(100 + number);
+    let listener = TcpListener::bind((ip, 0)).await?;
+    let listen = SocketAddrV4::new(ip, listener.local_addr()?.port());
+    drop(listener);
+    let id = format!("demo-{number}");
+    let server = Rc::new(StandIn { id: id.clone(), runs: Cell::new(0) });
+    let terms = serve::Terms { listen, most: 64, still_accepting: Duration::ZERO, grace: Duration::ZERO };
+    spawn_local(serve::serve(terms, server, stopping));
+    let at = at.clone();
+    spawn_local(async move {
+        let pool = Pool::new(8);
+        for seq in 1u64.. {
+            let body = json!({
+                "backend": "demo", "addr": listen, "zone": "demo-0", "rev": "v1", "capacity": 8,
+                "status": "ready", "warmupLeftMs": 0, "callSeq": seq,
+            });
+            let body = Bytes::from(body.to_string());
+            for control in &at.controls {
+                let request = || {
+                    let mut request = Request::new(Full::new(body.clone()));
+                    *request.method_mut() = Method::PUT;
+                    *request.uri_mut() = format!("/api/servers/{id}").parse().unwrap_or_default();
+                    request.headers_mut().insert(header::HOST, HeaderValue::from_static("control"));
+                    request
+                };
+                let until = Instant::now() + Duration::from_secs(1);
+                let reply = pool.exchange((*control).into(), request, until, || true).await;
+                if reply.is_ok_and(|reply| reply.status.is_success()) {
+                    break;
+                }
+            }
+            sleep(Duration::from_millis(BEAT_MS)).await;
+        }
+    });
+    Ok(())
+}
+
+async fn put_config(at: &Controls) -> Result<(), DemoError> {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({
+            "name": name, "hostname": HOST, "pathPrefix": prefix, "type": kind, "deadlineMs": 2000,
+            "targetMs": 200, "prio": 1, "backend": "demo", "tries": 2, "maxAgeS": 60.0,
+        })
+    };
+    let config = json!({
+        "rev": 1,
+        "paths": [route("pages", "/pages/", "cacheable"), route("orders", "/orders/", "mutating")],
+        "backends": [{ "name": "demo", "healthPath": "/health", "maxConns": 64 }],
+        "reqLimits": {},
+    });
+    let body = Bytes::from(config.to_string());
+    let began = Instant::now();
+    loop {
+        match ops::call(at, Method::PUT, "/api/config", Some(0), body.clone()).await {
+            Ok(_) => return Ok(()),
+            Err(ops::OpsError::NoAnswer) if began.elapsed() < STEP => {}
+            Err(error) => return Err(error.into()),
+        }
+    }
+}
+
+/// Waits until every control node knows all shields and servers, and every session has applied that.
+async fn settled(at: &Controls) -> Result<(), DemoError> {
+    let began = Instant::now();
+    while began.elapsed() < STEP {
+        let told = ops::status(at).await?;
+        let seen: Vec<serde_json::Value> = serde_json::from_str(&told).unwrap_or_default();
+        let listed = |node: &serde_json::Value, list: &str, count: usize| {
+            let ready =
+                |items: &Vec<serde_json::Value>| items.iter().filter(|item| item["ready"] == true).count();
+            node[list].as_array().is_some_and(|items| ready(items) == count)
+        };
+        let applied = |node: &serde_json::Value| {
+            let sessions = node["sessions"].as_array();
+            sessions.is_some_and(|all| all.iter().all(|session| session["applied"] == session["pushed"]))
+        };
+        let sessions: usize = seen.iter().filter_map(|node| Some(node["sessions"].as_array()?.len())).sum();
+        let all = |node| listed(node, "shields", CORES.into()) && listed(node, "servers", 2) && applied(node);
+        if sessions == usize::from(CORES + EDGES) && seen.iter().all(all) {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Err(DemoError::TooLate { what: "the word of all shields and servers" })
+}
+
+async fn ask(edge: SocketAddrV4, method: Method, path: &'static str) -> Option<Reply> {
+    let request = || {
+        let mut request = Request::new(Full::new(Bytes::new()));
+        *request.method_mut() = method.clone();
+        *request.uri_mut() = hyper::Uri::from_static(path);
+        request.headers_mut().insert(header::HOST, HeaderValue::from_static(HOST));
+        request.headers_mut().insert(serve::TRY_ID, HeaderValue::from_static("demo-try"));
+        request
+    };
+    let until = Instant::now() + Duration::from_secs(3);
+    let reply = Pool::new(8).exchange(edge.into(), request, until, || true).await.ok()?;
+    (reply.status == StatusCode::OK && reply.headers.contains_key("x-glenfall-seal")).then_some(reply)
+}
+
+/// Repeats a step until it comes true.
+async fn until<F: Future<Output = Option<Reply>>>(
+    what: &'static str,
+    step: impl Fn() -> F,
+) -> Result<Reply, DemoError> {
+    let began = Instant::now();
+    while began.elapsed() < STEP {
+        if let Some(reply) = step().await {
+            return Ok(reply);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Err(DemoError::TooLate { what })
+}
--- a/glenfall/src/main.rs
+++ b/glenfall/src/main.rs
@@ -7,16 +7,19 @@
 mod boot;
 mod cache;
 mod control;
+mod demo;
 mod direct;
 mod edge;
 mod feed;
 mod link;
+mod ops;
 mod origins;
 mod pool;
 mod serve;
 mod sessions;
 mod shield;
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -48,6 +51,24 @@
     Shield,
     /// Keep the configuration and the lists, and push them to all.
     Control,
+    /// Check a settings file or a configuration, and name the place of a mistake
+    Check { file: PathBuf },
+    /// Read or change the configuration
+    #[command(subcommand)]
+    Config(ops::ConfigVerb),
+    /// End all copies of an object, or of all objects with a label
+    Purge(ops::PurgeArgs),
+    /// Show members, servers, and who has applied what
+    Status {
+        #[command(flatten)]
+        at: ops::Controls,
+    },
+    /// Run the whole system on loopback with stand-in servers
+    Demo {
+        /// End once the path has been shown
+        #[arg(long)]
+        once: bool,
+    },
 }
 
 type Failure = Box<dyn std::error::Error>;
@@ -76,25 +97,35 @@
 }
 
 fn start(command: &Command) -> Result<(), Failure> {
-    let boot = Rc::new(Boot::load()?);
     // A fraction of one core is all that a machine has, so one thread and no locks.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
+        let boot = || Boot::load().map(Rc::new);
         match command {
-            Command::Edge => edge(boot).await,
+            Command::Edge => edge(boot()?).await,
             Command::Agent => {
                 tokio::select! {
-                    ended = agent::run(boot) => Ok(ended?),
+                    ended = agent::run(boot()?) => Ok(ended?),
                     // The edge needs its feed until it has ended itself, but no news: it knows that it leaves.
                     () = terminated() => Ok(()),
                 }
             }
-            Command::Shield => shield(boot).await,
-            Command::Control => control::run(boot).await,
+            Command::Shield => shield(boot()?).await,
+            Command::Control => control::run(boot()?).await,
+            Command::Check { file } => print(ops::check(file)),
+            Command::Config(verb) => print(ops::config(verb).await),
+            Command::Purge(args) => print(ops::purge(args).await),
+            Command::Status { at } => print(ops::status(at).await),
+            Command::Demo { once } => Ok(demo::run(*once).await?),
         }
     })
 }
 
+fn print(told: Result<String, ops::OpsError>) -> Result<(), Failure> {
+    println!("{}", told?);
+    Ok(())
+}
+
 /// Ends with SIGTERM or SIGINT.
 pub async fn terminated() {
     let (Ok(mut terminate), Ok(mut interrupt)) =
--- /dev/null
+++ b/glenfall/src/ops.rs
@@ -0,0 +1,203 @@
+//! The operator's verbs: checking files, and calls to `control`.
+
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::{Args, Subcommand};
+use glenfall_plane::config::Config;
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request};
+use tokio::time::Instant;
+
+use crate::boot::Boot;
+use crate::pool::{Pool, Reply};
+
+/// One call to a control node; it answers within a second or not at all.
+const CALL: Duration = Duration::from_millis(1500);
+/// How often all nodes are asked before a call is given up.
+const ROUNDS: usize = 3;
+/// Connections a verb may hold.
+const CONNECTIONS: usize = 8;
+
+/// Why a verb failed; one line.
+#[derive(Debug, thiserror::Error)]
+pub enum OpsError {
+    #[error("{}: {what}", path.display())]
+    File { path: PathBuf, what: std::io::Error },
+    #[error("{}: {what}", path.display())]
+    Wrong { path: PathBuf, what: String },
+    #[error("{status}: {body}")]
+    Refused { status: u16, body: String },
+    #[error("no control node gives a clear answer; the same call may be made again")]
+    NoAnswer,
+}
+
+/// Where control is.
+#[derive(Args, Clone)]
+pub struct Controls {
+    /// `controlAddr` of a control node; may be repeated
+    #[arg(long = "control", required = true)]
+    pub controls: Vec<SocketAddrV4>,
+}
+
+#[derive(Subcommand)]
+pub enum ConfigVerb {
+    /// Print the newest configuration
+    Get {
+        #[command(flatten)]
+        at: Controls,
+    },
+    /// Put a whole configuration in force
+    Put {
+        #[command(flatten)]
+        at: Controls,
+        /// The version that it builds on, 0 for the first
+        #[arg(long)]
+        builds_on: u64,
+        file: PathBuf,
+    },
+    /// Change named items
+    Patch {
+        #[command(flatten)]
+        at: Controls,
+        /// The version that it builds on
+        #[arg(long)]
+        builds_on: u64,
+        file: PathBuf,
+    },
+}
+
+#[derive(Args)]
+pub struct PurgeArgs {
+    #[command(flatten)]
+    at: Controls,
+    /// All objects with this label
+    #[arg(long, conflicts_with_all = ["host", "path"])]
+    label: Option<String>,
+    /// Host of one object
+    #[arg(long, requires = "path", required_unless_present = "label")]
+    host: Option<String>,
+    /// Path of one object
+    #[arg(long, requires = "host")]
+    path: Option<String>,
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, OpsError> {
+    std::fs::read(path).map_err(|what| OpsError::File { path: path.to_owned(), what })
+}
+
+/// Checks a settings file (TOML) or a configuration (JSON); says what it is.
+pub fn check(path: &Path) -> Result<String, OpsError> {
+    let bytes = read(path)?;
+    let wrong = |what: String| OpsError::Wrong { path: path.to_owned(), what };
+    let json = bytes.iter().find(|byte| !byte.is_ascii_whitespace()) == Some(&b'{');
+    if json {
+        let config = Config::read(&bytes).map_err(|e| wrong(e.to_string()))?;
+        let (paths, backends) = (config.paths.len(), config.backends.len());
+        return Ok(format!("configuration {}: {paths} paths, {backends} backends", config.rev));
+    }
+    let text = String::from_utf8(bytes).map_err(|e| wrong(e.to_string()))?;
+    let boot = Boot::parse(&text).map_err(wrong)?;
+    Ok(format!("settings of {} in zone {}", boot.node, boot.zone))
+}
+
+/// Calls control nodes in turn until one gives a clear answer.
+pub async fn call(
+    at: &Controls,
+    method: Method,
+    path: &'static str,
+    if_match: Option<u64>,
+    body: Bytes,
+) -> Result<Reply, OpsError> {
+    let pool = Pool::new(CONNECTIONS);
+    for addr in at.controls.iter().cycle().take(at.controls.len() * ROUNDS) {
+        let request = || {
+            let mut request = Request::new(Full::new(body.clone()));
+            *request.method_mut() = method.clone();
+            *request.uri_mut() = hyper::Uri::from_static(path);
+            if let Ok(host) = HeaderValue::from_str(&addr.to_string()) {
+                request.headers_mut().insert(header::HOST, host);
+            }
+            if let Some(version) = if_match {
+                request.headers_mut().insert(header::IF_MATCH, HeaderValue::from(version));
+            }
+            request
+        };
+        match pool.exchange((*addr).into(), request, Instant::now() + CALL, || true).await {
+            Ok(reply) if reply.status.is_success() => return Ok(reply),
+            Ok(reply) if reply.status.is_client_error() => {
+                let body = String::from_utf8_lossy(&reply.body).into_owned();
+                return Err(OpsError::Refused { status: reply.status.as_u16(), body });
+            }
+            // Changes and purges are known again when they are repeated.
+            Ok(_) | Err(_) => tokio::time::sleep(Duration::from_millis(100)).await,
+        }
+    }
+    Err(OpsError::NoAnswer)
+}
+
+fn text(reply: Reply) -> String {
+    String::from_utf8_lossy(&reply.body).into_owned()
+}
+
+pub async fn config(verb: &ConfigVerb) -> Result<String, OpsError> {
+    match verb {
+        ConfigVerb::Get { at } => call(at, Method::GET, "/api/config", None, Bytes::new()).await.map(text),
+        ConfigVerb::Put { at, builds_on, file } => {
+            check(file)?;
+            let body = read(file)?.into();
+            call(at, Method::PUT, "/api/config", Some(*builds_on), body).await.map(text)
+        }
+        ConfigVerb::Patch { at, builds_on, file } => {
+            let body = read(file)?.into();
+            call(at, Method::PATCH, "/api/config", Some(*builds_on), body).await.map(text)
+        }
+    }
+}
+
+pub async fn purge(args: &PurgeArgs) -> Result<String, OpsError> {
+    let body = match &args.label {
+        Some(label) => serde_json::json!({ "label": label }),
+        None => serde_json::json!({ "hostname": args.host, "urlPath": args.path }),
+    };
+    call(&args.at, Method::POST, "/api/purge", None, body.to_string().into()).await.map(text)
+}
+
+/// What each control node sees, one document apiece.
+pub async fn status(at: &Controls) -> Result<String, OpsError> {
+    let mut seen = Vec::new();
+    for control in &at.controls {
+        let one = Controls { controls: vec![*control] };
+        let reply = call(&one, Method::GET, "/api/status", None, Bytes::new()).await;
+        let value = match reply {
+            Ok(reply) => serde_json::from_slice(&reply.body).unwrap_or(serde_json::Value::Null),
+            Err(error) => serde_json::json!({ "control": control, "error": error.to_string() }),
+        };
+        seen.push(value);
+    }
+    Ok(serde_json::to_string_pretty(&seen).unwrap_or_default())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn check_tells_files_apart_and_names_what_is_wrong() {
+        let folder = std::env::temp_dir().join(format!("glenfall-check-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let told = |name: &str, text: &str| {
+            let path = folder.join(name);
+            std::fs::write(&path, text).unwrap();
+            check(&path).map_err(|e| e.to_string())
+        };
+        assert_eq!(told("a.json", r#" {"rev": 3}"#).unwrap(), "configuration 3: 0 paths, 0 backends");
+        let twice = r#"{"rev": 3, "backends": [{"name": "s"}, {"name": "s"}]}"#;
+        assert!(told("b.json", twice).unwrap_err().ends_with("b.json: backends: \"s\" is named twice"));
+        assert!(told("c.toml", "node = 1").unwrap_err().contains("c.toml: line 1, column 8"));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# The whole test command: formatting, lints, release build, all tests, and a start of both programs.
+# The whole test command: formatting, lints, release build, all tests, and a start of both programs and of the
+# whole system.
 # Needs cargo and bash only. Any failure ends it with a non-zero exit.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -35,6 +36,8 @@
         kill "$node"
         wait "$node"
         echo "node is ready and ends on SIGTERM"
+        # The system, on loopback ports of its own: each step of the path, or an error that names it.
+        target/release/glenfall demo --once
         exit 0
     fi
     sleep 0.1
