Mend links between control nodes one connection at a time

Cause: the end of one connection dropped the opposite one as well, which the peer took for a loss in turn; and the task of an old connection took the newer one off, as it knew it by the life of the process.

--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -27,7 +27,7 @@
 struct Link {
     /// The connection opened from here.
     outbox: Option<Outbox<Peer>>,
-    /// The life of the peer that speaks on the connection that it opened.
+    /// The connection that the peer opened last and speaks on.
     hears: Option<u64>,
     up: bool,
     members: Vec<Member>,
@@ -177,27 +177,31 @@
 
 /// Hears a peer until its connection ends.
 pub async fn listen(control: &Rc<Control>, ip: Ipv4Addr, life: u64, mut frames: Frames) {
+    let connection = control.peers.next.replace(control.peers.next.get() + 1);
     let before = {
         let mut links = control.peers.links.borrow_mut();
         let Some(link) = links.get_mut(&ip) else { return };
-        link.hears.replace(life)
+        link.hears.replace(connection)
     };
     if before.is_some() {
         // It has opened a new one; what was said on the old one may be lost.
         lost(control, ip);
     }
+    tracing::debug!(peer = %ip, life, "peer speaks");
     control.peers.changed.notify_waiters();
     both_up(control, ip);
+    let current = || control.peers.links.borrow().get(&ip).is_some_and(|link| link.hears == Some(connection));
     while let Ok(message) = frames.next_in_time().await {
-        take(control, ip, message);
-        let replaced = control.peers.links.borrow().get(&ip).is_none_or(|link| link.hears != Some(life));
-        if replaced {
+        if !current() {
             return;
         }
+        take(control, ip, message);
     }
-    let ended =
-        control.peers.links.borrow_mut().get_mut(&ip).and_then(|link| link.hears.take_if(|h| *h == life));
-    if ended.is_some() {
+    // Not where a newer one has taken its place meanwhile.
+    if current() {
+        if let Some(link) = control.peers.links.borrow_mut().get_mut(&ip) {
+            link.hears = None;
+        }
         lost(control, ip);
     }
 }
@@ -222,6 +226,9 @@
     control.carry_out(outputs);
 }
 
+/// One of the two connections is lost. The other stays: its end would take the new one along, and that again the
+/// other, for as long as both nodes go on calling each other. What was said on the lost one is made up for by
+/// the view that the chain makes.
 fn lost(control: &Rc<Control>, ip: Ipv4Addr) {
     {
         let mut links = control.peers.links.borrow_mut();
@@ -230,8 +237,6 @@
             return;
         }
         (link.up, link.lost) = (false, Some(Instant::now()));
-        // Both are opened anew, so that nothing is missed between.
-        (link.outbox, link.hears) = (None, None);
     }
     tracing::warn!(peer = %ip, "peer lost");
     for left in control.peers.asked.borrow_mut().values_mut() {
