--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -379,3 +379,71 @@
         false
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SETTINGS: &str = "node = \"e\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
+                            seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n";
+
+    fn edge() -> Rc<Edge> {
+        let boot = Rc::new(Boot::parse(SETTINGS).unwrap());
+        let feed = Feed::new(Rc::clone(&boot), Proxy::Edge);
+        Edge::new(&boot, feed, Pool::new(8))
+    }
+
+    fn object(path: &str) -> ObjectKey {
+        ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
+    }
+
+    fn from_shield(tags: &'static str) -> Reply {
+        let mut headers = HeaderMap::new();
+        for (name, value) in
+            [("x-glenfall-seal", "s"), ("x-glenfall-tags", tags), ("x-glenfall-age-ms", "1500")]
+        {
+            headers.insert(name, HeaderValue::from_static(value));
+        }
+        Reply { status: StatusCode::OK, headers, body: Bytes::from_static(b"body") }
+    }
+
+    fn kept(edge: &Edge, path: &str) -> bool {
+        edge.copies.borrow_mut().get(&object(path)).is_some()
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_purge_ends_copies_and_bars_what_it_names_for_a_while() {
+        tokio::time::advance(Duration::from_secs(10)).await;
+        let edge = edge();
+        edge.in_touch(true);
+        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
+        edge.keep(&object("/b"), &from_shield("u"), Instant::now());
+        let age = edge.copies.borrow_mut().get(&object("/a")).map(|copy| copy.age());
+        assert_eq!(age, Some(Duration::from_millis(1500)));
+        edge.purge(&[Purge::Label("t".into()), Purge::Object { hostname: "h".into(), path: "/c".into() }]);
+        assert!(!kept(&edge, "/a") && kept(&edge, "/b"));
+        // A shield that has not heard yet hands out the old copies.
+        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
+        edge.keep(&object("/c"), &from_shield("u"), Instant::now());
+        assert!(!kept(&edge, "/a") && !kept(&edge, "/c"));
+        tokio::time::advance(PURGED).await;
+        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
+        assert!(kept(&edge, "/a"));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn out_of_touch_nothing_is_kept_and_a_stream_of_purges_is_bounded() {
+        tokio::time::advance(Duration::from_secs(10)).await;
+        let edge = edge();
+        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
+        assert!(!kept(&edge, "/a"));
+        edge.in_touch(true);
+        let purges: Vec<Purge> = (0..2 * MOST_PURGED).map(|n| Purge::Label(n.to_string())).collect();
+        for purge in purges {
+            edge.purge(&[purge]);
+        }
+        assert!(edge.purged.borrow().len() <= MOST_PURGED);
+        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
+        assert!(!kept(&edge, "/a"), "more were purged than are remembered");
+    }
+}
