Turn agents away from a control node that reaches no majority

Read in the code, against docs/system.md: a node cut off from the other two kept its agents, whose edges then never heard of a configuration acknowledged by the majority (CONFIG, as such an edge counts as in touch).

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -41,6 +41,9 @@
 const DRAIN: Duration = Duration::from_millis(400);
 /// A node that has run for so many beats has heard of every server that there is.
 const BEATS_TO_HEAR_ALL: u32 = 4;
+/// A node that has not reached a majority for so long turns agents away. Shorter, and each mend of the chain
+/// would; longer, and agents hear of a configuration too late.
+const CUT_OFF: Duration = Duration::from_millis(700);
 /// Connections of servers and operators held at most.
 const MOST_CALLERS: usize = 512;
 /// After the signal to stop: calls still come for a moment, and the chain is mended meanwhile.
@@ -63,6 +66,8 @@
     fleet: RefCell<Fleet>,
     fleet_changed: Notify,
     stop: watch::Sender<bool>,
+    /// When this node was last seen to reach a majority.
+    reached: Cell<Instant>,
 }
 
 /// Anything that differs from one life of a process to the next.
@@ -100,12 +105,13 @@
         fleet: RefCell::default(),
         fleet_changed: Notify::new(),
         stop: watch::Sender::new(false),
+        reached: Cell::new(Instant::now()),
         boot: Rc::clone(&boot),
     });
     let links = TcpListener::bind(boot.link(me)).await?;
     let feed = TcpListener::bind(boot.feed()).await?;
-    for listener in [links, feed] {
-        spawn_local(Rc::clone(&control).accept(listener));
+    for (listener, beside) in [(links, false), (feed, true)] {
+        spawn_local(Rc::clone(&control).accept(listener, beside));
     }
     peers::know(&control, &seeds);
     spawn_local({
@@ -149,18 +155,18 @@
         self.began.elapsed().as_millis() as Millis
     }
 
-    async fn accept(self: Rc<Self>, listener: TcpListener) {
+    async fn accept(self: Rc<Self>, listener: TcpListener, beside: bool) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(Rc::clone(&self).opened(stream));
+                    spawn_local(Rc::clone(&self).opened(stream, beside));
                 }
                 Err(_) => sleep(TICK).await,
             }
         }
     }
 
-    async fn opened(self: Rc<Self>, stream: TcpStream) {
+    async fn opened(self: Rc<Self>, stream: TcpStream, beside: bool) {
         if link::tune(&stream).is_err() {
             return;
         }
@@ -168,12 +174,21 @@
         let mut frames = Frames::new(read);
         match frames.next_in_time().await {
             Ok(Open::Session) => {
-                if *self.stop.borrow() {
+                if *self.stop.borrow() || !beside && self.cut_off() {
                     return;
                 }
                 let greet = || self.greeting();
                 let changed = || self.members_changed();
-                self.sessions.serve(frames, Outbox::start(write), greet, changed).await;
+                // The shield beside stays, whatever this node reaches: it knows no other.
+                let kept = async {
+                    while beside || !self.cut_off() {
+                        sleep(EXPIRE).await;
+                    }
+                };
+                tokio::select! {
+                    () = self.sessions.serve(frames, Outbox::start(write), greet, changed) => {}
+                    () = kept => tracing::warn!("session ended: this node does not reach a majority"),
+                }
             }
             Ok(Open::Peer { ip, life, others }) => {
                 peers::know(&self, &others);
@@ -209,6 +224,8 @@
             self.carry_out(outputs);
             if expire.elapsed() >= EXPIRE {
                 expire = Instant::now();
+                // Seen here also where no session asks.
+                self.cut_off();
                 let silent = self.registry.borrow_mut().expire(now);
                 if silent || self.peers.expire() || self.complete() != self.fleet.borrow().complete {
                     self.fleet_changed.notify_one();
@@ -254,6 +271,16 @@
         told.await.unwrap_or(Outcome::Unavailable)
     }
 
+    /// Out of touch with the majority for long enough to turn agents away: they may reach nodes that are not,
+    /// and what is acknowledged there does not come here.
+    fn cut_off(&self) -> bool {
+        let within = self.chain.borrow().in_majority();
+        if within {
+            self.reached.set(Instant::now());
+        }
+        self.reached.get().elapsed() >= CUT_OFF
+    }
+
     // ---- Fleet ----
 
     fn complete(&self) -> bool {
--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -5,12 +5,17 @@
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
+use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 /// Conditions are waited for so long, also on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// One core at a time: ports that are found free stay so until they are used.
+static ONE: Mutex<()> = Mutex::new(());
+
 struct Core {
+    _one: MutexGuard<'static, ()>,
     children: Vec<Child>,
     folder: PathBuf,
     base: u16,
@@ -43,12 +48,15 @@
 
 impl Core {
     fn start() -> Core {
-        let folder = std::env::temp_dir().join(format!("glenfall-core-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).unwrap();
+        let one = ONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         let base = free_ports();
-        let mut core = Core { children: Vec::new(), folder, base };
-        for n in 1..=3 {
+        let folder = std::env::temp_dir().join(format!("glenfall-core-{}-{base}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut core = Core { _one: one, children: Vec::new(), folder, base };
+        for n in 1..=4 {
             let ip = machine(n);
+            // The fourth is an edge's machine, with its agent alone.
+            let role = if n <= 3 { "control" } else { "agent" };
             let seeds: Vec<String> = (1..=3).map(|n| format!("\"{}:{}\"", machine(n), base + 3)).collect();
             let text = format!(
                 "node = \"core-{n}\"\nzone = \"z\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\n\
@@ -63,7 +71,7 @@
             std::fs::write(&file, text).unwrap();
             let log = std::fs::File::create(core.log(n)).unwrap();
             let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall"));
-            let child = command.arg("control").env("GLENFALL_CONFIG", &file).stderr(log).spawn().unwrap();
+            let child = command.arg(role).env("GLENFALL_CONFIG", &file).stderr(log).spawn().unwrap();
             core.children.push(child);
         }
         core
@@ -95,6 +103,10 @@
         }
     }
 
+    fn agents_at(&self, n: u8) -> Option<usize> {
+        Some(self.status(n)?["sessions"].as_array()?.len())
+    }
+
     fn signal(&self, n: usize, name: &str) {
         let pid = self.children[n - 1].id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
@@ -123,3 +135,34 @@
     assert_eq!(core.losses() - before, losses);
     core.await_chain(&[1, 2, 3], 3);
 }
+
+#[test]
+fn a_control_node_without_a_majority_turns_its_agents_away() {
+    let core = Core::start();
+    core.await_chain(&[1, 2, 3], 3);
+    let began = Instant::now();
+    let at = loop {
+        assert!(began.elapsed() < PATIENCE, "the agent finds control");
+        if let Some(n) = (1..=3).find(|n| core.agents_at(*n) == Some(1)) {
+            break n;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    };
+    for other in (1..=3).filter(|n| *n != at) {
+        core.signal(usize::from(other), "-STOP");
+    }
+    let began = Instant::now();
+    while core.agents_at(at) != Some(0) {
+        assert!(began.elapsed() < PATIENCE, "the agent is kept by a node that knows nothing new");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(core.status(at).unwrap()["inMajority"], false);
+    for other in (1..=3).filter(|n| *n != at) {
+        core.signal(usize::from(other), "-CONT");
+    }
+    let began = Instant::now();
+    while (1..=3).filter_map(|n| core.agents_at(n)).sum::<usize>() != 1 {
+        assert!(began.elapsed() < PATIENCE, "the agent comes back");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -35,6 +35,9 @@
     published: u64,
 }
 
+/// Messages in order: when each arrives, and the life of the link that it was sent on.
+type Link = VecDeque<(Millis, u64, Message)>;
+
 /// A call that an operator waits for.
 struct Asked {
     at: u8,
@@ -49,8 +52,8 @@
     rng: ChaCha8Rng,
     now: Millis,
     machines: Vec<Machine>,
-    /// Messages under way, in order on each link: when they arrive, and the life of the link.
-    links: BTreeMap<(u8, u8), VecDeque<(Millis, u64, Message)>>,
+    /// Messages under way, by sender and receiver.
+    links: BTreeMap<(u8, u8), Link>,
     link_life: BTreeMap<(u8, u8), u64>,
     up: BTreeSet<(u8, u8)>,
     /// Pairs that are cut off from each other, and until when.
@@ -270,6 +273,12 @@
         }
     }
 
+    /// The next message on a link that has arrived by now.
+    fn arrived(&mut self, from: u8, to: u8) -> Option<(Millis, u64, Message)> {
+        let now = self.now;
+        self.links.get_mut(&(from, to))?.pop_front_if(|(at, ..)| *at <= now)
+    }
+
     fn run(&mut self, n: u8) {
         let now = self.now;
         let place = usize::from(n) - 1;
@@ -282,12 +291,7 @@
             }
         }
         for from in (1..=NODES).filter(|from| *from != n) {
-            loop {
-                let Some(link) = self.links.get_mut(&(from, n)) else { break };
-                if link.front().is_none_or(|(at, ..)| *at > now) {
-                    break;
-                }
-                let Some((_, life, message)) = link.pop_front() else { break };
+            while let Some((_, life, message)) = self.arrived(from, n) {
                 if self.link_life.get(&pair(from, n)) != Some(&life) {
                     continue;
                 }
@@ -360,7 +364,7 @@
     let mut next_trouble = 1500;
     while world.now < TROUBLES {
         world.step();
-        if world.now % 250 == 0 {
+        if world.now.is_multiple_of(250) {
             world.operate();
         }
         if world.now >= next_trouble {
@@ -378,7 +382,7 @@
     let until = world.now + MENDED;
     while world.now < until {
         world.step();
-        if world.now % 250 == 0 {
+        if world.now.is_multiple_of(250) {
             world.operate();
         }
     }
@@ -411,7 +415,7 @@
     let mut world = World::new(1);
     while world.now < 1000 {
         world.step();
-        if world.now % 100 == 0 {
+        if world.now.is_multiple_of(100) {
             world.operate();
         }
     }
