Ask the next shield after a quarter of the time; only silence makes one rest

Now a quarter, 200 ms at least; and as a slow server may take that long, a shield rests only where it has answered nothing since the request was sent.

--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -29,6 +29,10 @@
 const TRANSIT: Duration = Duration::from_millis(12);
 /// Shields that one read may go to.
 const MOST_SHIELDS: usize = 3;
+/// A shield that has not answered after this part of the time that is left, and this much at least, may be dark:
+/// the next one is asked. Half of the time was too much: what waited for a frozen shield came late.
+const DARK_PART: u32 = 4;
+const DARK: Duration = Duration::from_millis(200);
 /// Part of the machine's memory for copies of its own, of objects whose home lies in another zone: the bytes
 /// between zones are what they save. More would cost more memory than the rarer objects are worth.
 const COPIES: f64 = 0.06;
@@ -192,7 +196,8 @@
             let began = Instant::now();
             let more = tried.len() + 1 < MOST_SHIELDS.min(self.shields.borrow().count());
             // A dark shield must leave time for another.
-            let attempt = if more { began + until.saturating_duration_since(began) / 2 } else { until };
+            let left = until.saturating_duration_since(began);
+            let attempt = if more { began + (left / DARK_PART).max(DARK).min(left) } else { until };
             let request = || {
                 let mut request = Request::new(Full::new(Bytes::new()));
                 *request.uri_mut() = whole.head.uri.clone();
@@ -202,10 +207,11 @@
                 request.headers_mut().insert(REV, HeaderValue::from(config.rev));
                 request
             };
+            let sent = self.now();
             self.shields.borrow_mut().begin(&shield);
             let ended = self.direct.pool.exchange(addr, request, attempt, || true).await;
             let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
-            self.shields.borrow_mut().end(self.now(), &shield, reply.is_none());
+            self.shields.borrow_mut().end(self.now(), &shield, sent, reply.is_none());
             if let Some(reply) = reply {
                 if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &own) {
                     count(&self.counters.refreshed);
--- a/src/shields.rs
+++ b/src/shields.rs
@@ -20,6 +20,8 @@
 struct Shield {
     in_flight: u32,
     rests_until: Seconds,
+    /// When it last answered.
+    answered: Seconds,
 }
 
 /// The ready shields as one edge sees them.
@@ -70,12 +72,14 @@
         }
     }
 
-    /// It has ended there; `failed` where the shield gave no answer at all.
-    pub fn end(&mut self, now: Seconds, shield: &ServerId, failed: bool) {
+    /// What was sent at `sent` has ended there; `failed` where the shield gave no answer to it. One that has
+    /// answered others meanwhile is well: it waits for a server.
+    pub fn end(&mut self, now: Seconds, shield: &ServerId, sent: Seconds, failed: bool) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(s) = self.ready.get_mut(shield) {
             s.in_flight = s.in_flight.saturating_sub(1);
-            s.rests_until = if failed { now + REST } else { s.rests_until };
+            s.answered = if failed { s.answered } else { now };
+            s.rests_until = if failed && s.answered <= sent { now + REST } else { s.rests_until };
         }
     }
 }
--- a/tests/shields.rs
+++ b/tests/shields.rs
@@ -54,7 +54,7 @@
         .map(|k| shields.choose(0.0, k, &[]).unwrap().clone())
         .collect();
     assert_eq!(next.len(), 2);
-    shields.end(0.0, &home, false);
+    shields.end(0.0, &home, 0.0, false);
     assert_eq!(shields.choose(0.0, key(1), &[]), Some(&home));
 }
 
@@ -80,12 +80,12 @@
     let mut shields = shields([1, 2, 3]);
     let home = shields.choose(0.0, key(1), &[]).unwrap().clone();
     shields.begin(&home);
-    shields.end(1.0, &home, true);
+    shields.end(1.0, &home, 0.5, true);
     assert_ne!(shields.choose(2.0, key(1), &[]), Some(&home));
     assert_eq!(shields.choose(3.1, key(1), &[]), Some(&home));
     for n in 1..=3 {
         shields.begin(&id(n));
-        shields.end(4.0, &id(n), true);
+        shields.end(4.0, &id(n), 3.5, true);
     }
     assert_eq!(shields.choose(4.1, key(1), &[]), Some(&home));
 }
@@ -99,3 +99,18 @@
     assert_eq!(shields.choose(0.0, key(1), &[first, second]), None);
     assert_eq!(Shields::default().choose(0.0, key(1), &[]), None);
 }
+
+#[test]
+fn a_shield_that_answers_others_is_not_passed_over_for_one_that_waits() {
+    let mut shields = shields([1, 2, 3]);
+    let home = shields.choose(0.0, key(1), &[]).unwrap().clone();
+    shields.begin(&home);
+    shields.begin(&home);
+    shields.end(1.2, &home, 1.1, false);
+    shields.end(1.3, &home, 1.0, true);
+    assert_eq!(shields.choose(1.4, key(1), &[]), Some(&home));
+    // Nothing came since this one was sent.
+    shields.begin(&home);
+    shields.end(1.8, &home, 1.5, true);
+    assert_ne!(shields.choose(1.9, key(1), &[]), Some(&home));
+}
