--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -193,3 +193,103 @@
         NONE
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use glenfall_plane::messages::Server;
+    use std::cell::Cell;
+    use std::net::SocketAddrV4;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::{spawn_local, LocalSet};
+
+    const WHOLE: &str = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: t\r\nContent-Length: 2\r\n\r\nok";
+
+    /// A server that gives the same answer to all, and closes; what it is sent is counted.
+    async fn server(id: &str, answer: &'static str, arrivals: &Rc<Cell<u32>>) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let port = listener.local_addr().expect("its address").port();
+        let arrivals = Rc::clone(arrivals);
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut seen = Vec::new();
+                while !seen.ends_with(b"body") && stream.read_buf(&mut seen).await.is_ok_and(|n| n > 0) {}
+                arrivals.set(arrivals.get() + 1);
+                let _ = stream.write_all(answer.as_bytes()).await;
+            }
+        });
+        Server {
+            id: id.into(),
+            backend: "s".into(),
+            addr: SocketAddrV4::new([127, 0, 0, 1].into(), port),
+            zone: "z".into(),
+            capacity: 4,
+            ready: true,
+            warmup_left_ms: 0,
+        }
+    }
+
+    /// What comes of a request where all servers answer so, and how often one was sent to.
+    async fn sent(answer: &'static str, repeatable: bool, tries: u32) -> (&'static str, u32) {
+        let arrivals = Rc::new(Cell::new(0));
+        let servers = [
+            server("a", answer, &arrivals).await,
+            server("b", answer, &arrivals).await,
+            server("c", answer, &arrivals).await,
+        ];
+        let direct = Direct { pool: Pool::new(8), origins: Origins::new("z", false, 1) };
+        direct.origins.update(&servers);
+        let mut headers = HeaderMap::new();
+        headers.insert(TRY_ID, HeaderValue::from_static("t"));
+        let job = Job {
+            service: "s",
+            method: &Method::POST,
+            uri: &Uri::from_static("/x"),
+            headers,
+            body: Bytes::from_static(b"body"),
+            repeatable,
+            tries,
+            until: Instant::now() + Duration::from_secs(20),
+        };
+        let told = match direct.send(job).await {
+            Outcome::Answered(reply) if reply.status.is_success() => "answered",
+            Outcome::Answered(_) => "failure passed on",
+            Outcome::NotRun(_) => "not run",
+            Outcome::Unknown => "unknown",
+            Outcome::TimedOut => "timed out",
+        };
+        (told, arrivals.get())
+    }
+
+    #[test]
+    fn what_may_have_run_goes_to_no_second_server_and_is_not_promised_not_to_have() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let not_run = "HTTP/1.1 503 S\r\nX-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let ceiling = "HTTP/1.1 429 T\r\nX-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let misdirected = "HTTP/1.1 421 M\r\nX-Glenfall-Server-Id: z\r\nContent-Length: 0\r\n\r\n";
+            let unsaid = "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n";
+            let own_error = "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n";
+            let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
+            let endless = "HTTP/1.1 200 OK\r\n\r\nok";
+            let other = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: u\r\nContent-Length: 2\r\n\r\nok";
+            for (case, answer, once, repeatable) in [
+                ("whole", WHOLE, ("answered", 1), ("answered", 1)),
+                ("not run", not_run, ("not run", 2), ("not run", 2)),
+                ("ceiling", ceiling, ("not run", 1), ("not run", 1)),
+                ("misdirected", misdirected, ("not run", 2), ("not run", 2)),
+                ("503 without the word", unsaid, ("unknown", 1), ("failure passed on", 2)),
+                ("the server's own error", own_error, ("failure passed on", 1), ("failure passed on", 2)),
+                ("cut off", cut, ("unknown", 1), ("unknown", 2)),
+                ("without an end", endless, ("unknown", 1), ("unknown", 2)),
+                ("another's answer", other, ("unknown", 1), ("unknown", 2)),
+                ("noise", "no answer at all\r\n\r\n", ("unknown", 1), ("unknown", 2)),
+                ("closed", "", ("unknown", 1), ("unknown", 2)),
+            ] {
+                assert_eq!(sent(answer, false, 2).await, once, "{case}, at most once");
+                assert_eq!(sent(answer, true, 2).await, repeatable, "{case}, repeatable");
+            }
+        });
+    }
+}
