--- /dev/null
+++ b/glenfall/src/counter.rs
@@ -0,0 +1,17 @@
+//! Counters for `status`; one thread adds to them.
+
+use std::cell::Cell;
+
+/// Counts something since the start of the process.
+#[derive(Debug, Default)]
+pub struct Counter(Cell<u64>);
+
+impl Counter {
+    pub fn add(&self) {
+        self.0.set(self.0.get() + 1);
+    }
+
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -148,20 +148,18 @@
                 }
             }
         }
-        self.promised(fallback, job.repeatable)
+        promised(fallback, job.repeatable)
     }
+}
 
-    /// These statuses promise that a request has not run. Without the word that it has not, a server's own
-    /// don't pass for that promise.
-    fn promised(&self, outcome: Outcome, repeatable: bool) -> Outcome {
-        match outcome {
-            Outcome::Answered(reply)
-                if !repeatable && matches!(reply.status.as_u16(), 408 | 421 | 429 | 503) =>
-            {
-                Outcome::Unknown
-            }
-            outcome => outcome,
+/// These statuses promise that a request has not run. Without the word that it has not, a server's own
+/// don't pass for that promise.
+fn promised(outcome: Outcome, repeatable: bool) -> Outcome {
+    match outcome {
+        Outcome::Answered(reply) if !repeatable && matches!(reply.status.as_u16(), 408 | 421 | 429 | 503) => {
+            Outcome::Unknown
         }
+        outcome => outcome,
     }
 }
 
@@ -238,7 +236,7 @@
             server("b", answer, &arrivals).await,
             server("c", answer, &arrivals).await,
         ];
-        let direct = Direct { pool: Pool::new(8), origins: Origins::new("z", false, 1) };
+        let direct = Direct { pool: Pool::new(8), origins: Origins::new("z", false, "n") };
         direct.origins.update(&servers);
         let mut headers = HeaderMap::new();
         headers.insert(TRY_ID, HeaderValue::from_static("t"));
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -13,11 +13,12 @@
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
-use mallowpaddle::{mix, Key, ServerId, Shields};
+use mallowpaddle::{Key, ServerId, Shields};
 use tokio::time::Instant;
 
 use crate::boot::Boot;
 use crate::cache::{Cache, Copy, ObjectKey};
+use crate::counter::Counter;
 use crate::direct::{Ceiling, Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::origins::Origins;
@@ -46,20 +47,16 @@
 
 #[derive(Default)]
 struct Counters {
-    requests: Cell<u64>,
-    reads: Cell<u64>,
-    own_copies: Cell<u64>,
-    refreshed: Cell<u64>,
-    no_route: Cell<u64>,
-    shield_failed: Cell<u64>,
-    bypassed: Cell<u64>,
-    refused: Cell<u64>,
-    unknown: Cell<u64>,
-    timed_out: Cell<u64>,
-}
-
-fn count(counter: &Cell<u64>) {
-    counter.set(counter.get() + 1);
+    requests: Counter,
+    reads: Counter,
+    own_copies: Counter,
+    refreshed: Counter,
+    no_route: Counter,
+    shield_failed: Counter,
+    bypassed: Counter,
+    refused: Counter,
+    unknown: Counter,
+    timed_out: Counter,
 }
 
 pub struct Edge {
@@ -80,10 +77,9 @@
 
 impl Edge {
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
-        let seed = boot.node.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         Rc::new(Edge {
             feed,
-            direct: Direct { pool, origins: Origins::new(&boot.zone, false, seed) },
+            direct: Direct { pool, origins: Origins::new(&boot.zone, false, &boot.node) },
             shields: RefCell::default(),
             near: RefCell::default(),
             copies: RefCell::new(Cache::new(
@@ -104,12 +100,12 @@
     }
 
     async fn serve(&self, whole: Whole) -> Answer {
-        count(&self.counters.requests);
+        self.counters.requests.add();
         let Some(config) = self.feed.config() else {
             return refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", UNREADY);
         };
         let Some(route) = config.route(whole.host(), whole.head.uri.path()) else {
-            count(&self.counters.no_route);
+            self.counters.no_route.add();
             return plain(StatusCode::NOT_FOUND, "no such route");
         };
         let stated = whole.head.headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
@@ -119,7 +115,7 @@
         let mut headers = passed_on(&whole.head.headers);
         let read = route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
         if read {
-            count(&self.counters.reads);
+            self.counters.reads.add();
             if let Some(answer) = self.ask_shields(&config, route, &whole, &headers, until).await {
                 return answer;
             }
@@ -131,9 +127,9 @@
         };
         if read {
             // No shield answers. The edges share the service's ceiling, and ranges are the server's to cut.
-            count(&self.counters.bypassed);
+            self.counters.bypassed.add();
             if !self.ceiling.take(&config, service, f64::from(self.edges.get())) {
-                count(&self.counters.refused);
+                self.counters.refused.add();
                 return refused(
                     StatusCode::SERVICE_UNAVAILABLE,
                     "service at its ceiling",
@@ -178,7 +174,7 @@
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
         if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
-            count(&self.counters.own_copies);
+            self.counters.own_copies.add();
             return Some(passed_back(copy.answer(headers), &Method::GET));
         }
         // What is not fresh any more is asked for again, whole; it comes only if it has changed.
@@ -214,7 +210,7 @@
             self.shields.borrow_mut().end(self.now(), &shield, sent, reply.is_none());
             if let Some(reply) = reply {
                 if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &own) {
-                    count(&self.counters.refreshed);
+                    self.counters.refreshed.add();
                     if let Some(born) = Copy::handed_on(&reply, began) {
                         own.born.set(born);
                     }
@@ -231,10 +227,10 @@
                 }
                 return Some(passed_back(reply, &Method::GET));
             }
-            count(&self.counters.shield_failed);
+            self.counters.shield_failed.add();
             tried.push(shield);
             if Instant::now() >= until {
-                count(&self.counters.timed_out);
+                self.counters.timed_out.add();
                 return Some(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
             }
         }
@@ -263,16 +259,16 @@
         match outcome {
             Outcome::Answered(reply) => passed_back(reply, method),
             Outcome::NotRun(after) => {
-                count(&self.counters.refused);
+                self.counters.refused.add();
                 tracing::debug!(route = %route.name, "refused");
                 refused(StatusCode::SERVICE_UNAVAILABLE, "not run", after)
             }
             Outcome::Unknown => {
-                count(&self.counters.unknown);
+                self.counters.unknown.add();
                 plain(StatusCode::BAD_GATEWAY, "no answer")
             }
             Outcome::TimedOut => {
-                count(&self.counters.timed_out);
+                self.counters.timed_out.add();
                 plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
             }
         }
--- a/glenfall/src/main.rs
+++ b/glenfall/src/main.rs
@@ -7,6 +7,7 @@
 mod boot;
 mod cache;
 mod control;
+mod counter;
 mod demo;
 mod direct;
 mod edge;
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -54,7 +54,9 @@
 }
 
 impl Origins {
-    pub fn new(zone: &str, near: bool, seed: u64) -> Self {
+    /// `node` is the name of this machine: each draws in an order of its own, the same one every time.
+    pub fn new(zone: &str, near: bool, node: &str) -> Self {
+        let seed = node.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         Origins { zone: zone.to_owned(), near, known: RefCell::default(), rng: RefCell::new(seed) }
     }
 
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -19,6 +19,7 @@
 
 use crate::boot::Boot;
 use crate::cache::{Cache, Copy, ObjectKey};
+use crate::counter::Counter;
 use crate::direct::{Ceiling, Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::origins::Origins;
@@ -75,15 +76,11 @@
 
 #[derive(Default)]
 struct Counters {
-    hits: Cell<u64>,
-    misses: Cell<u64>,
-    joined: Cell<u64>,
-    refreshed: Cell<u64>,
-    refused: Cell<u64>,
-}
-
-fn count(counter: &Cell<u64>) {
-    counter.set(counter.get() + 1);
+    hits: Counter,
+    misses: Counter,
+    joined: Counter,
+    refreshed: Counter,
+    refused: Counter,
 }
 
 pub struct Shield {
@@ -100,11 +97,10 @@
 
 impl Shield {
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
-        let seed = boot.node.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
         let most = (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize;
         Rc::new(Shield {
             feed,
-            direct: Direct { pool, origins: Origins::new(&boot.zone, true, seed) },
+            direct: Direct { pool, origins: Origins::new(&boot.zone, true, &boot.node) },
             cache: RefCell::new(Cache::new(most)),
             fetching: RefCell::default(),
             under_way: Cell::new(0),
@@ -133,13 +129,13 @@
         let old = self.cache.borrow_mut().get(&key);
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
-            count(&self.counters.hits);
+            self.counters.hits.add();
             return Ok(Read::of(copy, &whole.head.headers, "hit"));
         }
         let joined = self.fetching.borrow().get(&key).map(|fetch| fetch.done.clone());
         let mut done = match joined {
             Some(done) => {
-                count(&self.counters.joined);
+                self.counters.joined.add();
                 done
             }
             None => {
@@ -169,7 +165,7 @@
     }
 
     fn refuse(&self, after: Duration) -> Answer {
-        count(&self.counters.refused);
+        self.counters.refused.add();
         refused(StatusCode::SERVICE_UNAVAILABLE, "service full", after)
     }
 
@@ -188,7 +184,7 @@
         {
             return Err(NoRoom);
         }
-        count(&self.counters.misses);
+        self.counters.misses.add();
         let (tell, done) = watch::channel(None);
         let (purged, stale) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Cell::new(false)));
         let fetch = Fetch { done: done.clone(), purged: Rc::clone(&purged), stale: Rc::clone(&stale) };
@@ -242,7 +238,7 @@
     fn take(&self, key: &ObjectKey, reply: Reply, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
         if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status, old) {
             tracing::debug!(path = %key.path, "copy still good");
-            count(&self.counters.refreshed);
+            self.counters.refreshed.add();
             old.born.set(sent);
             return Fetched::Copy(old);
         }
