A head must be whole within headerTimeoutMs; idling has a limit of its own

Cause: hyper's one timer ran over idling and head alike, so that a client could take idleTimeoutMs for a head, and was cut off without a word. Change: the socket tells when a head begins; one timer per connection, set anew only where something is due earlier. A slow head gets 408; a client that takes a long answer is not idle. Test: heads in pieces, idling between requests.

--- a/glenfall/src/main.rs
+++ b/glenfall/src/main.rs
@@ -15,6 +15,7 @@
 mod link;
 mod ops;
 mod origins;
+mod pace;
 mod pool;
 mod serve;
 mod sessions;
--- /dev/null
+++ b/glenfall/src/pace.rs
@@ -0,0 +1,177 @@
+//! The pace that a client must keep on its connection: a head that has begun comes whole within one limit, and
+//! between requests it may stay idle for another.
+
+use std::cell::Cell;
+use std::future::{poll_fn, Future};
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::{sleep_until, Instant};
+
+/// What a connection waits for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// A request, or that the last answer is taken.
+    Idle,
+    /// The rest of a head.
+    Head,
+    /// The answer to a request.
+    Busy,
+}
+
+pub struct Pace {
+    phase: Cell<Phase>,
+    /// Since when; while idle, since the client last took something.
+    since: Cell<Instant>,
+    head: Duration,
+    idle: Duration,
+}
+
+/// How a connection came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Both sides were done, or it broke.
+    Done,
+    /// The client took too long for a head.
+    SlowHead,
+    /// It had nothing more to say.
+    Idle,
+}
+
+impl Pace {
+    pub fn new(head: Duration, idle: Duration) -> Rc<Self> {
+        Rc::new(Pace { phase: Cell::new(Phase::Idle), since: Cell::new(Instant::now()), head, idle })
+    }
+
+    fn set(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+
+    /// A request has been read; until the guard is dropped its answer is awaited.
+    pub fn busy(&self) -> Busy<'_> {
+        self.phase.set(Phase::Busy);
+        Busy(self)
+    }
+
+    fn due(&self) -> Option<Instant> {
+        match self.phase.get() {
+            Phase::Idle => Some(self.since.get() + self.idle),
+            Phase::Head => Some(self.since.get() + self.head),
+            Phase::Busy => None,
+        }
+    }
+
+    /// Serves a connection until it ends or its client falls behind.
+    pub async fn keep<C: Future + Unpin>(&self, serving: &mut C) -> Ended {
+        // Set anew only where something is due earlier, as for most requests nothing ever is.
+        let mut timer = pin!(sleep_until(self.since.get() + self.idle));
+        poll_fn(|cx| {
+            if Pin::new(&mut *serving).poll(cx).is_ready() {
+                return Poll::Ready(Ended::Done);
+            }
+            if let Some(due) = self.due().filter(|due| *due < timer.deadline()) {
+                timer.as_mut().reset(due);
+            }
+            while timer.as_mut().poll(cx).is_ready() {
+                let now = Instant::now();
+                match self.due() {
+                    Some(due) if due <= now => {
+                        let slow = self.phase.get() == Phase::Head;
+                        return Poll::Ready(if slow { Ended::SlowHead } else { Ended::Idle });
+                    }
+                    due => timer.as_mut().reset(due.unwrap_or(now + self.idle)),
+                }
+            }
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+pub struct Busy<'a>(&'a Pace);
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(Phase::Idle);
+    }
+}
+
+/// A client's socket; tells its pace what comes and goes.
+pub struct Paced {
+    stream: TokioIo<TcpStream>,
+    pace: Rc<Pace>,
+}
+
+impl Paced {
+    pub fn new(stream: TcpStream, pace: &Rc<Pace>) -> Self {
+        Paced { stream: TokioIo::new(stream), pace: Rc::clone(pace) }
+    }
+
+    /// Says something last, as far as there is room for it.
+    pub fn last_word(&self, bytes: &[u8]) {
+        // The client has failed to keep to the protocol; whether it hears why is up to it.
+        let _ = self.stream.inner().try_write(bytes);
+    }
+}
+
+impl Read for Paced {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(result, Poll::Ready(Ok(()))) && self.pace.phase.get() == Phase::Idle {
+            self.pace.set(Phase::Head);
+        }
+        result
+    }
+}
+
+impl Paced {
+    /// A client that takes an answer in pieces is not idle.
+    fn taken(&self, result: Poll<std::io::Result<usize>>) -> Poll<std::io::Result<usize>> {
+        if matches!(result, Poll::Ready(Ok(1..))) && self.pace.phase.get() == Phase::Idle {
+            self.pace.set(Phase::Idle);
+        }
+        result
+    }
+}
+
+impl Write for Paced {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.taken(result)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.taken(result)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddrV4;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,14 +13,15 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{service_fn, HttpService};
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::pace::{Ended, Pace, Paced};
+
 /// A whole answer.
 pub type Answer = Response<Full<Bytes>>;
 
@@ -37,6 +39,10 @@
 /// The machine's processes share its memory: bodies under way hold no more than this all together.
 const BODIES: usize = 48 << 20;
 
+/// What a client is told whose head took too long. hyper has no way to say it.
+const SLOW_HEAD: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 /// Answers requests that have been read whole.
 pub trait Handler: 'static {
     async fn answer(&self, request: Whole) -> Answer;
@@ -212,11 +218,14 @@
 ) {
     let _ = stream.set_nodelay(true);
     let limits = handler.limits();
+    let time = |ms: u64| Duration::from_millis(ms.max(1));
+    let pace = Pace::new(time(limits.header_timeout_ms), time(limits.idle_timeout_ms));
     let served = Cell::new(false);
     let respond = service_fn(|request: Request<Incoming>| {
         served.set(true);
-        let (handler, clients) = (&handler, &client.0);
+        let (handler, clients, pace) = (&handler, &client.0, &pace);
         async move {
+            let _busy = pace.busy();
             // Beside `Transfer-Encoding` hyper hides a length; the two may disagree on where the next
             // request begins, so that nothing more is read on the connection.
             let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
@@ -230,16 +239,35 @@
             Ok::<_, Infallible>(answer)
         }
     });
-    let mut serving = std::pin::pin!(http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_timeout_ms.max(1)))
+    let mut serving = http1::Builder::new()
+        .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD))
-        .serve_connection(TokioIo::new(stream), respond));
-    tokio::select! {
+        .serve_connection(Paced::new(stream, &pace), respond);
+    let ended = tokio::select! {
         // An error is the client's, who has gone or has been told.
-        _ = serving.as_mut() => return,
-        () = signalled(stopping) => {}
+        ended = pace.keep(&mut serving) => Some(ended),
+        () = signalled(stopping) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => close(&mut serving, &pace, &served, time(limits.header_timeout_ms.min(1000))).await,
+    };
+    if ended == Ended::SlowHead {
+        serving.into_parts().io.last_word(SLOW_HEAD);
     }
+}
+
+/// Ends a connection in order, as the process leaves.
+async fn close<S>(
+    serving: &mut http1::Connection<Paced, S>,
+    pace: &Pace,
+    served: &Cell<bool>,
+    first_within: Duration,
+) -> Ended
+where
+    S: HttpService<Incoming, ResBody = Full<Bytes>>,
+    S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     // A new connection gets its first answer: its request may be on its way.
     if !served.get() {
         let first = async {
@@ -251,14 +279,14 @@
             }
         };
         tokio::select! {
-            _ = serving.as_mut() => return,
+            ended = pace.keep(serving) => return ended,
             () = first => {}
-            () = sleep(Duration::from_millis(limits.header_timeout_ms.min(1000))) => {}
+            () = sleep(first_within) => {}
         }
     }
     // Closes at once between requests, else with the answer.
-    serving.as_mut().graceful_shutdown();
-    let _ = serving.await;
+    Pin::new(&mut *serving).graceful_shutdown();
+    pace.keep(serving).await
 }
 
 async fn read_whole<'a>(
@@ -307,3 +335,80 @@
         Err(_) => Err(plain(StatusCode::REQUEST_TIMEOUT, "body took too long")),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::task::LocalSet;
+    use tokio::time::Instant;
+
+    struct Ok204;
+
+    impl Handler for Ok204 {
+        async fn answer(&self, _whole: Whole) -> Answer {
+            plain(StatusCode::NO_CONTENT, "")
+        }
+
+        fn limits(&self) -> ReqLimits {
+            ReqLimits {
+                max_header_bytes: 8 << 10,
+                max_body_bytes: 1 << 10,
+                header_timeout_ms: 150,
+                idle_timeout_ms: 900,
+            }
+        }
+
+        fn leaving(&self) -> bool {
+            false
+        }
+    }
+
+    /// What a client that says these pieces, pausing for a while after each, hears in all; and when it ends.
+    async fn heard(pieces: &[(&str, u64)]) -> (String, Duration) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("its address");
+        let (_stop, stopping) = watch::channel(false);
+        spawn_local(async move {
+            let (stream, _) = listener.accept().await.expect("the client");
+            let clients =
+                Clients { open: Cell::new(1), most: 1, bodies: Cell::new(0), closed: Notify::new() };
+            connection(stream, Rc::new(Ok204), Client(Rc::new(clients)), stopping).await;
+        });
+        let mut stream = TcpStream::connect(addr).await.expect("a connection");
+        let mut ends = stream.split();
+        let say = async {
+            for (piece, pause) in pieces {
+                // The other side may have ended it by then.
+                let _ = ends.1.write_all(piece.as_bytes()).await;
+                sleep(Duration::from_millis(*pause)).await;
+            }
+            std::future::pending::<()>().await;
+        };
+        let began = Instant::now();
+        let mut text = String::new();
+        tokio::select! {
+            () = say => {}
+            read = ends.0.read_to_string(&mut text) => { read.expect("an end in order"); }
+        }
+        (text, began.elapsed())
+    }
+
+    #[test]
+    fn a_head_has_one_limit_and_idling_another() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, async {
+            let whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+            let ms = Duration::from_millis;
+            let (text, took) = heard(&[("GET / HT", 0)]).await;
+            assert!(text.starts_with("HTTP/1.1 408 ") && took >= ms(150), "{text} after {took:?}");
+            // Bytes that trickle in give no more time.
+            let (text, _) = heard(&[("GET / H", 60), ("T", 60), ("T", 60), ("P", 60), ("/1", 600)]).await;
+            assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+            // Idle for longer than a head may take.
+            let (text, took) = heard(&[("", 300), (whole, 300), (whole, 0)]).await;
+            assert_eq!(text.matches("HTTP/1.1 204 ").count(), 2, "{text}");
+            assert!(!text.contains("408") && took >= ms(600 + 900), "{text} after {took:?}");
+        });
+    }
+}
