--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -21,6 +21,7 @@
 use crate::counter::Counter;
 use crate::direct::{Ceiling, Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
+use crate::latency::Latency;
 use crate::origins::Origins;
 use crate::pool::{Pool, Reply};
 use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
@@ -57,6 +58,8 @@
     refused: Counter,
     unknown: Counter,
     timed_out: Counter,
+    read: Latency,
+    write: Latency,
 }
 
 pub struct Edge {
@@ -339,7 +342,10 @@
             ("connections_opened", self.direct.pool.opened.get()),
         ]
         .map(|(name, value)| (name.to_owned(), value))
-        .to_vec()
+        .into_iter()
+        .chain(c.read.report("read"))
+        .chain(c.write.report("write"))
+        .collect()
     }
 }
 
@@ -348,7 +354,12 @@
 
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
-        self.0.serve(whole).await
+        let began = Instant::now();
+        let read = whole.head.method == Method::GET;
+        let answer = self.0.serve(whole).await;
+        let counters = &self.0.counters;
+        if read { &counters.read } else { &counters.write }.add(began.elapsed());
+        answer
     }
 
     fn limits(&self) -> ReqLimits {
--- a/glenfall/src/main.rs
+++ b/glenfall/src/main.rs
@@ -12,6 +12,7 @@
 mod direct;
 mod edge;
 mod feed;
+mod latency;
 mod link;
 mod ops;
 mod origins;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -22,6 +22,7 @@
 use crate::counter::Counter;
 use crate::direct::{Ceiling, Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
+use crate::latency::Latency;
 use crate::origins::Origins;
 use crate::pool::{Pool, Reply};
 use crate::serve::{passed_on, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
@@ -81,6 +82,8 @@
     joined: Counter,
     refreshed: Counter,
     refused: Counter,
+    answer: Latency,
+    fetch: Latency,
 }
 
 pub struct Shield {
@@ -218,6 +221,7 @@
                 Outcome::Unknown => Fetched::Unknown,
                 Outcome::TimedOut => Fetched::TimedOut,
             };
+            shield.counters.fetch.add(sent.elapsed());
             shield.under_way.set(shield.under_way.get() - 1);
             // It may have been taken off by a purge, and another begun under the same name.
             let mut fetching = shield.fetching.borrow_mut();
@@ -325,7 +329,10 @@
             ("connections_opened", self.direct.pool.opened.get()),
         ]
         .map(|(name, value)| (name.to_owned(), value))
-        .to_vec()
+        .into_iter()
+        .chain(c.answer.report("answer"))
+        .chain(c.fetch.report("fetch"))
+        .collect()
     }
 }
 
@@ -334,6 +341,7 @@
 
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
+        let began = Instant::now();
         let (mut answer, said) = match self.0.read(&whole).await {
             Ok(Read { reply, said, copy }) => {
                 let mut answer = Response::new(Full::new(reply.body));
@@ -347,6 +355,7 @@
             Err(answer) => (answer, "own"),
         };
         answer.headers_mut().insert(SHIELD, HeaderValue::from_static(said));
+        self.0.counters.answer.add(began.elapsed());
         answer
     }
 
