One budget for further tries, shared out over all machines

Cause: nothing bounded the sum of what edges and shields sent beyond the first try of a request; only tries bounded each one, so that full servers could be sent twice what clients had sent. Change: plane/src/budget.rs counts requests and further tries over a sliding window; each request is counted by one machine, the slack is divided by the machines that control lists. Tests: the sum over 13 machines in every window, shares that fall and grow, a service without budget gets first tries alone.

--- a/glenfall/src/boot.rs
+++ b/glenfall/src/boot.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use glenfall_plane::budget::Bound;
 use serde::Deserialize;
 
 /// Names the settings file.
@@ -63,13 +64,15 @@
 #[serde(rename_all = "camelCase", default)]
 pub struct Timing {
     pub grace_s: f64,
-    pub drain_ms: u64,
-    pub ceiling_window_s: f64,
+    /// Further tries allowed, over all machines: this part of the requests in a window, and the slack.
+    pub retry_ratio: f64,
+    pub retry_window_s: f64,
+    pub retry_slack: f64,
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Timing { grace_s: 6.0, drain_ms: 3000, ceiling_window_s: 5.0 }
+        Timing { grace_s: 6.0, retry_ratio: 0.2, retry_window_s: 10.0, retry_slack: 60.0 }
     }
 }
 
@@ -118,12 +121,29 @@
         if boot.seed_nodes.is_empty() {
             return Err("seedNodes: one address at least expected, got none".into());
         }
-        if !(boot.timing.grace_s.is_finite() && boot.timing.grace_s >= 0.0) {
-            return Err(format!("timing.graceS: seconds of 0 or more expected, got {}", boot.timing.grace_s));
+        let timing = &boot.timing;
+        for (name, value) in [
+            ("graceS", timing.grace_s),
+            ("retryRatio", timing.retry_ratio),
+            ("retryWindowS", timing.retry_window_s),
+            ("retrySlack", timing.retry_slack),
+        ] {
+            if !(0.0..=LARGEST).contains(&value) {
+                return Err(format!("timing.{name}: a number from 0 to {LARGEST} expected, got {value}"));
+            }
         }
         Ok(boot)
     }
 
+    /// What all machines together may send beyond the first try of each request.
+    pub fn further_tries(&self) -> Bound {
+        Bound {
+            ratio: self.timing.retry_ratio,
+            window: (self.timing.retry_window_s * 1000.0) as u64,
+            slack: self.timing.retry_slack,
+        }
+    }
+
     /// A listener that the role can't do without.
     pub fn need(
         &self,
@@ -156,6 +176,9 @@
     }
 }
 
+/// Beyond it no time and no bound makes sense.
+const LARGEST: f64 = 1e6;
+
 /// Ports, counted from the first of the range, which takes links.
 const SHIELD: u16 = 1;
 const FEED: u16 = 2;
@@ -189,6 +212,7 @@
             ("\"127.0.0.2\"", "\"here\"", "line 4, column 10"),
             ("node = \"edge-1\"", "", "missing field `node`"),
             ("[\"127.0.0.3:80\"]", "[]", "seedNodes"),
+            ("[listeners]", "[timing]\nretrySlack = -1\n[listeners]", "timing.retrySlack: a number"),
             ("zone = \"z\"", "zone = \"z", "line 3"),
         ] {
             let why = Boot::parse(&TEXT.replace(from, to)).expect_err(from);
--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -6,12 +6,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenfall_plane::budget::{Bound, Budget};
 use glenfall_plane::config::Config;
+use glenfall_plane::messages::Fleet;
+use glenfall_plane::Millis;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use tokio::time::Instant;
 
+use crate::counter::Counter;
 use crate::origins::{End, Origins};
 use crate::pool::{Pool, Reply, Trouble};
 use crate::serve::{DEADLINE, TRY_ID};
@@ -43,6 +47,8 @@
     pub repeatable: bool,
     /// Servers it may be sent to.
     pub tries: u32,
+    /// It may have reached a server already, on another way.
+    pub again: bool,
     pub until: Instant,
 }
 
@@ -61,9 +67,50 @@
 pub struct Direct {
     pub pool: Rc<Pool>,
     pub origins: Origins,
+    budget: RefCell<Budget>,
+    began: Instant,
+    /// Further tries sent, and those that the budget did not allow.
+    pub further: Counter,
+    pub spent: Counter,
 }
 
 impl Direct {
+    pub fn new(pool: Rc<Pool>, origins: Origins, bound: Bound) -> Self {
+        Direct {
+            pool,
+            origins,
+            budget: RefCell::new(Budget::new(bound)),
+            began: Instant::now(),
+            further: Counter::default(),
+            spent: Counter::default(),
+        }
+    }
+
+    fn now(&self) -> Millis {
+        self.began.elapsed().as_millis() as Millis
+    }
+
+    /// Takes the servers and the size of a fleet.
+    pub fn update(&self, fleet: &Fleet) {
+        for addr in self.origins.update(&fleet.servers) {
+            self.pool.forget(addr.into());
+        }
+        let machines = fleet.edges as usize + fleet.shields.len();
+        self.budget.borrow_mut().share_among(self.now(), machines);
+    }
+
+    /// Counts a client's request for a service. Each is counted by one machine only.
+    pub fn count(&self, service: &str) {
+        self.budget.borrow_mut().request(self.now(), service);
+    }
+
+    /// Whether the service may be sent one request more than its clients have sent.
+    fn may_repeat(&self, service: &str) -> bool {
+        let may = self.budget.borrow_mut().take(self.now(), service);
+        if may { &self.further } else { &self.spent }.add();
+        may
+    }
+
     /// Sends a request to one server of its service, and to others where that can do no harm.
     pub async fn send(&self, mut job: Job<'_>) -> Outcome {
         let own_id = job.headers.get(TRY_ID).cloned();
@@ -73,7 +120,7 @@
             let Some(server) = self.origins.choose(job.service, &tried) else { break };
             tried.push(server.id.clone());
             let began = Instant::now();
-            if began >= job.until {
+            if began >= job.until || (job.again || sends > 0) && !self.may_repeat(job.service) {
                 break;
             }
             let more = job.repeatable && sends + 1 < job.tries;
@@ -229,15 +276,17 @@
     }
 
     /// What comes of a request where all servers answer so, and how often one was sent to.
-    async fn sent(answer: &'static str, repeatable: bool, tries: u32) -> (&'static str, u32) {
+    async fn sent(answer: &'static str, repeatable: bool, tries: u32, counted: u32) -> (&'static str, u32) {
         let arrivals = Rc::new(Cell::new(0));
-        let servers = [
+        let servers = vec![
             server("a", answer, &arrivals).await,
             server("b", answer, &arrivals).await,
             server("c", answer, &arrivals).await,
         ];
-        let direct = Direct { pool: Pool::new(8), origins: Origins::new("z", false, "n") };
-        direct.origins.update(&servers);
+        let bound = Bound { ratio: 1.2, window: 10_000, slack: 0.0 };
+        let direct = Direct::new(Pool::new(8), Origins::new("z", false, "n"), bound);
+        direct.update(&Fleet { complete: true, servers, shields: Vec::new(), edges: 1 });
+        (0..counted).for_each(|_| direct.count("s"));
         let mut headers = HeaderMap::new();
         headers.insert(TRY_ID, HeaderValue::from_static("t"));
         let job = Job {
@@ -248,6 +297,7 @@
             body: Bytes::from_static(b"body"),
             repeatable,
             tries,
+            again: false,
             until: Instant::now() + Duration::from_secs(20),
         };
         let told = match direct.send(job).await {
@@ -285,9 +335,13 @@
                 ("noise", "no answer at all\r\n\r\n", ("unknown", 1), ("unknown", 2)),
                 ("closed", "", ("unknown", 1), ("unknown", 2)),
             ] {
-                assert_eq!(sent(answer, false, 2).await, once, "{case}, at most once");
-                assert_eq!(sent(answer, true, 2).await, repeatable, "{case}, repeatable");
+                assert_eq!(sent(answer, false, 2, 9).await, once, "{case}, at most once");
+                assert_eq!(sent(answer, true, 2, 9).await, repeatable, "{case}, repeatable");
             }
+            // One counted request lets one more be sent; without any the first answer is the last.
+            assert_eq!(sent(not_run, false, 3, 1).await, ("not run", 2));
+            assert_eq!(sent(not_run, false, 3, 0).await, ("not run", 1));
+            assert_eq!(sent(own_error, true, 3, 0).await, ("failure passed on", 1));
         });
     }
 }
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -25,7 +25,7 @@
 use crate::origins::Origins;
 use crate::pool::{Pool, Reply};
 use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
-use crate::shield::{object_draw, object_hash, REV, SHIELD};
+use crate::shield::{object_draw, object_hash, AGAIN, REV, SHIELD};
 
 /// What a request has spent on its way here since the client's clock started, and what its answer needs back.
 const TRANSIT: Duration = Duration::from_millis(12);
@@ -78,11 +78,20 @@
     counters: Counters,
 }
 
+/// What came of asking the shields.
+enum Asked {
+    Answered(Answer),
+    /// None answers, and the servers are to be asked; one that was tried may have done so.
+    Nobody {
+        tried: bool,
+    },
+}
+
 impl Edge {
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
         Rc::new(Edge {
             feed,
-            direct: Direct { pool, origins: Origins::new(&boot.zone, false, &boot.node) },
+            direct: Direct::new(pool, Origins::new(&boot.zone, false, &boot.node), boot.further_tries()),
             shields: RefCell::default(),
             near: RefCell::default(),
             copies: RefCell::new(Cache::new(
@@ -117,10 +126,12 @@
         let until = Instant::now() + wait.saturating_sub(TRANSIT);
         let mut headers = passed_on(&whole.head.headers);
         let read = route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
+        let mut again = false;
         if read {
             self.counters.reads.add();
-            if let Some(answer) = self.ask_shields(&config, route, &whole, &headers, until).await {
-                return answer;
+            match self.ask_shields(&config, route, &whole, &headers, until).await {
+                Asked::Answered(answer) => return answer,
+                Asked::Nobody { tried } => again = tried,
             }
         }
         let draw =
@@ -147,6 +158,9 @@
             Kind::Cacheable => whole.head.method == Method::GET || whole.head.method == Method::HEAD,
         };
         headers.remove(SHIELD);
+        if !again {
+            self.direct.count(service);
+        }
         let job = Job {
             service,
             method: &whole.head.method,
@@ -155,13 +169,14 @@
             body: whole.body.clone(),
             repeatable,
             tries: route.tries,
+            again,
             until,
         };
         let outcome = self.direct.send(job).await;
         self.told(outcome, route, &whole.head.method)
     }
 
-    /// Asks the shields for an object. `None` where none answers: the servers are asked instead.
+    /// Asks the shields for an object.
     async fn ask_shields(
         &self,
         config: &Arc<Config>,
@@ -169,16 +184,18 @@
         whole: &Whole,
         headers: &HeaderMap,
         until: Instant,
-    ) -> Option<Answer> {
+    ) -> Asked {
         let (host, path) = (whole.host(), whole.path_and_query());
         let key = Key(object_hash(host, path));
-        let service = route.service(object_draw(host, path))?;
+        let Some(service) = route.service(object_draw(host, path)) else {
+            return Asked::Nobody { tried: false };
+        };
         let object = ObjectKey { service: service.into(), host: host.into(), path: path.into() };
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
         if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.own_copies.add();
-            return Some(passed_back(copy.answer(headers), &Method::GET));
+            return Asked::Answered(passed_back(copy.answer(headers), &Method::GET));
         }
         // What is not fresh any more is asked for again, whole; it comes only if it has changed.
         let mut headers = headers.clone();
@@ -190,8 +207,8 @@
         let asked_whole = !headers.contains_key(header::RANGE);
         let mut tried: Vec<ServerId> = Vec::new();
         while tried.len() < MOST_SHIELDS {
-            let shield = self.shields.borrow().choose(self.now(), key, &tried).cloned()?;
-            let addr = shield.0.parse().ok()?;
+            let Some(shield) = self.shields.borrow().choose(self.now(), key, &tried).cloned() else { break };
+            let Ok(addr) = shield.0.parse() else { break };
             let began = Instant::now();
             let more = tried.len() + 1 < MOST_SHIELDS.min(self.shields.borrow().count());
             // A dark shield must leave time for another.
@@ -204,6 +221,9 @@
                 let left = attempt.saturating_duration_since(Instant::now()).as_millis() as u64;
                 request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
                 request.headers_mut().insert(REV, HeaderValue::from(config.rev));
+                if !tried.is_empty() {
+                    request.headers_mut().insert(AGAIN, HeaderValue::from_static("1"));
+                }
                 request
             };
             let sent = self.now();
@@ -217,7 +237,7 @@
                     if let Some(born) = Copy::handed_on(&reply, began) {
                         own.born.set(born);
                     }
-                    return Some(passed_back(own.answer(&whole.head.headers), &Method::GET));
+                    return Asked::Answered(passed_back(own.answer(&whole.head.headers), &Method::GET));
                 }
                 if asked_whole && !self.near.borrow().contains(&shield) {
                     self.keep(&object, &reply, began);
@@ -225,19 +245,20 @@
                 if own.is_some() && reply.status == StatusCode::OK {
                     // The range that was taken off the request.
                     if let Some(copy) = Copy::of(&reply, began) {
-                        return Some(passed_back(copy.answer(&whole.head.headers), &Method::GET));
+                        let answer = copy.answer(&whole.head.headers);
+                        return Asked::Answered(passed_back(answer, &Method::GET));
                     }
                 }
-                return Some(passed_back(reply, &Method::GET));
+                return Asked::Answered(passed_back(reply, &Method::GET));
             }
             self.counters.shield_failed.add();
             tried.push(shield);
             if Instant::now() >= until {
                 self.counters.timed_out.add();
-                return Some(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
+                return Asked::Answered(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
             }
         }
-        None
+        Asked::Nobody { tried: !tried.is_empty() }
     }
 
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
@@ -297,9 +318,7 @@
     fn config(&self, _config: &Arc<Config>) {}
 
     fn fleet(&self, fleet: &Fleet) {
-        for addr in self.direct.origins.update(&fleet.servers) {
-            self.direct.pool.forget(addr.into());
-        }
+        self.direct.update(fleet);
         let ready = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
         let ready: Vec<ServerId> =
             ready.map(|member| ServerId(member.http.to_string().as_str().into())).collect();
@@ -339,6 +358,8 @@
             ("refused", c.refused.get()),
             ("unknown", c.unknown.get()),
             ("timed_out", c.timed_out.get()),
+            ("further_tries", self.direct.further.get()),
+            ("budget_spent", self.direct.spent.get()),
             ("connections_opened", self.direct.pool.opened.get()),
         ]
         .map(|(name, value)| (name.to_owned(), value))
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -40,8 +40,7 @@
 const BODIES: usize = 48 << 20;
 
 /// What a client is told whose head took too long. hyper has no way to say it.
-const SLOW_HEAD: &[u8] =
-    b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+const SLOW_HEAD: &[u8] = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
 /// Answers requests that have been read whole.
 pub trait Handler: 'static {
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -29,6 +29,8 @@
 
 /// The version that an edge decided under; the shield never answers by an older one.
 pub const REV: HeaderName = HeaderName::from_static("x-glenfall-rev");
+/// Another shield was asked before, which may have asked a server.
+pub const AGAIN: HeaderName = HeaderName::from_static("x-glenfall-again");
 /// How old a copy is, in milliseconds.
 pub const AGE_MS: HeaderName = HeaderName::from_static("x-glenfall-age-ms");
 /// What a shield says of its answer; no answer without it is a shield's.
@@ -103,7 +105,7 @@
         let most = (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize;
         Rc::new(Shield {
             feed,
-            direct: Direct { pool, origins: Origins::new(&boot.zone, true, &boot.node) },
+            direct: Direct::new(pool, Origins::new(&boot.zone, true, &boot.node), boot.further_tries()),
             cache: RefCell::new(Cache::new(most)),
             fetching: RefCell::default(),
             under_way: Cell::new(0),
@@ -128,6 +130,9 @@
             return Err(plain_404());
         };
         let service = route.service(object_draw(whole.host(), path)).ok_or_else(plain_404)?;
+        if !whole.head.headers.contains_key(AGAIN) {
+            self.direct.count(service);
+        }
         let key = ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() };
         let old = self.cache.borrow_mut().get(&key);
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
@@ -194,6 +199,7 @@
         let mark = Rc::clone(&stale);
         self.fetching.borrow_mut().insert(key.clone(), fetch);
         self.under_way.set(self.under_way.get() + 1);
+        let again = request.contains_key(AGAIN);
         let mut headers = passed_on(request);
         for name in [header::RANGE, header::IF_RANGE, header::IF_NONE_MATCH, header::IF_MODIFIED_SINCE] {
             headers.remove(name);
@@ -213,6 +219,7 @@
                 body: Bytes::new(),
                 repeatable: true,
                 tries,
+                again,
                 until: sent + wait,
             };
             let fetched = match shield.direct.send(job).await {
@@ -278,9 +285,7 @@
     fn config(&self, _config: &Arc<Config>) {}
 
     fn fleet(&self, fleet: &Fleet) {
-        for addr in self.direct.origins.update(&fleet.servers) {
-            self.direct.pool.forget(addr.into());
-        }
+        self.direct.update(fleet);
         let shields = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
         self.shields.set(shields.count().max(1));
     }
@@ -326,6 +331,8 @@
             ("refused", c.refused.get()),
             ("copies", cache.len() as u64),
             ("copy_bytes", cache.bytes() as u64),
+            ("further_tries", self.direct.further.get()),
+            ("budget_spent", self.direct.spent.get()),
             ("connections_opened", self.direct.pool.opened.get()),
         ]
         .map(|(name, value)| (name.to_owned(), value))
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -4,6 +4,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod budget;
 pub mod chain;
 pub mod config;
 pub mod messages;
