An edge cut off from all shields asks servers at once, and one read now and then asks shields

Change: where all ready shields rest, one read in half a second asks them; the others go to a server.

--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -207,7 +207,9 @@
         let asked_whole = !headers.contains_key(header::RANGE);
         let mut tried: Vec<ServerId> = Vec::new();
         while tried.len() < MOST_SHIELDS {
-            let Some(shield) = self.shields.borrow().choose(self.now(), key, &tried).cloned() else { break };
+            let Some(shield) = self.shields.borrow_mut().choose(self.now(), key, &tried).cloned() else {
+                break;
+            };
             let Ok(addr) = shield.0.parse() else { break };
             let began = Instant::now();
             let more = tried.len() + 1 < MOST_SHIELDS.min(self.shields.borrow().count());
--- a/src/shields.rs
+++ b/src/shields.rs
@@ -1,8 +1,8 @@
 //! The edge's decision: the shield that answers a read.
 //!
 //! The ordinary path is RJ-CH over the ready shields, with the edge's own requests in flight. What departs
-//! from it: a shield that has just failed this edge is passed over for [`REST`], unless all have; and a
-//! request that is tried again never goes to a shield it has been to.
+//! from it: a shield that has just failed this edge is passed over for [`REST`]; where all have, only one
+//! request now and then asks them; and one that is tried again never goes to a shield it has been to.
 
 use std::collections::BTreeMap;
 
@@ -15,6 +15,8 @@
 /// How long a shield that has failed is passed over: longer than a lost packet is resent, shorter than a
 /// machine takes to start again.
 const REST: Seconds = 2.0;
+/// How often a request asks whether one answers again, where all rest: it pays with the time of an attempt.
+const TRIAL: Seconds = 0.5;
 
 #[derive(Debug, Default)]
 struct Shield {
@@ -30,6 +32,7 @@
     slots: SlotArray,
     ready: BTreeMap<ServerId, Shield>,
     in_flight: u32,
+    next_trial: Seconds,
 }
 
 impl Shields {
@@ -51,12 +54,16 @@
         self.ready.len()
     }
 
-    /// The shield for a request: the first below its cap along the key's walk. `None` where there is none
-    /// but those it `tried`; where all others are full, the first of them.
-    pub fn choose(&self, now: Seconds, key: Key, tried: &[ServerId]) -> Option<&ServerId> {
+    /// The shield for a request: the first below its cap along the key's walk; where all are full, the first.
+    /// `None` where there is none but those it `tried`, or none that is likely to answer.
+    pub fn choose(&mut self, now: Seconds, key: Key, tried: &[ServerId]) -> Option<&ServerId> {
         let bound = cap(self.in_flight + 1, 1.0 / self.ready.len().max(1) as f64, FLOOR);
         let rests = |id: &ServerId| self.ready.get(id).is_some_and(|s| now < s.rests_until);
         let all_rest = self.ready.keys().all(rests);
+        if all_rest && (!tried.is_empty() || now < self.next_trial) {
+            return None;
+        }
+        self.next_trial = if all_rest { now + TRIAL } else { self.next_trial };
         let open = |id: &ServerId| !tried.contains(id) && (all_rest || !rests(id));
         let mut walk = self.slots.walk(key, 0, |_, _, _| true).filter(|id| open(id)).peekable();
         let first = walk.peek().copied();
