Links are told dead by their own pings; one not up in 250 ms is tried anew

Cause 2: after power_off_all control nodes met again 0.8 s after their start: the first opening packet met a dark machine, and 700 ms were waited for it. Change: no kernel time-outs; the called side of a link between control nodes says that it is there, so that each direction is judged by what comes on it. A connection has 250 ms.

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -193,9 +193,8 @@
             Ok(Open::Peer { ip, life, others }) => {
                 peers::know(&self, &others);
                 peers::know(&self, &[ip]);
-                // Kept open for reading only: each side speaks on the connection that it opened.
-                let _write = write;
-                peers::listen(&self, ip, life, frames).await;
+                // Each side speaks on the connection that it opened.
+                peers::listen(&self, ip, life, frames, &Outbox::start(write)).await;
             }
             Err(_) => {}
         }
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use super::{Control, PURGE};
-use crate::link::{self, Frames, Outbox};
+use crate::link::{self, Frames, Outbox, PING};
 
 /// Pause before a peer is called again.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -154,10 +154,10 @@
                 link.outbox = Some(outbox.clone());
             }
             both_up(&control, ip);
-            // The peer says nothing here; it is read for its end alone.
+            // The peer says nothing here but that it is there.
             let mut frames = Frames::new(read);
             tokio::select! {
-                _ = frames.next::<Peer>() => {}
+                () = async { while frames.next_in_time::<Peer>().await.is_ok() {} } => {}
                 () = outbox.closed() => {}
             }
             if let Some(link) = peers.links.borrow_mut().get_mut(&ip) {
@@ -176,7 +176,13 @@
 }
 
 /// Hears a peer until its connection ends.
-pub async fn listen(control: &Rc<Control>, ip: Ipv4Addr, life: u64, mut frames: Frames) {
+pub async fn listen(
+    control: &Rc<Control>,
+    ip: Ipv4Addr,
+    life: u64,
+    mut frames: Frames,
+    outbox: &Outbox<Peer>,
+) {
     let connection = control.peers.next.replace(control.peers.next.get() + 1);
     let before = {
         let mut links = control.peers.links.borrow_mut();
@@ -191,11 +197,22 @@
     control.peers.changed.notify_waiters();
     both_up(control, ip);
     let current = || control.peers.links.borrow().get(&ip).is_some_and(|link| link.hears == Some(connection));
-    while let Ok(message) = frames.next_in_time().await {
-        if !current() {
-            return;
+    let hear = async {
+        while let Ok(message) = frames.next_in_time().await {
+            if !current() {
+                return;
+            }
+            take(control, ip, message);
         }
-        take(control, ip, message);
+    };
+    let tell = async {
+        while outbox.send(Peer::Alive) {
+            sleep(PING).await;
+        }
+    };
+    tokio::select! {
+        () = hear => {}
+        () = tell => {}
     }
     // Not where a newer one has taken its place meanwhile.
     if current() {
@@ -291,6 +308,7 @@
             }
         }
         Peer::Done { id } => control.peers.answer(from, id),
+        Peer::Alive => {}
     }
 }
 
--- a/glenfall/src/link.rs
+++ b/glenfall/src/link.rs
@@ -8,7 +8,6 @@
 use glenfall_plane::messages::LONGEST_FRAME;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
@@ -23,18 +22,18 @@
 /// Frames that may wait to be written; a reader that is further behind than this is cut off, and catches up
 /// on a new link.
 const WAITING: usize = 1024;
-const CONNECT: Duration = Duration::from_millis(700);
+/// A connection not up by then is tried anew: its opening packet met a machine that was dark, and is sent again
+/// only after a second.
+const CONNECT: Duration = Duration::from_millis(250);
 
 fn invalid(what: impl std::fmt::Display) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what.to_string())
 }
 
-/// Settings of all held connections.
+/// Settings of all held connections. What the kernel could tell of a dark machine is not asked: both ends say
+/// something all the time, and silence is told from that, in the same way in each direction.
 pub fn tune(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(SILENCE))?;
-    socket.set_tcp_keepalive(&TcpKeepalive::new().with_time(SILENCE).with_interval(SILENCE))
+    stream.set_nodelay(true)
 }
 
 /// Opens a held connection and says what it is for.
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -112,7 +112,7 @@
     Ping,
 }
 
-/// Between control nodes, each on the connection that it opened.
+/// Between control nodes, each on the connection that it opened; the other side only says that it is there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Peer {
     Chain(chain::Message),
@@ -134,6 +134,8 @@
     Done {
         id: u64,
     },
+    /// From the side that was called.
+    Alive,
 }
 
 /// A purge with the name that it is known by at all control nodes.
