State on disk is checked, set aside where damaged, and can be exported, imported and verified

Cause: a flipped bit in the row was read as if it were whole, a file cut to a few bytes looked like a first start, and a lost core could not be brought back. Change: a checksum and a first row; damage is told in one line, the file set aside, and the node starts without a vote until the chain has brought it up. glenfall state export|import|verify. Tests: cuts, torn and missing pages and flipped bits at every page of a small store; three processes of which one finds its file damaged, and a core that is lost whole and comes back from a backup.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -14,6 +14,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
+use super::backup::Backup;
 use super::Control;
 use crate::serve::{Answer, Handler, Whole};
 
@@ -51,13 +52,14 @@
             ("PUT", "/api/config") => self.change(&whole, Change::Put).await,
             ("PATCH", "/api/config") => self.change(&whole, Change::Patch).await,
             ("POST", "/api/purge") => self.purge(&whole.body).await,
+            ("GET", "/api/state") => self.export().await,
             ("GET", "/api/status") => answer(StatusCode::OK, self.status()),
             ("GET", "/api/ready") => answer(StatusCode::OK, json!({})),
             (method, path) => match (method, path.strip_prefix("/api/servers/")) {
                 ("PUT", Some(id)) => self.beat(id, &whole.body).await,
                 ("DELETE", Some(id)) => self.goodbye(id).await,
                 (_, Some(_)) => wrong(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE expected"),
-                _ if matches!(path, "/api/config" | "/api/purge" | "/api/status") => {
+                _ if matches!(path, "/api/config" | "/api/purge" | "/api/state" | "/api/status") => {
                     wrong(StatusCode::METHOD_NOT_ALLOWED, "method not known here")
                 }
                 _ => wrong(StatusCode::NOT_FOUND, "no such call"),
@@ -94,6 +96,20 @@
         }
     }
 
+    /// The newest acknowledged state, as a backup keeps it. A read down the chain makes it consistent, whatever
+    /// goes on meanwhile.
+    async fn export(&self) -> Answer {
+        let Outcome::Document(record) = self.0.call(Call::Read).await else {
+            return wrong(StatusCode::SERVICE_UNAVAILABLE, "no view stands");
+        };
+        let chain = self.0.chain.borrow();
+        let view = chain.view().map_or(0, |view| view.number);
+        match serde_json::to_value(Backup::of(chain.voters(), view, &record)) {
+            Ok(backup) => answer(StatusCode::OK, backup),
+            Err(e) => wrong(StatusCode::INTERNAL_SERVER_ERROR, e),
+        }
+    }
+
     async fn change(&self, whole: &Whole, change: impl Fn(Vec<u8>) -> Change) -> Answer {
         let stated = whole.head.headers.get(header::IF_MATCH).and_then(|value| value.to_str().ok());
         let Some(builds_on) = stated.and_then(|value| value.trim().trim_matches('"').parse().ok()) else {
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -2,8 +2,9 @@
 //! shield beside it, and the links to its peers.
 
 mod api;
+pub mod backup;
 mod peers;
-mod store;
+pub mod store;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -27,6 +28,7 @@
 use crate::serve;
 use crate::sessions::Sessions;
 use peers::Peers;
+use store::Found;
 
 /// How often the state machines are asked what time has brought.
 const TICK: Duration = Duration::from_millis(25);
@@ -82,11 +84,15 @@
     let me = boot.bind_ip;
     let seeds: Vec<Ipv4Addr> = boot.seed_nodes.iter().map(|seed| *seed.ip()).collect();
     let folder = boot.state_dir.clone().ok_or("stateDir: missing; control keeps its state there")?;
-    let store = store::Store::open(&folder)?;
-    let start = match store.load()? {
-        Some(kept) => Start::Kept(kept),
-        None if boot.bootstrap => Start::Fresh(seeds.clone()),
-        None => Start::Wiped,
+    let (store, found) = store::Store::open(&folder)?;
+    let start = match found {
+        Found::Kept(kept) => Start::Kept(kept),
+        Found::Nothing if boot.bootstrap => Start::Fresh(seeds.clone()),
+        Found::Nothing => Start::Wiped,
+        Found::Damaged(why) => {
+            tracing::error!(%why, "state set aside; it comes from the chain again, and until then there is no vote");
+            Start::Wiped
+        }
     };
     let (synced, mut syncs) = mpsc::unbounded_channel();
     let life = life();
--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -1,14 +1,26 @@
-//! The chain's state on disk: one row of SQLite, written by a thread of its own, as a sync takes its time.
+//! The chain's state on disk: one row of SQLite with a checksum, written by a thread of its own, as a sync takes
+//! its time. What can't be trusted is set aside, never read as if it were whole.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::time::Duration;
 
 use glenfall_plane::chain::Durable;
-use rusqlite::{Connection, OptionalExtension};
+use rusqlite::{Connection, ErrorCode, OpenFlags, OptionalExtension};
 
 /// Pause before a write that the disk refused is tried again; what waits for it waits on.
 const AGAIN: Duration = Duration::from_millis(200);
+/// The layout of the file. A file that says another is not read.
+const LAYOUT: i64 = 1;
+/// The row that the store was made with. It holds nothing; where it is missing, others may be as well.
+const MADE: i64 = 0;
+const STATE: i64 = 1;
+/// Bytes of the shortest file that holds anything, in SQLite's smallest page.
+const SHORTEST: u64 = 512;
+const FILE: &str = "state.sqlite";
+/// A damaged file is kept under this name for whoever wants to know what came of it.
+const DAMAGED: &str = "state.sqlite.damaged";
+const JOURNAL: &str = "state.sqlite-journal";
 
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -18,37 +30,152 @@
     Io(#[from] std::io::Error),
     #[error("state on disk: row can't be read: {0}")]
     Row(#[from] postcard::Error),
+    #[error("state on disk: {0}")]
+    Damaged(String),
+    #[error("{} is in the way: state is put only where there is none", .0.display())]
+    InTheWay(PathBuf),
+}
+
+impl StoreError {
+    /// The file is not what was written, rather than the disk not answering.
+    fn is_damage(&self) -> bool {
+        match self {
+            StoreError::Sqlite(rusqlite::Error::SqliteFailure(e, _)) => {
+                // A page that the file should have lies beyond its end.
+                let cut = e.extended_code == rusqlite::ffi::SQLITE_IOERR_SHORT_READ;
+                cut || matches!(e.code, ErrorCode::DatabaseCorrupt | ErrorCode::NotADatabase)
+            }
+            // No such table, or a column of another type: the file is whole, and not ours any more.
+            StoreError::Sqlite(_) | StoreError::Row(_) | StoreError::Damaged(_) => true,
+            StoreError::Io(_) | StoreError::InTheWay(_) => false,
+        }
+    }
+}
+
+/// What was on disk at the start.
+#[derive(Debug, PartialEq)]
+pub enum Found {
+    Nothing,
+    Kept(Durable),
+    /// Something that is no state; it was set aside.
+    Damaged(String),
 }
 
 pub struct Store(Connection);
 
+/// The database in a folder.
+pub fn path_in(folder: &Path) -> PathBuf {
+    folder.join(FILE)
+}
+
 impl Store {
     /// Opens the database in a folder, or makes it. Nothing else uses the file: with the lock held from the
     /// start there is no index in shared memory, and a full sync covers each commit.
-    pub fn open(folder: &Path) -> Result<Store, StoreError> {
+    pub fn open(folder: &Path) -> Result<(Store, Found), StoreError> {
         std::fs::create_dir_all(folder)?;
-        let db = Connection::open(folder.join("state.sqlite"))?;
+        match Store::open_whole(&path_in(folder)) {
+            Ok((store, None)) if folder.join(DAMAGED).exists() => {
+                Ok((store, Found::Damaged("set aside at an earlier start".into())))
+            }
+            Ok((store, None)) => Ok((store, Found::Nothing)),
+            Ok((store, Some(state))) => Ok((store, Found::Kept(state))),
+            Err(error) if error.is_damage() => {
+                std::fs::rename(path_in(folder), folder.join(DAMAGED))?;
+                match std::fs::remove_file(folder.join(JOURNAL)) {
+                    Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(e.into()),
+                    _ => {}
+                }
+                let (store, _) = Store::open_whole(&path_in(folder))?;
+                Ok((store, Found::Damaged(error.to_string())))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    fn open_whole(path: &Path) -> Result<(Store, Option<Durable>), StoreError> {
+        // SQLite takes what is too short for a header for an empty file.
+        let size = std::fs::metadata(path).map_or(0, |file| file.len());
+        if (1..SHORTEST).contains(&size) {
+            return Err(StoreError::Damaged(format!("{size} bytes left")));
+        }
+        let mut db = Connection::open(path)?;
         db.pragma_update(None, "locking_mode", "EXCLUSIVE")?;
         db.pragma_update(None, "journal_mode", "TRUNCATE")?;
         db.pragma_update(None, "synchronous", "FULL")?;
         db.pragma_update(None, "mmap_size", 0)?;
-        db.execute_batch("CREATE TABLE IF NOT EXISTS chain (id INTEGER PRIMARY KEY, state BLOB NOT NULL)")?;
-        Ok(Store(db))
-    }
-
-    pub fn load(&self) -> Result<Option<Durable>, StoreError> {
-        let row: Option<Vec<u8>> =
-            self.0.query_row("SELECT state FROM chain WHERE id = 1", [], |row| row.get(0)).optional()?;
-        Ok(row.map(|state| postcard::from_bytes(&state)).transpose()?)
+        let tables: i64 = db.query_row("SELECT count(*) FROM sqlite_master", [], |row| row.get(0))?;
+        if tables == 0 && layout(&db)? == 0 {
+            let making = db.transaction()?;
+            making.execute_batch(
+                "CREATE TABLE chain (id INTEGER PRIMARY KEY, state BLOB NOT NULL, crc INTEGER NOT NULL)",
+            )?;
+            making.execute("INSERT INTO chain (id, state, crc) VALUES (?1, x'', 0)", [MADE])?;
+            making.pragma_update(None, "user_version", LAYOUT)?;
+            making.commit()?;
+            return Ok((Store(db), None));
+        }
+        let state = read_whole(&db)?;
+        Ok((Store(db), state))
     }
 
-    fn save(&self, state: &Durable) -> Result<(), StoreError> {
+    pub fn save(&self, state: &Durable) -> Result<(), StoreError> {
         let bytes = postcard::to_stdvec(state)?;
-        self.0.execute("INSERT OR REPLACE INTO chain (id, state) VALUES (1, ?1)", [bytes])?;
+        let crc = i64::from(crc32fast::hash(&bytes));
+        self.0.execute(
+            "INSERT OR REPLACE INTO chain (id, state, crc) VALUES (?1, ?2, ?3)",
+            (STATE, bytes, crc),
+        )?;
         Ok(())
     }
 }
 
+fn layout(db: &Connection) -> Result<i64, rusqlite::Error> {
+    db.query_row("PRAGMA user_version", [], |row| row.get(0))
+}
+
+/// Reads the state, or says why the file can't be trusted. `None` where none was written yet.
+fn read_whole(db: &Connection) -> Result<Option<Durable>, StoreError> {
+    let damaged = |what: &str| StoreError::Damaged(what.into());
+    let layout = layout(db)?;
+    if layout != LAYOUT {
+        return Err(StoreError::Damaged(format!("layout {LAYOUT} expected, got {layout}")));
+    }
+    let checked: String = db.query_row("PRAGMA integrity_check(1)", [], |row| row.get(0))?;
+    if checked != "ok" {
+        return Err(StoreError::Damaged(checked.replace('\n', " ")));
+    }
+    let row = |id: i64| {
+        let read = |row: &rusqlite::Row| Ok((row.get::<_, Vec<u8>>(0)?, row.get::<_, i64>(1)?));
+        db.query_row("SELECT state, crc FROM chain WHERE id = ?1", [id], read).optional()
+    };
+    if row(MADE)?.is_none() {
+        return Err(damaged("its first row is missing"));
+    }
+    let Some((bytes, crc)) = row(STATE)? else { return Ok(None) };
+    if crc != i64::from(crc32fast::hash(&bytes)) {
+        return Err(damaged("checksum does not match"));
+    }
+    Ok(Some(postcard::from_bytes(&bytes)?))
+}
+
+/// Reads the state in a folder that no process uses, and changes nothing.
+pub fn verify(folder: &Path) -> Result<Option<Durable>, StoreError> {
+    let db = Connection::open_with_flags(path_in(folder), OpenFlags::SQLITE_OPEN_READ_ONLY)?;
+    // A running process holds it for as long as it runs.
+    db.busy_timeout(Duration::from_millis(100))?;
+    read_whole(&db)
+}
+
+/// Makes a store with this state in a folder that has none.
+pub fn create(folder: &Path, state: &Durable) -> Result<(), StoreError> {
+    for name in [FILE, DAMAGED] {
+        if folder.join(name).exists() {
+            return Err(StoreError::InTheWay(folder.join(name)));
+        }
+    }
+    Store::open(folder)?.0.save(state)
+}
+
 /// Writes in order, on a thread; each number comes back through `synced` once it is on disk.
 pub fn start(
     store: Store,
@@ -79,27 +206,105 @@
     use glenfall_plane::chain::Record;
     use std::sync::Arc;
 
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        folder
+    }
+
+    fn state(promised: u64, size: usize) -> Durable {
+        let document = (0..size).map(|n| (n * 7 % 251) as u8).collect();
+        let record = Record { seq: 3, rev: 9, document, taken: vec![(9, 1)] };
+        Durable { voters: vec![[10, 0, 0, 1].into()], promised, accepted: 16, record: Arc::new(record) }
+    }
+
     #[test]
     fn what_was_written_last_is_read_back() {
-        let folder = std::env::temp_dir().join(format!("glenfall-store-{}", std::process::id()));
-        let record = Record { seq: 3, rev: 9, document: b"{}".to_vec(), taken: vec![(9, 1)] };
-        let state = |promised| Durable {
-            voters: vec![[10, 0, 0, 1].into()],
-            promised,
-            accepted: 16,
-            record: Arc::new(record.clone()),
-        };
-        let store = Store::open(&folder).unwrap();
-        assert_eq!(store.load().unwrap(), None);
+        let folder = folder("back");
+        let (store, found) = Store::open(&folder).unwrap();
+        assert_eq!(found, Found::Nothing);
         let (tell, mut synced) = tokio::sync::mpsc::unbounded_channel();
         let writes = start(store, tell).unwrap();
         for number in 1..=5 {
-            writes.send((number, state(number * 16))).unwrap();
+            writes.send((number, state(number * 16, 2))).unwrap();
         }
         while synced.blocking_recv() != Some(5) {}
+        assert!(verify(&folder).is_err(), "in use");
         drop(writes);
         assert_eq!(synced.blocking_recv(), None);
-        assert_eq!(Store::open(&folder).unwrap().load().unwrap(), Some(state(80)));
+        assert_eq!(verify(&folder).unwrap(), Some(state(80, 2)));
+        assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(state(80, 2)));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
+    /// Opens a folder whose file holds these bytes. What is found is the state or that it is damaged; then the
+    /// file can be written again, and a start after that knows that something was lost.
+    fn open_spoilt(folder: &Path, bytes: &[u8], whole: &Durable, case: &str) -> bool {
+        let _ = std::fs::remove_dir_all(folder);
+        std::fs::create_dir_all(folder).unwrap();
+        std::fs::write(path_in(folder), bytes).unwrap();
+        let (store, found) = Store::open(folder).unwrap_or_else(|e| panic!("{case}: {e}"));
+        match found {
+            Found::Kept(state) => {
+                assert_eq!(&state, whole, "{case}: read as if it were whole");
+                false
+            }
+            Found::Nothing => {
+                assert!(bytes.is_empty(), "{case}: as if nothing had been there");
+                false
+            }
+            Found::Damaged(why) => {
+                assert!(!why.contains('\n'), "{case}: {why}");
+                drop(store);
+                let (store, found) = Store::open(folder).unwrap();
+                assert!(matches!(found, Found::Damaged(_)), "{case}: forgotten by the next start");
+                store.save(whole).unwrap();
+                drop(store);
+                assert_eq!(Store::open(folder).unwrap().1, Found::Kept(whole.clone()), "{case}");
+                true
+            }
+        }
+    }
+
+    #[test]
+    fn cut_torn_and_flipped_files_are_found_out_and_set_aside() {
+        let folder = folder("spoilt");
+        let whole = state(64, 9000);
+        {
+            let (store, _) = Store::open(&folder).unwrap();
+            store.save(&state(16, 5000)).unwrap();
+            store.save(&whole).unwrap();
+        }
+        let bytes = std::fs::read(path_in(&folder)).unwrap();
+        const PAGE: usize = 4096;
+        let pages = bytes.len() / PAGE;
+        assert!(pages >= 4 && bytes.len().is_multiple_of(PAGE), "{} bytes", bytes.len());
+        let (mut found, mut all) = (0, 0);
+        let mut spoil = |bytes: &[u8], case: &str| {
+            all += 1;
+            found += u32::from(open_spoilt(&folder, bytes, &whole, case));
+        };
+        for page in 0..pages {
+            let at = page * PAGE;
+            for cut in [at.saturating_sub(1), at, at + 1, at + PAGE / 2] {
+                spoil(&bytes[..cut], &format!("cut at {cut}"));
+            }
+            // A page that was never written, and one of which half was.
+            for (from, what) in [(0, "missing"), (PAGE / 2, "torn")] {
+                let mut torn = bytes.clone();
+                torn[at + from..at + PAGE].fill(0);
+                spoil(&torn, &format!("page {page} {what}"));
+            }
+            let places = (0..16).chain((16..PAGE).step_by(401)).chain([PAGE - 1]);
+            for offset in places {
+                for bit in [0, 3, 7] {
+                    let mut flipped = bytes.clone();
+                    flipped[at + offset] ^= 1 << bit;
+                    spoil(&flipped, &format!("page {page}, byte {offset}, bit {bit} flipped"));
+                }
+            }
+        }
+        assert!(found * 2 > all, "{found} of {all} found; the others lie where nothing is read");
         std::fs::remove_dir_all(&folder).unwrap();
     }
 }
--- a/glenfall/src/main.rs
+++ b/glenfall/src/main.rs
@@ -59,6 +59,9 @@
     /// Read or change the configuration
     #[command(subcommand)]
     Config(ops::ConfigVerb),
+    /// Back up, restore and check the state of control
+    #[command(subcommand)]
+    State(ops::StateVerb),
     /// End all copies of an object, or of all objects with a label
     Purge(ops::PurgeArgs),
     /// Show members, servers, and who has applied what
@@ -89,7 +92,7 @@
     let filter = tracing_subscriber::EnvFilter::try_from_default_env();
     let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    match start(&arguments.command) {
+    match start(arguments.command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             // One line, whatever the cause was worded like.
@@ -99,7 +102,7 @@
     }
 }
 
-fn start(command: &Command) -> Result<(), Failure> {
+fn start(command: Command) -> Result<(), Failure> {
     // A fraction of one core is all that a machine has, so one thread and no locks.
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, async {
@@ -115,11 +118,12 @@
             }
             Command::Shield => shield(boot()?).await,
             Command::Control => control::run(boot()?).await,
-            Command::Check { file } => print(ops::check(file)),
-            Command::Config(verb) => print(ops::config(verb).await),
-            Command::Purge(args) => print(ops::purge(args).await),
-            Command::Status { at } => print(ops::status(at).await),
-            Command::Demo { once } => Ok(demo::run(*once).await?),
+            Command::Check { file } => print(ops::check(&file)),
+            Command::Config(verb) => print(ops::config(&verb).await),
+            Command::State(verb) => print(ops::state(verb).await),
+            Command::Purge(args) => print(ops::purge(&args).await),
+            Command::Status { at } => print(ops::status(&at).await),
+            Command::Demo { once } => Ok(demo::run(once).await?),
         }
     })
 }
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -1,6 +1,7 @@
 //! The operator's verbs: checking files, and calls to `control`.
 
-use std::net::SocketAddrV4;
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -13,6 +14,8 @@
 use tokio::time::Instant;
 
 use crate::boot::Boot;
+use crate::control::backup::{Backup, BackupError};
+use crate::control::store::{self, StoreError};
 use crate::pool::{Pool, Reply};
 
 /// One call to a control node; it answers within a second or not at all.
@@ -31,6 +34,10 @@
     Wrong { path: PathBuf, what: String },
     #[error("{status}: {body}")]
     Refused { status: u16, body: String },
+    #[error("{}: {what}", path.display())]
+    Backup { path: PathBuf, what: BackupError },
+    #[error("{}: {what}", path.display())]
+    Store { path: PathBuf, what: StoreError },
     #[error("no control node gives a clear answer; the same call may be made again")]
     NoAnswer,
 }
@@ -70,6 +77,29 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum StateVerb {
+    /// Write the newest acknowledged state of a running core to a file
+    Export {
+        #[command(flatten)]
+        at: Controls,
+        /// A new file; one that exists is not written over
+        file: PathBuf,
+    },
+    /// Put an exported state into an empty state folder, before control starts there
+    Import {
+        file: PathBuf,
+        /// `stateDir` of the control node
+        #[arg(long)]
+        into: PathBuf,
+        /// Addresses of the control nodes that vote, if others than in the file; may be repeated
+        #[arg(long = "voter")]
+        voters: Vec<Ipv4Addr>,
+    },
+    /// Check an exported file, or the state folder of a control node that is stopped
+    Verify { path: PathBuf },
+}
+
 #[derive(Args)]
 pub struct PurgeArgs {
     #[command(flatten)]
@@ -158,6 +188,47 @@
     }
 }
 
+fn backup(path: &Path) -> Result<Backup, OpsError> {
+    Backup::read(&read(path)?).map_err(|what| OpsError::Backup { path: path.to_owned(), what })
+}
+
+pub async fn state(verb: StateVerb) -> Result<String, OpsError> {
+    match verb {
+        StateVerb::Export { at, file } => {
+            let reply = call(&at, Method::GET, "/api/state", None, Bytes::new()).await?;
+            // What is not whole here would be of no use when it is needed.
+            let wrong = |what| OpsError::Backup { path: file.clone(), what };
+            let backup = Backup::read(&reply.body).map_err(wrong)?;
+            let broken = |what| OpsError::File { path: file.clone(), what };
+            let mut out = std::fs::File::create_new(&file).map_err(broken)?;
+            out.write_all(&reply.body).and_then(|()| out.sync_all()).map_err(broken)?;
+            Ok(format!("configuration {}, change {}, exported", backup.rev, backup.seq))
+        }
+        StateVerb::Import { file, into, voters } => {
+            let backup = backup(&file)?;
+            let told = format!("configuration {}, change {}, imported", backup.rev, backup.seq);
+            let voters = if voters.is_empty() { backup.voters.clone() } else { voters };
+            let wrong = |what| OpsError::Store { path: into.clone(), what };
+            store::create(&into, &backup.state(voters)).map_err(wrong)?;
+            Ok(told)
+        }
+        StateVerb::Verify { path } if path.is_dir() => match store::verify(&path) {
+            Ok(Some(state)) => {
+                let (record, view) = (&state.record, state.accepted);
+                let (rev, seq, voters) = (record.rev, record.seq, state.voters.len());
+                Ok(format!("configuration {rev}, change {seq}, accepted in view {view}, {voters} voters"))
+            }
+            Ok(None) => Ok("a store without state: nothing was promised or accepted yet".into()),
+            Err(what) => Err(OpsError::Store { path, what }),
+        },
+        StateVerb::Verify { path } => {
+            let backup = backup(&path)?;
+            let (rev, seq, voters) = (backup.rev, backup.seq, backup.voters.len());
+            Ok(format!("backup of configuration {rev}, change {seq}, {voters} voters"))
+        }
+    }
+}
+
 pub async fn purge(args: &PurgeArgs) -> Result<String, OpsError> {
     let body = match &args.label {
         Some(label) => serde_json::json!({ "label": label }),
--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -1,5 +1,5 @@
-//! Three control nodes as processes on loopback: one is stopped for longer than a link may be silent, and woken
-//! again. They must be in one chain again, without losing their links over and over.
+//! Three control nodes as processes on loopback: frozen and woken, cut off from a majority, killed, with damaged
+//! and with lost disks.
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
@@ -64,19 +64,51 @@
                  [listeners]\ncontrolAddr = \"{ip}:{}\"\n",
                 base + 2,
                 seeds.join(", "),
-                core.folder.join(format!("state-{n}")).display(),
+                core.state_dir(n).display(),
                 base + 3
             );
-            let file = core.folder.join(format!("{n}.toml"));
-            std::fs::write(&file, text).unwrap();
-            let log = std::fs::File::create(core.log(n)).unwrap();
-            let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall"));
-            let child = command.arg(role).env("GLENFALL_CONFIG", &file).stderr(log).spawn().unwrap();
+            std::fs::write(core.folder.join(format!("{n}.toml")), text).unwrap();
+            let child = core.spawn(n, role);
             core.children.push(child);
         }
         core
     }
 
+    fn spawn(&self, n: u8, role: &str) -> Child {
+        let log = std::fs::File::options().create(true).append(true).open(self.log(n)).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall"));
+        let settings = self.folder.join(format!("{n}.toml"));
+        command.arg(role).env("GLENFALL_CONFIG", settings).stderr(log).spawn().unwrap()
+    }
+
+    /// Kills all control nodes; `meanwhile` is done before they start again.
+    fn kill_all(&mut self, meanwhile: impl FnOnce(&Core)) {
+        for child in &mut self.children[..3] {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+        meanwhile(self);
+        for n in 1..=3 {
+            self.children[usize::from(n) - 1] = self.spawn(n, "control");
+        }
+    }
+
+    fn state_dir(&self, n: u8) -> PathBuf {
+        self.folder.join(format!("state-{n}"))
+    }
+
+    /// What a verb says, and whether it succeeded.
+    fn verb(&self, words: &[&str]) -> (bool, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall"));
+        let output = command.args(words).current_dir(&self.folder).output().unwrap();
+        let said = if output.status.success() { output.stdout } else { output.stderr };
+        (output.status.success(), String::from_utf8(said).unwrap())
+    }
+
+    fn control(&self, n: u8) -> String {
+        SocketAddrV4::new(machine(n), self.base + 3).to_string()
+    }
+
     fn log(&self, n: u8) -> PathBuf {
         self.folder.join(format!("{n}.log"))
     }
@@ -166,3 +198,57 @@
         std::thread::sleep(Duration::from_millis(50));
     }
 }
+
+#[test]
+fn damage_is_repaired_from_the_chain_and_a_lost_core_from_a_backup() {
+    let mut core = Core::start();
+    core.await_chain(&[1, 2, 3], 3);
+    let document = r#"{"rev": 5, "paths": [], "backends": [{"name": "s"}]}"#;
+    std::fs::write(core.folder.join("five.json"), document).unwrap();
+    let at = core.control(2);
+    let put = core.verb(&["config", "put", "--control", &at, "--builds-on", "0", "five.json"]);
+    assert!(put.0, "{}", put.1);
+    let exported = core.verb(&["state", "export", "--control", &at, "backup.json"]);
+    assert_eq!(exported, (true, "configuration 5, change 1, exported\n".into()));
+    let again = core.verb(&["state", "export", "--control", &at, "backup.json"]);
+    assert!(!again.0, "a backup is not written over");
+    let (held, why) = core.verb(&["state", "verify", "state-1"]);
+    assert!(!held && why.contains("locked"), "{why}");
+
+    core.kill_all(|core| {
+        let (whole, said) = core.verb(&["state", "verify", "state-1"]);
+        assert!(whole && said.starts_with("configuration 5, change 1, "), "{said}");
+        // The newest byte of the row lies at the end of the second page, where cells grow from.
+        let path = core.state_dir(1).join("state.sqlite");
+        let mut bytes = std::fs::read(&path).unwrap();
+        bytes[2 * 4096 - 12] ^= 1;
+        std::fs::write(path, bytes).unwrap();
+        let (whole, why) = core.verb(&["state", "verify", "state-1"]);
+        assert!(!whole && why.contains("state on disk") && why.lines().count() == 1, "{why}");
+    });
+    core.await_chain(&[1, 2, 3], 3);
+    let log = std::fs::read_to_string(core.log(1)).unwrap();
+    assert_eq!(log.matches("state set aside").count(), 1);
+    let read = core.verb(&["config", "get", "--control", &core.control(1)]);
+    assert_eq!(read, (true, format!("{document}\n")));
+
+    core.kill_all(|core| {
+        for n in 1..=3 {
+            std::fs::remove_dir_all(core.state_dir(n)).unwrap();
+            let into = format!("state-{n}");
+            let told = core.verb(&["state", "import", "backup.json", "--into", &into]);
+            assert_eq!(told, (true, "configuration 5, change 1, imported\n".into()));
+            let (twice, why) = core.verb(&["state", "import", "backup.json", "--into", &into]);
+            assert!(!twice && why.contains("is in the way"), "{why}");
+        }
+    });
+    core.await_chain(&[1, 2, 3], 3);
+    let read = core.verb(&["config", "get", "--control", &core.control(3)]);
+    assert_eq!(read, (true, format!("{document}\n")));
+    // The restored core goes on where the old one was.
+    std::fs::write(core.folder.join("seven.json"), document.replace('5', "7")).unwrap();
+    let stale = core.verb(&["config", "put", "--control", &at, "--builds-on", "4", "seven.json"]);
+    assert!(!stale.0 && stale.1.contains("412"), "{}", stale.1);
+    let put = core.verb(&["config", "put", "--control", &at, "--builds-on", "5", "seven.json"]);
+    assert!(put.0, "{}", put.1);
+}
