--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -70,6 +70,8 @@
     stop: watch::Sender<bool>,
     /// When this node was last seen to reach a majority.
     reached: Cell<Instant>,
+    /// Number of the view last told of in the log; 0 where none stands.
+    told_view: Cell<u64>,
 }
 
 /// Anything that differs from one life of a process to the next.
@@ -112,6 +114,7 @@
         fleet_changed: Notify::new(),
         stop: watch::Sender::new(false),
         reached: Cell::new(Instant::now()),
+        told_view: Cell::new(0),
         boot: Rc::clone(&boot),
     });
     let links = TcpListener::bind(boot.link(me)).await?;
@@ -241,6 +244,7 @@
 
     /// Does what the chain asks for.
     fn carry_out(&self, outputs: Vec<Output>) {
+        self.tell_view();
         for output in outputs {
             match output {
                 Output::Send(to, message) => self.peers.send(to, Peer::Chain(message)),
@@ -263,6 +267,18 @@
         }
     }
 
+    fn tell_view(&self) {
+        let chain = self.chain.borrow();
+        let number = chain.view().map_or(0, |view| view.number);
+        if self.told_view.replace(number) == number {
+            return;
+        }
+        match chain.view() {
+            Some(view) => tracing::info!(view = view.number, chain = ?view.chain, "view stands"),
+            None => tracing::warn!("no view stands"),
+        }
+    }
+
     /// Has the chain decide a call.
     async fn call(&self, what: Call) -> Outcome {
         let call = self.next_call.replace(self.next_call.get() + 1);
