--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -401,11 +401,19 @@
         println!("seed {seed}: {} changes", play(seed));
         return;
     }
-    let mut changes = 0;
-    for seed in 0..number("CHAIN_RUNS").unwrap_or(400) {
-        let played = std::panic::catch_unwind(|| play(seed));
-        changes += played.unwrap_or_else(|_| panic!("seed {seed} failed; see above"));
-    }
+    let runs = number("CHAIN_RUNS").unwrap_or(3000);
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
+    let part = |first: u64| {
+        let played = |seed| {
+            let changes = std::panic::catch_unwind(|| play(seed));
+            changes.unwrap_or_else(|_| panic!("seed {seed} failed; see above"))
+        };
+        (first..runs).step_by(threads as usize).map(played).sum::<u64>()
+    };
+    let changes: u64 = std::thread::scope(|scope| {
+        let parts: Vec<_> = (0..threads).map(|first| scope.spawn(move || part(first))).collect();
+        parts.into_iter().map(|part| part.join().expect("a schedule failed")).sum()
+    });
     println!("{changes} changes acknowledged");
     assert!(changes > 1000, "the schedules leave room for {changes} changes only");
 }
