What is in flight is counted off also where its client has gone

Cause: hyper drops the answer's future when a client closes; what was counted at its shield and its server stayed counted for the life of the edge, so that n, caps and weights drifted. Change: guards count off when dropped; what came of a request is told apart from that. Test: a request dropped while its server is silent.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -137,17 +137,16 @@
                 request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
                 request
             };
-            self.origins.begin(&server.id);
+            let in_flight = self.origins.begin(&server.id);
             let still = || self.origins.takes(&server.id);
             let ended = self.pool.exchange(server.addr.into(), request, until, still).await;
-            let end = |end| self.origins.end(&server.id, end, began.elapsed());
             match ended {
                 Ok(reply)
                     if reply.headers.contains_key(NOT_RUN)
                         || reply.status == StatusCode::MISDIRECTED_REQUEST =>
                 {
                     let misdirected = reply.status == StatusCode::MISDIRECTED_REQUEST;
-                    end(if misdirected { End::Failed } else { End::TurnedAway });
+                    in_flight.ended(if misdirected { End::Failed } else { End::TurnedAway });
                     sends += 1;
                     let ceiling = reply.status == StatusCode::TOO_MANY_REQUESTS;
                     if !matches!(fallback, Outcome::Answered(_)) {
@@ -163,7 +162,7 @@
                         && reply.headers.get(TRY_ID).is_some_and(|id| Some(id) != own_id.as_ref()) =>
                 {
                     // The answer to another request: the connection has gone with it.
-                    end(End::Failed);
+                    in_flight.ended(End::Failed);
                     self.pool.forget(server.addr.into());
                     sends += 1;
                     fallback = Outcome::Unknown;
@@ -172,7 +171,7 @@
                     }
                 }
                 Ok(reply) => {
-                    end(End::Answered);
+                    in_flight.ended(End::Answered);
                     sends += 1;
                     let failure = reply.status.is_server_error();
                     fallback = Outcome::Answered(reply);
@@ -181,11 +180,11 @@
                     }
                 }
                 Err(Trouble::Unsent) => {
-                    end(End::Failed);
+                    in_flight.ended(End::Failed);
                     unreachable += 1;
                 }
                 Err(trouble) => {
-                    end(End::Failed);
+                    in_flight.ended(End::Failed);
                     sends += 1;
                     let timed_out = trouble == Trouble::TimedOut;
                     fallback = if timed_out { Outcome::TimedOut } else { Outcome::Unknown };
@@ -275,41 +274,72 @@
         }
     }
 
-    /// What comes of a request where all servers answer so, and how often one was sent to.
-    async fn sent(answer: &'static str, repeatable: bool, tries: u32, counted: u32) -> (&'static str, u32) {
-        let arrivals = Rc::new(Cell::new(0));
-        let servers = vec![
-            server("a", answer, &arrivals).await,
-            server("b", answer, &arrivals).await,
-            server("c", answer, &arrivals).await,
-        ];
+    /// A way to servers that know as many requests of clients.
+    fn way(servers: Vec<Server>, counted: u32) -> Direct {
         let bound = Bound { ratio: 1.2, window: 10_000, slack: 0.0 };
         let direct = Direct::new(Pool::new(8), Origins::new("z", false, "n"), bound);
         direct.update(&Fleet { complete: true, servers, shields: Vec::new(), edges: 1 });
         (0..counted).for_each(|_| direct.count("s"));
+        direct
+    }
+
+    fn job(uri: &Uri, repeatable: bool, tries: u32) -> Job<'_> {
         let mut headers = HeaderMap::new();
         headers.insert(TRY_ID, HeaderValue::from_static("t"));
-        let job = Job {
+        Job {
             service: "s",
             method: &Method::POST,
-            uri: &Uri::from_static("/x"),
+            uri,
             headers,
             body: Bytes::from_static(b"body"),
             repeatable,
             tries,
             again: false,
             until: Instant::now() + Duration::from_secs(20),
-        };
-        let told = match direct.send(job).await {
+        }
+    }
+
+    /// What comes of a request where all servers answer so, and how often one was sent to.
+    async fn sent(answer: &'static str, repeatable: bool, tries: u32, counted: u32) -> (&'static str, u32) {
+        let arrivals = Rc::new(Cell::new(0));
+        let servers = vec![
+            server("a", answer, &arrivals).await,
+            server("b", answer, &arrivals).await,
+            server("c", answer, &arrivals).await,
+        ];
+        let direct = way(servers, counted);
+        let told = match direct.send(job(&Uri::from_static("/x"), repeatable, tries)).await {
             Outcome::Answered(reply) if reply.status.is_success() => "answered",
             Outcome::Answered(_) => "failure passed on",
             Outcome::NotRun(_) => "not run",
             Outcome::Unknown => "unknown",
             Outcome::TimedOut => "timed out",
         };
+        assert_eq!(direct.origins.in_flight(), 0);
         (told, arrivals.get())
     }
 
+    #[test]
+    fn a_request_whose_client_has_gone_is_counted_off() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+            let mut silent = server("a", WHOLE, &Rc::default()).await;
+            silent.addr.set_port(listener.local_addr().expect("its address").port());
+            let direct = way(vec![silent], 1);
+            let uri = Uri::from_static("/x");
+            {
+                let mut sending = std::pin::pin!(direct.send(job(&uri, false, 1)));
+                tokio::select! {
+                    _ = sending.as_mut() => panic!("nobody answers"),
+                    accepted = listener.accept() => { accepted.expect("the request's connection"); }
+                }
+                assert_eq!(direct.origins.in_flight(), 1);
+            }
+            assert_eq!(direct.origins.in_flight(), 0);
+        });
+    }
+
     #[test]
     fn what_may_have_run_goes_to_no_second_server_and_is_not_promised_not_to_have() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -78,6 +78,22 @@
     counters: Counters,
 }
 
+/// A request that is counted at a shield until this is dropped, also where its client has gone.
+struct InFlight<'a>(&'a RefCell<Shields>, &'a ServerId);
+
+impl<'a> InFlight<'a> {
+    fn at(shields: &'a RefCell<Shields>, shield: &'a ServerId) -> Self {
+        shields.borrow_mut().begin(shield);
+        InFlight(shields, shield)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().end(self.1);
+    }
+}
+
 /// What came of asking the shields.
 enum Asked {
     Answered(Answer),
@@ -229,10 +245,12 @@
                 request
             };
             let sent = self.now();
-            self.shields.borrow_mut().begin(&shield);
-            let ended = self.direct.pool.exchange(addr, request, attempt, || true).await;
+            let ended = {
+                let _counted = InFlight::at(&self.shields, &shield);
+                self.direct.pool.exchange(addr, request, attempt, || true).await
+            };
             let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
-            self.shields.borrow_mut().end(self.now(), &shield, sent, reply.is_none());
+            self.shields.borrow_mut().heard(self.now(), &shield, sent, reply.is_none());
             if let Some(reply) = reply {
                 if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &own) {
                     self.counters.refreshed.add();
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -133,19 +133,34 @@
         self.known.borrow().get(id).is_some_and(|k| k.server.ready)
     }
 
-    pub fn begin(&self, id: &str) {
+    #[cfg(test)]
+    pub fn in_flight(&self) -> u32 {
+        self.known.borrow().values().map(|k| k.in_flight).sum()
+    }
+
+    /// A request goes to a server. It is counted there until what this gives is dropped.
+    pub fn begin<'a>(&'a self, id: &'a str) -> InFlight<'a> {
         if let Some(k) = self.known.borrow_mut().get_mut(id) {
             k.in_flight += 1;
         }
+        InFlight { origins: self, id, began: Instant::now() }
     }
+}
 
-    pub fn end(&self, id: &str, end: End, took: Duration) {
+/// A request at a server. Dropped without an end, its client has gone, which tells nothing of the server.
+pub struct InFlight<'a> {
+    origins: &'a Origins,
+    id: &'a str,
+    began: Instant,
+}
+
+impl InFlight<'_> {
+    pub fn ended(self, end: End) {
         let now = Instant::now();
-        if let Some(k) = self.known.borrow_mut().get_mut(id) {
-            k.in_flight = k.in_flight.saturating_sub(1);
+        if let Some(k) = self.origins.known.borrow_mut().get_mut(self.id) {
             match end {
                 End::Answered => {
-                    let took = took.as_secs_f64();
+                    let took = now.duration_since(self.began).as_secs_f64();
                     k.time = if k.time > 0.0 { k.time + SMOOTH * (took - k.time) } else { took };
                 }
                 End::TurnedAway => k.rests_until = now + FULL,
@@ -154,3 +169,11 @@
         }
     }
 }
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        if let Some(k) = self.origins.known.borrow_mut().get_mut(self.id) {
+            k.in_flight = k.in_flight.saturating_sub(1);
+        }
+    }
+}
--- a/src/shields.rs
+++ b/src/shields.rs
@@ -79,12 +79,18 @@
         }
     }
 
-    /// What was sent at `sent` has ended there; `failed` where the shield gave no answer to it. One that has
-    /// answered others meanwhile is well: it waits for a server.
-    pub fn end(&mut self, now: Seconds, shield: &ServerId, sent: Seconds, failed: bool) {
+    /// It has ended there, or was given up.
+    pub fn end(&mut self, shield: &ServerId) {
         self.in_flight = self.in_flight.saturating_sub(1);
         if let Some(s) = self.ready.get_mut(shield) {
             s.in_flight = s.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// What came of a request that was sent at `sent`; `failed` where the shield gave no answer to it. One that
+    /// has answered others meanwhile is well: it waits for a server.
+    pub fn heard(&mut self, now: Seconds, shield: &ServerId, sent: Seconds, failed: bool) {
+        if let Some(s) = self.ready.get_mut(shield) {
             s.answered = if failed { s.answered } else { now };
             s.rests_until = if failed && s.answered <= sent { now + REST } else { s.rests_until };
         }
--- a/tests/shields.rs
+++ b/tests/shields.rs
@@ -54,7 +54,8 @@
         .filter(|shield| *shield != home)
         .collect();
     assert_eq!(next.len(), 2);
-    shields.end(0.0, &home, 0.0, false);
+    shields.end(&home);
+    shields.heard(0.0, &home, 0.0, false);
     assert_eq!(shields.choose(0.0, key(1), &[]), Some(&home));
 }
 
@@ -80,19 +81,22 @@
     let mut shields = shields([1, 2, 3]);
     let home = shields.choose(0.0, key(1), &[]).unwrap().clone();
     shields.begin(&home);
-    shields.end(1.0, &home, 0.5, true);
+    shields.end(&home);
+    shields.heard(1.0, &home, 0.5, true);
     assert_ne!(shields.choose(2.0, key(1), &[]), Some(&home));
     assert_eq!(shields.choose(3.1, key(1), &[]), Some(&home));
     for n in 1..=3 {
         shields.begin(&id(n));
-        shields.end(4.0, &id(n), 3.5, true);
+        shields.end(&id(n));
+        shields.heard(4.0, &id(n), 3.5, true);
     }
     assert_eq!(shields.choose(4.1, key(1), &[]), Some(&home), "to see whether it answers");
     assert_eq!(shields.choose(4.2, key(1), &[]), None);
     assert_eq!(shields.choose(4.7, key(1), &[id(9)]), None, "one that has waited does not wait again");
     assert_eq!(shields.choose(4.7, key(1), &[]), Some(&home));
     shields.begin(&home);
-    shields.end(4.8, &home, 4.7, false);
+    shields.end(&home);
+    shields.heard(4.8, &home, 4.7, false);
     assert_eq!(shields.choose(6.1, key(1), &[]), Some(&home), "all have rested");
 }
 
@@ -112,11 +116,14 @@
     let home = shields.choose(0.0, key(1), &[]).unwrap().clone();
     shields.begin(&home);
     shields.begin(&home);
-    shields.end(1.2, &home, 1.1, false);
-    shields.end(1.3, &home, 1.0, true);
+    shields.end(&home);
+    shields.heard(1.2, &home, 1.1, false);
+    shields.end(&home);
+    shields.heard(1.3, &home, 1.0, true);
     assert_eq!(shields.choose(1.4, key(1), &[]), Some(&home));
     // Nothing came since this one was sent.
     shields.begin(&home);
-    shields.end(1.8, &home, 1.5, true);
+    shields.end(&home);
+    shields.heard(1.8, &home, 1.5, true);
     assert_ne!(shields.choose(1.9, key(1), &[]), Some(&home));
 }
