Back-pressure: limits on what is out at a service, by the part that comes late, higher ranks first

Change: glenfall/src/limit.rs. Each machine cuts what it has out at a service while over 30 % of the answers come late, down to its share of the servers' places, and refuses the rest at once; lower ranks have less of the limit. Tests: ten machines before a service of twelve places, in virtual time.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -1,21 +1,23 @@
 //! The way to the servers of a service: which one, how often, and what its answer means.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall_plane::budget::{Bound, Budget};
+use glenfall_plane::budget::Budget;
 use glenfall_plane::config::Config;
-use glenfall_plane::messages::Fleet;
+use glenfall_plane::messages::{Fleet, Proxy};
 use glenfall_plane::Millis;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use tokio::time::Instant;
 
+use crate::boot::Boot;
 use crate::counter::Counter;
+use crate::limit::Limits;
 use crate::origins::{End, Origins};
 use crate::pool::{Pool, Reply, Trouble};
 use crate::serve::{DEADLINE, TRY_ID};
@@ -50,6 +52,10 @@
     /// It may have reached a server already, on another way.
     pub again: bool,
     pub until: Instant,
+    /// The time within which its answer earns its full worth.
+    pub aim: Duration,
+    /// From 0, the highest, to 1.
+    pub rank: f64,
 }
 
 /// What came of it.
@@ -68,21 +74,31 @@
     pub pool: Rc<Pool>,
     pub origins: Origins,
     budget: RefCell<Budget>,
+    limits: Limits,
+    /// Whose servers these are to share: the shields, or the edges.
+    sharers: Proxy,
     began: Instant,
     /// Further tries sent, and those that the budget did not allow.
     pub further: Counter,
     pub spent: Counter,
+    /// Requests refused as the service is crowded.
+    pub limited: Counter,
 }
 
 impl Direct {
-    pub fn new(pool: Rc<Pool>, origins: Origins, bound: Bound) -> Self {
+    pub fn new(pool: Rc<Pool>, boot: &Boot, sharers: Proxy) -> Self {
+        // What a shield fetches is large.
+        let origins = Origins::new(&boot.zone, sharers == Proxy::Shield, &boot.node);
         Direct {
             pool,
             origins,
-            budget: RefCell::new(Budget::new(bound)),
+            budget: RefCell::new(Budget::new(boot.further_tries())),
+            limits: Limits::default(),
+            sharers,
             began: Instant::now(),
             further: Counter::default(),
             spent: Counter::default(),
+            limited: Counter::default(),
         }
     }
 
@@ -97,6 +113,16 @@
         }
         let machines = fleet.edges as usize + fleet.shields.len();
         self.budget.borrow_mut().share_among(self.now(), machines);
+        let sharers = match self.sharers {
+            Proxy::Edge => fleet.edges as usize,
+            Proxy::Shield => fleet.shields.iter().filter(|shield| shield.ready).count(),
+        };
+        let mut shares = BTreeMap::new();
+        for server in fleet.servers.iter().filter(|server| server.ready) {
+            let share = f64::from(server.capacity) / sharers.max(1) as f64;
+            *shares.entry(server.backend.as_str()).or_insert(0.0) += share;
+        }
+        self.limits.update(&shares);
     }
 
     /// Counts a client's request for a service. Each is counted by one machine only.
@@ -111,8 +137,23 @@
         may
     }
 
-    /// Sends a request to one server of its service, and to others where that can do no harm.
-    pub async fn send(&self, mut job: Job<'_>) -> Outcome {
+    /// Sends a request to one server of its service, and to others where that can do no harm; to none where the
+    /// service has enough to do.
+    pub async fn send(&self, job: Job<'_>) -> Outcome {
+        let Some(mut admitted) = self.limits.admit(job.service, job.rank, job.aim) else {
+            self.limited.add();
+            return Outcome::NotRun(FULL);
+        };
+        let outcome = self.send_admitted(job).await;
+        match &outcome {
+            Outcome::Answered(_) => admitted.answered(),
+            Outcome::NotRun(FULL) | Outcome::TimedOut => admitted.crowded(),
+            Outcome::NotRun(_) | Outcome::Unknown => {}
+        }
+        outcome
+    }
+
+    async fn send_admitted(&self, mut job: Job<'_>) -> Outcome {
         let own_id = job.headers.get(TRY_ID).cloned();
         let (mut tried, mut sends, mut unreachable) = (Vec::new(), 0, 0);
         let mut fallback = Outcome::NotRun(NONE);
@@ -276,8 +317,11 @@
 
     /// A way to servers that know as many requests of clients.
     fn way(servers: Vec<Server>, counted: u32) -> Direct {
-        let bound = Bound { ratio: 1.2, window: 10_000, slack: 0.0 };
-        let direct = Direct::new(Pool::new(8), Origins::new("z", false, "n"), bound);
+        let boot = Boot::parse(
+            "node = \"n\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
+             seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n[timing]\nretryRatio = 1.2\nretrySlack = 0\n",
+        );
+        let direct = Direct::new(Pool::new(8), &boot.expect("settings"), Proxy::Edge);
         direct.update(&Fleet { complete: true, servers, shields: Vec::new(), edges: 1 });
         (0..counted).for_each(|_| direct.count("s"));
         direct
@@ -296,6 +340,8 @@
             tries,
             again: false,
             until: Instant::now() + Duration::from_secs(20),
+            aim: Duration::from_secs(1),
+            rank: 0.0,
         }
     }
 
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -22,7 +22,6 @@
 use crate::direct::{Ceiling, Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
-use crate::origins::Origins;
 use crate::pool::{Pool, Reply};
 use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
 use crate::shield::{object_draw, object_hash, AGAIN, REV, SHIELD};
@@ -107,7 +106,7 @@
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
         Rc::new(Edge {
             feed,
-            direct: Direct::new(pool, Origins::new(&boot.zone, false, &boot.node), boot.further_tries()),
+            direct: Direct::new(pool, boot, Proxy::Edge),
             shields: RefCell::default(),
             near: RefCell::default(),
             copies: RefCell::new(Cache::new(
@@ -187,6 +186,8 @@
             tries: route.tries,
             again,
             until,
+            aim: route.aim(),
+            rank: config.rank(route),
         };
         let outcome = self.direct.send(job).await;
         self.told(outcome, route, &whole.head.method)
@@ -380,6 +381,7 @@
             ("timed_out", c.timed_out.get()),
             ("further_tries", self.direct.further.get()),
             ("budget_spent", self.direct.spent.get()),
+            ("limited", self.direct.limited.get()),
             ("connections_opened", self.direct.pool.opened.get()),
         ]
         .map(|(name, value)| (name.to_owned(), value))
--- /dev/null
+++ b/glenfall/src/limit.rs
@@ -0,0 +1,214 @@
+//! Back-pressure: how many requests this machine may have at a service at once.
+//!
+//! A service that is asked for more than it does keeps all its queues full: it does as much as before, but what it
+//! does comes late. So each machine watches which part of its answers comes late. Where that is much, it has less
+//! out at once, down to its part of what the servers work on, and refuses the rest at once, the lowest rank first;
+//! where answers are in time again, it has more. Machines need no word between them: they see the same queues.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// An answer is late here that takes more than this part of its aim: the way to the client takes time as well.
+const IN_TIME: f64 = 0.8;
+/// Weight of an answer in the part that comes late.
+const SMOOTH: f64 = 0.1;
+/// Beyond this part of late answers less goes out. One slow server of a few, and work that takes long by itself,
+/// stay below it.
+const CROWDED: f64 = 0.3;
+/// Below this part more may go out.
+const CALM: f64 = 0.15;
+/// What is left of the limit after a cut.
+const CUT: f64 = 0.8;
+/// A limit never falls below this part of the machine's share of the servers' places: they stay busy, and there is
+/// something to do when a place gets free.
+const BUSY: f64 = 1.5;
+/// Nor below this: clients don't spread evenly over machines.
+const LEAST: f64 = 3.0;
+/// Before anything is known of a service.
+const MOST: f64 = 256.0;
+/// The lowest rank has this much less of the limit.
+const RESERVED: f64 = 0.5;
+
+struct Gate {
+    limit: f64,
+    floor: f64,
+    in_flight: u32,
+    late: f64,
+    next_cut: Instant,
+}
+
+impl Gate {
+    fn admits(&self, rank: f64) -> bool {
+        f64::from(self.in_flight) + 1.0 <= (self.limit * (1.0 - RESERVED * rank)).max(1.0)
+    }
+
+    fn ended(&mut self, now: Instant, in_time: bool, aim: Duration) {
+        self.late += SMOOTH * (f64::from(u8::from(!in_time)) - self.late);
+        let out = f64::from(self.in_flight);
+        if self.late > CROWDED && now >= self.next_cut {
+            self.limit = (self.limit.min(out) * CUT).max(self.floor);
+            // What a cut does shows once what is out has ended.
+            self.next_cut = now + aim / 2;
+        } else if self.late < CALM && out + 1.0 >= self.limit {
+            self.limit = (self.limit + 1.0 / self.limit).min(MOST);
+        }
+    }
+}
+
+/// The limits of one machine, one for each service.
+#[derive(Default)]
+pub struct Limits(RefCell<BTreeMap<String, Gate>>);
+
+impl Limits {
+    /// Takes the services and this machine's share of the places at the servers of each.
+    pub fn update(&self, shares: &BTreeMap<&str, f64>) {
+        let mut gates = self.0.borrow_mut();
+        // What is still out keeps its gate until it has ended.
+        gates.retain(|service, gate| gate.in_flight > 0 || shares.contains_key(service.as_str()));
+        for (service, share) in shares {
+            let floor = (share * BUSY).max(LEAST);
+            match gates.get_mut(*service) {
+                Some(gate) => (gate.floor, gate.limit) = (floor, gate.limit.max(floor)),
+                None => {
+                    let gate = Gate { limit: MOST, floor, in_flight: 0, late: 0.0, next_cut: Instant::now() };
+                    gates.insert((*service).to_owned(), gate);
+                }
+            }
+        }
+    }
+
+    /// A request of a rank from 0, the highest, to 1. `None` where there is no room for it now.
+    pub fn admit<'a>(&'a self, service: &'a str, rank: f64, aim: Duration) -> Option<Admitted<'a>> {
+        if let Some(gate) = self.0.borrow_mut().get_mut(service) {
+            if !gate.admits(rank) {
+                return None;
+            }
+            gate.in_flight += 1;
+        }
+        Some(Admitted { limits: self, service, aim, began: Instant::now(), told: None })
+    }
+}
+
+/// A request that counts until this is dropped. What it does not tell of its end says nothing of the service.
+pub struct Admitted<'a> {
+    limits: &'a Limits,
+    service: &'a str,
+    aim: Duration,
+    began: Instant,
+    told: Option<bool>,
+}
+
+impl Admitted<'_> {
+    /// The service has answered.
+    pub fn answered(&mut self) {
+        self.told = Some(self.began.elapsed() <= self.aim.mul_f64(IN_TIME));
+    }
+
+    /// It was full, or too slow.
+    pub fn crowded(&mut self) {
+        self.told = Some(false);
+    }
+}
+
+impl Drop for Admitted<'_> {
+    fn drop(&mut self) {
+        if let Some(gate) = self.limits.0.borrow_mut().get_mut(self.service) {
+            if let Some(in_time) = self.told {
+                gate.ended(Instant::now(), in_time, self.aim);
+            }
+            gate.in_flight = gate.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::VecDeque;
+
+    const AIM: Duration = Duration::from_millis(250);
+
+    /// Ten machines that each have a tenth of a service of twelve places, of 72 ms a request, which queues all it
+    /// gets; so many requests a second come to all of them. Returns the parts answered in time and refused, of
+    /// the highest and of the lowest rank, from the fifth second on.
+    async fn played(per_s: u64, limited: bool) -> [(f64, f64); 2] {
+        const MACHINES: usize = 10;
+        const PLACES: usize = 12;
+        let work = Duration::from_millis(72);
+        let limits: Vec<Limits> = (0..MACHINES).map(|_| Limits::default()).collect();
+        if limited {
+            limits.iter().for_each(|l| l.update(&BTreeMap::from([("s", PLACES as f64 / MACHINES as f64)])));
+        }
+        let began = Instant::now();
+        // When each place is free, and what is out: its end, its rank and its guard.
+        let mut places = [began; PLACES];
+        let mut out: VecDeque<(Instant, usize, Instant, Admitted)> = VecDeque::new();
+        let (mut owed, mut good, mut refused) = ([0.0; 2], [0.0; 2], [0.0; 2]);
+        let mut seed = 7u64;
+        let mut draw = || {
+            seed = mallowpaddle::mix(seed);
+            seed
+        };
+        for n in 0..20 * per_s {
+            let now = began + Duration::from_micros(1_000_000 / per_s * n);
+            while out.front().is_some_and(|(end, ..)| *end <= now) {
+                let Some((end, rank, at, mut admitted)) = out.pop_front() else { break };
+                tokio::time::advance(end - Instant::now()).await;
+                admitted.answered();
+                if at >= began + Duration::from_secs(5) && end - at <= AIM {
+                    good[rank] += 1.0;
+                }
+            }
+            tokio::time::advance(now - Instant::now()).await;
+            let rank = (draw() % 2) as usize;
+            let counts = now >= began + Duration::from_secs(5);
+            owed[rank] += f64::from(u8::from(counts));
+            let machine = &limits[(draw() % MACHINES as u64) as usize];
+            match machine.admit("s", rank as f64, AIM) {
+                Some(admitted) => {
+                    let Some(place) = places.iter_mut().min() else { continue };
+                    *place = (*place).max(now) + work;
+                    out.push_back((*place, rank, now, admitted));
+                }
+                None => refused[rank] += f64::from(u8::from(counts)),
+            }
+        }
+        [0, 1].map(|rank| (good[rank] / owed[rank], refused[rank] / owed[rank]))
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_service_asked_for_too_much_answers_in_time_what_it_can_the_higher_rank_first() {
+        // It can do 166 a second.
+        let [high, low] = played(100, true).await;
+        assert_eq!((high.1, low.1), (0.0, 0.0), "nothing is refused that it can do");
+        let [high, low] = played(330, false).await;
+        assert!(high.0 + low.0 < 0.1, "unlimited, all comes late: {high:?} {low:?}");
+        let [high, low] = played(330, true).await;
+        assert!(high.0 + low.0 > 0.8, "half of what comes can be done: {high:?} {low:?}");
+        assert!(high.0 > 1.3 * low.0, "the higher rank first: {high:?} {low:?}");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_is_given_up_is_counted_off_and_late_answers_of_few_change_nothing() {
+        let limits = Limits::default();
+        limits.update(&BTreeMap::from([("s", 1.0)]));
+        for n in 0..1000 {
+            let mut admitted = limits.admit("s", 1.0, AIM).expect("room");
+            // One in six is late, as with one slow server of six.
+            match n % 6 {
+                0 => admitted.crowded(),
+                1 => {}
+                _ => admitted.answered(),
+            }
+        }
+        let out: Vec<_> = (0..MOST as u32).map(|_| limits.admit("s", 0.0, AIM)).collect();
+        assert!(out.iter().all(Option::is_some));
+        assert!(limits.admit("s", 0.0, AIM).is_none(), "bounded at any rate");
+        drop(out);
+        assert!(limits.admit("s", 1.0, AIM).is_some());
+        assert!(limits.admit("not known", 1.0, AIM).is_some());
+    }
+}
--- a/glenfall/src/main.rs
+++ b/glenfall/src/main.rs
@@ -13,6 +13,7 @@
 mod edge;
 mod feed;
 mod latency;
+mod limit;
 mod link;
 mod ops;
 mod origins;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -23,7 +23,6 @@
 use crate::direct::{Ceiling, Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
-use crate::origins::Origins;
 use crate::pool::{Pool, Reply};
 use crate::serve::{passed_on, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
 
@@ -105,7 +104,7 @@
         let most = (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize;
         Rc::new(Shield {
             feed,
-            direct: Direct::new(pool, Origins::new(&boot.zone, true, &boot.node), boot.further_tries()),
+            direct: Direct::new(pool, boot, Proxy::Shield),
             cache: RefCell::new(Cache::new(most)),
             fetching: RefCell::default(),
             under_way: Cell::new(0),
@@ -208,6 +207,7 @@
             headers.insert(header::IF_NONE_MATCH, etag.clone());
         }
         let (tries, wait) = (route.tries, Duration::from_millis(route.deadline_ms));
+        let (aim, rank) = (route.aim(), config.rank(route));
         let shield = Rc::clone(self);
         spawn_local(async move {
             let sent = Instant::now();
@@ -221,6 +221,8 @@
                 tries,
                 again,
                 until: sent + wait,
+                aim,
+                rank,
             };
             let fetched = match shield.direct.send(job).await {
                 Outcome::Answered(reply) => shield.take(&key, reply, sent, old),
@@ -333,6 +335,7 @@
             ("copy_bytes", cache.bytes() as u64),
             ("further_tries", self.direct.further.get()),
             ("budget_spent", self.direct.spent.get()),
+            ("limited", self.direct.limited.get()),
             ("connections_opened", self.direct.pool.opened.get()),
         ]
         .map(|(name, value)| (name.to_owned(), value))
--- a/plane/src/config.rs
+++ b/plane/src/config.rs
@@ -4,6 +4,7 @@
 //! that it is read back whole. [`Config`] is what the data plane makes of it.
 
 use std::collections::{HashMap, HashSet};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
@@ -77,6 +78,9 @@
     pub max_age_s: f64,
 }
 
+/// Whatever a document says, no answer is waited for longer.
+const LONGEST_AIM_MS: f64 = 3_600_000.0;
+
 fn one() -> u32 {
     1
 }
@@ -101,9 +105,10 @@
         last
     }
 
-    /// The time within which an answer earns its full worth, in milliseconds.
-    pub fn target(&self) -> f64 {
-        self.target_ms.unwrap_or(self.deadline_ms as f64)
+    /// The time within which an answer earns its full worth.
+    pub fn aim(&self) -> Duration {
+        let ms = self.target_ms.unwrap_or(self.deadline_ms as f64);
+        Duration::from_secs_f64(ms.clamp(1.0, LONGEST_AIM_MS) / 1000.0)
     }
 }
 
@@ -155,6 +160,9 @@
     /// Places in `paths`, by host and prefix.
     #[serde(skip)]
     places: HashMap<String, HashMap<String, usize>>,
+    /// Every `prio` there is, the highest rank first.
+    #[serde(skip)]
+    prios: Vec<u32>,
 }
 
 impl Config {
@@ -167,6 +175,9 @@
             let host = config.places.entry(route.hostname.to_ascii_lowercase()).or_default();
             host.insert(route.path_prefix.clone(), index);
         }
+        config.prios = config.paths.iter().map(|route| route.prio).collect();
+        config.prios.sort_unstable();
+        config.prios.dedup();
         Ok(config)
     }
 
@@ -235,6 +246,12 @@
         None
     }
 
+    /// Where a route stands among all, from 0 for the highest rank to 1 for the lowest.
+    pub fn rank(&self, route: &Route) -> f64 {
+        let above = self.prios.iter().filter(|prio| **prio < route.prio).count();
+        above as f64 / self.prios.len().saturating_sub(1).max(1) as f64
+    }
+
     pub fn backend(&self, name: &str) -> Option<&Backend> {
         self.backends.iter().find(|backend| backend.name == name)
     }
@@ -363,6 +380,8 @@
         assert_eq!(route("one.example", "/a"), None);
         assert_eq!(route("two.example", "/a/x"), None);
         assert_eq!(route("one.example", "*"), None);
+        let ranks = [0, 1].map(|n| config.rank(&config.paths[n]));
+        assert_eq!(ranks, [1.0, 0.0]);
         assert_eq!((config.req_limits.max_body_bytes, config.req_limits.header_timeout_ms), (10, 3000));
     }
 
