The last part of a ceiling is left to higher ranks

Cause: in a cold start under twelve times the load, fee sheets (prio 1) were refused as often as status reads (prio 2), though there was room for all of them. Change: the lowest rank leaves 30 % of what is saved up of a ceiling to those above. Test: two ranks ask for more than a ceiling gives.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -34,6 +34,8 @@
 const NONE: Duration = Duration::from_millis(400);
 /// Part of a service's ceiling that is handed out: shares change hands, and a little is lost in between.
 const HANDED_OUT: f64 = 0.95;
+/// Part of what may be saved up that is left to ranks above the lowest.
+const RESERVED: f64 = 0.3;
 /// Requests of a share that may be saved up, in seconds of its rate.
 const SAVED: f64 = 0.25;
 
@@ -255,8 +257,9 @@
 pub struct Ceiling(RefCell<HashMap<String, (f64, Instant)>>);
 
 impl Ceiling {
-    /// Takes one request of the service out of this process's share, where `sharers` share alike.
-    pub fn take(&self, config: &Config, service: &str, sharers: f64) -> bool {
+    /// Takes one request of a rank from 0, the highest, to 1 out of this process's share of the service, where
+    /// `sharers` share alike.
+    pub fn take(&self, config: &Config, service: &str, sharers: f64, rank: f64) -> bool {
         let Some(rate) = config.backend(service).and_then(|backend| backend.rate_per_s) else { return true };
         let rate = rate * HANDED_OUT / sharers.max(1.0);
         let most = (rate * SAVED).max(1.0);
@@ -268,7 +271,7 @@
         let Some((saved, at)) = shares.get_mut(service) else { return false };
         *saved = (*saved + rate * now.duration_since(*at).as_secs_f64()).min(most);
         *at = now;
-        let enough = *saved >= 1.0;
+        let enough = *saved >= 1.0 + rank * RESERVED * most;
         *saved -= f64::from(u8::from(enough));
         enough
     }
@@ -365,6 +368,28 @@
         (told, arrivals.get())
     }
 
+    #[tokio::test(start_paused = true)]
+    async fn a_ceiling_is_kept_and_its_last_part_is_left_to_the_higher_rank() {
+        let config =
+            br#"{"rev": 1, "paths": [], "backends": [{"name": "s", "ratePerS": 800}, {"name": "t"}]}"#;
+        let config = Config::read(config).expect("a configuration");
+        let ceiling = Ceiling::default();
+        let taken = |service: &str, rank: f64| {
+            (0..1000).filter(|_| ceiling.take(&config, service, 2.0, rank)).count()
+        };
+        // A quarter of a second of half the rate, used to 95 %.
+        assert_eq!((taken("s", 1.0), taken("s", 0.0)), (66, 29));
+        assert_eq!(taken("t", 1.0), 1000, "none is stated");
+        let (mut high, mut low) = (0, 0);
+        for _ in 0..1000 {
+            tokio::time::advance(Duration::from_millis(10)).await;
+            low += taken("s", 1.0);
+            high += taken("s", 0.0);
+        }
+        assert_eq!(low, 0, "while the higher rank takes all");
+        assert!((3790..=3810).contains(&high), "{high} in ten seconds");
+    }
+
     #[test]
     fn a_request_whose_client_has_gone_is_counted_off() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -157,7 +157,8 @@
         if read {
             // No shield answers. The edges share the service's ceiling, and ranges are the server's to cut.
             self.counters.bypassed.add();
-            if !self.ceiling.take(&config, service, f64::from(self.edges.get())) {
+            let sharers = f64::from(self.edges.get());
+            if !self.ceiling.take(&config, service, sharers, config.rank(route)) {
                 self.counters.refused.add();
                 return refused(
                     StatusCode::SERVICE_UNAVAILABLE,
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -187,7 +187,7 @@
         old: Option<Rc<Copy>>,
     ) -> Result<watch::Receiver<Option<Fetched>>, NoRoom> {
         if self.under_way.get() >= MOST_FETCHES
-            || !self.ceiling.take(config, &key.service, self.shields.get() as f64)
+            || !self.ceiling.take(config, &key.service, self.shields.get() as f64, config.rank(route))
         {
             return Err(NoRoom);
         }
