Bodies up to 40 % of an edge's memory, read in pieces at a pace

Cause: bodies above 8 MiB got 413 whatever maxBodyBytes said, and a body had idleTimeoutMs in all, however long it was. Change: what all bodies take together is bounded by memMb; a body may pause for idleTimeoutMs and has 1 s more for each 32 KiB. One buffer of the stated length instead of a copy at the end. Test: whole, in pieces, in chunks, too long, broken, never whole, and no room beside others.

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -48,6 +48,8 @@
 const CUT_OFF: Duration = Duration::from_millis(700);
 /// Connections of servers and operators held at most.
 const MOST_CALLERS: usize = 512;
+/// Bytes of documents under way: some of the largest that are taken.
+const MOST_BODIES: usize = 32 << 20;
 /// After the signal to stop: calls still come for a moment, and the chain is mended meanwhile.
 const LEAVING: Duration = Duration::from_millis(600);
 
@@ -135,7 +137,13 @@
     });
     spawn_local(Rc::clone(&control).tick());
     spawn_local(Rc::clone(&control).push_fleet());
-    let terms = serve::Terms { listen, most: MOST_CALLERS, still_accepting: LEAVING, grace: boot.grace() };
+    let terms = serve::Terms {
+        listen,
+        most: MOST_CALLERS,
+        most_bodies: MOST_BODIES,
+        still_accepting: LEAVING,
+        grace: boot.grace(),
+    };
     let serving = serve::serve(terms, Rc::new(api::Api(Rc::clone(&control))), control.stop.subscribe());
     let leaving = async {
         crate::terminated().await;
--- a/glenfall/src/demo.rs
+++ b/glenfall/src/demo.rs
@@ -197,7 +197,13 @@
     drop(listener);
     let id = format!("demo-{number}");
     let server = Rc::new(StandIn { id: id.clone(), runs: Cell::new(0) });
-    let terms = serve::Terms { listen, most: 64, still_accepting: Duration::ZERO, grace: Duration::ZERO };
+    let terms = serve::Terms {
+        listen,
+        most: 64,
+        most_bodies: 1 << 20,
+        still_accepting: Duration::ZERO,
+        grace: Duration::ZERO,
+    };
     spawn_local(serve::serve(terms, server, stopping));
     let at = at.clone();
     spawn_local(async move {
--- a/glenfall/src/main.rs
+++ b/glenfall/src/main.rs
@@ -82,6 +82,8 @@
 
 /// Descriptors that a process keeps for files, links and what the runtime needs.
 const OTHER_DESCRIPTORS: usize = 300;
+/// Part of an edge's memory for bodies of requests under way; copies, connections and answers have the rest.
+const BODIES: f64 = 0.4;
 /// Those who send connections to an edge ask it once a second and believe the second refusal; then what they
 /// have sent must still be taken.
 const STILL_ACCEPTING: Duration = Duration::from_millis(3200);
@@ -184,12 +186,18 @@
     let follower = Rc::clone(&edge);
     let following = Rc::clone(&feed);
     spawn_local(async move { following.run(&*follower).await });
-    let readiness =
-        serve::Terms { listen: ready, most: 16, still_accepting: boot.grace(), grace: boot.grace() };
+    let readiness = serve::Terms {
+        listen: ready,
+        most: 16,
+        most_bodies: 0,
+        still_accepting: boot.grace(),
+        grace: boot.grace(),
+    };
     let readiness = serve::serve(readiness, Rc::new(edge::Readiness(Rc::clone(&feed))), stopping.clone());
     let terms = serve::Terms {
         listen,
         most: descriptors / 2,
+        most_bodies: (boot.req_limits.mem_mb as f64 * BODIES * f64::from(1 << 20)) as usize,
         still_accepting: STILL_ACCEPTING.min(boot.grace()),
         grace: boot.grace(),
     };
@@ -213,6 +221,7 @@
     let terms = serve::Terms {
         listen: boot.shield(),
         most: descriptors / 2,
+        most_bodies: 0,
         still_accepting: SHIELD_STILL_ACCEPTING.min(boot.grace()),
         grace: boot.grace(),
     };
