--- a/src/shields.rs
+++ b/src/shields.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    /// What came of a request that was sent at `sent`; `failed` where the shield gave no answer to it. One that
+    /// What came of what was sent at `sent`; `failed` where the shield gave no answer to it. One that
     /// has answered others meanwhile is well: it waits for a server.
     pub fn heard(&mut self, now: Seconds, shield: &ServerId, sent: Seconds, failed: bool) {
         if let Some(s) = self.ready.get_mut(shield) {
