--- /dev/null
+++ b/glenfall/tests/common/mod.rs
@@ -0,0 +1,199 @@
+//! The system as processes on loopback: three core machines and one edge's, each an address of its own.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::sync::{Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+/// Conditions are waited for so long, also on a busy machine.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// One system at a time: ports that are found free stay so until they are used.
+static ONE: Mutex<()> = Mutex::new(());
+
+/// The edge's machine; those before it are the core's.
+pub const EDGE: u8 = 4;
+
+pub struct System {
+    _one: MutexGuard<'static, ()>,
+    /// By machine and role.
+    children: Vec<(u8, &'static str, Child)>,
+    pub folder: PathBuf,
+    base: u16,
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        for (_, _, child) in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn machine(n: u8) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 8, n)
+}
+
+fn free_ports() -> u16 {
+    loop {
+        let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+        let free =
+            |offset| port.checked_add(offset).is_some_and(|p| TcpListener::bind(("0.0.0.0", p)).is_ok());
+        if (0..6).all(free) {
+            return port;
+        }
+    }
+}
+
+/// Waits until something holds.
+pub fn await_that(what: &str, mut holds: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(30));
+    }
+}
+
+/// An answer: its status, its head and its body.
+pub type Heard = (u16, String, String);
+
+/// Sends one request on a connection of its own. `None` where no whole answer comes.
+pub fn request(addr: SocketAddrV4, line: &str, headers: &str, body: &str) -> Option<Heard> {
+    let mut stream = TcpStream::connect_timeout(&addr.into(), Duration::from_secs(2)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(20))).ok()?;
+    let length = body.len();
+    let text =
+        format!("{line} HTTP/1.1\r\nConnection: close\r\nContent-Length: {length}\r\n{headers}\r\n{body}");
+    stream.write_all(text.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((status, head.to_ascii_lowercase(), body.to_owned()))
+}
+
+impl System {
+    /// Starts these roles on each core machine and on the edge's.
+    pub fn start(core: &[&'static str], edge: &[&'static str]) -> System {
+        let one = ONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let base = free_ports();
+        let folder = std::env::temp_dir().join(format!("glenfall-system-{}-{base}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let mut system = System { _one: one, children: Vec::new(), folder, base };
+        let seeds: Vec<String> = (1..EDGE).map(|n| format!("\"{}\"", system.control(n))).collect();
+        for n in 1..=EDGE {
+            let ip = machine(n);
+            let ports = [2, 3, 4, 5].map(|offset| base + offset);
+            // Servers are not heard of again within a test.
+            let text = format!(
+                "node = \"node-{n}\"\nzone = \"z\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nbeatMs = 120000\n\
+                 portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\n\
+                 [listeners]\ncontrolAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n",
+                ports[0],
+                seeds.join(", "),
+                system.state_dir(n).display(),
+                ports[1],
+                ports[2],
+                ports[3],
+            );
+            std::fs::write(system.folder.join(format!("{n}.toml")), text).unwrap();
+            for role in if n < EDGE { core } else { edge } {
+                let child = system.spawn(n, role);
+                system.children.push((n, *role, child));
+            }
+        }
+        system
+    }
+
+    fn spawn(&self, n: u8, role: &str) -> Child {
+        let log = std::fs::File::options().create(true).append(true).open(self.log(n)).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall"));
+        let settings = self.folder.join(format!("{n}.toml"));
+        command.arg(role).env("GLENFALL_CONFIG", settings).stderr(log).spawn().unwrap()
+    }
+
+    fn child(&mut self, n: u8, role: &str) -> &mut Child {
+        let found = self.children.iter_mut().find(|(at, is, _)| *at == n && *is == role);
+        &mut found.expect("such a process").2
+    }
+
+    /// Kills all control nodes; `meanwhile` is done before they start again.
+    pub fn kill_all(&mut self, meanwhile: impl FnOnce(&System)) {
+        for n in 1..EDGE {
+            let child = self.child(n, "control");
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+        meanwhile(self);
+        for n in 1..EDGE {
+            *self.child(n, "control") = self.spawn(n, "control");
+        }
+    }
+
+    pub fn signal(&mut self, n: u8, role: &str, name: &str) {
+        let pid = self.child(n, role).id().to_string();
+        assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
+    }
+
+    /// Whether a process has ended, and in order.
+    pub fn ended(&mut self, n: u8, role: &str) -> Option<bool> {
+        self.child(n, role).try_wait().unwrap().map(|status| status.success())
+    }
+
+    pub fn state_dir(&self, n: u8) -> PathBuf {
+        self.folder.join(format!("state-{n}"))
+    }
+
+    /// What a verb says, and whether it succeeded.
+    pub fn verb(&self, words: &[&str]) -> (bool, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall"));
+        let output = command.args(words).current_dir(&self.folder).output().unwrap();
+        let said = if output.status.success() { output.stdout } else { output.stderr };
+        (output.status.success(), String::from_utf8(said).unwrap())
+    }
+
+    pub fn control_addr(&self, n: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(machine(n), self.base + 3)
+    }
+
+    pub fn control(&self, n: u8) -> String {
+        self.control_addr(n).to_string()
+    }
+
+    /// Where the edge takes clients, and tells whether it is ready.
+    pub fn edge_addrs(&self) -> [SocketAddrV4; 2] {
+        [4, 5].map(|offset| SocketAddrV4::new(machine(EDGE), self.base + offset))
+    }
+
+    pub fn log(&self, n: u8) -> PathBuf {
+        self.folder.join(format!("{n}.log"))
+    }
+
+    pub fn status(&self, n: u8) -> Option<serde_json::Value> {
+        let (_, _, body) = request(self.control_addr(n), "GET /api/status", "Host: c\r\n", "")?;
+        serde_json::from_str(&body).ok()
+    }
+
+    /// All given nodes know a view with so many members.
+    pub fn await_chain(&self, nodes: &[u8], members: usize) {
+        let stands = |n: &u8| {
+            self.status(*n).is_some_and(|s| s["view"]["chain"].as_array().is_some_and(|c| c.len() == members))
+        };
+        await_that(&format!("a chain of {members} at {nodes:?}"), || nodes.iter().all(stands));
+    }
+
+    pub fn agents_at(&self, n: u8) -> Option<usize> {
+        Some(self.status(n)?["sessions"].as_array()?.len())
+    }
+
+    pub fn losses(&self) -> usize {
+        let lost = |n| std::fs::read_to_string(self.log(n)).unwrap().matches("peer lost").count();
+        (1..EDGE).map(lost).sum()
+    }
+}
--- /dev/null
+++ b/glenfall/tests/system.rs
@@ -0,0 +1,262 @@
+//! The whole path as processes, with servers of the test's own: what is kept and what a purge ends, a server that
+//! drains, a configuration that moves a route, an edge that leaves.
+
+mod common;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use common::{await_that, request, Heard, System, EDGE};
+
+/// A server that counts what it runs, and can be made to hold its answers back.
+#[derive(Default)]
+struct Server {
+    runs: AtomicUsize,
+    waiting: AtomicUsize,
+    held: Mutex<bool>,
+    released: Condvar,
+}
+
+impl Server {
+    fn start() -> (Arc<Server>, SocketAddrV4) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let port = listener.local_addr().unwrap().port();
+        let server = Arc::new(Server::default());
+        let serving = Arc::clone(&server);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let serving = Arc::clone(&serving);
+                std::thread::spawn(move || serving.connection(stream));
+            }
+        });
+        (server, SocketAddrV4::new(Ipv4Addr::LOCALHOST, port))
+    }
+
+    fn connection(&self, mut stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        loop {
+            let (mut id, mut length) = (String::new(), 0);
+            loop {
+                let mut line = String::new();
+                if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                    return;
+                }
+                if line == "\r\n" {
+                    break;
+                }
+                let line = line.to_ascii_lowercase();
+                if let Some(value) = line.strip_prefix("x-glenfall-try-id: ") {
+                    id = value.trim().to_owned();
+                }
+                if let Some(value) = line.strip_prefix("content-length: ") {
+                    length = value.trim().parse().unwrap();
+                }
+            }
+            reader.read_exact(&mut vec![0; length]).unwrap();
+            let run = self.runs.fetch_add(1, Ordering::Relaxed) + 1;
+            self.waiting.fetch_add(1, Ordering::Relaxed);
+            let mut held = self.held.lock().unwrap();
+            while *held {
+                held = self.released.wait(held).unwrap();
+            }
+            drop(held);
+            self.waiting.fetch_sub(1, Ordering::Relaxed);
+            let body = format!("run {run}");
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: {id}\r\nX-Glenfall-Seal: s\r\nX-Glenfall-Tags: label\r\n\
+                 ETag: \"{run}\"\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn runs(&self) -> usize {
+        self.runs.load(Ordering::Relaxed)
+    }
+
+    fn hold(&self, yes: bool) {
+        *self.held.lock().unwrap() = yes;
+        self.released.notify_all();
+    }
+}
+
+struct Path {
+    system: System,
+    tries: AtomicUsize,
+}
+
+impl Path {
+    /// Two services of two servers and one, a route for reads and one for writes.
+    fn start() -> (Path, [Arc<Server>; 3]) {
+        let system = System::start(&["control", "shield"], &["agent", "edge"]);
+        system.await_chain(&[1, 2, 3], 3);
+        let path = Path { system, tries: AtomicUsize::new(0) };
+        let servers = [("a", "s"), ("b", "s"), ("c", "t")].map(|(id, service)| {
+            let (server, addr) = Server::start();
+            path.beat(id, service, addr, "ready", 1);
+            (server, addr)
+        });
+        let document = r#"{"rev": 1, "paths": [
+            {"name": "reads", "hostname": "h", "pathPrefix": "/r/", "type": "cacheable", "deadlineMs": 9000,
+             "targetMs": 5000, "backend": "s", "tries": 2, "maxAgeS": 600},
+            {"name": "writes", "hostname": "h", "pathPrefix": "/w/", "type": "mutating", "deadlineMs": 9000,
+             "targetMs": 5000, "backend": "s", "tries": 2}],
+            "backends": [{"name": "s"}, {"name": "t"}]}"#;
+        path.change("put", 0, document);
+        let ready = path.system.edge_addrs()[1];
+        await_that("the edge is ready", || {
+            request(ready, "GET /api/ready", "Host: e\r\n", "").is_some_and(|heard| heard.0 == 200)
+        });
+        await_that("reads and writes are served", || {
+            path.ask("GET /r/first").is_some_and(|heard| heard.0 == 200)
+                && path.ask("POST /w/first").is_some_and(|heard| heard.0 == 200)
+        });
+        await_that("all shields are in the array", || {
+            let shields = |n| path.system.status(n)?["shields"].as_array().map(Vec::len);
+            (1..EDGE).all(|n| shields(n) == Some(3))
+        });
+        (path, servers.map(|(server, _)| server))
+    }
+
+    fn beat(&self, id: &str, service: &str, addr: SocketAddrV4, status: &str, seq: u32) {
+        let body = format!(
+            r#"{{"backend":"{service}","addr":"{addr}","zone":"z","capacity":8,"status":"{status}","callSeq":{seq}}}"#
+        );
+        let heard =
+            request(self.system.control_addr(1), &format!("PUT /api/servers/{id}"), "Host: c\r\n", &body);
+        assert_eq!(heard.map(|heard| heard.0), Some(200));
+    }
+
+    fn change(&self, verb: &str, builds_on: u64, document: &str) {
+        let file = format!("{verb}-{builds_on}.json");
+        std::fs::write(self.system.folder.join(&file), document).unwrap();
+        let (at, builds_on) = (self.system.control(2), builds_on.to_string());
+        let told = self.system.verb(&["config", verb, "--control", &at, "--builds-on", &builds_on, &file]);
+        assert!(told.0, "{}", told.1);
+    }
+
+    fn purge(&self, what: &[&str]) {
+        let at = self.system.control(3);
+        let told = self.system.verb(&[&["purge", "--control", &at], what].concat());
+        assert!(told.0, "{}", told.1);
+    }
+
+    fn ask(&self, line: &str) -> Option<Heard> {
+        let id = self.tries.fetch_add(1, Ordering::Relaxed);
+        let headers = format!("Host: h\r\nX-Glenfall-Try-Id: {id:x}\r\nX-Glenfall-Deadline: 9000\r\n");
+        request(self.system.edge_addrs()[0], line, &headers, "")
+    }
+
+    /// The body of a good answer.
+    fn body(&self, line: &str) -> String {
+        let (status, head, body) = self.ask(line).expect("an answer");
+        assert_eq!(status, 200, "{line}: {head}");
+        assert!(head.contains("x-glenfall-seal: s"), "{line}: {head}");
+        body
+    }
+}
+
+fn runs(servers: &[Arc<Server>]) -> usize {
+    servers.iter().map(|server| server.runs()).sum()
+}
+
+#[test]
+fn copies_are_kept_joined_and_ended_by_purges_also_where_their_fetch_was_under_way() {
+    let (path, servers) = Path::start();
+    let before = runs(&servers);
+    let first = path.body("GET /r/kept");
+    assert_eq!([path.body("GET /r/kept"), path.body("GET /r/kept")], [first.clone(), first.clone()]);
+    assert_eq!(runs(&servers) - before, 1, "kept");
+    path.purge(&["--host", "h", "--path", "/r/kept"]);
+    let second = path.body("GET /r/kept");
+    assert_ne!(second, first, "purged by path");
+    path.purge(&["--label", "label"]);
+    assert_ne!(path.body("GET /r/kept"), second, "purged by label");
+
+    // Several ask for what is being fetched, and a purge comes meanwhile.
+    servers.iter().for_each(|server| server.hold(true));
+    let before = runs(&servers);
+    std::thread::scope(|scope| {
+        let asked: Vec<_> = (0..5).map(|_| scope.spawn(|| path.body("GET /r/joined"))).collect();
+        await_that("a server has the request", || runs(&servers) > before);
+        // The others have come as well by the time that a purge takes.
+        path.purge(&["--host", "h", "--path", "/r/other"]);
+        path.purge(&["--host", "h", "--path", "/r/joined"]);
+        servers.iter().for_each(|server| server.hold(false));
+        let bodies: Vec<String> = asked.into_iter().map(|asked| asked.join().unwrap()).collect();
+        let fetched = runs(&servers) - before;
+        assert!(fetched <= 2, "five who ask together are one fetch, or two where one came after the purge");
+        let again = path.body("GET /r/joined");
+        assert!(
+            bodies.iter().filter(|body| **body == again).count() < 5,
+            "what began before the purge is kept"
+        );
+    });
+}
+
+#[test]
+fn a_server_that_drains_gets_nothing_more_and_a_route_moves_for_good() {
+    let (path, servers) = Path::start();
+    await_that("both take part", || {
+        path.body("POST /w/x");
+        servers[..2].iter().all(|server| server.runs() > 4)
+    });
+    let addr = path.system.status(1).unwrap()["servers"].as_array().and_then(|servers| {
+        servers.iter().find(|server| server["id"] == "a")?["addr"].as_str()?.parse().ok()
+    });
+    path.beat("a", "s", addr.expect("the address of a"), "draining", 2);
+    let drained = servers[0].runs();
+    for _ in 0..40 {
+        path.body("POST /w/x");
+    }
+    assert_eq!(servers[0].runs(), drained, "after the 2xx nothing more comes");
+
+    let moved = r#"{"rev": 4, "upsert": {"paths": [
+        {"name": "writes", "hostname": "h", "pathPrefix": "/w/", "type": "mutating", "deadlineMs": 9000,
+         "backend": "t", "tries": 2}]}, "remove": {"paths": ["reads"]}}"#;
+    path.change("patch", 1, moved);
+    let (began, before) = (Instant::now(), servers[2].runs());
+    await_that("the route has moved", || {
+        path.body("POST /w/x");
+        servers[2].runs() > before
+    });
+    assert!(began.elapsed() < Duration::from_secs(3), "applyMs");
+    let (old, new) = (servers[1].runs(), servers[2].runs());
+    for _ in 0..30 {
+        path.body("POST /w/x");
+    }
+    assert_eq!((servers[1].runs(), servers[2].runs()), (old, new + 30), "never back");
+    assert_eq!(path.ask("GET /r/first").map(|heard| heard.0), Some(404), "a dropped route");
+}
+
+#[test]
+fn an_edge_that_leaves_answers_what_it_has_read_and_takes_what_still_comes() {
+    let (mut path, servers) = Path::start();
+    servers.iter().for_each(|server| server.hold(true));
+    let waiting = || servers.iter().map(|server| server.waiting.load(Ordering::Relaxed)).sum::<usize>();
+    let [edge, ready] = path.system.edge_addrs();
+    std::thread::scope(|scope| {
+        let asked = scope.spawn(|| request(edge, "POST /w/held", "Host: h\r\nX-Glenfall-Try-Id: ab\r\n", ""));
+        await_that("the request is at a server", || waiting() == 1);
+        path.system.signal(EDGE, "edge", "-TERM");
+        await_that("it is not ready any more", || {
+            request(ready, "GET /api/ready", "Host: e\r\n", "").is_some_and(|heard| heard.0 == 503)
+        });
+        let late = scope.spawn(|| request(edge, "POST /w/late", "Host: h\r\nX-Glenfall-Try-Id: ac\r\n", ""));
+        await_that("a late one is at a server too", || waiting() == 2);
+        servers.iter().for_each(|server| server.hold(false));
+        for asked in [asked, late] {
+            let (status, head, body) = asked.join().unwrap().expect("a whole answer");
+            assert_eq!(status, 200, "{head}");
+            assert!(head.contains("connection: close") && body.starts_with("run "), "{head} {body}");
+        }
+    });
+    await_that("it ends", || path.system.ended(EDGE, "edge").is_some());
+    assert_eq!(path.system.ended(EDGE, "edge"), Some(true), "in order");
+}
