--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -16,7 +16,7 @@
 use crate::link::{self, Frames, Outbox, PING};
 
 /// Pause before a peer is called again.
-const AGAIN: Duration = Duration::from_millis(100);
+const AGAIN: Duration = Duration::from_millis(30);
 const LONGEST: Duration = Duration::from_millis(800);
 /// Control nodes known at most.
 const MOST: usize = 64;
--- a/glenfall/src/link.rs
+++ b/glenfall/src/link.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Silence on a link after which the other side is taken for lost, and how often something is said. A dark
 /// machine answers nothing, not even a reset.
@@ -22,8 +22,10 @@
 /// Frames that may wait to be written; a reader that is further behind than this is cut off, and catches up
 /// on a new link.
 const WAITING: usize = 1024;
-/// A connection not up by then is tried anew: its opening packet met a machine that was dark, and is sent again
-/// only after a second.
+/// An opening packet that meets a dark machine is sent again only after a second: another one goes out after this
+/// pause, which is longer than a way there and back within a region.
+const PACKET: Duration = Duration::from_millis(50);
+/// A connection not up by then is given up.
 const CONNECT: Duration = Duration::from_millis(250);
 
 fn invalid(what: impl std::fmt::Display) -> io::Error {
@@ -36,9 +38,23 @@
     stream.set_nodelay(true)
 }
 
+/// Connects, with another opening packet behind each that is not answered soon.
+async fn connect(addr: SocketAddrV4) -> io::Result<TcpStream> {
+    let after = async |pauses: u32| {
+        sleep(PACKET * pauses).await;
+        TcpStream::connect(addr).await
+    };
+    tokio::select! {
+        connected = TcpStream::connect(addr) => connected,
+        connected = after(1) => connected,
+        connected = after(2) => connected,
+        connected = after(3) => connected,
+    }
+}
+
 /// Opens a held connection and says what it is for.
 pub async fn open(addr: SocketAddrV4, first: &impl Serialize) -> io::Result<(OwnedReadHalf, OwnedWriteHalf)> {
-    let stream = timeout(CONNECT, TcpStream::connect(addr)).await??;
+    let stream = timeout(CONNECT, connect(addr)).await??;
     tune(&stream)?;
     let (read, mut write) = stream.into_split();
     let mut buffer = Vec::new();
