An emulator of the systems served, with load, troubles, checks and reports: glenfall-lab

The program becomes a library with a thin main, so that servers and clients of experiments use its sides of HTTP; local.rs starts a whole system on loopback for demo and experiments alike. Checked: runs twice, refused but run, mixed answers, stale versions.

--- a/glenfall/src/demo.rs
+++ b/glenfall/src/demo.rs
@@ -3,9 +3,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,7 +18,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-use crate::boot::VARIABLE;
+use crate::local::{Layout, Local};
 use crate::ops::{self, Controls};
 use crate::pool::{Pool, Reply};
 use crate::serve::{self, plain, Answer, Handler, Whole};
@@ -28,6 +26,8 @@
 /// Each step of the demo comes true within this time, also on a busy machine.
 const STEP: Duration = Duration::from_secs(30);
 const BEAT_MS: u64 = 500;
+/// Third byte of the machines' addresses.
+const NET: u8 = 7;
 const CORES: u8 = 3;
 const EDGES: u8 = 2;
 const HOST: &str = "demo.example";
@@ -77,88 +77,21 @@
     }
 }
 
-/// Children that end with the demo, and their folder.
-struct Children {
-    all: Vec<Child>,
-    folder: PathBuf,
-}
-
-impl Drop for Children {
-    fn drop(&mut self) {
-        for child in &mut self.all {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-/// Free ports of one machine, next to each other as far as the system needs them.
-async fn free_ports() -> std::io::Result<u16> {
-    loop {
-        let port = TcpListener::bind("127.0.0.1:0").await?.local_addr()?.port();
-        let mut held = Vec::new();
-        for offset in 0..6 {
-            let Some(port) = port.checked_add(offset) else { break };
-            match TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).await {
-                Ok(listener) => held.push(listener),
-                Err(_) => break,
-            }
-        }
-        if held.len() == 6 {
-            return Ok(port);
-        }
-    }
-}
-
-fn machine(number: u8) -> Ipv4Addr {
-    Ipv4Addr::new(127, 0, 7, number)
-}
-
-fn settings(folder: &Path, node: &str, ip: Ipv4Addr, base: u16) -> String {
-    let seeds: Vec<String> = (1..=CORES).map(|n| format!("\"{}:{}\"", machine(n), base + 3)).collect();
-    format!(
-        "node = \"{node}\"\nzone = \"demo-{}\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nportRange = [{base}, {}]\n\
-         seedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\nbeatMs = {BEAT_MS}\n[listeners]\n\
-         controlAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n",
-        ip.octets()[3] % CORES,
-        base + 2,
-        seeds.join(", "),
-        folder.join(node).display(),
-        base + 3,
-        base + 4,
-        base + 5,
-    )
-}
-
 /// Starts the system and shows its path; then goes on until a signal, or ends if `once`.
 pub async fn run(once: bool) -> Result<(), DemoError> {
-    let base = free_ports().await?;
-    let folder = std::env::temp_dir().join(format!("glenfall-demo-{}", std::process::id()));
-    std::fs::create_dir_all(&folder)?;
-    let mut children = Children { all: Vec::new(), folder };
+    let layout = Layout { net: NET, cores: CORES, edges: EDGES, zones: CORES, beat_ms: BEAT_MS, mem_mb: 256 };
     let program = std::env::current_exe()?;
-    let cores = (1..=CORES).flat_map(|n| [("shield", n), ("control", n)]);
-    let edges = (CORES + 1..=CORES + EDGES).flat_map(|n| [("edge", n), ("agent", n)]);
-    for (role, number) in cores.chain(edges) {
-        let node = format!("{}-{number}", if number <= CORES { "core" } else { "edge" });
-        let file = children.folder.join(format!("{node}-{role}.toml"));
-        std::fs::write(&file, settings(&children.folder, &node, machine(number), base))?;
-        let log = std::fs::File::create(children.folder.join(format!("{node}-{role}.log")))?;
-        let child = Command::new(&program).arg(role).env(VARIABLE, &file).stderr(log).spawn()?;
-        children.all.push(child);
-    }
-    let at = Controls { controls: (1..=CORES).map(|n| SocketAddrV4::new(machine(n), base + 3)).collect() };
+    let local = Local::start(layout, &program).await?;
+    let at = local.controls();
     let (_stop, stopping) = watch::channel(false);
     for number in 0..2 {
-        start_server(number, &at, stopping.clone()).await?;
+        start_server(number, &local, stopping.clone()).await?;
     }
     put_config(&at).await?;
     println!("configuration 1 is in force at {}", at.controls[0]);
     settled(&at).await?;
     println!("all know {CORES} shields and 2 servers");
-    let edges: Vec<_> =
-        (CORES + 1..=CORES + EDGES).map(|n| SocketAddrV4::new(machine(n), base + 4)).collect();
+    let edges = local.edges();
     let get = |path| ask(edges[0], Method::GET, path);
     let first = until("a read through edge and shield", || get("/pages/hello")).await?;
     print!("read:           {}", String::from_utf8_lossy(&first.body));
@@ -183,15 +116,15 @@
     }
     println!("\ntry:    curl -H 'Host: {HOST}' http://{}/pages/hello", edges[0]);
     println!("see:    {} status --control {}", program.display(), at.controls[0]);
-    println!("logs:   {}", children.folder.display());
+    println!("logs:   {}", local.folder.display());
     println!("Ctrl-C ends it.");
     crate::terminated().await;
     Ok(())
 }
 
 /// Starts a stand-in server and its beats.
-async fn start_server(number: u8, at: &Controls, stopping: watch::Receiver<bool>) -> std::io::Result<()> {
-    let ip = machine(100 + number);
+async fn start_server(number: u8, local: &Local, stopping: watch::Receiver<bool>) -> std::io::Result<()> {
+    let ip = local.machine(100 + number);
     let listener = TcpListener::bind((ip, 0)).await?;
     let listen = SocketAddrV4::new(ip, listener.local_addr()?.port());
     drop(listener);
@@ -205,12 +138,12 @@
         grace: Duration::ZERO,
     };
     spawn_local(serve::serve(terms, server, stopping));
-    let at = at.clone();
+    let (at, zone) = (local.controls(), local.zone(number));
     spawn_local(async move {
         let pool = Pool::new(8);
         for seq in 1u64.. {
             let body = json!({
-                "backend": "demo", "addr": listen, "zone": "demo-0", "rev": "v1", "capacity": 8,
+                "backend": "demo", "addr": listen, "zone": zone, "rev": "v1", "capacity": 8,
                 "status": "ready", "warmupLeftMs": 0, "callSeq": seq,
             });
             let body = Bytes::from(body.to_string());
--- /dev/null
+++ b/glenfall/src/local.rs
@@ -0,0 +1,183 @@
+//! A whole system on loopback: each machine an address of its own, each role a process. For the demo and for
+//! experiments.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+
+use tokio::net::TcpListener;
+
+use crate::boot::VARIABLE;
+use crate::ops::Controls;
+
+/// Ports that a machine needs, next to each other.
+const PORTS: u16 = 6;
+const CONTROL: u16 = 3;
+const HTTP: u16 = 4;
+const READY: u16 = 5;
+
+/// What is started.
+#[derive(Clone, Copy, Debug)]
+pub struct Layout {
+    /// Third byte of the machines' addresses, 127.0.N.x: several systems may run beside each other.
+    pub net: u8,
+    /// Machines with control and a shield; those with an edge and its agent.
+    pub cores: u8,
+    pub edges: u8,
+    pub zones: u8,
+    pub beat_ms: u64,
+    pub mem_mb: u64,
+}
+
+struct Process {
+    node: String,
+    role: &'static str,
+    child: Child,
+}
+
+/// The processes end, and their folder goes, when this is dropped.
+pub struct Local {
+    layout: Layout,
+    program: PathBuf,
+    base: u16,
+    pub folder: PathBuf,
+    processes: Vec<Process>,
+}
+
+impl Drop for Local {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            let _ = process.child.kill();
+            let _ = process.child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Free ports, next to each other.
+async fn free_ports() -> std::io::Result<u16> {
+    loop {
+        let port = TcpListener::bind("127.0.0.1:0").await?.local_addr()?.port();
+        let mut held = Vec::new();
+        for offset in 0..PORTS {
+            let Some(port) = port.checked_add(offset) else { break };
+            match TcpListener::bind((Ipv4Addr::UNSPECIFIED, port)).await {
+                Ok(listener) => held.push(listener),
+                Err(_) => break,
+            }
+        }
+        if held.len() == usize::from(PORTS) {
+            return Ok(port);
+        }
+    }
+}
+
+impl Local {
+    /// Starts all processes; they find each other by themselves.
+    pub async fn start(layout: Layout, program: &Path) -> std::io::Result<Local> {
+        let base = free_ports().await?;
+        let folder = std::env::temp_dir().join(format!("glenfall-local-{}-{base}", std::process::id()));
+        std::fs::create_dir_all(&folder)?;
+        let program = program.to_owned();
+        let mut local = Local { layout, program, base, folder, processes: Vec::new() };
+        for number in 1..=layout.cores + layout.edges {
+            let (node, roles) = (local.node(number), local.roles(number));
+            std::fs::write(local.settings_file(&node), local.settings(&node, number))?;
+            for role in roles {
+                let child = local.spawn(&node, role)?;
+                local.processes.push(Process { node: node.clone(), role, child });
+            }
+        }
+        Ok(local)
+    }
+
+    fn node(&self, number: u8) -> String {
+        match number.checked_sub(self.layout.cores + 1) {
+            None => format!("core-{number}"),
+            Some(edge) => format!("edge-{}", edge + 1),
+        }
+    }
+
+    fn roles(&self, number: u8) -> [&'static str; 2] {
+        if number <= self.layout.cores {
+            ["shield", "control"]
+        } else {
+            ["edge", "agent"]
+        }
+    }
+
+    /// The address of a machine; those beyond the last are free for servers.
+    pub fn machine(&self, number: u8) -> Ipv4Addr {
+        Ipv4Addr::new(127, 0, self.layout.net, number)
+    }
+
+    /// The zone of a machine.
+    pub fn zone(&self, number: u8) -> String {
+        format!("zone-{}", number % self.layout.zones.max(1) + 1)
+    }
+
+    fn settings_file(&self, node: &str) -> PathBuf {
+        self.folder.join(format!("{node}.toml"))
+    }
+
+    fn settings(&self, node: &str, number: u8) -> String {
+        let (ip, base) = (self.machine(number), self.base);
+        let seeds: Vec<String> =
+            self.controls().controls.iter().map(|control| format!("\"{control}\"")).collect();
+        format!(
+            "node = \"{node}\"\nzone = \"{}\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\n\
+             portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\nbeatMs = {}\n\
+             [listeners]\ncontrolAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n\
+             [reqLimits]\nmemMb = {}\nmaxFds = 4096\n",
+            self.zone(number),
+            base + CONTROL - 1,
+            seeds.join(", "),
+            self.folder.join(node).display(),
+            self.layout.beat_ms,
+            base + CONTROL,
+            base + HTTP,
+            base + READY,
+            self.layout.mem_mb,
+        )
+    }
+
+    fn spawn(&self, node: &str, role: &str) -> std::io::Result<Child> {
+        let log = self.folder.join(format!("{node}-{role}.log"));
+        let log = std::fs::File::options().create(true).append(true).open(log)?;
+        Command::new(&self.program)
+            .arg(role)
+            .env(VARIABLE, self.settings_file(node))
+            .stdin(std::process::Stdio::null())
+            .stderr(log)
+            .spawn()
+    }
+
+    /// Where control is called.
+    pub fn controls(&self) -> Controls {
+        let addr = |number| SocketAddrV4::new(self.machine(number), self.base + CONTROL);
+        Controls { controls: (1..=self.layout.cores).map(addr).collect() }
+    }
+
+    /// Where edges take clients.
+    pub fn edges(&self) -> Vec<SocketAddrV4> {
+        let last = self.layout.cores + self.layout.edges;
+        let addr = |number| SocketAddrV4::new(self.machine(number), self.base + HTTP);
+        (self.layout.cores + 1..=last).map(addr).collect()
+    }
+
+    /// The ids of the processes of a machine, of one role or of all.
+    pub fn pids(&self, node: &str, role: Option<&str>) -> Vec<u32> {
+        let named = |process: &&Process| process.node == node && role.is_none_or(|role| role == process.role);
+        self.processes.iter().filter(named).map(|process| process.child.id()).collect()
+    }
+
+    /// Starts the processes of a machine again that have ended.
+    pub fn start_again(&mut self, node: &str) -> std::io::Result<()> {
+        for at in 0..self.processes.len() {
+            if self.processes[at].node == node && self.processes[at].child.try_wait()?.is_some() {
+                self.processes[at].child = self.spawn(node, self.processes[at].role)?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddrV4;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -43,7 +44,7 @@
 
 /// Answers requests that have been read whole.
 pub trait Handler: 'static {
-    async fn answer(&self, request: Whole) -> Answer;
+    fn answer(&self, request: Whole) -> impl Future<Output = Answer>;
     fn limits(&self) -> ReqLimits;
     /// Answers close their connections: the process leaves.
     fn leaving(&self) -> bool;
--- /dev/null
+++ b/lab/src/ledger.rs
@@ -0,0 +1,134 @@
+//! What servers ran and clients saw, and what of it breaks a promise.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde::Serialize;
+use tokio::time::Instant;
+
+/// A purge that was acknowledged takes effect everywhere within this time.
+const PURGED: Duration = Duration::from_secs(2);
+
+/// Broken promises, counted.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Broken {
+    /// A request that may run at most once ran more than once.
+    pub twice: u64,
+    /// One was answered as not run, and had run.
+    pub refused: u64,
+    /// A success that is not the server's whole answer.
+    pub mixed: u64,
+    /// An object's old version, long after its purge.
+    pub stale: u64,
+}
+
+#[derive(Default)]
+struct Object {
+    version: u64,
+    /// When the purge was acknowledged that ended each older version.
+    ended: HashMap<u64, Instant>,
+}
+
+#[derive(Default)]
+pub struct Ledger {
+    objects: RefCell<HashMap<String, Object>>,
+    runs: RefCell<HashMap<String, u32>>,
+    broken: RefCell<Broken>,
+}
+
+/// The body of an object's version: its name, so that it can be told apart, and filled up.
+pub fn body(path: &str, version: u64, length: usize) -> Bytes {
+    let mut body = format!("{path} v{version}\n").into_bytes();
+    let mut fill = mallowpaddle::mix(version ^ path.len() as u64);
+    while body.len() < length {
+        fill = mallowpaddle::mix(fill);
+        body.extend_from_slice(&fill.to_le_bytes());
+    }
+    body.truncate(length);
+    body.into()
+}
+
+impl Ledger {
+    pub fn version(&self, path: &str) -> u64 {
+        self.objects.borrow().get(path).map_or(0, |object| object.version)
+    }
+
+    /// An object changes; returns the version that is no longer good.
+    pub fn change(&self, path: &str) -> u64 {
+        let mut objects = self.objects.borrow_mut();
+        let object = objects.entry(path.to_owned()).or_default();
+        object.version += 1;
+        object.version - 1
+    }
+
+    /// The purge of a version was acknowledged.
+    pub fn purged(&self, path: &str, version: u64) {
+        if let Some(object) = self.objects.borrow_mut().get_mut(path) {
+            object.ended.insert(version, Instant::now());
+        }
+    }
+
+    /// A server begins to work on a try that may run once.
+    pub fn ran(&self, id: &str) {
+        let mut runs = self.runs.borrow_mut();
+        let times = runs.entry(id.to_owned()).or_default();
+        *times += 1;
+        if *times == 2 {
+            self.broken.borrow_mut().twice += 1;
+        }
+    }
+
+    /// A client was told that a try had not run.
+    pub fn told_not_run(&self, id: &str) {
+        if self.runs.borrow().contains_key(id) {
+            self.broken.borrow_mut().refused += 1;
+        }
+    }
+
+    /// A client got a success for a request that it sent at `sent`.
+    pub fn got(&self, path: &str, sent: Instant, sealed: bool, got: &[u8], length: usize) {
+        let head = format!("{path} v");
+        let text = got.split(|byte| *byte == b'\n').next().and_then(|line| std::str::from_utf8(line).ok());
+        let version = text.and_then(|line| line.strip_prefix(&head)?.parse::<u64>().ok());
+        let Some(version) = version.filter(|v| sealed && got == &body(path, *v, length)[..]) else {
+            self.broken.borrow_mut().mixed += 1;
+            return;
+        };
+        let objects = self.objects.borrow();
+        let ended = objects.get(path).and_then(|object| object.ended.get(&version));
+        if ended.is_some_and(|ended| sent >= *ended + PURGED) {
+            self.broken.borrow_mut().stale += 1;
+        }
+    }
+
+    pub fn broken(&self) -> Broken {
+        self.broken.borrow().clone()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test(start_paused = true)]
+    async fn each_broken_promise_is_found_and_kept_ones_are_not() {
+        let ledger = Ledger::default();
+        let good = body("/a/1", 0, 100);
+        ledger.got("/a/1", Instant::now(), true, &good, 100);
+        ledger.ran("x");
+        ledger.told_not_run("y");
+        let old = ledger.change("/a/1");
+        ledger.purged("/a/1", old);
+        ledger.got("/a/1", Instant::now() + Duration::from_millis(1999), true, &good, 100);
+        assert_eq!(ledger.broken(), Broken::default());
+        ledger.got("/a/1", Instant::now() + PURGED, true, &good, 100);
+        ledger.got("/a/1", Instant::now(), false, &good, 100);
+        ledger.got("/a/1", Instant::now(), true, &good[..99], 100);
+        ledger.got("/a/2", Instant::now(), true, &good, 100);
+        ledger.ran("x");
+        ledger.told_not_run("x");
+        assert_eq!(ledger.broken(), Broken { twice: 1, refused: 1, mixed: 3, stale: 1 });
+    }
+}
--- /dev/null
+++ b/lab/src/origin.rs
@@ -0,0 +1,254 @@
+//! Emulated servers: they beat, have places and a queue, take their time, and say what they have not run.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall::ops::Controls;
+use glenfall::pool::Pool;
+use glenfall::serve::{self, plain, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
+use glenfall_plane::config::ReqLimits;
+use http_body_util::Full;
+use hyper::header::{self, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, LogNormal};
+use serde_json::json;
+use tokio::sync::{watch, Semaphore};
+use tokio::time::{sleep, sleep_until, timeout, Instant};
+
+use crate::ledger::{body, Ledger};
+use crate::plan::{ClassPlan, Kind, ServicePlan};
+
+/// How often a server says that it is there.
+pub const BEAT: Duration = Duration::from_millis(500);
+/// One call to control; then the next node is called.
+const CALL: Duration = Duration::from_secs(1);
+/// Serves on for so long after its goodbye was acknowledged.
+const DRAIN: Duration = Duration::from_millis(3000);
+/// A server that is full is called again no sooner.
+const FULL: Duration = Duration::from_millis(100);
+
+pub struct Origin {
+    pub id: String,
+    pub plan: ServicePlan,
+    classes: Vec<ClassPlan>,
+    ledger: Rc<Ledger>,
+    places: Semaphore,
+    waiting: Cell<u32>,
+    /// How many times as long as usual its work takes.
+    pub slow: Cell<f64>,
+    draining: Cell<bool>,
+    rng: RefCell<ChaCha8Rng>,
+    /// Arrivals, and those that it turned away.
+    pub arrivals: Cell<u64>,
+    pub turned_away: Cell<u64>,
+    crash: watch::Sender<bool>,
+}
+
+impl Origin {
+    pub fn new(
+        number: u8,
+        plan: &ServicePlan,
+        classes: &[ClassPlan],
+        ledger: &Rc<Ledger>,
+        seed: u64,
+    ) -> Rc<Origin> {
+        Rc::new(Origin {
+            id: format!("{}-{number}", plan.name),
+            plan: plan.clone(),
+            classes: classes.to_vec(),
+            ledger: Rc::clone(ledger),
+            places: Semaphore::new(plan.slots as usize),
+            waiting: Cell::new(0),
+            slow: Cell::new(1.0),
+            draining: Cell::new(false),
+            rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
+            arrivals: Cell::new(0),
+            turned_away: Cell::new(0),
+            crash: watch::Sender::new(false),
+        })
+    }
+
+    /// Serves, and beats, until it crashes or has drained.
+    pub async fn run(self: Rc<Self>, addr: SocketAddrV4, zone: String, controls: Controls) {
+        let terms = serve::Terms {
+            listen: addr,
+            most: 256,
+            most_bodies: 8 << 20,
+            still_accepting: Duration::ZERO,
+            grace: Duration::ZERO,
+        };
+        let mut crash = self.crash.subscribe();
+        let serving = serve::serve(terms, Rc::new(Serving(Rc::clone(&self))), crash.clone());
+        tokio::select! {
+            served = serving => {
+                if let Err(e) = served {
+                    eprintln!("{}: {e}", self.id);
+                }
+            }
+            () = self.beat(addr, zone, &controls) => {}
+            _ = crash.wait_for(|crashed| *crashed) => {}
+        }
+    }
+
+    async fn beat(&self, addr: SocketAddrV4, zone: String, controls: &Controls) {
+        let pool = Pool::new(8);
+        let uri = format!("/api/servers/{}", self.id);
+        for seq in 1u64.. {
+            let draining = self.draining.get();
+            let status = if draining { "draining" } else { "ready" };
+            let beat = json!({
+                "backend": self.plan.name, "addr": addr, "zone": zone, "rev": "v1",
+                "capacity": self.plan.slots, "status": status, "warmupLeftMs": 0, "callSeq": seq,
+            });
+            let told = call(&pool, controls, Method::PUT, &uri, beat.to_string().into()).await;
+            if draining && told {
+                sleep(DRAIN).await;
+                call(&pool, controls, Method::DELETE, &uri, Bytes::new()).await;
+                return;
+            }
+            let asked_to_leave = async {
+                while !self.draining.get() || draining {
+                    sleep(Duration::from_millis(20)).await;
+                }
+            };
+            let _ = timeout(BEAT, asked_to_leave).await;
+        }
+    }
+
+    pub fn drain(&self) {
+        self.draining.set(true);
+    }
+
+    /// It says nothing any more.
+    pub fn crash(&self) {
+        self.crash.send_replace(true);
+    }
+
+    /// Whether it is in its usual state.
+    pub fn is_well(&self) -> bool {
+        !self.draining.get() && !*self.crash.borrow() && self.slow.get() == 1.0
+    }
+
+    fn not_run(&self, status: StatusCode, why: &'static str) -> Answer {
+        self.turned_away.set(self.turned_away.get() + 1);
+        let mut answer = refused(status, why, FULL);
+        answer.headers_mut().insert("x-glenfall-not-run", HeaderValue::from_static("1"));
+        answer
+    }
+
+    /// How long the next request takes, and whether it ends as an error.
+    fn draw(&self) -> (Duration, bool) {
+        let mut rng = self.rng.borrow_mut();
+        let ln = (self.plan.work_ms / 1000.0).ln() - self.plan.spread.powi(2) / 2.0;
+        let work = LogNormal::new(ln, self.plan.spread).map_or(0.0, |law| law.sample(&mut *rng));
+        (Duration::from_secs_f64(work * self.slow.get()), rng.random_bool(self.plan.error_share))
+    }
+
+    async fn work(&self, whole: &Whole) -> Answer {
+        self.arrivals.set(self.arrivals.get() + 1);
+        let text = |name: &str| whole.head.headers.get(name).and_then(|value| value.to_str().ok());
+        if text("x-glenfall-want-server").is_some_and(|wanted| wanted != self.id) {
+            return self.not_run(StatusCode::MISDIRECTED_REQUEST, "another server");
+        }
+        let path = whole.head.uri.path();
+        let class = self.classes.iter().find(|class| path.split('/').nth(1) == Some(class.name.as_str()));
+        let Some(class) = class.filter(|class| class.service == self.plan.name) else {
+            return self.not_run(StatusCode::MISDIRECTED_REQUEST, "another service");
+        };
+        let Some(id) = text(TRY_ID.as_str()) else {
+            return self.not_run(StatusCode::BAD_REQUEST, "no id");
+        };
+        let wait = text(DEADLINE.as_str()).and_then(|ms| ms.parse().ok()).unwrap_or(class.deadline_ms);
+        let until = Instant::now() + Duration::from_millis(wait);
+        if self.places.available_permits() == 0 && self.waiting.get() >= self.plan.queue {
+            return self.not_run(StatusCode::SERVICE_UNAVAILABLE, "full");
+        }
+        let waiting = Waiting::new(&self.waiting);
+        let place = tokio::select! {
+            place = self.places.acquire() => place,
+            () = sleep_until(until) => return self.not_run(StatusCode::SERVICE_UNAVAILABLE, "waited too long"),
+        };
+        drop(waiting);
+        if class.kind == Kind::Mutating {
+            self.ledger.ran(id);
+        }
+        let version = self.ledger.version(path);
+        let (work, error) = self.draw();
+        sleep(work).await;
+        drop(place);
+        if error {
+            return plain(StatusCode::INTERNAL_SERVER_ERROR, "as it happens");
+        }
+        let tag = format!("\"{version}\"");
+        let unchanged = text(header::IF_NONE_MATCH.as_str()) == Some(tag.as_str());
+        let mut answer = if unchanged {
+            plain(StatusCode::NOT_MODIFIED, "")
+        } else {
+            Answer::new(Full::new(body(path, version, class.bytes)))
+        };
+        let headers = answer.headers_mut();
+        for (name, value) in
+            [("etag", tag.as_str()), ("x-glenfall-seal", self.id.as_str()), ("x-glenfall-try-id", id)]
+        {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name, value);
+            }
+        }
+        answer
+    }
+}
+
+/// A request that waits for a place.
+struct Waiting<'a>(&'a Cell<u32>);
+
+impl<'a> Waiting<'a> {
+    fn new(waiting: &'a Cell<u32>) -> Self {
+        waiting.set(waiting.get() + 1);
+        Waiting(waiting)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct Serving(Rc<Origin>);
+
+impl Handler for Serving {
+    async fn answer(&self, whole: Whole) -> Answer {
+        self.0.work(&whole).await
+    }
+
+    fn limits(&self) -> ReqLimits {
+        ReqLimits::default()
+    }
+
+    fn leaving(&self) -> bool {
+        self.0.draining.get()
+    }
+}
+
+/// Calls control nodes in turn until one takes it.
+async fn call(pool: &Pool, controls: &Controls, method: Method, uri: &str, body: Bytes) -> bool {
+    for control in &controls.controls {
+        let request = || {
+            let mut request = Request::new(Full::new(body.clone()));
+            *request.method_mut() = method.clone();
+            *request.uri_mut() = uri.parse().unwrap_or_default();
+            request.headers_mut().insert(header::HOST, HeaderValue::from_static("control"));
+            request
+        };
+        let reply = pool.exchange((*control).into(), request, Instant::now() + CALL, || true).await;
+        if reply.is_ok_and(|reply| reply.status.is_success()) {
+            return true;
+        }
+    }
+    false
+}
--- /dev/null
+++ b/lab/src/plot.rs
@@ -0,0 +1,58 @@
+//! The answers of each second as a plot.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::report::{Counts, Report};
+
+const SIZE: (u32, u32) = (960, 420);
+
+#[derive(Debug, thiserror::Error)]
+#[error("plot: {0}")]
+pub struct PlotError(String);
+
+/// Draws what clients were owed and got in each second, all classes together.
+pub fn draw(report: &Report, path: &Path) -> Result<(), PlotError> {
+    let seconds = report.classes.iter().map(|class| class.seconds.len()).max().unwrap_or(0);
+    let sum = |pick: fn(&Counts) -> u64| -> Vec<(f64, f64)> {
+        let at = |second: usize| {
+            let counts = report.classes.iter().filter_map(|class| class.seconds.get(second));
+            (second as f64, counts.map(pick).sum::<u64>() as f64)
+        };
+        (0..seconds).map(at).collect()
+    };
+    let lines = [
+        ("asked", BLACK, sum(|counts| counts.asked)),
+        ("in aim", GREEN, sum(|counts| counts.in_aim)),
+        ("late", BLUE, sum(|counts| counts.late)),
+        ("refused", MAGENTA, sum(|counts| counts.refused)),
+        ("failed", RED, sum(|counts| counts.failed)),
+    ];
+    let most = lines.iter().flat_map(|(_, _, line)| line).map(|point| point.1).fold(1.0, f64::max);
+    let wrong = |e: &dyn std::fmt::Display| PlotError(e.to_string().replace('\n', " "));
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| wrong(&e))?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("requests a second", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(30)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..seconds.max(2) as f64 - 1.0, 0.0..most * 1.05)
+        .map_err(|e| wrong(&e))?;
+    chart.configure_mesh().x_desc("s").draw().map_err(|e| wrong(&e))?;
+    for (name, color, line) in lines {
+        chart
+            .draw_series(LineSeries::new(line, &color))
+            .map_err(|e| wrong(&e))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE)
+        .border_style(BLACK)
+        .draw()
+        .map_err(|e| wrong(&e))?;
+    area.present().map_err(|e| wrong(&e))
+}
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -38,6 +38,8 @@
         echo "node is ready and ends on SIGTERM"
         # The system, on loopback ports of its own: each step of the path, or an error that names it.
         target/release/glenfall demo --once
+        # A small experiment: it fails where a promise is broken, not by what it measures.
+        target/release/glenfall-lab run lab/plans/small.toml --out target/lab-small
         exit 0
     fi
     sleep 0.1
