--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -8,6 +8,7 @@
 mod cache;
 mod control;
 mod counter;
+mod declare;
 mod demo;
 mod direct;
 mod edge;
@@ -61,6 +62,9 @@
     /// Read or change the configuration
     #[command(subcommand)]
     Config(ops::ConfigVerb),
+    /// Keep the configuration as files under version control
+    #[command(subcommand)]
+    Declared(ops::DeclaredVerb),
     /// Back up, restore and check the state of control
     #[command(subcommand)]
     State(ops::StateVerb),
@@ -125,6 +129,7 @@
             Command::Control => control::run(boot()?).await,
             Command::Check { file } => print(ops::check(&file)),
             Command::Config(verb) => print(ops::config(&verb).await),
+            Command::Declared(verb) => print(ops::declared(verb).await),
             Command::State(verb) => print(ops::state(verb).await),
             Command::Purge(args) => print(ops::purge(&args).await),
             Command::Status { at } => print(ops::status(&at).await),
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -16,6 +16,7 @@
 use crate::boot::Boot;
 use crate::control::backup::{Backup, BackupError};
 use crate::control::store::{self, StoreError};
+use crate::declare::{self, DeclareError, Declared, Difference};
 use crate::pool::{Pool, Reply};
 
 /// One call to a control node; it answers within a second or not at all.
@@ -38,6 +39,10 @@
     Backup { path: PathBuf, what: BackupError },
     #[error("{}: {what}", path.display())]
     Store { path: PathBuf, what: StoreError },
+    #[error(transparent)]
+    Declared(#[from] DeclareError),
+    #[error("version {current} is in force, not {expected}: look at the change again")]
+    Moved { expected: u64, current: u64 },
     #[error("no control node gives a clear answer; the same call may be made again")]
     NoAnswer,
 }
@@ -77,6 +82,33 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum DeclaredVerb {
+    /// Check the files of a folder, and what they make together
+    Check { folder: PathBuf },
+    /// Show what would change
+    Plan {
+        #[command(flatten)]
+        at: Controls,
+        folder: PathBuf,
+    },
+    /// Put what a folder declares in force
+    Apply {
+        #[command(flatten)]
+        at: Controls,
+        /// Only where this version is in force, as it was when the change was looked at
+        #[arg(long)]
+        if_rev: Option<u64>,
+        folder: PathBuf,
+    },
+    /// Write what is in force as files into a folder
+    Export {
+        #[command(flatten)]
+        at: Controls,
+        folder: PathBuf,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum StateVerb {
     /// Write the newest acknowledged state of a running core to a file
@@ -188,6 +220,61 @@
     }
 }
 
+/// What is in force and its version; nothing and 0 before the first.
+async fn in_force(at: &Controls) -> Result<(u64, Bytes), OpsError> {
+    match call(at, Method::GET, "/api/config", None, Bytes::new()).await {
+        Ok(reply) => {
+            let rev = serde_json::from_slice::<serde_json::Value>(&reply.body).map_err(DeclareError::from)?;
+            Ok((rev["rev"].as_u64().unwrap_or(0), reply.body))
+        }
+        Err(OpsError::Refused { status: 404, .. }) => Ok((0, Bytes::new())),
+        Err(error) => Err(error),
+    }
+}
+
+pub async fn declared(verb: DeclaredVerb) -> Result<String, OpsError> {
+    let lines = |differences: &[Difference]| {
+        let lines: Vec<String> = differences.iter().map(ToString::to_string).collect();
+        lines.join("\n")
+    };
+    match verb {
+        DeclaredVerb::Check { folder } => {
+            let [routes, services] = Declared::read(&folder)?.counts();
+            Ok(format!("{routes} routes, {services} services"))
+        }
+        DeclaredVerb::Plan { at, folder } => {
+            let declared = Declared::read(&folder)?;
+            let (rev, document) = in_force(&at).await?;
+            let differences = declared.differences(&document)?;
+            Ok(match &differences[..] {
+                [] => format!("version {rev} is what is declared"),
+                some => format!("to version {rev}:\n{}", lines(some)),
+            })
+        }
+        DeclaredVerb::Apply { at, if_rev, folder } => {
+            let declared = Declared::read(&folder)?;
+            let (rev, document) = in_force(&at).await?;
+            if let Some(expected) = if_rev.filter(|expected| *expected != rev) {
+                return Err(OpsError::Moved { expected, current: rev });
+            }
+            let differences = declared.differences(&document)?;
+            if differences.is_empty() && rev > 0 {
+                return Ok(format!("version {rev} is what is declared"));
+            }
+            // Who changes it meanwhile makes this fail with 412, and nothing is lost.
+            let next = declared.document(rev + 1);
+            call(&at, Method::PUT, "/api/config", Some(rev), next.into()).await?;
+            Ok(format!("version {} is in force:\n{}", rev + 1, lines(&differences)))
+        }
+        DeclaredVerb::Export { at, folder } => {
+            let (rev, document) = in_force(&at).await?;
+            let left_out = if rev > 0 { declare::write(&document, &folder)? } else { Vec::new() };
+            let told = left_out.iter().map(|field| format!("\nleft out: {field}"));
+            Ok(format!("version {rev} written{}", told.collect::<String>()))
+        }
+    }
+}
+
 fn backup(path: &Path) -> Result<Backup, OpsError> {
     Backup::read(&read(path)?).map_err(|what| OpsError::Backup { path: path.to_owned(), what })
 }
--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -109,3 +109,37 @@
     let put = core.verb(&["config", "put", "--control", &at, "--builds-on", "5", "seven.json"]);
     assert!(put.0, "{}", put.1);
 }
+
+#[test]
+fn a_declared_configuration_is_planned_applied_once_and_written_back() {
+    let core = System::start(&["control"], &[]);
+    core.await_chain(&[1, 2, 3], 3);
+    let at = core.control(1);
+    for folder in ["site/routes", "site/services"] {
+        std::fs::create_dir_all(core.folder.join(folder)).unwrap();
+    }
+    let file = |name: &str, text: &str| std::fs::write(core.folder.join(name), text).unwrap();
+    file("site/services/store.toml", "ratePerS = 690");
+    file(
+        "site/routes/pages.toml",
+        "hostname = \"h\"\npathPrefix = \"/p/\"\ntype = \"cacheable\"\ndeadlineMs = 900\nbackend = \"store\"\n",
+    );
+    let declared = |verb: &[&str]| core.verb(&[&["declared"], verb, &["--control", &at, "site"]].concat());
+    let added = "+ paths pages\n+ backends store\n";
+    assert_eq!(declared(&["plan"]), (true, format!("to version 0:\n{added}")));
+    assert_eq!(declared(&["apply"]), (true, format!("version 1 is in force:\n{added}")));
+    assert_eq!(declared(&["apply"]), (true, "version 1 is what is declared\n".into()));
+    file("site/services/store.toml", "ratePerS = 700");
+    let (moved, why) = declared(&["apply", "--if-rev", "4"]);
+    assert!(!moved && why.contains("version 1 is in force, not 4"), "{why}");
+    let changed = "~ backends store\n    ratePerS: 690 -> 700\n";
+    let applied = declared(&["apply", "--if-rev", "1"]);
+    assert_eq!(applied, (true, format!("version 2 is in force:\n{changed}")));
+    file("site/services/store.toml", "ratePerS = 700\nratePers = 1");
+    let (taken, why) = declared(&["apply"]);
+    assert!(!taken && why.contains("store.toml: no such field: ratePers"), "{why}");
+    let exported = core.verb(&["declared", "export", "--control", &at, "copy"]);
+    assert_eq!(exported, (true, "version 2 written\n".into()));
+    let same = core.verb(&["declared", "plan", "--control", &at, "copy"]);
+    assert_eq!(same, (true, "version 2 is what is declared\n".into()));
+}
