What no node of the system says has no effect on the chain

Cause: a message with numbers far out (a view near 2^64) left no room for a view that anybody could propose, or kept a node busy without end; a promise was counted from whoever sent one. Change: numbers and lists are bounded before they are looked at; promises count from those asked. Tests: 6 s of nonsense beside an honest core, without effect; random sound messages under 300 seeds.

--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -270,6 +270,9 @@
 fn take(control: &Rc<Control>, from: Ipv4Addr, message: Peer) {
     let now = control.now();
     match message {
+        Peer::Chain(message) if !message.is_sound() => {
+            tracing::warn!(peer = %from, "peer says what no node of this system says; ignored");
+        }
         Peer::Chain(message) => {
             let outputs = control.chain.borrow_mut().message(now, from, message);
             control.carry_out(outputs);
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -49,6 +49,13 @@
 /// Fingerprints of changes that are kept to know a repeated call.
 const MOST_TAKEN: usize = 64;
 
+/// View numbers rise by 16 a view, changes by 1: no system ever comes near this. A number beyond it is nonsense, and
+/// would leave no room above it for a view that anybody could propose.
+const HIGHEST: u64 = 1 << 48;
+/// Voters at most, as a view's number has room to tell its proposer from 15 others; control nodes at most.
+const MOST_VOTERS: usize = 16;
+const MOST_NODES: usize = 64;
+
 /// What the chain keeps.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -208,6 +215,40 @@
     },
 }
 
+impl Message {
+    /// Whether this is something that a node of this system says at all. What is not has no effect: a peer that is
+    /// broken must not take the others along.
+    pub fn is_sound(&self) -> bool {
+        let number = |number: &u64| *number < HIGHEST;
+        let record = |record: &Record| number(&record.seq) && record.taken.len() <= MOST_TAKEN;
+        let voters = |voters: &[NodeId]| voters.len() <= MOST_VOTERS;
+        let view = |view: &View| number(&view.number) && voters(&view.chain) && !view.chain.is_empty();
+        match self {
+            Message::Beat(beat) => {
+                number(&beat.promised)
+                    && number(&beat.committed)
+                    && voters(&beat.voters)
+                    && beat.hears.len() <= MOST_NODES
+                    && beat.view.as_ref().is_none_or(view)
+            }
+            Message::Prepare { view } | Message::Installed { view } => number(view),
+            Message::Promise { view, accepted, record: r } => {
+                number(view) && accepted.as_ref().is_none_or(number) && record(r)
+            }
+            Message::Nack { promised } => number(promised),
+            Message::Install { view: v, voters: named, record: r } => {
+                view(v) && voters(named) && !named.is_empty() && record(r)
+            }
+            Message::Stands { view: v } => view(v),
+            Message::Update { view, record: r } => number(view) && record(r),
+            Message::Acked { view, seq } => number(view) && number(seq),
+            Message::Committed { record: r } => record(r),
+            Message::ReadDown { view, .. } => number(view),
+            Message::Forward { .. } | Message::Answer { .. } => true,
+        }
+    }
+}
+
 /// What the caller has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
@@ -387,6 +428,9 @@
     }
 
     pub fn message(&mut self, now: Millis, from: NodeId, message: Message) -> Vec<Output> {
+        if !message.is_sound() {
+            return Vec::new();
+        }
         self.now = now;
         self.peers.entry(from).or_default().heard = now;
         self.handle(from, message);
@@ -648,7 +692,9 @@
             Message::Beat(beat) => self.take_beat(from, beat),
             Message::Prepare { view } => self.prepare(from, view),
             Message::Promise { view, accepted, record } => {
-                if let Some(p) = self.proposal.as_mut().filter(|p| p.number == view && p.view.is_none()) {
+                let asked =
+                    |p: &&mut Proposal| p.number == view && p.view.is_none() && p.target.contains(&from);
+                if let Some(p) = self.proposal.as_mut().filter(asked) {
                     p.promises.insert(from, accepted.map(|accepted| (accepted, record)));
                     self.tend_proposal();
                 }
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -4,8 +4,11 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
+use std::sync::Arc;
 
-use glenfall_plane::chain::{Call, Chain, Durable, Message, NodeId, Outcome, Output, Start};
+use glenfall_plane::chain::{
+    Beat, Call, Chain, Durable, Message, NodeId, Outcome, Output, Record, Start, View,
+};
 use glenfall_plane::config::Change;
 use glenfall_plane::Millis;
 use rand::{Rng, SeedableRng};
@@ -446,3 +449,100 @@
     }
     assert!(!needed(&world), "still counted on after 600 ms");
 }
+
+/// Any message, with numbers and lists that may be far out.
+fn nonsense(rng: &mut ChaCha8Rng) -> Message {
+    let number = |rng: &mut ChaCha8Rng| match rng.random_range(0..5) {
+        0 => rng.random(),
+        1 => u64::MAX,
+        2 => 1 << 48,
+        _ => rng.random_range(0..200),
+    };
+    let nodes = |rng: &mut ChaCha8Rng| -> Vec<NodeId> {
+        let count = if rng.random_bool(0.1) { 100 } else { rng.random_range(0..4) };
+        (0..count).map(|_| node(rng.random_range(0..6))).collect()
+    };
+    let record = |rng: &mut ChaCha8Rng| {
+        let document = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
+        Arc::new(Record { seq: number(rng), rev: number(rng), document, taken: vec![(number(rng), 1)] })
+    };
+    let view = |rng: &mut ChaCha8Rng| View { number: number(rng), chain: nodes(rng) };
+    let change = |rng: &mut ChaCha8Rng| {
+        let bytes = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
+        Call::Change { builds_on: number(rng), change: Change::Put(bytes) }
+    };
+    match rng.random_range(0..13) {
+        0 => Message::Beat(Beat {
+            voters: nodes(rng),
+            promised: number(rng),
+            view: rng.random_bool(0.5).then(|| view(rng)),
+            hears: nodes(rng),
+            wiped: rng.random(),
+            unfit: rng.random(),
+            committed: number(rng),
+        }),
+        1 => Message::Prepare { view: number(rng) },
+        2 => {
+            let accepted = rng.random_bool(0.5).then(|| number(rng));
+            Message::Promise { view: number(rng), accepted, record: record(rng) }
+        }
+        3 => Message::Nack { promised: number(rng) },
+        4 => Message::Install { view: view(rng), voters: nodes(rng), record: record(rng) },
+        5 => Message::Installed { view: number(rng) },
+        6 => Message::Stands { view: view(rng) },
+        7 => Message::Update { view: number(rng), record: record(rng) },
+        8 => Message::Acked { view: number(rng), seq: number(rng) },
+        9 => Message::Committed { record: record(rng) },
+        10 => Message::Forward { call: number(rng), what: change(rng) },
+        11 => Message::ReadDown { view: number(rng), origin: node(1), call: number(rng) },
+        _ => Message::Answer { call: number(rng), outcome: Outcome::Conflict { current: number(rng) } },
+    }
+}
+
+#[test]
+fn what_no_node_says_has_no_effect() {
+    let mut world = World::new(3);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut ignored = 0;
+    while world.now < 6000 {
+        world.step();
+        let now = world.now;
+        for message in (0..9).map(|_| nonsense(&mut rng)).filter(|message| !message.is_sound()) {
+            let chain = world.machines[0].chain.as_mut().expect("it runs");
+            assert_eq!(chain.message(now, node(2), message), []);
+            ignored += 1;
+        }
+        if world.now.is_multiple_of(100) {
+            world.operate();
+        }
+    }
+    assert!(ignored > 1000 && world.done > 20, "{ignored} ignored, {} changes", world.done);
+    assert!(world.in_one_view());
+}
+
+#[test]
+fn what_a_broken_peer_says_soundly_breaks_no_node() {
+    for seed in 0..300 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let voters: Vec<NodeId> = (1..=NODES).map(node).collect();
+        let mut chain = Chain::new(node(1), Start::Fresh(voters));
+        let mut syncs = VecDeque::new();
+        for now in 0..2000 {
+            let from = node(rng.random_range(1..5));
+            let outputs = match rng.random_range(0..20) {
+                0 => chain.peer_up(now, from),
+                1 => chain.peer_down(now, from),
+                2 => chain.call(now, now, Call::Read),
+                3 => chain.tick(now),
+                4 => syncs.pop_front().map_or(Vec::new(), |number| chain.synced(now, number)),
+                _ => chain.message(now, from, nonsense(&mut rng)),
+            };
+            assert!(outputs.len() < 200, "seed {seed}: {} answers to one message", outputs.len());
+            for output in outputs {
+                if let Output::Persist(number, _) = output {
+                    syncs.push_back(number);
+                }
+            }
+        }
+    }
+}
