--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -81,10 +81,10 @@
     sharers: Proxy,
     began: Instant,
     /// Further tries sent, and those that the budget did not allow.
-    pub further: Counter,
-    pub spent: Counter,
+    further: Counter,
+    spent: Counter,
     /// Requests refused as the service is crowded.
-    pub limited: Counter,
+    limited: Counter,
 }
 
 impl Direct {
@@ -108,6 +108,16 @@
         self.began.elapsed().as_millis() as Millis
     }
 
+    /// Counters for `status`.
+    pub fn report(&self) -> [(&'static str, u64); 4] {
+        [
+            ("further_tries", self.further.get()),
+            ("budget_spent", self.spent.get()),
+            ("limited", self.limited.get()),
+            ("connections_opened", self.pool.opened.get()),
+        ]
+    }
+
     /// Takes the servers and the size of a fleet.
     pub fn update(&self, fleet: &Fleet) {
         for addr in self.origins.update(&fleet.servers) {
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -380,13 +380,10 @@
             ("refused", c.refused.get()),
             ("unknown", c.unknown.get()),
             ("timed_out", c.timed_out.get()),
-            ("further_tries", self.direct.further.get()),
-            ("budget_spent", self.direct.spent.get()),
-            ("limited", self.direct.limited.get()),
-            ("connections_opened", self.direct.pool.opened.get()),
         ]
-        .map(|(name, value)| (name.to_owned(), value))
         .into_iter()
+        .chain(self.direct.report())
+        .map(|(name, value)| (name.to_owned(), value))
         .chain(c.read.report("read"))
         .chain(c.write.report("write"))
         .collect()
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -333,13 +333,10 @@
             ("refused", c.refused.get()),
             ("copies", cache.len() as u64),
             ("copy_bytes", cache.bytes() as u64),
-            ("further_tries", self.direct.further.get()),
-            ("budget_spent", self.direct.spent.get()),
-            ("limited", self.direct.limited.get()),
-            ("connections_opened", self.direct.pool.opened.get()),
         ]
-        .map(|(name, value)| (name.to_owned(), value))
         .into_iter()
+        .chain(self.direct.report())
+        .map(|(name, value)| (name.to_owned(), value))
         .chain(c.answer.report("answer"))
         .chain(c.fetch.report("fetch"))
         .collect()
