Further tries and edges come under the ceiling, and what is saved up is bounded

Cause: only the first try of a fetch at a shield was taken out of the ceiling; further tries were not. Each of 90 edges saved up a whole request and spent it beside the shields, and a process began with a full share.

Change: one pure module holds a machine's part of every ceiling; shields have 97 %, edges 3 % while shields ask for them and 97 % while none does. What is saved is bounded for the sum of holders, and begins at nothing. Each arrival at a server is taken out of it. A miss may wait for its turn for a fifth of its aim.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -219,7 +219,7 @@
     }
 
     fn fleet(complete: bool, servers: Vec<Server>) -> Fleet {
-        Fleet { complete, servers, shields: Vec::new(), edges: 1 }
+        Fleet { complete, servers, shields: Vec::new(), edges: 1, cores: 1 }
     }
 
     #[test]
--- a/glenfall/src/boot.rs
+++ b/glenfall/src/boot.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use glenfall_plane::budget::Bound;
+use glenfall_plane::{budget, ceiling};
 use serde::Deserialize;
 
 /// Names the settings file.
@@ -68,11 +68,21 @@
     pub retry_ratio: f64,
     pub retry_window_s: f64,
     pub retry_slack: f64,
+    /// What all machines together may ask of a service over any such window: so many times its `ratePerS`.
+    pub ceiling_window_s: f64,
+    pub ceiling_over: f64,
 }
 
 impl Default for Timing {
     fn default() -> Self {
-        Timing { grace_s: 6.0, retry_ratio: 0.2, retry_window_s: 10.0, retry_slack: 60.0 }
+        Timing {
+            grace_s: 6.0,
+            retry_ratio: 0.2,
+            retry_window_s: 10.0,
+            retry_slack: 60.0,
+            ceiling_window_s: 5.0,
+            ceiling_over: 1.1,
+        }
     }
 }
 
@@ -127,6 +137,8 @@
             ("retryRatio", timing.retry_ratio),
             ("retryWindowS", timing.retry_window_s),
             ("retrySlack", timing.retry_slack),
+            ("ceilingWindowS", timing.ceiling_window_s),
+            ("ceilingOver", timing.ceiling_over),
         ] {
             if !(0.0..=LARGEST).contains(&value) {
                 return Err(format!("timing.{name}: a number from 0 to {LARGEST} expected, got {value}"));
@@ -136,14 +148,20 @@
     }
 
     /// What all machines together may send beyond the first try of each request.
-    pub fn further_tries(&self) -> Bound {
-        Bound {
+    pub fn further_tries(&self) -> budget::Bound {
+        budget::Bound {
             ratio: self.timing.retry_ratio,
             window: (self.timing.retry_window_s * 1000.0) as u64,
             slack: self.timing.retry_slack,
         }
     }
 
+    /// What all machines together may ask of a service that states a rate.
+    pub fn ceiling(&self) -> ceiling::Bound {
+        let timing = &self.timing;
+        ceiling::Bound { window: (timing.ceiling_window_s * 1000.0) as u64, over: timing.ceiling_over }
+    }
+
     /// A listener that the role can't do without.
     pub fn need(
         &self,
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -334,6 +334,7 @@
             servers: self.registry.borrow().servers(self.now()),
             shields: members,
             edges,
+            cores: self.chain.borrow().voters().len() as u32,
         }
     }
 
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::messages::{Fleet, Proxy, Purge};
 use http_body_util::Full;
@@ -19,7 +20,7 @@
 use crate::boot::Boot;
 use crate::cache::{Cache, Copy, ObjectKey};
 use crate::counter::Counter;
-use crate::direct::{Ceiling, Direct, Job, Outcome};
+use crate::direct::{Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
 use crate::pool::{Pool, Reply};
@@ -72,7 +73,8 @@
     in_touch: Cell<bool>,
     zone: String,
     edges: Cell<u32>,
-    ceiling: Ceiling,
+    /// Shields are there and ready, by what control says.
+    shielded: Cell<bool>,
     began: Instant,
     counters: Counters,
 }
@@ -116,7 +118,7 @@
             in_touch: Cell::new(false),
             zone: boot.zone.clone(),
             edges: Cell::new(1),
-            ceiling: Ceiling::default(),
+            shielded: Cell::new(false),
             began: Instant::now(),
             counters: Counters::default(),
         })
@@ -126,6 +128,13 @@
         self.began.elapsed().as_secs_f64()
     }
 
+    /// What this edge may ask of services under a ceiling. Out of touch it may be cut off from the shields, and
+    /// those who reach them don't ask for it.
+    fn hold(&self) {
+        let alone = !self.shielded.get() || !self.in_touch.get();
+        self.direct.hold(Holder::Edge { of: self.edges.get() as usize, alone });
+    }
+
     async fn serve(&self, whole: Whole) -> Answer {
         self.counters.requests.add();
         let Some(config) = self.feed.config() else {
@@ -155,17 +164,8 @@
             return refused(StatusCode::SERVICE_UNAVAILABLE, "no service", UNREADY);
         };
         if read {
-            // No shield answers. The edges share the service's ceiling, and ranges are the server's to cut.
+            // No shield answers. Ranges are the server's to cut.
             self.counters.bypassed.add();
-            let sharers = f64::from(self.edges.get());
-            if !self.ceiling.take(&config, service, sharers, config.rank(route)) {
-                self.counters.refused.add();
-                return refused(
-                    StatusCode::SERVICE_UNAVAILABLE,
-                    "service at its ceiling",
-                    self.ceiling.again(),
-                );
-            }
         }
         // A method that writes is not repeated, whatever the route says of its reads.
         let repeatable = match route.kind {
@@ -189,6 +189,7 @@
             until,
             aim: route.aim(),
             rank: config.rank(route),
+            per_s: config.backend(service).and_then(|backend| backend.rate_per_s),
         };
         let outcome = self.direct.send(job).await;
         self.told(outcome, route, &whole.head.method)
@@ -348,6 +349,8 @@
         self.near.replace(near.map(|member| ServerId(member.http.to_string().as_str().into())).collect());
         self.shields.borrow_mut().update(&ready);
         self.edges.set(fleet.edges.max(1));
+        self.shielded.set(!ready.is_empty());
+        self.hold();
     }
 
     fn purge(&self, purges: &[Purge]) {
@@ -365,6 +368,7 @@
 
     fn in_touch(&self, yes: bool) {
         self.in_touch.set(yes);
+        self.hold();
     }
 
     fn report(&self) -> Vec<(String, u64)> {
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, ReqLimits, Route};
 use glenfall_plane::messages::{Fleet, Proxy, Purge};
 use http_body_util::Full;
@@ -20,7 +21,7 @@
 use crate::boot::Boot;
 use crate::cache::{Cache, Copy, ObjectKey};
 use crate::counter::Counter;
-use crate::direct::{Ceiling, Direct, Job, Outcome};
+use crate::direct::{Direct, Job, Outcome, NONE};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
 use crate::pool::{Pool, Reply};
@@ -94,8 +95,6 @@
     fetching: RefCell<HashMap<ObjectKey, Fetch>>,
     /// Fetches that are no longer joined, as a purge has come since: their number.
     under_way: Cell<usize>,
-    ceiling: Ceiling,
-    shields: Cell<usize>,
     counters: Counters,
 }
 
@@ -108,8 +107,6 @@
             cache: RefCell::new(Cache::new(most)),
             fetching: RefCell::default(),
             under_way: Cell::new(0),
-            ceiling: Ceiling::default(),
-            shields: Cell::new(1),
             counters: Counters::default(),
         })
     }
@@ -147,7 +144,7 @@
             }
             None => {
                 let fetch = self.fetch(&config, route, key, &whole.head.headers, whole.head.uri.clone(), old);
-                fetch.map_err(|NoRoom| self.refuse(self.ceiling.again()))?
+                fetch.map_err(|NoRoom| self.refuse(NONE))?
             }
         };
         let fetched = match timeout_at(until, done.wait_for(|fetched| fetched.is_some())).await {
@@ -186,9 +183,7 @@
         uri: Uri,
         old: Option<Rc<Copy>>,
     ) -> Result<watch::Receiver<Option<Fetched>>, NoRoom> {
-        if self.under_way.get() >= MOST_FETCHES
-            || !self.ceiling.take(config, &key.service, self.shields.get() as f64, config.rank(route))
-        {
+        if self.under_way.get() >= MOST_FETCHES {
             return Err(NoRoom);
         }
         self.counters.misses.add();
@@ -208,6 +203,7 @@
         }
         let (tries, wait) = (route.tries, Duration::from_millis(route.deadline_ms));
         let (aim, rank) = (route.aim(), config.rank(route));
+        let per_s = config.backend(&key.service).and_then(|backend| backend.rate_per_s);
         let shield = Rc::clone(self);
         spawn_local(async move {
             let sent = Instant::now();
@@ -223,6 +219,7 @@
                 until: sent + wait,
                 aim,
                 rank,
+                per_s,
             };
             let fetched = match shield.direct.send(job).await {
                 Outcome::Answered(reply) => shield.take(&key, reply, sent, old),
@@ -288,8 +285,10 @@
 
     fn fleet(&self, fleet: &Fleet) {
         self.direct.update(fleet);
-        let shields = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
-        self.shields.set(shields.count().max(1));
+        let ready = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
+        // Whoever has not heard of all yet takes it that all there are by rights ask as well.
+        let of = ready.count().max(if fleet.complete { 1 } else { fleet.cores as usize });
+        self.direct.hold(Holder::Shield { of });
     }
 
     fn purge(&self, purges: &[Purge]) {
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -5,6 +5,7 @@
 #![forbid(unsafe_code)]
 
 pub mod budget;
+pub mod ceiling;
 pub mod chain;
 pub mod config;
 pub mod messages;
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -71,6 +71,8 @@
     pub shields: Vec<Member>,
     /// How many edges there are.
     pub edges: u32,
+    /// How many core machines there are by rights, each with a shield.
+    pub cores: u32,
 }
 
 /// What copies a purge ends.
