An answer with another request's id is no promise that this one has not run

Cause: the word that a request has not run was looked at before the id of the answer. A late second 503 with X-Glenfall-Not-Run, read where the next answer is due, passed for that request's own: a write that the server was working on could go to a second one, or be told as not run.

Change: the id comes first.

Measured: the new test ends as "not run" with the checks the other way round.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -236,6 +236,19 @@
             let ended = self.pool.exchange(server.addr.into(), request, until, still).await;
             turn = matches!(ended, Err(Trouble::Unsent));
             match ended {
+                Ok(reply)
+                    if own_id.is_some()
+                        && reply.headers.get(TRY_ID).is_some_and(|id| Some(id) != own_id.as_ref()) =>
+                {
+                    // The answer to another request: the connection has gone with it.
+                    in_flight.ended(End::Failed);
+                    self.pool.forget(server.addr.into());
+                    sends += 1;
+                    fallback = Outcome::Unknown;
+                    if !job.repeatable {
+                        break;
+                    }
+                }
                 Ok(reply)
                     if reply.headers.contains_key(NOT_RUN)
                         || reply.status == StatusCode::MISDIRECTED_REQUEST =>
@@ -252,19 +265,6 @@
                         break;
                     }
                 }
-                Ok(reply)
-                    if own_id.is_some()
-                        && reply.headers.get(TRY_ID).is_some_and(|id| Some(id) != own_id.as_ref()) =>
-                {
-                    // The answer to another request: the connection has gone with it.
-                    in_flight.ended(End::Failed);
-                    self.pool.forget(server.addr.into());
-                    sends += 1;
-                    fallback = Outcome::Unknown;
-                    if !job.repeatable {
-                        break;
-                    }
-                }
                 Ok(reply) => {
                     in_flight.ended(End::Answered);
                     sends += 1;
@@ -412,6 +412,17 @@
         assert_eq!(began.elapsed(), Duration::from_secs(9));
     }
 
+    /// The answer to another request says nothing of this one, not even that it has not run.
+    #[test]
+    fn what_belongs_to_another_request_is_no_promise() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let surplus = "HTTP/1.1 503 Full\r\nX-Glenfall-Try-Id: other\r\nX-Glenfall-Not-Run: 1\r\n\
+                           Content-Length: 0\r\n\r\n";
+            assert_eq!(sent(surplus, false, 3, 10).await, ("unknown", 1), "it may have run");
+        });
+    }
+
     #[test]
     fn a_request_whose_client_has_gone_is_counted_off() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -207,6 +207,88 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use hyper::Uri;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::task::{spawn_local, LocalSet};
+
+    const FIRST: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+
+    /// A server that says one text to the first request that it ever gets, and then, unasked, another one; to each
+    /// later request it answers `later`.
+    async fn server(answer: &'static str, unasked: &'static str) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("its address");
+        spawn_local(async move {
+            let mut first = true;
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let said = std::mem::replace(&mut first, false).then_some((answer, unasked));
+                spawn_local(async move {
+                    let mut said = said;
+                    let mut heard = Vec::new();
+                    while stream.read_buf(&mut heard).await.is_ok_and(|n| n > 0) {
+                        if !heard.ends_with(b"\r\n\r\n") {
+                            continue;
+                        }
+                        heard.clear();
+                        let (answer, unasked) =
+                            said.take().unwrap_or(("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nlater", ""));
+                        let _ = stream.write_all(answer.as_bytes()).await;
+                        if !unasked.is_empty() {
+                            sleep(Duration::from_millis(50)).await;
+                            let _ = stream.write_all(unasked.as_bytes()).await;
+                        }
+                    }
+                });
+            }
+        });
+        addr
+    }
+
+    /// What two requests get, one after the other.
+    async fn two(answer: &'static str, unasked: &'static str) -> [Result<String, Trouble>; 2] {
+        let (pool, addr) = (Pool::new(8), server(answer, unasked).await);
+        let mut got = Vec::new();
+        for _ in 0..2 {
+            let request = || {
+                let mut request = Request::new(Full::new(Bytes::new()));
+                *request.uri_mut() = Uri::from_static("/x");
+                request
+            };
+            let ended = pool.exchange(addr, request, Instant::now() + Duration::from_secs(20), || true).await;
+            got.push(ended.map(|reply| String::from_utf8_lossy(&reply.body).into_owned()));
+            sleep(Duration::from_millis(150)).await;
+        }
+        got.try_into().expect("two")
+    }
+
+    #[test]
+    fn an_answer_is_read_as_the_next_one_only_where_it_came_in_answer() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let ok = |text: &str| Ok(text.to_owned());
+            let twice = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst\
+                         HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore";
+            let informed =
+                "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+            let longer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst and more than that";
+            let shorter = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfirst";
+            let neither = "HTTP/1.1 200 OK\r\n\r\nfirst";
+            for (case, answer, unasked, got) in [
+                ("well", FIRST, "", [ok("first"), ok("later")]),
+                ("a second answer at once", twice, "", [ok("first"), ok("later")]),
+                ("a second answer late", FIRST, FIRST, [ok("first"), ok("later")]),
+                ("noise late", FIRST, "noise", [ok("first"), ok("later")]),
+                ("a 1xx before", informed, "", [ok("first"), ok("later")]),
+                ("a 1xx late", FIRST, "HTTP/1.1 100 Continue\r\n\r\n", [ok("first"), ok("later")]),
+                ("longer than it says", longer, "", [ok("first"), ok("later")]),
+                ("shorter than it says", shorter, "", [Err(Trouble::Unknown), ok("later")]),
+                ("no length", neither, "", [Err(Trouble::Unknown), ok("later")]),
+            ] {
+                assert_eq!(two(answer, unasked).await, got, "{case}");
+            }
+        });
+    }
 
     #[test]
     fn a_connection_is_kept_for_less_than_the_server_says() {
