The core has as many voters as its losses ask for, and views carry them

Cause: the voters were the three seeds of the first start for ever.

Change: a view names who counts. While voters are fewer than 2 survive.hosts + 1, control nodes with voter = true join, and nothing is acknowledged until then; a voter away for 10 s gives its place to one that stands by. Both sets count until the view that names them stands. A node without its disk votes once a view that has taken it in stands, not before (it did from its installation on). View numbers carry the proposer's address, as the place among voters is no longer one for each. The store's layout is 2; layout 1 is taken over.

--- a/glenfall/src/boot.rs
+++ b/glenfall/src/boot.rs
@@ -32,6 +32,11 @@
     /// are played on one.
     #[serde(default = "default_feed_ip")]
     pub feed_ip: Ipv4Addr,
+    /// This machine's control node may vote; the seeds of the first start do whatever is said here.
+    #[serde(default)]
+    pub voter: bool,
+    #[serde(default)]
+    pub survive: Survive,
     pub listeners: Listeners,
     #[serde(default)]
     pub req_limits: Limits,
@@ -47,6 +52,14 @@
     pub control_addr: Option<SocketAddrV4>,
 }
 
+/// What may be lost at once.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(rename_all = "camelCase", default)]
+pub struct Survive {
+    /// Machines that vote.
+    pub hosts: usize,
+}
+
 #[derive(Clone, Debug, Deserialize)]
 #[serde(rename_all = "camelCase", default)]
 pub struct Limits {
@@ -131,6 +144,10 @@
         if boot.seed_nodes.is_empty() {
             return Err("seedNodes: one address at least expected, got none".into());
         }
+        if boot.survive.hosts > MOST_LOSSES {
+            let got = boot.survive.hosts;
+            return Err(format!("survive.hosts: {MOST_LOSSES} at most expected, got {got}"));
+        }
         let timing = &boot.timing;
         for (name, value) in [
             ("graceS", timing.grace_s),
@@ -194,6 +211,8 @@
     }
 }
 
+/// More losses at once than 15 voters outlive are not promised.
+const MOST_LOSSES: usize = 7;
 /// Beyond it no time and no bound makes sense.
 const LARGEST: f64 = 1e6;
 
@@ -230,6 +249,7 @@
             ("\"127.0.0.2\"", "\"here\"", "line 4, column 10"),
             ("node = \"edge-1\"", "", "missing field `node`"),
             ("[\"127.0.0.3:80\"]", "[]", "seedNodes"),
+            ("[listeners]", "[survive]\nhosts = 8\n[listeners]", "survive.hosts: 7 at most"),
             ("[listeners]", "[timing]\nretrySlack = -1\n[listeners]", "timing.retrySlack: a number"),
             ("zone = \"z\"", "zone = \"z", "line 3"),
         ] {
--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -104,7 +104,7 @@
         };
         let chain = self.0.chain.borrow();
         let view = chain.view().map_or(0, |view| view.number);
-        match serde_json::to_value(Backup::of(chain.voters(), view, &record)) {
+        match serde_json::to_value(Backup::of(&chain.members().voters, view, &record)) {
             Ok(backup) => answer(StatusCode::OK, backup),
             Err(e) => wrong(StatusCode::INTERNAL_SERVER_ERROR, e),
         }
@@ -210,8 +210,9 @@
         json!({
             "node": control.boot.node,
             "rev": chain.committed().rev,
-            "voters": chain.voters(),
-            "view": chain.view().map(|view| json!({ "number": view.number, "chain": view.chain })),
+            "voters": chain.members().voters,
+            "outlivesLosses": chain.outlives_losses(),
+            "view": chain.view().map(|view| json!({ "name": view.name(), "chain": view.chain })),
             "inMajority": chain.in_majority(),
             "peers": control.peers.up(),
             "servers": fleet.servers,
--- a/glenfall/src/control/backup.rs
+++ b/glenfall/src/control/backup.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
-use glenfall_plane::chain::{Durable, Record};
+use glenfall_plane::chain::{Durable, Members, Record};
 use serde::{Deserialize, Serialize};
 
 const FORMAT: &str = "glenfall-state-1";
@@ -88,7 +88,8 @@
     pub fn state(self, voters: Vec<Ipv4Addr>) -> Durable {
         let record =
             Record { seq: self.seq, rev: self.rev, document: self.document.into_bytes(), taken: self.taken };
-        Durable { voters, promised: self.view, accepted: self.view, record: Arc::new(record) }
+        let (members, record) = (Members::of(voters), Arc::new(record));
+        Durable { members, votes: true, promised: self.view, accepted: self.view, record }
     }
 }
 
@@ -131,6 +132,7 @@
     fn it_becomes_the_state_of_each_voter() {
         let state = backup().state(vec![[10, 0, 0, 9].into()]);
         assert_eq!((state.promised, state.accepted, state.record.rev), (48, 48, 9));
-        assert_eq!(state.voters, [std::net::Ipv4Addr::from([10, 0, 0, 9])]);
+        assert_eq!(state.members, Members::of(vec![[10, 0, 0, 9].into()]));
+        assert!(state.votes);
     }
 }
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start};
+use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start, Terms};
 use glenfall_plane::messages::{Down, Fleet, Member, News, Open, Peer, Proxy, Purge, Stamped};
 use glenfall_plane::purges::Purges;
 use glenfall_plane::registry::{Entry, Heard, Registry};
@@ -98,11 +98,12 @@
             Start::Wiped
         }
     };
+    let terms = Terms { losses: boot.survive.hosts, eligible: boot.voter };
     let (synced, mut syncs) = mpsc::unbounded_channel();
     let life = life();
     let control = Rc::new(Control {
         began: Instant::now(),
-        chain: RefCell::new(Chain::new(me, start)),
+        chain: RefCell::new(Chain::new(me, terms, start)),
         writes: store::start(store, synced)?,
         calls: RefCell::default(),
         next_call: Cell::new(life >> 16),
@@ -281,8 +282,18 @@
         if self.told_view.replace(number) == number {
             return;
         }
+        let chain_bears = chain.outlives_losses();
         match chain.view() {
-            Some(view) => tracing::info!(view = view.number, chain = ?view.chain, "view stands"),
+            Some(view) => {
+                let (chain, voters) = (&view.chain, &view.members.voters);
+                tracing::info!(view = view.name(), ?chain, ?voters, "view stands");
+                if !chain_bears {
+                    tracing::warn!(
+                        losses = self.boot.survive.hosts,
+                        "too few voters yet: nothing is acknowledged"
+                    );
+                }
+            }
             None => tracing::warn!("no view stands"),
         }
     }
@@ -334,7 +345,7 @@
             servers: self.registry.borrow().servers(self.now()),
             shields: members,
             edges,
-            cores: self.chain.borrow().voters().len() as u32,
+            cores: self.chain.borrow().members().voters.len() as u32,
         }
     }
 
--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -2,16 +2,19 @@
 //! its time. What can't be trusted is set aside, never read as if it were whole.
 
 use std::path::{Path, PathBuf};
-use std::sync::mpsc;
+use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
-use glenfall_plane::chain::Durable;
+use glenfall_plane::chain::{Durable, Members, NodeId, Record};
 use rusqlite::{Connection, ErrorCode, OpenFlags, OptionalExtension};
+use serde::{Deserialize, Serialize};
 
 /// Pause before a write that the disk refused is tried again; what waits for it waits on.
 const AGAIN: Duration = Duration::from_millis(200);
-/// The layout of the file. A file that says another is not read.
-const LAYOUT: i64 = 1;
+/// The layout of the file. A file that says another is not read, but for the one before.
+const LAYOUT: i64 = 2;
+/// The layout in which the voters were fixed.
+const FIXED: i64 = 1;
 /// The row that the store was made with. It holds nothing; where it is missing, others may be as well.
 const MADE: i64 = 0;
 const STATE: i64 = 1;
@@ -115,7 +118,21 @@
             return Ok((Store(db), None));
         }
         let state = read_whole(&db)?;
-        Ok((Store(db), state))
+        let store = Store(db);
+        if layout(&store.0)? == FIXED {
+            store.take_over(state.as_ref())?;
+        }
+        Ok((store, state))
+    }
+
+    /// Writes what was found in the layout before in this one, both or neither.
+    fn take_over(&self, state: Option<&Durable>) -> Result<(), StoreError> {
+        self.0.execute_batch("BEGIN")?;
+        if let Some(state) = state {
+            self.save(state)?;
+        }
+        self.0.pragma_update(None, "user_version", LAYOUT)?;
+        Ok(self.0.execute_batch("COMMIT")?)
     }
 
     pub fn save(&self, state: &Durable) -> Result<(), StoreError> {
@@ -137,7 +154,7 @@
 fn read_whole(db: &Connection) -> Result<Option<Durable>, StoreError> {
     let damaged = |what: &str| StoreError::Damaged(what.into());
     let layout = layout(db)?;
-    if layout != LAYOUT {
+    if !matches!(layout, LAYOUT | FIXED) {
         return Err(StoreError::Damaged(format!("layout {LAYOUT} expected, got {layout}")));
     }
     let checked: String = db.query_row("PRAGMA integrity_check(1)", [], |row| row.get(0))?;
@@ -155,9 +172,28 @@
     if crc != i64::from(crc32fast::hash(&bytes)) {
         return Err(damaged("checksum does not match"));
     }
+    if layout == FIXED {
+        return Ok(Some(postcard::from_bytes::<WithFixedVoters>(&bytes)?.into()));
+    }
     Ok(Some(postcard::from_bytes(&bytes)?))
 }
 
+/// The state as it was while the voters were fixed.
+#[derive(Serialize, Deserialize)]
+struct WithFixedVoters {
+    voters: Vec<NodeId>,
+    promised: u64,
+    accepted: u64,
+    record: Arc<Record>,
+}
+
+impl From<WithFixedVoters> for Durable {
+    fn from(old: WithFixedVoters) -> Durable {
+        let WithFixedVoters { voters, promised, accepted, record } = old;
+        Durable { members: Members::of(voters), votes: true, promised, accepted, record }
+    }
+}
+
 /// Reads the state in a folder that no process uses, and changes nothing.
 pub fn verify(folder: &Path) -> Result<Option<Durable>, StoreError> {
     let db = Connection::open_with_flags(path_in(folder), OpenFlags::SQLITE_OPEN_READ_ONLY)?;
@@ -203,9 +239,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use glenfall_plane::chain::Record;
-    use std::sync::Arc;
-
     fn folder(name: &str) -> PathBuf {
         let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
@@ -215,7 +248,31 @@
     fn state(promised: u64, size: usize) -> Durable {
         let document = (0..size).map(|n| (n * 7 % 251) as u8).collect();
         let record = Record { seq: 3, rev: 9, document, taken: vec![(9, 1)] };
-        Durable { voters: vec![[10, 0, 0, 1].into()], promised, accepted: 16, record: Arc::new(record) }
+        let members = Members::of(vec![[10, 0, 0, 1].into()]);
+        Durable { members, votes: true, promised, accepted: 16, record: Arc::new(record) }
+    }
+
+    #[test]
+    fn the_layout_before_is_taken_over_once() {
+        let folder = folder("before");
+        let whole = state(64, 100);
+        {
+            let (store, _) = Store::open(&folder).unwrap();
+            let Durable { members, promised, accepted, record, .. } = whole.clone();
+            let old = WithFixedVoters { voters: members.voters, promised, accepted, record };
+            let bytes = postcard::to_stdvec(&old).unwrap();
+            let crc = i64::from(crc32fast::hash(&bytes));
+            store
+                .0
+                .execute("INSERT INTO chain (id, state, crc) VALUES (?1, ?2, ?3)", (STATE, bytes, crc))
+                .unwrap();
+            store.0.pragma_update(None, "user_version", FIXED).unwrap();
+        }
+        for _ in 0..2 {
+            assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(whole.clone()));
+            assert_eq!(layout(&Connection::open(path_in(&folder)).unwrap()).unwrap(), LAYOUT);
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
     }
 
     #[test]
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -302,7 +302,7 @@
         StateVerb::Verify { path } if path.is_dir() => match store::verify(&path) {
             Ok(Some(state)) => {
                 let (record, view) = (&state.record, state.accepted);
-                let (rev, seq, voters) = (record.rev, record.seq, state.voters.len());
+                let (rev, seq, voters) = (record.rev, record.seq, state.members.voters.len());
                 Ok(format!("configuration {rev}, change {seq}, accepted in view {view}, {voters} voters"))
             }
             Ok(None) => Ok("a store without state: nothing was promised or accepted yet".into()),
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -1,7 +1,7 @@
 //! The chain that keeps the configuration, and the agreed view that mends it.
 //!
-//! The voters are fixed when the system first starts. Some of them, a majority at least, form the chain of the
-//! current view. A change enters at the head; each member makes it durable before it passes it on; the tail
+//! The voters are the seeds of the first start, and after that whoever a view names ([`Members`]). Some of them, a
+//! majority at least, form the chain of the current view. A change enters at the head; each member makes it durable before it passes it on; the tail
 //! commits it. A view has a number; whoever proposes one gathers promises from a majority, which fence all
 //! older views, takes the newest record among them and has it made durable by all members of the new chain
 //! before the view stands. Two majorities meet, so that nothing committed is lost and an old head or tail can
@@ -9,7 +9,11 @@
 //!
 //! A view stands on unbroken links and one life of each process: a lost link, a restart, a member that leaves
 //! or whose disk stalls makes a new view. A voter without its disk ([`Start::Wiped`]) may have forgotten a
-//! promise: it gives none until a chain has taken it in.
+//! promise: it gives none until a view that has taken it in stands.
+//!
+//! The voters change in two views. The first counts both sets: it stands on a majority of each, and so does any view
+//! that follows an attempt at it. Once it stands, the next one lets go of the old set. As long as the voters are too
+//! few to outlive the losses that are promised ([`Terms::losses`]), nothing is acknowledged.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
@@ -40,6 +44,8 @@
 const LATE: Millis = 1000;
 /// A sync that takes longer is a stalled disk: the chain goes on without it.
 const STALL: Millis = 600;
+/// A voter that has been away for so long gives its place to a machine that stands by.
+const REPLACE: Millis = 10_000;
 /// A change that has not come through the chain by then has been lost on the way.
 const STUCK: Millis = 1500;
 /// A call is answered by then, if only with `Unavailable`: callers move on after a second.
@@ -49,13 +55,56 @@
 /// Fingerprints of changes that are kept to know a repeated call.
 const MOST_TAKEN: usize = 64;
 
-/// View numbers rise by 16 a view, changes by 1: no system ever comes near this. A number beyond it is nonsense, and
+/// The lower half of a view's number is its proposer's address, so that no two propose the same one.
+const PROPOSER_BITS: u32 = 32;
+/// View numbers rise by 2^32 a view, changes by 1: no system ever comes near this. A number beyond it is nonsense, and
 /// would leave no room above it for a view that anybody could propose.
-const HIGHEST: u64 = 1 << 48;
-/// Voters at most, as a view's number has room to tell its proposer from 15 others; control nodes at most.
+const HIGHEST: u64 = 1 << 62;
+/// Voters at most: more only make each change slower. Control nodes at most.
 const MOST_VOTERS: usize = 16;
 const MOST_NODES: usize = 64;
 
+/// Who counts for a majority.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    pub voters: Vec<NodeId>,
+    /// Who did before, while a change is under way; then a majority of each set is one.
+    pub before: Vec<NodeId>,
+}
+
+impl Members {
+    pub fn of(mut voters: Vec<NodeId>) -> Self {
+        voters.sort();
+        voters.dedup();
+        Members { voters, before: Vec::new() }
+    }
+
+    /// Whether those that `are` hold a majority.
+    pub fn majority(&self, are: impl Fn(&NodeId) -> bool) -> bool {
+        let most = |set: &[NodeId]| set.iter().filter(|node| are(node)).count() > set.len() / 2;
+        most(&self.voters) && (self.before.is_empty() || most(&self.before))
+    }
+
+    pub fn contains(&self, node: NodeId) -> bool {
+        self.voters.contains(&node) || self.before.contains(&node)
+    }
+
+    /// Whether any so many of them may be lost, with their disks, and nothing with them.
+    fn outlive(&self, losses: usize) -> bool {
+        let outlives = |set: &[NodeId]| set.len() > 2 * losses;
+        outlives(&self.voters) && (self.before.is_empty() || outlives(&self.before))
+    }
+}
+
+/// What the settings of a node say of the core.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Terms {
+    /// Machines that may be lost at once without anything acknowledged being lost.
+    pub losses: usize,
+    /// This node may vote.
+    pub eligible: bool,
+}
+
 /// What the chain keeps.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -72,7 +121,9 @@
 /// What must be on disk before what follows from it is said.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Durable {
-    pub voters: Vec<NodeId>,
+    pub members: Members,
+    /// All promises ever given are known. A node that lost its disk has none until a view has taken it in.
+    pub votes: bool,
     /// No part in views below this one.
     pub promised: u64,
     /// The view in which `record` was accepted.
@@ -116,14 +167,20 @@
     Unavailable,
 }
 
-/// A view: its number and its chain, the head first.
+/// A view: its number, its chain, the head first, and who counts from then on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct View {
     pub number: u64,
     pub chain: Vec<NodeId>,
+    pub members: Members,
 }
 
 impl View {
+    /// Which one it is, for people: how often a view was proposed before, and who proposed this one.
+    pub fn name(&self) -> String {
+        format!("{}.{}", self.number >> PROPOSER_BITS, Ipv4Addr::from(self.number as u32))
+    }
+
     fn head(&self) -> Option<NodeId> {
         self.chain.first().copied()
     }
@@ -146,7 +203,7 @@
 /// What a node says of itself, at every [`BEAT`].
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
-    pub voters: Vec<NodeId>,
+    pub members: Members,
     pub promised: u64,
     /// The standing and unbroken view that it is a member of.
     pub view: Option<View>,
@@ -154,6 +211,8 @@
     pub hears: Vec<NodeId>,
     /// It may have forgotten promises.
     pub wiped: bool,
+    /// It may become a voter.
+    pub eligible: bool,
     /// It leaves, or its disk stalls: the chain goes on without it.
     pub unfit: bool,
     /// Number of the newest committed record that it knows.
@@ -171,6 +230,7 @@
     Promise {
         view: u64,
         accepted: Option<u64>,
+        members: Members,
         record: Arc<Record>,
     },
     Nack {
@@ -178,7 +238,6 @@
     },
     Install {
         view: View,
-        voters: Vec<NodeId>,
         record: Arc<Record>,
     },
     Installed {
@@ -222,23 +281,25 @@
         let number = |number: &u64| *number < HIGHEST;
         let record = |record: &Record| number(&record.seq) && record.taken.len() <= MOST_TAKEN;
         let voters = |voters: &[NodeId]| voters.len() <= MOST_VOTERS;
-        let view = |view: &View| number(&view.number) && voters(&view.chain) && !view.chain.is_empty();
+        let members = |members: &Members| voters(&members.voters) && voters(&members.before);
+        let view = |view: &View| {
+            let named = members(&view.members) && !view.members.voters.is_empty();
+            number(&view.number) && view.chain.len() <= 2 * MOST_VOTERS && !view.chain.is_empty() && named
+        };
         match self {
             Message::Beat(beat) => {
                 number(&beat.promised)
                     && number(&beat.committed)
-                    && voters(&beat.voters)
+                    && members(&beat.members)
                     && beat.hears.len() <= MOST_NODES
                     && beat.view.as_ref().is_none_or(view)
             }
             Message::Prepare { view } | Message::Installed { view } => number(view),
-            Message::Promise { view, accepted, record: r } => {
-                number(view) && accepted.as_ref().is_none_or(number) && record(r)
+            Message::Promise { view, accepted, members: named, record: r } => {
+                number(view) && accepted.as_ref().is_none_or(number) && members(named) && record(r)
             }
             Message::Nack { promised } => number(promised),
-            Message::Install { view: v, voters: named, record: r } => {
-                view(v) && voters(named) && !named.is_empty() && record(r)
-            }
+            Message::Install { view: v, record: r } => view(v) && record(r),
             Message::Stands { view: v } => view(v),
             Message::Update { view, record: r } => number(view) && record(r),
             Message::Acked { view, seq } => number(view) && number(seq),
@@ -276,11 +337,21 @@
     broken: bool,
 }
 
+/// What a voter had accepted when it gave its promise.
+struct Accepted {
+    number: u64,
+    members: Members,
+    record: Arc<Record>,
+}
+
 struct Proposal {
     number: u64,
     since: Millis,
     target: Vec<NodeId>,
-    promises: BTreeMap<NodeId, Option<(u64, Arc<Record>)>>,
+    /// Who is to vote from then on, if others than now.
+    wish: Option<Vec<NodeId>>,
+    /// `None` from a node that has no vote.
+    promises: BTreeMap<NodeId, Option<Accepted>>,
     /// Once the promises are in: the view, and who has made it durable.
     view: Option<(View, BTreeSet<NodeId>)>,
 }
@@ -304,8 +375,10 @@
 /// One node's part.
 pub struct Chain {
     me: NodeId,
+    terms: Terms,
     durable: Durable,
-    wiped: bool,
+    /// When it was first asked what time has brought.
+    began: Option<Millis>,
     leaving: bool,
     installed: Option<Installed>,
     /// The newest view known to stand.
@@ -329,22 +402,20 @@
 }
 
 impl Chain {
-    pub fn new(me: NodeId, start: Start) -> Self {
-        let empty = |voters| Durable { voters, promised: 0, accepted: 0, record: Arc::default() };
-        let (durable, wiped) = match start {
-            Start::Fresh(mut voters) => {
-                voters.sort();
-                voters.dedup();
-                (empty(voters), false)
-            }
-            Start::Kept(durable) => (durable, false),
-            Start::Wiped => (empty(Vec::new()), true),
+    pub fn new(me: NodeId, terms: Terms, start: Start) -> Self {
+        let empty =
+            |members, votes| Durable { members, votes, promised: 0, accepted: 0, record: Arc::default() };
+        let durable = match start {
+            Start::Fresh(voters) => empty(Members::of(voters), true),
+            Start::Kept(durable) => durable,
+            Start::Wiped => empty(Members::default(), false),
         };
         Chain {
             me,
+            terms,
             highest: durable.promised,
             durable,
-            wiped,
+            began: None,
             leaving: false,
             installed: None,
             known: None,
@@ -365,8 +436,17 @@
         }
     }
 
-    pub fn voters(&self) -> &[NodeId] {
-        &self.durable.voters
+    /// Who counts, by the newest view that this node has accepted or knows to stand.
+    pub fn members(&self) -> &Members {
+        match &self.known {
+            Some(known) if known.number > self.durable.accepted => &known.members,
+            _ => &self.durable.members,
+        }
+    }
+
+    /// Whether the voters are enough to outlive what the settings promise.
+    pub fn outlives_losses(&self) -> bool {
+        self.members().outlive(self.terms.losses)
     }
 
     /// The newest view known to stand.
@@ -380,14 +460,14 @@
 
     /// Whether this node reaches a majority of the voters, itself included: what it acknowledges binds all.
     pub fn in_majority(&self) -> bool {
-        let reached = self.durable.voters.iter().filter(|v| **v == self.me || self.hears(**v)).count();
-        !self.durable.voters.is_empty() && reached >= self.majority()
+        self.members().majority(|node| *node == self.me || self.hears(*node))
     }
 
     // ---- Inputs ----
 
     pub fn tick(&mut self, now: Millis) -> Vec<Output> {
         self.now = now;
+        self.began.get_or_insert(now);
         if self.last_beat.is_none_or(|at| now >= at + BEAT) {
             self.send_beats();
         }
@@ -418,7 +498,7 @@
         self.now = now;
         if let Some(entry) = self.peers.get_mut(&peer) {
             entry.up = false;
-            entry.beat = Beat { voters: Vec::new(), ..Beat::default() };
+            entry.beat = Beat::default();
         }
         if self.installed.as_ref().is_some_and(|i| i.view.chain.contains(&peer)) {
             self.break_view();
@@ -504,11 +584,12 @@
     fn beat(&self) -> Beat {
         let installed = self.installed.as_ref().filter(|i| i.stands && !i.broken);
         Beat {
-            voters: self.durable.voters.clone(),
+            members: self.members().clone(),
             promised: self.highest,
             view: installed.map(|i| i.view.clone()),
             hears: self.peers.keys().copied().filter(|peer| self.hears(*peer)).collect(),
-            wiped: self.wiped,
+            wiped: !self.durable.votes,
+            eligible: self.terms.eligible,
             unfit: self.unfit(),
             committed: self.committed.seq,
         }
@@ -525,14 +606,6 @@
 
     // ---- Who is there ----
 
-    fn majority(&self) -> usize {
-        self.durable.voters.len() / 2 + 1
-    }
-
-    fn is_voter(&self) -> bool {
-        self.durable.voters.contains(&self.me)
-    }
-
     fn unfit(&self) -> bool {
         self.leaving || self.syncs.front().is_some_and(|(_, since, _)| self.now >= since + STALL)
     }
@@ -550,23 +623,35 @@
             })
     }
 
-    /// The voters that the chain should consist of: this node, and in order each that all chosen before it
-    /// hear and that hears them.
-    fn target(&self) -> Vec<NodeId> {
+    /// Who may be in the chain: the voters, and who may become one.
+    fn candidates(&self) -> Vec<NodeId> {
+        let members = self.members();
+        let standing_by = self.peers.iter().filter(|(_, peer)| peer.beat.eligible).map(|(id, _)| *id);
+        let mut all: Vec<NodeId> =
+            members.voters.iter().chain(&members.before).copied().chain(standing_by).collect();
+        all.sort();
+        all.dedup();
+        all
+    }
+
+    /// Of the candidates, this node, and in order each that all chosen before it hear and that hears them; voters
+    /// go before those who stand by.
+    fn reached(&self) -> Vec<NodeId> {
         let mut chosen = Vec::new();
-        if !self.is_voter() || self.unfit() {
+        let members = self.members();
+        if !members.contains(self.me) || self.unfit() {
             return chosen;
         }
-        let mut voters: Vec<NodeId> =
-            self.durable.voters.iter().copied().filter(|v| *v != self.me && self.takes_part(*v)).collect();
-        voters.sort();
-        for voter in voters {
+        let mut others: Vec<NodeId> = self.candidates();
+        others.retain(|node| *node != self.me && self.takes_part(*node));
+        others.sort_by_key(|node| (!members.contains(*node), *node));
+        for node in others {
             let heard_by = |other: &NodeId| {
-                self.peers.get(other).is_some_and(|p| p.beat.hears.contains(&voter))
-                    && self.peers.get(&voter).is_some_and(|p| p.beat.hears.contains(other))
+                self.peers.get(other).is_some_and(|p| p.beat.hears.contains(&node))
+                    && self.peers.get(&node).is_some_and(|p| p.beat.hears.contains(other))
             };
             if chosen.iter().all(heard_by) {
-                chosen.push(voter);
+                chosen.push(node);
             }
         }
         chosen.push(self.me);
@@ -574,9 +659,38 @@
         chosen
     }
 
+    /// Who should vote, if others than now: as many as the losses ask for, and in the place of each that has been away
+    /// for long one that stands by. `None` while a change is under way.
+    fn wish(&self, reached: &[NodeId]) -> Option<Vec<NodeId>> {
+        let members = self.members();
+        if !members.before.is_empty() {
+            return None;
+        }
+        let mut standing_by = reached.iter().copied().filter(|node| !members.contains(*node));
+        let mut wish = Vec::new();
+        for voter in &members.voters {
+            let away = *voter != self.me && self.away_for(*voter) >= REPLACE;
+            let instead = if away { standing_by.next() } else { None };
+            wish.push(instead.unwrap_or(*voter));
+        }
+        let wanted = (2 * self.terms.losses + 1).min(MOST_VOTERS);
+        let missing = wanted.saturating_sub(wish.len());
+        wish.extend(standing_by.take(missing));
+        wish.sort();
+        (wish != members.voters).then_some(wish)
+    }
+
+    fn away_for(&self, node: NodeId) -> Millis {
+        if self.hears(node) {
+            return 0;
+        }
+        let heard = self.peers.get(&node).map_or(0, |peer| peer.heard);
+        self.now.saturating_sub(heard.max(self.began.unwrap_or(self.now)))
+    }
+
     fn wiped_node(&self, node: NodeId) -> bool {
         if node == self.me {
-            self.wiped
+            !self.durable.votes
         } else {
             self.peers.get(&node).is_some_and(|p| p.beat.wiped)
         }
@@ -593,10 +707,15 @@
 
     /// Proposes a view where one is needed and it is this node's turn.
     fn consider(&mut self) {
-        let target = self.target();
-        let able = target.iter().filter(|node| !self.wiped_node(**node)).count() >= self.majority()
-            && !self.durable.voters.is_empty()
-            && !self.wiped;
+        let reached = self.reached();
+        let wish = self.wish(&reached);
+        let members = self.members();
+        let mut target = reached;
+        target
+            .retain(|node| members.contains(*node) || wish.as_ref().is_some_and(|wish| wish.contains(node)));
+        let votes = |node: &NodeId| target.contains(node) && !self.wiped_node(*node);
+        let able = members.majority(votes) && self.durable.votes;
+        let changing = wish.is_some() || !members.before.is_empty();
         let member = self.installed.as_ref().filter(|i| i.stands && !i.broken).map(|i| &i.view.chain);
         let lost = member.is_some_and(|chain| chain.iter().any(|m| *m != self.me && !self.hears(*m)));
         if lost {
@@ -608,7 +727,7 @@
             && self.peers.iter().any(|(id, p)| {
                 self.hears(*id) && p.beat.view.as_ref().is_some_and(|view| !view.chain.contains(&self.me))
             });
-        let needed = member.is_none_or(|chain| *chain != target);
+        let needed = changing || member.is_none_or(|chain| *chain != target);
         if !able || others_stand || !needed || self.proposal.is_some() {
             self.need_since = None;
             return;
@@ -616,20 +735,19 @@
         let since = *self.need_since.get_or_insert(self.now);
         let before = target.iter().filter(|node| **node < self.me && !self.wiped_node(**node)).count();
         if self.now >= self.hold_until && self.now >= since + SETTLE + TURN * before as Millis {
-            self.propose(target);
+            self.propose(target, wish);
         }
     }
 
-    fn propose(&mut self, target: Vec<NodeId>) {
-        // The low bits tell the proposer: no two propose the same number.
-        let place = self.durable.voters.iter().position(|v| *v == self.me).unwrap_or(0) as u64;
-        let number = ((self.highest >> 4) + 1) << 4 | (place & 15);
+    fn propose(&mut self, target: Vec<NodeId>, wish: Option<Vec<NodeId>>) {
+        let number = (((self.highest >> PROPOSER_BITS) + 1) << PROPOSER_BITS) | u64::from(u32::from(self.me));
         self.highest = number;
         self.need_since = None;
         self.proposal = Some(Proposal {
             number,
             since: self.now,
             target: target.clone(),
+            wish,
             promises: BTreeMap::new(),
             view: None,
         });
@@ -663,14 +781,29 @@
         if p.view.is_some() {
             return;
         }
-        let votes = p.promises.values().flatten().count();
         let all = p.target.iter().all(|node| p.promises.contains_key(node));
-        if votes < self.durable.voters.len() / 2 + 1 || !(all || self.now >= p.since + GATHER) {
+        if !(all || self.now >= p.since + GATHER) {
+            return;
+        }
+        let newest = p.promises.values().flatten().max_by_key(|a| (a.number, a.record.seq));
+        let Some(Accepted { number, members: counted, record }) = newest else { return };
+        // Who counts is what the newest of them had accepted, whatever the proposer knew.
+        if !counted.majority(|node| p.promises.get(node).is_some_and(Option::is_some)) {
             return;
         }
-        let newest = p.promises.values().flatten().max_by_key(|(accepted, record)| (*accepted, record.seq));
-        let Some((_, record)) = newest.cloned() else { return };
-        let view = View { number: p.number, chain: p.promises.keys().copied().collect() };
+        let chain: Vec<NodeId> = p.promises.keys().copied().collect();
+        let stood = self.known.as_ref().is_some_and(|known| known.number >= *number);
+        let wish = p.wish.as_ref().filter(|_| counted.before.is_empty());
+        let attained =
+            |wish: &&Vec<NodeId>| Members::of((*wish).clone()).majority(|node| chain.contains(node));
+        let members = match wish.filter(attained) {
+            Some(wish) => Members { voters: wish.clone(), before: counted.voters.clone() },
+            // A change that only some may have seen is made whole before the old set is let go of.
+            None if !stood => counted.clone(),
+            None => Members { voters: counted.voters.clone(), before: Vec::new() },
+        };
+        let record = Arc::clone(record);
+        let view = View { number: p.number, chain, members };
         p.view = Some((view.clone(), BTreeSet::new()));
         // Taken in again later, not by the next proposal.
         for node in p.target.iter().filter(|node| !p.promises.contains_key(node)) {
@@ -678,10 +811,9 @@
                 peer.shunned_until = self.now + LATE;
             }
         }
-        let voters = self.durable.voters.clone();
         for node in view.chain.clone() {
             let record = Arc::clone(&record);
-            self.send(node, Message::Install { view: view.clone(), voters: voters.clone(), record });
+            self.send(node, Message::Install { view: view.clone(), record });
         }
     }
 
@@ -691,11 +823,11 @@
         match message {
             Message::Beat(beat) => self.take_beat(from, beat),
             Message::Prepare { view } => self.prepare(from, view),
-            Message::Promise { view, accepted, record } => {
+            Message::Promise { view, accepted, members, record } => {
                 let asked =
                     |p: &&mut Proposal| p.number == view && p.view.is_none() && p.target.contains(&from);
                 if let Some(p) = self.proposal.as_mut().filter(asked) {
-                    p.promises.insert(from, accepted.map(|accepted| (accepted, record)));
+                    p.promises.insert(from, accepted.map(|number| Accepted { number, members, record }));
                     self.tend_proposal();
                 }
             }
@@ -705,7 +837,7 @@
                     self.proposal = None;
                 }
             }
-            Message::Install { view, voters, record } => self.install(from, view, voters, record),
+            Message::Install { view, record } => self.install(from, view, record),
             Message::Installed { view } => self.note_installed(from, view),
             Message::Stands { view } => self.stands(view),
             Message::Update { view, record } => self.update(from, view, record),
@@ -732,8 +864,8 @@
 
     fn take_beat(&mut self, from: NodeId, beat: Beat) {
         self.highest = self.highest.max(beat.promised);
-        if self.durable.voters.is_empty() {
-            self.durable.voters = beat.voters.clone();
+        if self.durable.members.voters.is_empty() {
+            self.durable.members = beat.members.clone();
         }
         if let Some(view) = &beat.view {
             if self.known.as_ref().is_none_or(|known| known.number < view.number) {
@@ -759,8 +891,9 @@
         if from != self.me {
             self.hold_until = self.now + PROPOSAL;
         }
-        if self.wiped {
-            return self.send(from, Message::Promise { view, accepted: None, record: Arc::default() });
+        if !self.durable.votes {
+            let (accepted, members, record) = (None, Members::default(), Arc::default());
+            return self.send(from, Message::Promise { view, accepted, members, record });
         }
         if view <= self.durable.promised {
             return self.send(from, Message::Nack { promised: self.durable.promised });
@@ -770,18 +903,18 @@
         self.break_view();
         self.pending = None;
         let accepted = Some(self.durable.accepted);
-        let record = Arc::clone(&self.durable.record);
-        self.persist(vec![Output::Send(from, Message::Promise { view, accepted, record })]);
+        let (members, record) = (self.durable.members.clone(), Arc::clone(&self.durable.record));
+        self.persist(vec![Output::Send(from, Message::Promise { view, accepted, members, record })]);
     }
 
-    fn install(&mut self, from: NodeId, view: View, voters: Vec<NodeId>, record: Arc<Record>) {
+    fn install(&mut self, from: NodeId, view: View, record: Arc<Record>) {
         if view.number < self.durable.promised {
             return self.send(from, Message::Nack { promised: self.durable.promised });
         }
         let number = view.number;
         self.highest = self.highest.max(number);
-        self.durable = Durable { voters, promised: number, accepted: number, record };
-        self.wiped = false;
+        let (members, votes) = (view.members.clone(), self.durable.votes);
+        self.durable = Durable { members, votes, promised: number, accepted: number, record };
         self.pending = None;
         let broken = view.chain.iter().any(|member| *member != self.me && !self.hears(*member));
         self.installed = Some(Installed { view, stands: false, broken });
@@ -816,6 +949,11 @@
         let first = self.installed.as_mut().filter(|i| i.view == view && !i.stands && !fenced);
         if let Some(installed) = first {
             installed.stands = true;
+            if !self.durable.votes {
+                // What it may have forgotten is known to a majority that has accepted this view, or lies below it.
+                self.durable.votes = true;
+                self.persist(Vec::new());
+            }
             let record = Arc::clone(&self.durable.record);
             self.publish(record);
             self.send_beats();
@@ -934,7 +1072,7 @@
 
     /// The head begins with the next change, one at a time: what it builds on is then committed.
     fn take_next(&mut self) {
-        while self.is_head().is_some() && self.pending.is_none() {
+        while self.is_head().is_some() && self.pending.is_none() && self.outlives_losses() {
             let Some((origin, call, builds_on, change)) = self.queue.pop_front() else { return };
             let current = Arc::clone(&self.durable.record);
             let digest = change.digest();
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -1,20 +1,23 @@
 //! The chain on a simulated network and disk, under fixed seeds: links that delay, break and mend, cuts, freezes
-//! and power losses of single nodes and of all, wiped disks, and two operators who race. A failing seed is named
-//! and replays exactly: `CHAIN_SEED=n cargo test -p glenfall-plane --test chain`. `CHAIN_RUNS=n` plays more.
+//! and power losses of single nodes and of all, wiped disks, two operators who race, and voters that are replaced.
+//! Cores of three, five and seven, each with machines that stand by, and disks lost of as many as the core is to
+//! outlive. A failing seed is named and replays exactly: `CHAIN_SEED=n cargo test -p glenfall-plane --test chain`.
+//! `CHAIN_RUNS=n` plays more.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use glenfall_plane::chain::{
-    Beat, Call, Chain, Durable, Message, NodeId, Outcome, Output, Record, Start, View,
+    Beat, Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Record, Start, Terms, View,
 };
 use glenfall_plane::config::Change;
 use glenfall_plane::Millis;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const NODES: u8 = 3;
+/// Seeds of the first start, as an operator names them.
+const SEEDS: u8 = 3;
 const TICK: Millis = 10;
 /// How long troubles go on, and how long the mended system then has to take one more change.
 const TROUBLES: Millis = 20_000;
@@ -24,6 +27,33 @@
     Ipv4Addr::new(10, 0, 0, n)
 }
 
+/// The size of a world: losses that its core is to outlive, and machines that stand by.
+#[derive(Clone, Copy)]
+struct Size {
+    losses: u8,
+    spare: u8,
+}
+
+impl Size {
+    fn voters(self) -> u8 {
+        2 * self.losses + 1
+    }
+
+    fn nodes(self) -> u8 {
+        self.voters() + self.spare
+    }
+
+    fn terms(self) -> Terms {
+        Terms { losses: usize::from(self.losses), eligible: true }
+    }
+}
+
+const SMALL: Size = Size { losses: 1, spare: 0 };
+
+fn seeds() -> Vec<NodeId> {
+    (1..=SEEDS).map(node).collect()
+}
+
 struct Machine {
     chain: Option<Chain>,
     /// What has reached the disk, and what is under way to it: when it is there, number, state.
@@ -31,6 +61,8 @@
     /// Its disk was lost once: without state it is no node that starts for the first time.
     wiped: bool,
     syncing: VecDeque<(Millis, u64, Durable)>,
+    /// Gone for good: it is not switched on again, until an empty machine takes its place.
+    gone: bool,
     /// Nothing is done before then.
     frozen_until: Millis,
     stalled_until: Millis,
@@ -52,6 +84,7 @@
 }
 
 struct World {
+    size: Size,
     rng: ChaCha8Rng,
     now: Millis,
     machines: Vec<Machine>,
@@ -76,22 +109,24 @@
 }
 
 impl World {
-    fn new(seed: u64) -> Self {
-        let voters: Vec<NodeId> = (1..=NODES).map(node).collect();
+    fn new(seed: u64, size: Size) -> Self {
+        // Those that stand by come later, as machines that never were a part of it.
         let machine = |n| Machine {
-            chain: Some(Chain::new(node(n), Start::Fresh(voters.clone()))),
+            chain: (n <= size.voters()).then(|| Chain::new(node(n), size.terms(), Start::Fresh(seeds()))),
             disk: None,
-            wiped: false,
+            wiped: n > size.voters(),
             syncing: VecDeque::new(),
+            gone: false,
             frozen_until: 0,
             stalled_until: 0,
             life: 0,
             published: 0,
         };
         World {
+            size,
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
-            machines: (1..=NODES).map(machine).collect(),
+            machines: (1..=size.nodes()).map(machine).collect(),
             links: BTreeMap::new(),
             link_life: BTreeMap::new(),
             up: BTreeSet::new(),
@@ -185,11 +220,12 @@
         let builds_on = self.newest().max(self.told);
         let operators = self.rng.random_range(1..=2);
         for _ in 0..operators {
-            let (n, rev) = (self.rng.random_range(1..=NODES), builds_on + self.rng.random_range(1..9));
+            let (n, rev) =
+                (self.rng.random_range(1..=self.size.nodes()), builds_on + self.rng.random_range(1..9));
             let document = format!("{{\"rev\":{rev},\"call\":{}}}", self.next_call).into_bytes();
             self.call(n, Call::Change { builds_on, change: Change::Put(document) }, Some(rev), builds_on);
         }
-        let reader = self.rng.random_range(1..=NODES);
+        let reader = self.rng.random_range(1..=self.size.nodes());
         self.call(reader, Call::Read, None, 0);
     }
 
@@ -209,7 +245,7 @@
 
     /// Power goes: what is not on disk is lost, or there by luck.
     fn power_off(&mut self, n: u8, wipe: bool) {
-        for other in (1..=NODES).filter(|other| *other != n) {
+        for other in (1..=self.size.nodes()).filter(|other| *other != n) {
             self.lose_link(n, other);
         }
         let lucky = self.rng.random_bool(0.3);
@@ -230,16 +266,16 @@
 
     fn power_on(&mut self, n: u8) {
         let machine = &mut self.machines[usize::from(n) - 1];
-        if machine.chain.is_some() {
+        if machine.chain.is_some() || machine.gone {
             return;
         }
         let start = match machine.disk.clone() {
             Some(kept) => Start::Kept(kept),
             None if machine.wiped => Start::Wiped,
             // It died before its first write: it has promised nothing.
-            None => Start::Fresh((1..=NODES).map(node).collect()),
+            None => Start::Fresh(seeds()),
         };
-        machine.chain = Some(Chain::new(node(n), start));
+        machine.chain = Some(Chain::new(node(n), self.size.terms(), start));
         machine.frozen_until = 0;
     }
 
@@ -248,8 +284,8 @@
         let now = self.now;
         self.cuts.retain(|_, until| *until > now);
         // Links come up where both ends run and nothing cuts them.
-        for a in 1..=NODES {
-            for b in a + 1..=NODES {
+        for a in 1..=self.size.nodes() {
+            for b in a + 1..=self.size.nodes() {
                 let both = self.machines[usize::from(a) - 1].chain.is_some()
                     && self.machines[usize::from(b) - 1].chain.is_some();
                 let cut = self.cuts.contains_key(&(a, b));
@@ -267,7 +303,7 @@
                 }
             }
         }
-        for n in 1..=NODES {
+        for n in 1..=self.size.nodes() {
             let frozen = self.machines[usize::from(n) - 1].frozen_until > now;
             if frozen || self.machines[usize::from(n) - 1].chain.is_none() {
                 continue;
@@ -293,7 +329,7 @@
                 self.carry_out(n, outputs);
             }
         }
-        for from in (1..=NODES).filter(|from| *from != n) {
+        for from in (1..=self.size.nodes()).filter(|from| *from != n) {
             while let Some((_, life, message)) = self.arrived(from, n) {
                 if self.link_life.get(&pair(from, n)) != Some(&life) {
                     continue;
@@ -310,51 +346,91 @@
         }
     }
 
-    /// One trouble. A disk is lost only while no other is: more than the users promise to spare, as the others
-    /// may be behind or away.
+    /// Machines whose disks may be lost now: as many as the voters outlive, less those that are without a vote
+    /// already, as no view that stands has taken them in since. At first the voters are the seeds alone.
+    fn disks_to_lose(&self) -> usize {
+        let newest = self.machines.iter().filter_map(|m| m.disk.as_ref()).max_by_key(|disk| disk.accepted);
+        let members = newest.map_or(Members::of(seeds()), |disk| disk.members.clone());
+        let sets = [&members.voters, &members.before].into_iter().filter(|set| !set.is_empty());
+        let left = sets.map(|set| {
+            let lost = self.machines.iter().zip(1..).filter(|(m, n)| {
+                let without = m.gone || m.disk.as_ref().is_none_or(|disk| !disk.votes);
+                set.contains(&node(*n)) && without
+            });
+            ((set.len() - 1) / 2).min(usize::from(self.size.losses)).saturating_sub(lost.count())
+        });
+        left.min().unwrap_or(0)
+    }
+
+    /// One trouble.
     fn trouble(&mut self) {
-        let n = self.rng.random_range(1..=NODES);
-        let other = n % NODES + 1;
-        let disks_kept = self.machines.iter().all(|m| m.disk.is_some());
-        match self.rng.random_range(0..9) {
+        let nodes = self.size.nodes();
+        let n = self.rng.random_range(1..=nodes);
+        let other = n % nodes + 1;
+        match self.rng.random_range(0..11) {
             0 | 1 => self.power_off(n, false),
             2 => {
-                for n in 1..=NODES {
+                for n in 1..=nodes {
                     self.power_off(n, false);
                 }
             }
-            3 if disks_kept => {
-                self.power_off(n, true);
-                self.power_on(n);
+            3 => {
+                // As many disks as may be, and at times the others lose power with them.
+                let others = self.rng.random_bool(0.3);
+                for _ in 0..self.disks_to_lose() {
+                    let n = self.rng.random_range(1..=nodes);
+                    if self.disks_to_lose() > 0 {
+                        self.power_off(n, true);
+                        self.power_on(n);
+                    }
+                }
+                for n in (1..=nodes).filter(|_| others) {
+                    self.power_off(n, false);
+                }
             }
             4 => {
                 self.cuts.insert(pair(n, other), self.now + 2500);
             }
             5 => {
-                for other in (1..=NODES).filter(|other| *other != n) {
+                for other in (1..=nodes).filter(|other| *other != n) {
                     self.cuts.insert(pair(n, other), self.now + 2500);
                 }
             }
             6 => self.lose_link(n, other),
             7 => self.machines[usize::from(n) - 1].frozen_until = self.now + 1800,
             8 => self.machines[usize::from(n) - 1].stalled_until = self.now + 1500,
+            9 => {
+                // The core in two.
+                let side = self.rng.random_range(1..nodes.max(2));
+                for (a, b) in (1..=side).flat_map(|a| (side + 1..=nodes).map(move |b| (a, b))) {
+                    self.cuts.insert((a, b), self.now + 2500);
+                }
+            }
+            _ if self.size.spare > 0 && self.disks_to_lose() > 0 => {
+                // Lost for good; one that stands by has to take its place.
+                self.power_off(n, true);
+                self.machines[usize::from(n) - 1].gone = true;
+            }
             _ => {}
         }
     }
 
+    /// All voters are in one chain, and there are as many of them as there should be.
     fn in_one_view(&self) -> bool {
-        let views: BTreeSet<_> = self
-            .machines
-            .iter()
-            .map(|m| m.chain.as_ref().and_then(|c| c.view()).map(|view| (view.number, view.chain.len())))
-            .collect();
+        let running = || self.machines.iter().filter_map(|m| m.chain.as_ref());
+        let views: BTreeSet<_> = running().map(|c| c.view().map(|view| view.number)).collect();
+        let Some(view) = running().find_map(Chain::view) else { return false };
+        let voters = &view.members.voters;
         views.len() == 1
-            && views.iter().next().is_some_and(|v| v.is_some_and(|(_, n)| n == usize::from(NODES)))
+            && view.members.before.is_empty()
+            && voters.len() >= usize::from(self.size.voters())
+            && voters.iter().all(|voter| view.chain.contains(voter))
     }
 
     fn settle(&mut self) {
         self.cuts.clear();
-        for n in 1..=NODES {
+        for n in 1..=self.size.nodes() {
+            self.machines[usize::from(n) - 1].gone = false;
             self.power_on(n);
             self.machines[usize::from(n) - 1].frozen_until = 0;
             self.machines[usize::from(n) - 1].stalled_until = 0;
@@ -363,7 +439,8 @@
 }
 
 fn play(seed: u64) -> u64 {
-    let mut world = World::new(seed);
+    let sizes = [(1, 0), (2, 0), (2, 2), (1, 1), (3, 1)].map(|(losses, spare)| Size { losses, spare });
+    let mut world = World::new(seed, sizes[seed as usize % sizes.len()]);
     let mut next_trouble = 1500;
     while world.now < TROUBLES {
         world.step();
@@ -374,7 +451,7 @@
             world.trouble();
             next_trouble = world.now + world.rng.random_range(100..2500);
         }
-        for n in 1..=NODES {
+        for n in 1..=world.size.nodes() {
             if world.rng.random_bool(0.02) {
                 world.power_on(n);
             }
@@ -423,7 +500,7 @@
 
 #[test]
 fn a_quiet_core_takes_a_change_within_a_second_of_its_start() {
-    let mut world = World::new(1);
+    let mut world = World::new(1, SMALL);
     while world.now < 1000 {
         world.step();
         if world.now.is_multiple_of(100) {
@@ -436,7 +513,7 @@
 
 #[test]
 fn a_member_that_leaves_in_order_is_out_of_the_chain_before_a_silence_would_be_noticed() {
-    let mut world = World::new(2);
+    let mut world = World::new(2, SMALL);
     while world.now < 1000 {
         world.step();
     }
@@ -455,7 +532,7 @@
     let number = |rng: &mut ChaCha8Rng| match rng.random_range(0..5) {
         0 => rng.random(),
         1 => u64::MAX,
-        2 => 1 << 48,
+        2 => 1 << 62,
         _ => rng.random_range(0..200),
     };
     let nodes = |rng: &mut ChaCha8Rng| -> Vec<NodeId> {
@@ -466,14 +543,16 @@
         let document = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
         Arc::new(Record { seq: number(rng), rev: number(rng), document, taken: vec![(number(rng), 1)] })
     };
-    let view = |rng: &mut ChaCha8Rng| View { number: number(rng), chain: nodes(rng) };
+    let members = |rng: &mut ChaCha8Rng| Members { voters: nodes(rng), before: nodes(rng) };
+    let view = |rng: &mut ChaCha8Rng| View { number: number(rng), chain: nodes(rng), members: members(rng) };
     let change = |rng: &mut ChaCha8Rng| {
         let bytes = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
         Call::Change { builds_on: number(rng), change: Change::Put(bytes) }
     };
     match rng.random_range(0..13) {
         0 => Message::Beat(Beat {
-            voters: nodes(rng),
+            members: members(rng),
+            eligible: rng.random(),
             promised: number(rng),
             view: rng.random_bool(0.5).then(|| view(rng)),
             hears: nodes(rng),
@@ -484,10 +563,10 @@
         1 => Message::Prepare { view: number(rng) },
         2 => {
             let accepted = rng.random_bool(0.5).then(|| number(rng));
-            Message::Promise { view: number(rng), accepted, record: record(rng) }
+            Message::Promise { view: number(rng), accepted, members: members(rng), record: record(rng) }
         }
         3 => Message::Nack { promised: number(rng) },
-        4 => Message::Install { view: view(rng), voters: nodes(rng), record: record(rng) },
+        4 => Message::Install { view: view(rng), record: record(rng) },
         5 => Message::Installed { view: number(rng) },
         6 => Message::Stands { view: view(rng) },
         7 => Message::Update { view: number(rng), record: record(rng) },
@@ -501,7 +580,7 @@
 
 #[test]
 fn what_no_node_says_has_no_effect() {
-    let mut world = World::new(3);
+    let mut world = World::new(3, SMALL);
     let mut rng = ChaCha8Rng::seed_from_u64(3);
     let mut ignored = 0;
     while world.now < 6000 {
@@ -524,8 +603,7 @@
 fn what_a_broken_peer_says_soundly_breaks_no_node() {
     for seed in 0..300 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let voters: Vec<NodeId> = (1..=NODES).map(node).collect();
-        let mut chain = Chain::new(node(1), Start::Fresh(voters));
+        let mut chain = Chain::new(node(1), SMALL.terms(), Start::Fresh(seeds()));
         let mut syncs = VecDeque::new();
         for now in 0..2000 {
             let from = node(rng.random_range(1..5));
