A drain is acknowledged once all control nodes that are there know it

Cause: control asked its peers to note a drain, did not look at what they answered, and sent 200 after 0.4 s in any case. A second call for the same drain was answered at once.

Change: the registry notes whether all control nodes that are there know a server's present status; 2xx goes out after that, 503 otherwise, also to repeated calls and goodbyes. Peers answer within 0.3 s and don't end the session of a slow proxy for it.

The new test gets a 200 from a core with a stopped node without the change. A test of the whole path compared answers of two servers that could be alike; they name their server now.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -7,7 +7,7 @@
 use glenfall_plane::chain::{Call, Outcome};
 use glenfall_plane::config::{Change, ReqLimits};
 use glenfall_plane::messages::Purge;
-use glenfall_plane::registry::{Beat, Entry, EntryStatus, Heard};
+use glenfall_plane::registry::{Beat, Entry, Heard};
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -171,10 +171,10 @@
         if !self.0.chain.borrow().in_majority() {
             return out_of_touch();
         }
-        let urgent = entry.status != EntryStatus::Ready;
-        match self.0.heard(entry, urgent).await {
-            Heard::Full => wrong(StatusCode::INSUFFICIENT_STORAGE, "no room for more servers"),
-            Heard::Changed | Heard::Alive | Heard::Late => answer(StatusCode::OK, json!({})),
+        match self.0.heard(entry).await {
+            Some(Heard::Full) => wrong(StatusCode::INSUFFICIENT_STORAGE, "no room for more servers"),
+            Some(Heard::Changed | Heard::Alive | Heard::Late) => answer(StatusCode::OK, json!({})),
+            None => wrong(StatusCode::SERVICE_UNAVAILABLE, "not all control nodes know it yet: say it again"),
         }
     }
 
@@ -182,11 +182,11 @@
         if !self.0.chain.borrow().in_majority() {
             return out_of_touch();
         }
-        let gone = self.0.registry.borrow_mut().leave(self.0.now(), id);
-        if let Some(entry) = gone {
-            self.0.said_goodbye(entry).await;
+        if self.0.said_goodbye(id).await {
+            answer(StatusCode::OK, json!({}))
+        } else {
+            wrong(StatusCode::SERVICE_UNAVAILABLE, "not all control nodes know it yet: say it again")
         }
-        answer(StatusCode::OK, json!({}))
     }
 
     fn status(&self) -> serde_json::Value {
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -16,7 +16,7 @@
 use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start, Terms};
 use glenfall_plane::messages::{Down, Fleet, Member, News, Open, Peer, Proxy, Purge, Stamped};
 use glenfall_plane::purges::Purges;
-use glenfall_plane::registry::{Entry, Heard, Registry};
+use glenfall_plane::registry::{Entry, EntryStatus, Heard, Registry};
 use glenfall_plane::Millis;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch, Notify};
@@ -370,28 +370,49 @@
         }
     }
 
-    /// What a server said here. True once all who matter know, where it matters.
-    async fn heard(&self, entry: Entry, urgent: bool) -> Heard {
+    /// What a server said here. That it leaves is acknowledged only once all control nodes that are there know it:
+    /// this one may be gone the moment after. `None` where one of them did not say so in time.
+    async fn heard(&self, entry: Entry) -> Option<Heard> {
         let heard = self.registry.borrow_mut().hear(self.now(), 0, entry.clone());
         match heard {
             Heard::Late | Heard::Full => {}
-            Heard::Changed if urgent => {
-                self.said_goodbye(entry).await;
-            }
+            _ if entry.status != EntryStatus::Ready => return self.spread(&entry).await.then_some(heard),
             Heard::Changed => {
                 self.peers.tell(&Peer::Servers(vec![(entry, 0)]));
                 self.fleet_changed.notify_one();
             }
             Heard::Alive => self.peers.tell(&Peer::Servers(vec![(entry, 0)])),
         }
-        heard
+        Some(heard)
+    }
+
+    /// A server said goodbye here; false where not all who have to know could be told.
+    async fn said_goodbye(&self, id: &str) -> bool {
+        let gone = self.registry.borrow_mut().leave(self.now(), id);
+        match gone {
+            Some(entry) => self.spread(&entry).await,
+            None => true,
+        }
     }
 
-    /// A server said goodbye here.
-    async fn said_goodbye(&self, entry: Entry) {
+    /// Tells all control nodes, and proxies, that a server leaves.
+    async fn spread(&self, entry: &Entry) -> bool {
+        if self.registry.borrow().is_spread(&entry.id) {
+            self.peers.tell(&Peer::Servers(vec![(entry.clone(), 0)]));
+            return true;
+        }
         self.push_fleet_now();
         let peers = self.peers.ask(|id| Peer::Urgent { id, entry: entry.clone() }, DRAIN);
-        tokio::join!(peers, self.sessions.applied(DRAIN));
+        // Proxies that are slow still apply it in time: what is on its way to them is not lost while they are there,
+        // and whoever is not turns to another node.
+        let (told, _applied) = tokio::join!(peers, self.sessions.applied(DRAIN));
+        let told = told && self.chain.borrow().in_majority();
+        if told {
+            self.registry.borrow_mut().spread(&entry.id, entry.status);
+        } else {
+            tracing::warn!(server = %entry.id, "not acknowledged that it leaves: not all control nodes know it yet");
+        }
+        told
     }
 
     // ---- Purges ----
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -12,7 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::{Control, PURGE};
+use super::{Control, DRAIN, PURGE};
 use crate::link::{self, Frames, Outbox, PING};
 
 /// Pause before a peer is called again.
@@ -302,12 +302,13 @@
             if heard == glenfall_plane::registry::Heard::Changed {
                 control.push_fleet_now();
             }
-            confirm(control, from, id);
+            confirm(control, from, id, DRAIN * 3 / 4, false);
         }
         Peer::Purges { id, purges } => {
             control.take_purges(purges);
             if id > 0 {
-                confirm(control, from, id);
+                // A little less than the peer waits, so that its answer still comes in time.
+                confirm(control, from, id, PURGE * 4 / 5, true);
             }
         }
         Peer::Done { id } => control.peers.answer(from, id),
@@ -315,12 +316,12 @@
     }
 }
 
-/// Tells a peer once all sessions here have applied what they were sent.
-fn confirm(control: &Rc<Control>, to: Ipv4Addr, id: u64) {
+/// Tells a peer once all sessions here have applied what they were sent, or have had so long to. Those who have not
+/// are let go of where what they hold must not be used any more.
+fn confirm(control: &Rc<Control>, to: Ipv4Addr, id: u64, most: Duration, strict: bool) {
     let control = Rc::clone(control);
     spawn_local(async move {
-        // A little less than the peer waits, so that its answer still comes in time.
-        if !control.sessions.applied(PURGE * 4 / 5).await {
+        if !control.sessions.applied(most).await && strict {
             control.sessions.drop_behind();
         }
         control.peers.send(to, Peer::Done { id });
--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::{System, PATIENCE};
+use common::{await_that, request, System, PATIENCE};
 
 #[test]
 fn a_core_machine_that_was_frozen_is_taken_into_the_chain_again_and_stays() {
@@ -56,6 +56,42 @@
     }
 }
 
+/// What a control node knows of a server: whether it takes requests.
+fn server(core: &System, n: u8, id: &str) -> Option<bool> {
+    let status = core.status(n)?;
+    let server = status["servers"].as_array()?.iter().find(|server| server["id"] == id)?;
+    server["ready"].as_bool()
+}
+
+#[test]
+fn that_a_server_drains_is_acknowledged_once_all_control_nodes_know_it() {
+    let mut core = System::start(&["control"], &["agent"]);
+    core.await_chain(&[1, 2, 3], 3);
+    let beat = |core: &System, status: &str, seq: u32| {
+        let body = format!(
+            r#"{{"backend":"s","addr":"127.0.0.1:9","zone":"z","capacity":1,"status":"{status}","callSeq":{seq}}}"#
+        );
+        request(core.control_addr(1), "PUT /api/servers/i-1", "Host: c\r\n", &body).map_or(0, |heard| heard.0)
+    };
+    await_that("a beat is taken", || beat(&core, "ready", 1) == 200);
+    await_that("the others hear of it", || (2..=3).all(|n| server(&core, n, "i-1") == Some(true)));
+    core.signal(2, "control", "-STOP");
+    let first = beat(&core, "draining", 2);
+    let peers = core.status(1).expect("it answers")["peers"].clone();
+    let counted_on = peers.as_array().is_some_and(|peers| peers.iter().any(|peer| peer == "127.0.8.2"));
+    assert!(first == 503 || !counted_on, "{first}, though a node that is there has not said that it knows");
+    // Once that node is known to be lost, the others are all there are.
+    await_that("it is acknowledged", || beat(&core, "draining", 3) == 200);
+    assert_eq!(server(&core, 3, "i-1"), Some(false));
+    core.signal(2, "control", "-CONT");
+    await_that("whoever comes back hears of it", || server(&core, 2, "i-1") == Some(false));
+    // A second goodbye is as good as the first.
+    let goodbye = || request(core.control_addr(3), "DELETE /api/servers/i-1", "Host: c\r\n", "").map(|h| h.0);
+    await_that("a goodbye is taken", || goodbye() == Some(200));
+    assert_eq!(goodbye(), Some(200));
+    await_that("none knows it any more", || (1..=3).all(|n| server(&core, n, "i-1").is_none()));
+}
+
 #[test]
 fn damage_is_repaired_from_the_chain_and_a_lost_core_from_a_backup() {
     let mut core = System::start(&["control"], &["agent"]);
--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -64,7 +64,9 @@
             }
             drop(held);
             self.waiting.fetch_sub(1, Ordering::Relaxed);
-            let body = format!("run {run}");
+            // No two servers say the same.
+            let port = stream.local_addr().unwrap().port();
+            let body = format!("run {run} at {port}");
             let answer = format!(
                 "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: {id}\r\nX-Glenfall-Seal: s\r\nX-Glenfall-Tags: label\r\n\
                  ETag: \"{run}\"\r\nContent-Length: {}\r\n\r\n{body}",
--- a/plane/src/registry.rs
+++ b/plane/src/registry.rs
@@ -91,6 +91,8 @@
 struct Known {
     entry: Entry,
     heard: Millis,
+    /// All control nodes that are there know the status that it has now.
+    spread: bool,
 }
 
 /// What a beat changed.
@@ -133,6 +135,7 @@
                     == (&b.backend, b.addr, &b.zone, b.capacity, b.status)
             };
             let changed = !same(&known.entry, &entry);
+            known.spread &= known.entry.status == entry.status;
             known.heard = known.heard.max(heard);
             known.entry = entry;
             return if changed { Heard::Changed } else { Heard::Alive };
@@ -146,20 +149,40 @@
             for known in before.filter(|known| known.entry.status != EntryStatus::Gone) {
                 if known.heard <= heard {
                     (known.entry.status, known.heard) = (EntryStatus::Gone, now);
+                    known.spread = false;
                 }
             }
         }
-        self.known.insert(entry.id.clone(), Known { entry, heard });
+        self.known.insert(entry.id.clone(), Known { entry, heard, spread: false });
         Heard::Changed
     }
 
-    /// A server said goodbye. `None` if it is not known, or has done so before.
+    /// A server said goodbye. `None` if it is not known.
     pub fn leave(&mut self, now: Millis, id: &str) -> Option<Entry> {
-        let known = self.known.get_mut(id).filter(|known| known.entry.status != EntryStatus::Gone)?;
-        (known.entry.status, known.heard) = (EntryStatus::Gone, now);
+        let known = self.known.get_mut(id)?;
+        if known.entry.status != EntryStatus::Gone {
+            (known.entry.status, known.heard, known.spread) = (EntryStatus::Gone, now, false);
+        }
         Some(known.entry.clone())
     }
 
+    /// What is known of a server.
+    pub fn entry(&self, id: &str) -> Option<&Entry> {
+        self.known.get(id).map(|known| &known.entry)
+    }
+
+    /// Whether all control nodes that are there have been told what status a server has.
+    pub fn is_spread(&self, id: &str) -> bool {
+        self.known.get(id).is_some_and(|known| known.spread)
+    }
+
+    /// They have been told, if it is still this one.
+    pub fn spread(&mut self, id: &str, status: EntryStatus) {
+        if let Some(known) = self.known.get_mut(id).filter(|known| known.entry.status == status) {
+            known.spread = true;
+        }
+    }
+
     /// Forgets who has been silent for too long; says whether proxies have to know.
     pub fn expire(&mut self, now: Millis) -> bool {
         let silent = self.beat * MISSED_BEATS;
@@ -223,12 +246,28 @@
         assert_eq!(registry.hear(10, 0, entry("a", 1, EntryStatus::Draining, 3)), Heard::Changed);
         assert_eq!(registry.hear(20, 0, entry("a", 1, EntryStatus::Ready, 2)), Heard::Late);
         assert_eq!(ready(&registry, 20), Vec::<String>::new());
-        assert!(registry.leave(30, "a").is_some());
-        assert!(registry.leave(30, "a").is_none());
+        assert!(registry.leave(30, "a").is_some() && registry.leave(30, "b").is_none());
         assert_eq!(registry.hear(40, 0, entry("a", 1, EntryStatus::Ready, 9)), Heard::Late);
         assert!(registry.servers(40).is_empty());
     }
 
+    #[test]
+    fn what_others_were_told_holds_until_the_status_changes() {
+        let mut registry = Registry::new(1500);
+        registry.hear(0, 0, entry("a", 1, EntryStatus::Draining, 1));
+        assert!(!registry.is_spread("a"));
+        registry.spread("a", EntryStatus::Draining);
+        registry.hear(10, 0, entry("a", 1, EntryStatus::Draining, 2));
+        assert!(registry.is_spread("a"));
+        // It said goodbye while others were being told that it drains.
+        registry.leave(20, "a");
+        registry.spread("a", EntryStatus::Draining);
+        assert!(!registry.is_spread("a"));
+        registry.spread("a", EntryStatus::Gone);
+        registry.leave(30, "a");
+        assert!(registry.is_spread("a"));
+    }
+
     #[test]
     fn a_new_server_at_an_address_ends_the_one_before() {
         let mut registry = Registry::new(1500);
