--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use glenfall_plane::messages::{Down, Fleet, News, Open, Purge, Up};
+use glenfall_plane::messages::{Aged, Down, Fleet, News, Open, Purge, Up};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -77,7 +77,7 @@
         let greet = || {
             let known = self.known.borrow();
             // What was purged while the proxy was away is not known one by one.
-            let mut news = vec![News::Purges(vec![Purge::Everything])];
+            let mut news = vec![News::Purges(vec![Aged { purge: Purge::Everything, age_ms: 0 }])];
             news.extend(known.config.clone().map(|(rev, document)| News::Config { rev, document }));
             news.extend(known.fleet.clone().map(News::Fleet));
             news.push(News::InTouch(known.in_touch));
--- a/glenfall/src/boot.rs
+++ b/glenfall/src/boot.rs
@@ -65,11 +65,13 @@
 pub struct Limits {
     pub mem_mb: u64,
     pub max_fds: usize,
+    /// Room under `stateDir`.
+    pub disk_mb: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { mem_mb: 256, max_fds: 1024 }
+        Limits { mem_mb: 256, max_fds: 1024, disk_mb: 256 }
     }
 }
 
--- a/glenfall/src/cache.rs
+++ b/glenfall/src/cache.rs
@@ -3,10 +3,11 @@
 use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall_plane::messages::Purge;
+use glenfall_plane::messages::{Aged, Purge};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::StatusCode;
 use lru::LruCache;
@@ -20,6 +21,9 @@
 const SEAL: HeaderName = HeaderName::from_static("x-glenfall-seal");
 /// What a copy costs beside its body: headers, names, places in the tables.
 const OVERHEAD: usize = 1024;
+/// A copy is taken for older than a purge unless it is younger by more than this: what an age took on its way counts
+/// for none of them.
+const ORDER: Duration = Duration::from_secs(1);
 /// No copy takes more than this part of all room.
 const LARGEST_PART: usize = 8;
 
@@ -30,7 +34,7 @@
     pub body: Bytes,
     /// When the fetch was sent: it is no younger than that.
     pub born: Cell<Instant>,
-    labels: Vec<Box<str>>,
+    pub labels: Vec<Box<str>>,
 }
 
 impl Copy {
@@ -137,10 +141,10 @@
 /// What a copy is known by: service, host, path and query.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ObjectKey {
-    pub service: Rc<str>,
-    pub host: Rc<str>,
+    pub service: Arc<str>,
+    pub host: Arc<str>,
     /// Path and query.
-    pub path: Rc<str>,
+    pub path: Arc<str>,
 }
 
 impl ObjectKey {
@@ -168,10 +172,11 @@
         self.copies.get(key).cloned()
     }
 
-    pub fn insert(&mut self, key: ObjectKey, copy: Rc<Copy>) {
+    /// Takes a copy; returns what had to go for it, itself where it is too large.
+    pub fn insert(&mut self, key: ObjectKey, copy: Rc<Copy>) -> Vec<ObjectKey> {
         if copy.size() > self.most / LARGEST_PART {
             self.remove(&key);
-            return;
+            return vec![key];
         }
         self.bytes += copy.size();
         for label in &copy.labels {
@@ -185,10 +190,18 @@
                 self.labels.entry(label).or_default().insert(key.clone());
             }
         }
+        let mut gone = Vec::new();
         while self.bytes > self.most {
             let Some((key, copy)) = self.copies.pop_lru() else { break };
             self.let_go(&key, &copy);
+            gone.push(key);
         }
+        gone
+    }
+
+    /// All that it holds, the least recently used first.
+    pub fn into_all(self) -> impl Iterator<Item = (ObjectKey, Rc<Copy>)> {
+        self.copies.into_iter()
     }
 
     fn remove(&mut self, key: &ObjectKey) {
@@ -210,9 +223,9 @@
         }
     }
 
-    /// Ends all copies that a purge names.
-    pub fn purge(&mut self, purge: &Purge) {
-        let named: Vec<ObjectKey> = match purge {
+    /// Ends all copies that a purge names, but for those asked for after it was taken; returns which.
+    pub fn purge(&mut self, aged: &Aged) -> Vec<ObjectKey> {
+        let mut named: Vec<ObjectKey> = match &aged.purge {
             Purge::Everything => self.copies.iter().map(|(key, _)| key.clone()).collect(),
             Purge::Label(label) => {
                 self.labels.get(label.as_str()).map(|keys| keys.iter().cloned().collect()).unwrap_or_default()
@@ -221,9 +234,12 @@
                 self.copies.iter().map(|(key, _)| key).filter(|key| key.at(hostname, path)).cloned().collect()
             }
         };
-        for key in named {
-            self.remove(&key);
+        let age = Duration::from_millis(aged.age_ms);
+        named.retain(|key| self.copies.peek(key).is_none_or(|copy| copy.age() + ORDER >= age));
+        for key in &named {
+            self.remove(key);
         }
+        named
     }
 
     pub fn len(&self) -> usize {
@@ -255,26 +271,44 @@
         ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
     }
 
+    fn now(purge: Purge) -> Aged {
+        Aged { purge, age_ms: 0 }
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_purge_told_late_spares_what_was_asked_for_since() {
+        let told = |age_s: u64| Aged { purge: Purge::Everything, age_ms: age_s * 1000 };
+        tokio::time::advance(Duration::from_secs(100)).await;
+        let mut cache = Cache::new(1 << 20);
+        cache.insert(key("/old"), copy("body", ""));
+        tokio::time::advance(Duration::from_secs(20)).await;
+        cache.insert(key("/new"), copy("body", ""));
+        tokio::time::advance(Duration::from_secs(5)).await;
+        assert_eq!(cache.purge(&told(30)), [], "taken before both");
+        assert_eq!(cache.purge(&told(10)), [key("/old")]);
+        assert_eq!(cache.purge(&told(6)), [key("/new")], "so close that it may have been before");
+    }
+
     #[test]
     fn purges_end_what_they_name_and_nothing_else() {
         let mut cache = Cache::new(1 << 20);
         for (path, tags) in [("/a", "x y"), ("/a?q", "y"), ("/ab", "x"), ("/c", "z")] {
             cache.insert(key(path), copy("body", tags));
         }
-        cache.purge(&Purge::Label("y".into()));
+        cache.purge(&now(Purge::Label("y".into())));
         assert_eq!((cache.get(&key("/a")).is_none(), cache.len()), (true, 2));
         cache.insert(key("/a"), copy("new", "x"));
         cache.insert(key("/a?q"), copy("new", ""));
-        cache.purge(&Purge::Object { hostname: "H".into(), path: "/a".into() });
+        cache.purge(&now(Purge::Object { hostname: "H".into(), path: "/a".into() }));
         assert_eq!(cache.len(), 2);
         assert!(cache.get(&key("/ab")).is_some());
         // A copy that replaced another is found by its own labels only.
         cache.insert(key("/ab"), copy("newer", "w"));
-        cache.purge(&Purge::Label("x".into()));
+        cache.purge(&now(Purge::Label("x".into())));
         assert!(cache.get(&key("/ab")).is_some());
-        cache.purge(&Purge::Label("w".into()));
+        cache.purge(&now(Purge::Label("w".into())));
         assert_eq!(cache.len(), 1);
-        cache.purge(&Purge::Everything);
+        cache.purge(&now(Purge::Everything));
         assert_eq!((cache.len(), cache.bytes(), cache.labels.len()), (0, 0, 0));
     }
 
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -4,10 +4,11 @@
 mod api;
 pub mod backup;
 mod peers;
+mod purge_log;
 pub mod store;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -15,7 +16,7 @@
 
 use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start, Terms};
 use glenfall_plane::messages::{Down, Fleet, Member, News, Open, Peer, Proxy, Purge, Stamped};
-use glenfall_plane::purges::Purges;
+use glenfall_plane::purges::{Purges, REMEMBERED};
 use glenfall_plane::registry::{Entry, EntryStatus, Heard, Registry};
 use glenfall_plane::Millis;
 use tokio::net::{TcpListener, TcpStream};
@@ -28,10 +29,13 @@
 use crate::serve;
 use crate::sessions::Sessions;
 use peers::Peers;
+use purge_log::PurgeLog;
 use store::Found;
 
 /// How often the state machines are asked what time has brought.
 const TICK: Duration = Duration::from_millis(25);
+/// What the clock shows at the start: what came before it, as others tell, has its time as well.
+const BEFORE: Millis = 10 * REMEMBERED;
 /// How often silent servers are looked for.
 const EXPIRE: Duration = Duration::from_millis(250);
 /// Changes of the fleet within this time are pushed as one.
@@ -39,6 +43,8 @@
 /// A purge waits this long at most for all who may hold copies; whoever has not applied it by then is cut off
 /// and begins anew. Operators move on after a second.
 const PURGE: Duration = Duration::from_millis(750);
+/// It waits this long at most to be on the disk of this node: that is for the loss of all control nodes at once.
+const WRITTEN: Duration = Duration::from_millis(150);
 /// The same for the word of a server that leaves.
 const DRAIN: Duration = Duration::from_millis(400);
 /// A node that has run for so many beats has heard of every server that there is.
@@ -62,7 +68,12 @@
     next_call: Cell<u64>,
     registry: RefCell<Registry>,
     purges: RefCell<Purges>,
+    purge_log: PurgeLog,
     next_purge: Cell<u64>,
+    /// Peers that have told all the purges that they remember, and whether with this node they are a majority: then it
+    /// knows every purge that was acknowledged, and whoever hears from it what was missed has missed nothing else.
+    told_purges: RefCell<BTreeSet<Ipv4Addr>>,
+    vouches: Cell<bool>,
     /// Tells this process from the last at its address.
     life: u64,
     sessions: Sessions,
@@ -99,6 +110,9 @@
         }
     };
     let terms = Terms { losses: boot.survive.hosts, eligible: boot.voter };
+    let (purge_log, written) = PurgeLog::open(&folder)?;
+    let mut remembered = Purges::default();
+    remembered.take(BEFORE, written);
     let (synced, mut syncs) = mpsc::unbounded_channel();
     let life = life();
     let control = Rc::new(Control {
@@ -108,8 +122,11 @@
         calls: RefCell::default(),
         next_call: Cell::new(life >> 16),
         registry: RefCell::new(Registry::new(boot.beat_ms)),
-        purges: RefCell::default(),
+        purges: RefCell::new(remembered),
+        purge_log,
         next_purge: Cell::new(0),
+        told_purges: RefCell::default(),
+        vouches: Cell::new(false),
         life,
         sessions: Sessions::default(),
         peers: Peers::new(me, life),
@@ -170,7 +187,7 @@
 
 impl Control {
     fn now(&self) -> Millis {
-        self.began.elapsed().as_millis() as Millis
+        BEFORE + self.began.elapsed().as_millis() as Millis
     }
 
     async fn accept(self: Rc<Self>, listener: TcpListener, beside: bool) {
@@ -219,14 +236,14 @@
     }
 
     fn greeting(&self) -> (Vec<Down>, Vec<News>) {
-        let mut news = vec![News::Purges(self.purges.borrow().missed())];
+        let mut news = vec![News::Purges(self.purges.borrow().missed(self.now()))];
         let chain = self.chain.borrow();
         let record = chain.committed();
         if record.rev > 0 {
             news.push(config_news(record));
         }
         news.push(News::Fleet(self.fleet.borrow().clone()));
-        news.push(News::InTouch(true));
+        news.push(News::InTouch(self.vouches.get()));
         (vec![Down::Controls(self.peers.all())], news)
     }
 
@@ -243,6 +260,7 @@
                 expire = Instant::now();
                 // Seen here also where no session asks.
                 self.cut_off();
+                self.vouch();
                 let silent = self.registry.borrow_mut().expire(now);
                 if silent || self.peers.expire() || self.complete() != self.fleet.borrow().complete {
                     self.fleet_changed.notify_one();
@@ -417,25 +435,46 @@
 
     // ---- Purges ----
 
+    /// Tells sessions once nothing that was purged can have been missed here.
+    fn vouch(&self) {
+        if self.vouches.get() {
+            return;
+        }
+        let told = self.told_purges.borrow();
+        let me = self.boot.bind_ip;
+        if self.chain.borrow().members().majority(|node| *node == me || told.contains(node)) {
+            self.vouches.set(true);
+            self.sessions.push(&News::InTouch(true));
+        }
+    }
+
     /// Ends all copies that a purge names, wherever they are. False where not all who may hold some were
     /// reached.
     async fn purge(&self, purge: Purge) -> bool {
         let number = self.next_purge.replace(self.next_purge.get() + 1);
         let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
-        self.take_purges(vec![stamped.clone()]);
+        let written = self.take_purges(vec![stamped.clone()]);
         let peers = self.peers.ask(|id| Peer::Purges { id, purges: vec![stamped.clone()] }, PURGE);
-        let (peers, applied) = tokio::join!(peers, self.sessions.applied(PURGE));
+        let written = async {
+            if let Some(written) = written {
+                let _ = timeout(WRITTEN, written).await;
+            }
+        };
+        let (peers, applied, ()) = tokio::join!(peers, self.sessions.applied(PURGE), written);
         if !applied {
             self.sessions.drop_behind();
         }
         peers && self.chain.borrow().in_majority()
     }
 
-    fn take_purges(&self, purges: Vec<Stamped>) {
+    /// Takes purges, and passes on those that are new; what this gives ends once they are on disk.
+    fn take_purges(&self, purges: Vec<Stamped>) -> Option<oneshot::Receiver<()>> {
         let fresh = self.purges.borrow_mut().take(self.now(), purges);
-        if !fresh.is_empty() {
-            self.sessions.push(&News::Purges(fresh));
+        if fresh.is_empty() {
+            return None;
         }
+        self.sessions.push(&News::Purges(fresh.iter().map(Stamped::aged).collect()));
+        Some(self.purge_log.write(fresh))
     }
 }
 
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -305,8 +305,12 @@
             confirm(control, from, id, DRAIN * 3 / 4, false);
         }
         Peer::Purges { id, purges } => {
-            control.take_purges(purges);
-            if id > 0 {
+            // Whoever asked waits for its own disk only.
+            drop(control.take_purges(purges));
+            if id == 0 {
+                control.told_purges.borrow_mut().insert(from);
+                control.vouch();
+            } else {
                 // A little less than the peer waits, so that its answer still comes in time.
                 confirm(control, from, id, PURGE * 4 / 5, true);
             }
--- /dev/null
+++ b/glenfall/src/control/purge_log.rs
@@ -0,0 +1,164 @@
+//! The purges of the last while on disk: shields keep copies there as well, and a core that was killed whole must
+//! still know what those copies have missed. SQLite on a thread of its own, apart from the chain's file, so that a
+//! stream of purges holds up no change of the configuration.
+
+use std::path::{Path, PathBuf};
+use std::sync::mpsc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use glenfall_plane::messages::Stamped;
+use glenfall_plane::purges::REMEMBERED;
+use rusqlite::Connection;
+use tokio::sync::oneshot;
+
+const FILE: &str = "purges.sqlite";
+/// The time of day may be off by so much, in milliseconds.
+const CLOCK_OFF: i64 = 2000;
+/// Pause after the disk refused something.
+const AGAIN: Duration = Duration::from_millis(200);
+/// Writes that wait at most; with a disk that hangs, what comes beyond is known in memory only.
+const MOST_WAITING: usize = 1024;
+
+/// Purges to be written, and who waits until they are.
+type Write = (Vec<Stamped>, oneshot::Sender<()>);
+
+pub struct PurgeLog(mpsc::SyncSender<Write>);
+
+fn now_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64)
+}
+
+fn open(path: &Path) -> rusqlite::Result<Connection> {
+    let db = Connection::open(path)?;
+    db.pragma_update(None, "locking_mode", "EXCLUSIVE")?;
+    db.pragma_update(None, "journal_mode", "WAL")?;
+    db.pragma_update(None, "synchronous", "FULL")?;
+    db.pragma_update(None, "mmap_size", 0)?;
+    db.execute_batch("CREATE TABLE IF NOT EXISTS purges (at INTEGER NOT NULL, purge BLOB NOT NULL)")?;
+    Ok(db)
+}
+
+fn read_all(db: &Connection) -> rusqlite::Result<Vec<Stamped>> {
+    let now = now_ms();
+    let mut all = db.prepare("SELECT at, purge FROM purges WHERE at > ?1 ORDER BY rowid")?;
+    let rows = all
+        .query_map([now - REMEMBERED as i64], |row| Ok((row.get::<_, i64>(0)?, row.get::<_, Vec<u8>>(1)?)))?;
+    let mut found = Vec::new();
+    for row in rows {
+        let (at, bytes) = row?;
+        if let Ok(stamped) = postcard::from_bytes::<Stamped>(&bytes) {
+            // Taken for younger, so that copies from around that time go.
+            found.push(Stamped { age_ms: (now - at - CLOCK_OFF).max(0) as u64, ..stamped });
+        }
+    }
+    Ok(found)
+}
+
+fn write(db: &mut Connection, purges: &[Stamped]) -> rusqlite::Result<()> {
+    let now = now_ms();
+    let transaction = db.transaction()?;
+    {
+        let mut insert = transaction.prepare_cached("INSERT INTO purges (at, purge) VALUES (?1, ?2)")?;
+        for stamped in purges {
+            let bytes = postcard::to_stdvec(stamped).unwrap_or_default();
+            insert.execute((now - stamped.age_ms as i64, bytes))?;
+        }
+        transaction.execute("DELETE FROM purges WHERE at <= ?1", [now - REMEMBERED as i64])?;
+    }
+    transaction.commit()
+}
+
+impl PurgeLog {
+    /// Opens the log in a folder; returns the purges in it that are still to be remembered. One that can't be read is
+    /// begun anew: the other control nodes have theirs.
+    pub fn open(folder: &Path) -> std::io::Result<(PurgeLog, Vec<Stamped>)> {
+        std::fs::create_dir_all(folder)?;
+        let path = folder.join(FILE);
+        let opened = open(&path).and_then(|db| read_all(&db).map(|found| (db, found)));
+        let (db, found) = match opened {
+            Ok((db, found)) => (Some(db), found),
+            Err(error) => {
+                tracing::warn!(%error, "purges on disk can't be read; they are begun anew");
+                throw_away(&path);
+                (open(&path).ok(), Vec::new())
+            }
+        };
+        let (writes, queue) = mpsc::sync_channel(MOST_WAITING);
+        std::thread::Builder::new().name("purges".into()).spawn(move || write_all(db, &path, &queue))?;
+        Ok((PurgeLog(writes), found))
+    }
+
+    /// Writes purges; what this gives ends once they are on disk, or there is no room for them to wait.
+    pub fn write(&self, purges: Vec<Stamped>) -> oneshot::Receiver<()> {
+        let (tell, written) = oneshot::channel();
+        if self.0.try_send((purges, tell)).is_err() {
+            tracing::warn!("purges not written: the disk is behind");
+        }
+        written
+    }
+}
+
+fn throw_away(path: &Path) {
+    for end in ["", "-wal", "-shm"] {
+        let mut name = PathBuf::from(path).into_os_string();
+        name.push(end);
+        // What is not there need not go.
+        let _ = std::fs::remove_file(name);
+    }
+}
+
+fn write_all(mut db: Option<Connection>, path: &Path, queue: &mpsc::Receiver<Write>) {
+    while let Ok(first) = queue.recv() {
+        // One sync covers all that came meanwhile.
+        let (purges, waiting): (Vec<_>, Vec<_>) = std::iter::once(first).chain(queue.try_iter()).unzip();
+        let purges = purges.concat();
+        loop {
+            db = db.or_else(|| open(path).ok());
+            match db.as_mut().map(|db| write(db, &purges)) {
+                Some(Ok(())) => break,
+                Some(Err(error)) => tracing::error!(%error, "purges not written; trying again"),
+                None => tracing::error!("purges not written, no file for them; trying again"),
+            }
+            std::thread::sleep(AGAIN);
+        }
+        for tell in waiting {
+            // Nobody may wait any more.
+            let _ = tell.send(());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use glenfall_plane::messages::Purge;
+
+    fn stamped(number: u64, age_ms: u64) -> Stamped {
+        let purge = Purge::Label(format!("l{number}"));
+        Stamped { origin: [10, 0, 0, 1].into(), life: 7, number, age_ms, purge }
+    }
+
+    #[test]
+    fn what_was_written_is_found_for_as_long_as_it_is_remembered() {
+        let folder = std::env::temp_dir().join(format!("glenfall-purges-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let (log, found) = PurgeLog::open(&folder).unwrap();
+        assert_eq!(found, []);
+        log.write(vec![stamped(1, 0), stamped(2, REMEMBERED - 60_000)]).blocking_recv().unwrap();
+        log.write(vec![stamped(3, REMEMBERED + 1), stamped(4, 0)]).blocking_recv().unwrap();
+        let numbers =
+            |found: &[Stamped]| found.iter().map(|s| (s.number, s.purge.clone())).collect::<Vec<_>>();
+        let label = |n: u64| (n, Purge::Label(format!("l{n}")));
+        drop(log);
+        // The thread lets go of the file when it has seen that nobody writes any more.
+        let found = loop {
+            let (_log, found) = PurgeLog::open(&folder).unwrap();
+            if !found.is_empty() {
+                break found;
+            }
+        };
+        assert_eq!(numbers(&found), [label(1), label(2), label(4)]);
+        assert!(found[1].age_ms + CLOCK_OFF as u64 >= REMEMBERED - 60_000);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/glenfall/src/counter.rs
+++ b/glenfall/src/counter.rs
@@ -11,6 +11,10 @@
         self.0.set(self.0.get() + 1);
     }
 
+    pub fn add_all(&self, count: usize) {
+        self.0.set(self.0.get() + count as u64);
+    }
+
     pub fn get(&self) -> u64 {
         self.0.get()
     }
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
-use glenfall_plane::messages::{Fleet, Proxy, Purge};
+use glenfall_plane::messages::{Aged, Fleet, Proxy, Purge};
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -353,12 +353,15 @@
         self.hold();
     }
 
-    fn purge(&self, purges: &[Purge]) {
+    fn purge(&self, purges: &[Aged]) {
         let now = Instant::now();
         let mut purged = self.purged.borrow_mut();
         for purge in purges {
             self.copies.borrow_mut().purge(purge);
-            purged.push_back((now, purge.clone()));
+            // Of one told late, shields know as well.
+            if Duration::from_millis(purge.age_ms) < PURGED {
+                purged.push_back((now, purge.purge.clone()));
+            }
         }
         if purged.len() > MOST_PURGED {
             purged.clear();
@@ -478,7 +481,9 @@
         edge.keep(&object("/b"), &from_shield("u"), Instant::now());
         let age = edge.copies.borrow_mut().get(&object("/a")).map(|copy| copy.age());
         assert_eq!(age, Some(Duration::from_millis(1500)));
-        edge.purge(&[Purge::Label("t".into()), Purge::Object { hostname: "h".into(), path: "/c".into() }]);
+        let now = |purge| Aged { purge, age_ms: 0 };
+        let one = Purge::Object { hostname: "h".into(), path: "/c".into() };
+        edge.purge(&[now(Purge::Label("t".into())), now(one)]);
         assert!(!kept(&edge, "/a") && kept(&edge, "/b"));
         // A shield that has not heard yet hands out the old copies.
         edge.keep(&object("/a"), &from_shield("t"), Instant::now());
@@ -498,7 +503,7 @@
         edge.in_touch(true);
         let purges: Vec<Purge> = (0..2 * MOST_PURGED).map(|n| Purge::Label(n.to_string())).collect();
         for purge in purges {
-            edge.purge(&[purge]);
+            edge.purge(&[Aged { purge, age_ms: 0 }]);
         }
         assert!(edge.purged.borrow().len() <= MOST_PURGED);
         edge.keep(&object("/a"), &from_shield("t"), Instant::now());
--- a/glenfall/src/feed.rs
+++ b/glenfall/src/feed.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use glenfall_plane::config::Config;
-use glenfall_plane::messages::{Down, Fleet, Member, News, Open, Proxy, Purge, Up};
+use glenfall_plane::messages::{Aged, Down, Fleet, Member, News, Open, Proxy, Up};
 use tokio::sync::{watch, Notify};
 use tokio::time::sleep;
 
@@ -21,7 +21,7 @@
 pub trait Follower {
     fn config(&self, config: &Arc<Config>);
     fn fleet(&self, fleet: &Fleet);
-    fn purge(&self, purges: &[Purge]);
+    fn purge(&self, purges: &[Aged]);
     fn in_touch(&self, yes: bool);
     /// Counters for `status`.
     fn report(&self) -> Vec<(String, u64)>;
--- /dev/null
+++ b/glenfall/src/kept.rs
@@ -0,0 +1,443 @@
+//! A shield's copies on disk, so that they outlive its process and a loss of power: SQLite on a thread of its own,
+//! behind the copies in memory by a moment. It is a cache: what can't be read is thrown away, never waited for.
+//!
+//! What is read at a start may have been purged meanwhile. It is of use only once control has told of all purges of
+//! the last while (see [`Shield`](crate::shield::Shield)), and only if it was written within that while.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bytes::Bytes;
+use glenfall_plane::purges::REMEMBERED;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use nix::time::{clock_gettime, ClockId};
+use rusqlite::{Connection, OptionalExtension};
+use serde::{Deserialize, Serialize};
+use tokio::sync::oneshot;
+
+use crate::cache::ObjectKey;
+
+const FILE: &str = "copies.sqlite";
+/// Changes within this time are written as one, with one sync.
+const GATHER: Duration = Duration::from_millis(300);
+/// Bytes of copies that wait to be written; what comes beyond is kept in memory only.
+const MOST_WAITING: usize = 8 << 20;
+/// Pages of the file, and of the log before it, in bytes: a copy takes few of them.
+const PAGE: usize = 16 << 10;
+/// The log goes into the file when it has so many pages.
+const LOG_PAGES: usize = 512;
+/// Part of the disk that the file may take: copies by their number in memory, and what is free within it.
+const PART_OF_DISK: f64 = 0.55;
+/// Ages are told by the steady clock. Where that has begun anew since, or the time of day does not agree with it, the time
+/// of day tells how long ago the file was written last. It may be off by so much: copies are taken for older.
+const CLOCK_OFF: Duration = Duration::from_secs(3);
+/// What was written longer ago than this before a start is not used: purges of that time are not remembered. Less
+/// than that time, by what a start takes.
+const FRESH: Duration = Duration::from_millis(REMEMBERED - 20_000);
+/// Pause after the disk refused something.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// A copy as it lies on disk.
+pub struct Row {
+    pub key: ObjectKey,
+    pub headers: HeaderMap,
+    pub labels: Vec<Box<str>>,
+    pub body: Bytes,
+    /// How old it is.
+    pub age: Duration,
+}
+
+/// The part of a row that is no body.
+#[derive(Serialize, Deserialize)]
+struct Head {
+    service: String,
+    host: String,
+    path: String,
+    headers: Vec<(String, Vec<u8>)>,
+    labels: Vec<String>,
+}
+
+enum Change {
+    Put { id: String, head: Vec<u8>, body: Bytes, born: i64 },
+    Born { id: String, born: i64 },
+    Remove(Vec<String>),
+}
+
+/// The way to the thread that writes.
+pub struct Kept {
+    changes: mpsc::Sender<Change>,
+    waiting: Arc<AtomicUsize>,
+}
+
+fn now_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64)
+}
+
+/// The steady clock, which goes on while the machine runs, whatever becomes of the process.
+fn steady_ms() -> i64 {
+    let now = clock_gettime(ClockId::CLOCK_MONOTONIC);
+    now.map_or(0, |now| now.tv_sec() * 1000 + now.tv_nsec() / 1_000_000)
+}
+
+fn id(key: &ObjectKey) -> String {
+    // None of the three holds a line break: they come from a head.
+    format!("{}\n{}\n{}", key.service, key.host, key.path)
+}
+
+fn born(age: Duration) -> i64 {
+    steady_ms() - age.as_millis() as i64
+}
+
+impl Kept {
+    /// Opens the copies in a folder; what is there comes through the receiver.
+    pub fn open(folder: &Path, disk_mb: u64) -> std::io::Result<(Kept, oneshot::Receiver<Vec<Row>>)> {
+        let (changes, queue) = mpsc::channel();
+        let (tell, found) = oneshot::channel();
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let file = File {
+            path: folder.join(FILE),
+            most_pages: (disk_mb as f64 * PART_OF_DISK * f64::from(1 << 20)) as usize / PAGE,
+        };
+        let counted = Arc::clone(&waiting);
+        std::thread::Builder::new()
+            .name("copies".into())
+            .spawn(move || write_all(&file, &queue, &counted, tell))?;
+        Ok((Kept { changes, waiting }, found))
+    }
+
+    pub fn put(
+        &self,
+        key: &ObjectKey,
+        headers: &HeaderMap,
+        labels: &[Box<str>],
+        body: &Bytes,
+        age: Duration,
+    ) {
+        if self.waiting.load(Ordering::Relaxed) + body.len() > MOST_WAITING {
+            // What lay there before is another version.
+            return self.remove(std::slice::from_ref(key));
+        }
+        let text = |(name, value): (&HeaderName, &HeaderValue)| (name.to_string(), value.as_bytes().to_vec());
+        let head = Head {
+            service: key.service.to_string(),
+            host: key.host.to_string(),
+            path: key.path.to_string(),
+            headers: headers.iter().map(text).collect(),
+            labels: labels.iter().map(ToString::to_string).collect(),
+        };
+        let Ok(head) = postcard::to_stdvec(&head) else { return };
+        self.waiting.fetch_add(body.len(), Ordering::Relaxed);
+        self.send(Change::Put { id: id(key), head, body: body.clone(), born: born(age) });
+    }
+
+    /// A copy was asked for again, and has not changed.
+    pub fn refreshed(&self, key: &ObjectKey, age: Duration) {
+        self.send(Change::Born { id: id(key), born: born(age) });
+    }
+
+    pub fn remove(&self, keys: &[ObjectKey]) {
+        if !keys.is_empty() {
+            self.send(Change::Remove(keys.iter().map(id).collect()));
+        }
+    }
+
+    fn send(&self, change: Change) {
+        // The thread ends with the process only.
+        let _ = self.changes.send(change);
+    }
+}
+
+struct File {
+    path: PathBuf,
+    most_pages: usize,
+}
+
+impl File {
+    fn open(&self) -> rusqlite::Result<Connection> {
+        if let Some(folder) = self.path.parent() {
+            // Where that fails, so does the next step.
+            let _ = std::fs::create_dir_all(folder);
+        }
+        let db = Connection::open(&self.path)?;
+        db.pragma_update(None, "page_size", PAGE)?;
+        db.pragma_update(None, "locking_mode", "EXCLUSIVE")?;
+        db.pragma_update(None, "journal_mode", "WAL")?;
+        db.pragma_update(None, "synchronous", "FULL")?;
+        db.pragma_update(None, "mmap_size", 0)?;
+        db.pragma_update(None, "wal_autocheckpoint", LOG_PAGES)?;
+        db.pragma_update(None, "max_page_count", self.most_pages)?;
+        db.execute_batch(
+            "CREATE TABLE IF NOT EXISTS copies (id TEXT PRIMARY KEY, head BLOB NOT NULL, body BLOB NOT NULL, \
+             born INTEGER NOT NULL, crc INTEGER NOT NULL) WITHOUT ROWID; \
+             CREATE TABLE IF NOT EXISTS written \
+             (id INTEGER PRIMARY KEY, at INTEGER NOT NULL, steady INTEGER NOT NULL)",
+        )?;
+        Ok(db)
+    }
+
+    /// Opens the file, or a new one where it is no use.
+    fn open_anew(&self) -> Option<Connection> {
+        match self.open() {
+            Ok(db) => Some(db),
+            Err(error) => {
+                tracing::warn!(%error, "copies on disk can't be opened; they are thrown away");
+                self.throw_away();
+                self.open().ok()
+            }
+        }
+    }
+
+    fn throw_away(&self) {
+        for end in ["", "-wal", "-shm"] {
+            let mut name = self.path.clone().into_os_string();
+            name.push(end);
+            // What is not there need not go.
+            let _ = std::fs::remove_file(name);
+        }
+    }
+}
+
+fn crc(head: &[u8], body: &[u8]) -> i64 {
+    let mut hash = crc32fast::Hasher::new();
+    hash.update(head);
+    hash.update(body);
+    i64::from(hash.finalize())
+}
+
+/// How long ago the file was written last, by the time of day and by the steady clock. `None` where it was too long ago,
+/// or nothing can be told: the time of day was set back.
+fn since_written(by_day: i64, by_steady: i64) -> Option<Duration> {
+    let off = CLOCK_OFF.as_millis() as i64;
+    let agree = by_steady >= 0 && (by_day - by_steady).abs() <= off;
+    let since = if agree { by_steady } else { by_day + off };
+    let told = (agree || by_day >= 0) && (0..FRESH.as_millis() as i64).contains(&since);
+    told.then(|| Duration::from_millis(since as u64))
+}
+
+/// Reads all copies that are whole and not too old.
+fn read_all(db: &Connection) -> rusqlite::Result<Vec<Row>> {
+    let last = |row: &rusqlite::Row| Ok((row.get::<_, i64>(0)?, row.get::<_, i64>(1)?));
+    let Some((at, steady)) = db.query_row("SELECT at, steady FROM written", [], last).optional()? else {
+        return Ok(Vec::new());
+    };
+    let Some(since) = since_written(now_ms() - at, steady_ms() - steady) else { return Ok(Vec::new()) };
+    let mut all = db.prepare("SELECT head, body, born, crc FROM copies")?;
+    let rows = all.query_map([], |row| {
+        Ok((
+            row.get::<_, Vec<u8>>(0)?,
+            row.get::<_, Vec<u8>>(1)?,
+            row.get::<_, i64>(2)?,
+            row.get::<_, i64>(3)?,
+        ))
+    })?;
+    let mut found = Vec::new();
+    for row in rows {
+        let (head, body, born, sum) = row?;
+        if sum != crc(&head, &body) || born > steady {
+            continue;
+        }
+        let Ok(head) = postcard::from_bytes::<Head>(&head) else { continue };
+        let mut headers = HeaderMap::new();
+        for (name, value) in &head.headers {
+            if let (Ok(name), Ok(value)) = (HeaderName::try_from(name), HeaderValue::from_bytes(value)) {
+                headers.append(name, value);
+            }
+        }
+        found.push(Row {
+            key: ObjectKey { service: head.service.into(), host: head.host.into(), path: head.path.into() },
+            headers,
+            labels: head.labels.into_iter().map(Box::from).collect(),
+            body: body.into(),
+            age: Duration::from_millis((steady - born) as u64) + since,
+        });
+    }
+    Ok(found)
+}
+
+fn write(db: &mut Connection, changes: &[Change]) -> rusqlite::Result<()> {
+    let transaction = db.transaction()?;
+    {
+        let mut put = transaction.prepare_cached(
+            "INSERT OR REPLACE INTO copies (id, head, body, born, crc) VALUES (?1, ?2, ?3, ?4, ?5)",
+        )?;
+        let mut age = transaction.prepare_cached("UPDATE copies SET born = ?2 WHERE id = ?1")?;
+        let mut remove = transaction.prepare_cached("DELETE FROM copies WHERE id = ?1")?;
+        for change in changes {
+            match change {
+                Change::Put { id, head, body, born } => {
+                    put.execute((id, head, &body[..], born, crc(head, body)))?;
+                }
+                Change::Born { id, born } => {
+                    age.execute((id, born))?;
+                }
+                Change::Remove(ids) => {
+                    for id in ids {
+                        remove.execute([id])?;
+                    }
+                }
+            }
+        }
+        transaction.execute(
+            "INSERT OR REPLACE INTO written (id, at, steady) VALUES (1, ?1, ?2)",
+            [now_ms(), steady_ms()],
+        )?;
+    }
+    transaction.commit()
+}
+
+fn write_all(
+    file: &File,
+    queue: &mpsc::Receiver<Change>,
+    waiting: &AtomicUsize,
+    tell: oneshot::Sender<Vec<Row>>,
+) {
+    let mut db = file.open_anew();
+    let found = db.as_ref().map(read_all);
+    if let Some(Err(error)) = &found {
+        tracing::warn!(%error, "copies on disk can't be read; they are thrown away");
+        db = None;
+        file.throw_away();
+    }
+    // Nobody may wait for them any more.
+    let _ = tell.send(found.and_then(Result::ok).unwrap_or_default());
+    while let Ok(first) = queue.recv() {
+        std::thread::sleep(GATHER);
+        let changes: Vec<Change> = std::iter::once(first).chain(queue.try_iter()).collect();
+        db = db.or_else(|| file.open_anew());
+        let written = db.as_mut().map(|db| write(db, &changes));
+        let bytes =
+            changes.iter().map(|c| if let Change::Put { body, .. } = c { body.len() } else { 0 }).sum();
+        waiting.fetch_sub(bytes, Ordering::Relaxed);
+        if let Some(Err(error)) = written {
+            // Full, or the disk refuses: what should have gone may still lie there, so that all of it goes.
+            tracing::warn!(%error, "copies not written to disk; those there are thrown away");
+            db = None;
+            file.throw_away();
+            std::thread::sleep(AGAIN);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("glenfall-kept-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        folder
+    }
+
+    fn key(path: &str) -> ObjectKey {
+        ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
+    }
+
+    /// What is found in a folder, by path: body and label.
+    fn found(folder: &Path) -> Vec<(String, usize, String)> {
+        let (_kept, found) = Kept::open(folder, 64).unwrap();
+        let rows = found.blocking_recv().unwrap();
+        let mut found: Vec<_> =
+            rows.iter().map(|row| (row.key.path.to_string(), row.body.len(), row.labels.join(" "))).collect();
+        found.sort();
+        found
+    }
+
+    /// Does something with the copies of a folder, and ends once it is written.
+    fn with(folder: &Path, work: impl FnOnce(&Kept)) {
+        let file = File { path: folder.join(FILE), most_pages: 4096 };
+        let (changes, queue) = mpsc::channel();
+        let waiting = Arc::new(AtomicUsize::new(0));
+        let (tell, _found) = oneshot::channel();
+        let kept = Kept { changes, waiting: Arc::clone(&waiting) };
+        work(&kept);
+        drop(kept);
+        write_all(&file, &queue, &waiting, tell);
+        assert_eq!(waiting.load(Ordering::Relaxed), 0);
+    }
+
+    fn put(kept: &Kept, path: &str, size: usize, age_s: u64) {
+        let mut headers = HeaderMap::new();
+        headers.insert("etag", HeaderValue::from_static("\"e\""));
+        let body = Bytes::from(vec![7; size]);
+        kept.put(&key(path), &headers, &["t".into()], &body, Duration::from_secs(age_s));
+    }
+
+    #[test]
+    fn what_was_put_is_found_and_what_was_removed_is_not() {
+        let folder = folder("found");
+        with(&folder, |kept| {
+            for path in ["/a", "/b", "/c"] {
+                put(kept, path, 100_000, 1);
+            }
+            put(kept, "/b", 5, 9);
+            kept.remove(&[key("/c"), key("/never")]);
+        });
+        assert_eq!(found(&folder), [("/a".into(), 100_000, "t".into()), ("/b".into(), 5, "t".into())]);
+        with(&folder, |kept| kept.remove(&[key("/a")]));
+        assert_eq!(found(&folder), [("/b".into(), 5, "t".into())]);
+        let (_kept, rows) = Kept::open(&folder, 64).unwrap();
+        let rows = rows.blocking_recv().unwrap();
+        assert!(rows[0].age >= Duration::from_secs(9), "{:?}", rows[0].age);
+        assert_eq!(rows[0].headers["etag"], "\"e\"");
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
+    #[test]
+    fn the_time_of_day_counts_only_where_the_steady_clock_tells_nothing() {
+        let told = |day, steady| since_written(day, steady).map(|since| since.as_millis());
+        assert_eq!(told(5_000, 5_010), Some(5_010), "the same boot");
+        assert_eq!(told(5_000, -900_000), Some(8_000), "another boot");
+        assert_eq!(told(5_000, 70_000), Some(8_000), "another boot, which has run for longer");
+        assert_eq!(told(-1_000, 4_000), None, "set back, by more than it may be off");
+        assert_eq!(told(-2_000, 500), Some(500));
+        assert_eq!(told(-9_000, -900_000), None);
+    }
+
+    #[test]
+    fn more_than_may_wait_is_not_written_and_what_was_there_goes() {
+        let folder = folder("waiting");
+        with(&folder, |kept| put(kept, "/a", 5, 0));
+        with(&folder, |kept| {
+            put(kept, "/big", MOST_WAITING, 0);
+            put(kept, "/a", 6, 0);
+        });
+        assert_eq!(found(&folder), [("/big".into(), MOST_WAITING, "t".into())]);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
+    #[test]
+    fn a_spoilt_file_is_thrown_away_and_a_spoilt_row_left_out() {
+        let folder = folder("spoilt");
+        with(&folder, |kept| (0..20).for_each(|n| put(kept, &format!("/{n}"), 3000, 0)));
+        assert_eq!(found(&folder).len(), 20);
+        {
+            let db = Connection::open(folder.join(FILE)).unwrap();
+            db.execute("UPDATE copies SET body = x'00' WHERE id LIKE '%/7'", []).unwrap();
+        }
+        assert_eq!(found(&folder).len(), 19);
+        let mut bytes = std::fs::read(folder.join(FILE)).unwrap();
+        bytes[..4096].fill(0x55);
+        std::fs::write(folder.join(FILE), bytes).unwrap();
+        assert_eq!(found(&folder), []);
+        with(&folder, |kept| put(kept, "/new", 5, 0));
+        assert_eq!(found(&folder), [("/new".into(), 5, "t".into())]);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
+    #[test]
+    fn what_lay_there_for_longer_than_purges_are_remembered_is_not_used() {
+        let folder = folder("old");
+        with(&folder, |kept| put(kept, "/a", 5, 0));
+        for (ago, left) in [(90_000, 1), (101_000, 0), (-60_000, 0)] {
+            let set = "UPDATE written SET at = ?1, steady = ?2";
+            let db = Connection::open(folder.join(FILE)).unwrap();
+            db.execute(set, [now_ms() - ago, steady_ms() - ago]).unwrap();
+            db.execute("UPDATE copies SET born = ?1", [steady_ms() - ago - 1000]).unwrap();
+            drop(db);
+            assert_eq!(found(&folder).len(), left, "written {ago} ms ago");
+        }
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -13,6 +13,7 @@
 mod direct;
 mod edge;
 mod feed;
+mod kept;
 mod latency;
 mod limit;
 mod link;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, ReqLimits, Route};
-use glenfall_plane::messages::{Fleet, Proxy, Purge};
+use glenfall_plane::messages::{Aged, Fleet, Proxy, Purge};
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Response, StatusCode, Uri};
@@ -23,6 +23,7 @@
 use crate::counter::Counter;
 use crate::direct::{Direct, Job, Outcome, NONE};
 use crate::feed::{Feed, Follower};
+use crate::kept::{Kept, Row};
 use crate::latency::Latency;
 use crate::pool::{Pool, Reply};
 use crate::serve::{passed_on, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
@@ -84,6 +85,7 @@
     joined: Counter,
     refreshed: Counter,
     refused: Counter,
+    found: Counter,
     answer: Latency,
     fetch: Latency,
 }
@@ -92,23 +94,83 @@
     feed: Rc<Feed>,
     direct: Direct,
     cache: RefCell<Cache>,
+    /// Copies on disk, where this machine has one.
+    kept: Option<Kept>,
+    /// What lay on disk at the start, until control has told of all purges that came meanwhile.
+    found: RefCell<Option<Cache>>,
     fetching: RefCell<HashMap<ObjectKey, Fetch>>,
     /// Fetches that are no longer joined, as a purge has come since: their number.
     under_way: Cell<usize>,
+    read_from_disk: Cell<bool>,
+    purged_early: RefCell<Vec<Aged>>,
+    /// Control has told of all purges that came before this process began.
+    told_all: Cell<bool>,
     counters: Counters,
 }
 
 impl Shield {
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
         let most = (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize;
-        Rc::new(Shield {
+        let kept = boot.state_dir.as_ref().and_then(|folder| {
+            let opened = Kept::open(folder, boot.req_limits.disk_mb);
+            opened.inspect_err(|error| tracing::warn!(%error, "no copies on disk")).ok()
+        });
+        let (kept, found) = kept.unzip();
+        let shield = Rc::new(Shield {
             feed,
             direct: Direct::new(pool, boot, Proxy::Shield),
             cache: RefCell::new(Cache::new(most)),
+            kept,
+            found: RefCell::new(found.is_some().then(|| Cache::new(most))),
             fetching: RefCell::default(),
             under_way: Cell::new(0),
+            read_from_disk: Cell::new(false),
+            purged_early: RefCell::default(),
+            told_all: Cell::new(false),
             counters: Counters::default(),
-        })
+        });
+        if let Some(found) = found {
+            spawn_local({
+                let shield = Rc::clone(&shield);
+                async move { shield.find(found.await.unwrap_or_default()) }
+            });
+        }
+        shield
+    }
+
+    /// Takes what lay on disk at the start.
+    fn find(&self, rows: Vec<Row>) {
+        let now = Instant::now();
+        let read = rows.len();
+        if let Some(found) = self.found.borrow_mut().as_mut() {
+            for row in rows {
+                let Some(born) = now.checked_sub(row.age) else { continue };
+                let (headers, labels, body) = (row.headers, row.labels, row.body);
+                found.insert(row.key, Rc::new(Copy { headers, body, born: Cell::new(born), labels }));
+            }
+            // Purges that came while it was read.
+            self.purged_early.take().iter().for_each(|purge| drop(found.purge(purge)));
+        }
+        tracing::info!(read, "copies found on disk, to be used once control has told what was purged");
+        self.read_from_disk.set(true);
+        self.use_found();
+    }
+
+    /// Uses what lay on disk, once it is read and control has told of all purges that came meanwhile.
+    fn use_found(&self) {
+        if !(self.read_from_disk.get() && self.told_all.get()) {
+            return;
+        }
+        let Some(found) = self.found.borrow_mut().take() else { return };
+        let mut cache = self.cache.borrow_mut();
+        self.counters.found.add_all(found.len());
+        tracing::info!(copies = found.len(), "copies found on disk in use");
+        for (key, copy) in found.into_all() {
+            // What was fetched since is newer.
+            if cache.get(&key).is_none() {
+                cache.insert(key, copy);
+            }
+        }
     }
 
     async fn read(self: &Rc<Self>, whole: &Whole) -> Result<Read, Answer> {
@@ -221,6 +283,7 @@
                 rank,
                 per_s,
             };
+            let before = old.clone();
             let fetched = match shield.direct.send(job).await {
                 Outcome::Answered(reply) => shield.take(&key, reply, sent, old),
                 Outcome::NotRun(after) => Fetched::Refused(after),
@@ -235,9 +298,10 @@
                 fetching.remove(&key);
             }
             if let Fetched::Copy(copy) = &fetched {
+                let refreshed = before.is_some_and(|before| Rc::ptr_eq(&before, copy));
                 let purged = purged.borrow().iter().any(|label| copy.labelled(label));
                 if !mark.get() && !purged {
-                    shield.cache.borrow_mut().insert(key, Rc::clone(copy));
+                    shield.keep(key, copy, refreshed);
                 }
             }
             tell.send_replace(Some(fetched));
@@ -245,6 +309,21 @@
         Ok(done)
     }
 
+    /// Keeps a copy in memory and on disk.
+    fn keep(&self, key: ObjectKey, copy: &Rc<Copy>, refreshed: bool) {
+        if let Some(kept) = &self.kept {
+            if refreshed {
+                kept.refreshed(&key, copy.age());
+            } else {
+                kept.put(&key, &copy.headers, &copy.labels, &copy.body, copy.age());
+            }
+        }
+        let gone = self.cache.borrow_mut().insert(key, Rc::clone(copy));
+        if let Some(kept) = &self.kept {
+            kept.remove(&gone);
+        }
+    }
+
     fn take(&self, key: &ObjectKey, reply: Reply, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
         if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status, old) {
             tracing::debug!(path = %key.path, "copy still good");
@@ -291,12 +370,21 @@
         self.direct.hold(Holder::Shield { of });
     }
 
-    fn purge(&self, purges: &[Purge]) {
+    fn purge(&self, purges: &[Aged]) {
         let mut cache = self.cache.borrow_mut();
         let mut fetching = self.fetching.borrow_mut();
         for purge in purges {
-            cache.purge(purge);
-            match purge {
+            let mut gone = cache.purge(purge);
+            if let Some(found) = self.found.borrow_mut().as_mut() {
+                gone.extend(found.purge(purge));
+                if !self.read_from_disk.get() {
+                    self.purged_early.borrow_mut().push(purge.clone());
+                }
+            }
+            if let Some(kept) = &self.kept {
+                kept.remove(&gone);
+            }
+            match &purge.purge {
                 // Nobody joins a fetch that began before; it is told apart when it ends.
                 Purge::Label(label) => {
                     for fetch in fetching.values() {
@@ -318,8 +406,14 @@
         }
     }
 
-    /// Whoever reaches this shield is out of touch as well where control beside it is.
-    fn in_touch(&self, _yes: bool) {}
+    /// Whoever reaches this shield is out of touch as well where control beside it is, so that its own copies stay in
+    /// use.
+    fn in_touch(&self, yes: bool) {
+        if yes {
+            self.told_all.set(true);
+            self.use_found();
+        }
+    }
 
     fn report(&self) -> Vec<(String, u64)> {
         let c = &self.counters;
@@ -330,6 +424,7 @@
             ("joined", c.joined.get()),
             ("refreshed", c.refreshed.get()),
             ("refused", c.refused.get()),
+            ("found_on_disk", c.found.get()),
             ("copies", cache.len() as u64),
             ("copy_bytes", cache.bytes() as u64),
         ]
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -87,6 +87,14 @@
     Everything,
 }
 
+/// A purge as proxies hear of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Aged {
+    pub purge: Purge,
+    /// How long ago it was taken, at least. Copies that were asked for later than that are not older than it.
+    pub age_ms: u64,
+}
+
 /// A change pushed down a session.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum News {
@@ -95,7 +103,7 @@
         document: Arc<Vec<u8>>,
     },
     Fleet(Fleet),
-    Purges(Vec<Purge>),
+    Purges(Vec<Aged>),
     /// Whether the link to control stands: without it purges may be missed, and copies can't be vouched for.
     InTouch(bool),
 }
@@ -140,6 +148,12 @@
     Alive,
 }
 
+impl Stamped {
+    pub fn aged(&self) -> Aged {
+        Aged { purge: self.purge.clone(), age_ms: self.age_ms }
+    }
+}
+
 /// A purge with the name that it is known by at all control nodes.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stamped {
--- a/plane/src/purges.rs
+++ b/plane/src/purges.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashSet, VecDeque};
 use std::net::Ipv4Addr;
 
-use crate::messages::{Purge, Stamped};
+use crate::messages::{Aged, Purge, Stamped};
 use crate::Millis;
 
 /// Purges are remembered for so long: no route keeps copies longer without being asked for it, and a
@@ -25,12 +25,12 @@
 
 impl Purges {
     /// Takes purges and returns those not heard of before.
-    pub fn take(&mut self, now: Millis, purges: Vec<Stamped>) -> Vec<Purge> {
+    pub fn take(&mut self, now: Millis, purges: Vec<Stamped>) -> Vec<Stamped> {
         let mut fresh = Vec::new();
         for stamped in purges {
             let name = (stamped.origin, stamped.life, stamped.number);
             if self.names.insert(name) {
-                fresh.push(stamped.purge.clone());
+                fresh.push(stamped.clone());
                 self.known.push_back((name, now.saturating_sub(stamped.age_ms), stamped.purge));
             }
         }
@@ -66,11 +66,11 @@
     }
 
     /// What a session that has just begun has to drop.
-    pub fn missed(&self) -> Vec<Purge> {
+    pub fn missed(&self, now: Millis) -> Vec<Aged> {
         if self.overflowed.is_some() {
-            return vec![Purge::Everything];
+            return vec![Aged { purge: Purge::Everything, age_ms: 0 }];
         }
-        self.known.iter().map(|(_, _, purge)| purge.clone()).collect()
+        self.all(now).iter().map(Stamped::aged).collect()
     }
 }
 
@@ -90,14 +90,14 @@
         assert!(purges.take(1000, vec![purge(2, 0)]).is_empty());
         assert_eq!(purges.all(1500).iter().map(|p| p.age_ms).collect::<Vec<_>>(), [500, 1000]);
         purges.take(REMEMBERED + 1000, vec![]);
-        assert!(purges.missed().is_empty());
+        assert!(purges.missed(REMEMBERED + 1000).is_empty());
     }
 
     #[test]
     fn past_the_bound_whoever_comes_back_drops_everything() {
         let mut purges = Purges::default();
         purges.take(0, (0..=MOST as u64).map(|n| purge(n, 0)).collect());
-        assert_eq!(purges.missed(), [Purge::Everything]);
+        assert_eq!(purges.missed(0), [Aged { purge: Purge::Everything, age_ms: 0 }]);
         assert_eq!(purges.all(0).len(), MOST);
     }
 }
