An edge that no shield answers takes its part of the ceiling at once

Cause: an edge held 3 % of a ceiling over the edges until it heard that no shield is ready, or had lost control for 1.5 s.

Change: it holds its larger part as soon as all shields have failed it and none has answered since. A shield that answers ends its rest, so that this ends with it.

--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -128,10 +128,11 @@
         self.began.elapsed().as_secs_f64()
     }
 
-    /// What this edge may ask of services under a ceiling. Out of touch it may be cut off from the shields, and
-    /// those who reach them don't ask for it.
+    /// What this edge may ask of services under a ceiling. Where no shield answers, or it is out of touch, the shields are
+    /// gone or it is cut off from them, and those who reach them don't ask for it.
     fn hold(&self) {
-        let alone = !self.shielded.get() || !self.in_touch.get();
+        let none_answers = self.shields.borrow().all_fail(self.now());
+        let alone = !self.shielded.get() || !self.in_touch.get() || none_answers;
         self.direct.hold(Holder::Edge { of: self.edges.get() as usize, alone });
     }
 
@@ -166,6 +167,7 @@
         if read {
             // No shield answers. Ranges are the server's to cut.
             self.counters.bypassed.add();
+            self.hold();
         }
         // A method that writes is not repeated, whatever the route says of its reads.
         let repeatable = match route.kind {
--- a/src/shields.rs
+++ b/src/shields.rs
@@ -12,8 +12,7 @@
 /// Requests that one edge may always have at one shield. An edge has few in flight, and the bare cap would
 /// send every second one away from the copy of its object; a shield bears far more from all edges together.
 const FLOOR: f64 = 16.0;
-/// How long a shield that has failed is passed over: longer than a lost packet is resent, shorter than a
-/// machine takes to start again.
+/// How long a failed shield is passed over: longer than a lost packet takes, shorter than a new start.
 const REST: Seconds = 2.0;
 /// How often a request asks whether one answers again, where all rest: it pays with the time of an attempt.
 const TRIAL: Seconds = 0.5;
@@ -54,12 +53,17 @@
         self.ready.len()
     }
 
+    /// Whether there are shields, and all of them have failed this edge of late and answered nothing since.
+    pub fn all_fail(&self, now: Seconds) -> bool {
+        !self.ready.is_empty() && self.ready.values().all(|shield| now < shield.rests_until)
+    }
+
     /// The shield for a request: the first below its cap along the key's walk; where all are full, the first.
     /// `None` where there is none but those it `tried`, or none that is likely to answer.
     pub fn choose(&mut self, now: Seconds, key: Key, tried: &[ServerId]) -> Option<&ServerId> {
         let bound = cap(self.in_flight + 1, 1.0 / self.ready.len().max(1) as f64, FLOOR);
         let rests = |id: &ServerId| self.ready.get(id).is_some_and(|s| now < s.rests_until);
-        let all_rest = self.ready.keys().all(rests);
+        let all_rest = self.ready.is_empty() || self.all_fail(now);
         if all_rest && (!tried.is_empty() || now < self.next_trial) {
             return None;
         }
@@ -87,12 +91,13 @@
         }
     }
 
-    /// What came of what was sent at `sent`; `failed` where the shield gave no answer to it. One that
-    /// has answered others meanwhile is well: it waits for a server.
+    /// What came of what was sent at `sent`; `failed` where the shield gave no answer to it. One that has
+    /// answered, also others meanwhile, is well: it waits for a server.
     pub fn heard(&mut self, now: Seconds, shield: &ServerId, sent: Seconds, failed: bool) {
         if let Some(s) = self.ready.get_mut(shield) {
+            let rests_until = if failed { s.rests_until } else { now };
+            s.rests_until = if failed && s.answered <= sent { now + REST } else { rests_until };
             s.answered = if failed { s.answered } else { now };
-            s.rests_until = if failed && s.answered <= sent { now + REST } else { s.rests_until };
         }
     }
 }
