One piece opens and throws away the two files that may be lost without harm

The copies of shields and the log of purges each opened SQLite, told the time of day and removed a database for themselves.

--- a/glenfall/src/control/purge_log.rs
+++ b/glenfall/src/control/purge_log.rs
@@ -2,16 +2,20 @@
 //! still know what those copies have missed. SQLite on a thread of its own, apart from the chain's file, so that a
 //! stream of purges holds up no change of the configuration.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::mpsc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use glenfall_plane::messages::Stamped;
 use glenfall_plane::purges::REMEMBERED;
 use rusqlite::Connection;
 use tokio::sync::oneshot;
 
+use crate::disk::{self, now_ms};
+
 const FILE: &str = "purges.sqlite";
+/// Bytes of its pages; purges are small.
+const PAGE: usize = 4 << 10;
 /// The time of day may be off by so much, in milliseconds.
 const CLOCK_OFF: i64 = 2000;
 /// Pause after the disk refused something.
@@ -24,16 +28,8 @@
 
 pub struct PurgeLog(mpsc::SyncSender<Write>);
 
-fn now_ms() -> i64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64)
-}
-
 fn open(path: &Path) -> rusqlite::Result<Connection> {
-    let db = Connection::open(path)?;
-    db.pragma_update(None, "locking_mode", "EXCLUSIVE")?;
-    db.pragma_update(None, "journal_mode", "WAL")?;
-    db.pragma_update(None, "synchronous", "FULL")?;
-    db.pragma_update(None, "mmap_size", 0)?;
+    let db = disk::open(path, PAGE)?;
     db.execute_batch("CREATE TABLE IF NOT EXISTS purges (at INTEGER NOT NULL, purge BLOB NOT NULL)")?;
     Ok(db)
 }
@@ -79,7 +75,7 @@
             Ok((db, found)) => (Some(db), found),
             Err(error) => {
                 tracing::warn!(%error, "purges on disk can't be read; they are begun anew");
-                throw_away(&path);
+                disk::throw_away(&path);
                 (open(&path).ok(), Vec::new())
             }
         };
@@ -98,15 +94,6 @@
     }
 }
 
-fn throw_away(path: &Path) {
-    for end in ["", "-wal", "-shm"] {
-        let mut name = PathBuf::from(path).into_os_string();
-        name.push(end);
-        // What is not there need not go.
-        let _ = std::fs::remove_file(name);
-    }
-}
-
 fn write_all(mut db: Option<Connection>, path: &Path, queue: &mpsc::Receiver<Write>) {
     while let Ok(first) = queue.recv() {
         // One sync covers all that came meanwhile.
--- a/glenfall/src/kept.rs
+++ b/glenfall/src/kept.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Arc};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use bytes::Bytes;
 use glenfall_plane::purges::REMEMBERED;
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 
 use crate::cache::ObjectKey;
+use crate::disk::{self, now_ms};
 
 const FILE: &str = "copies.sqlite";
 /// Changes within this time are written as one, with one sync.
@@ -71,10 +72,6 @@
     waiting: Arc<AtomicUsize>,
 }
 
-fn now_ms() -> i64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as i64)
-}
-
 /// The steady clock, which goes on while the machine runs, whatever becomes of the process.
 fn steady_ms() -> i64 {
     let now = clock_gettime(ClockId::CLOCK_MONOTONIC);
@@ -160,12 +157,7 @@
             // Where that fails, so does the next step.
             let _ = std::fs::create_dir_all(folder);
         }
-        let db = Connection::open(&self.path)?;
-        db.pragma_update(None, "page_size", PAGE)?;
-        db.pragma_update(None, "locking_mode", "EXCLUSIVE")?;
-        db.pragma_update(None, "journal_mode", "WAL")?;
-        db.pragma_update(None, "synchronous", "FULL")?;
-        db.pragma_update(None, "mmap_size", 0)?;
+        let db = disk::open(&self.path, PAGE)?;
         db.pragma_update(None, "wal_autocheckpoint", LOG_PAGES)?;
         db.pragma_update(None, "max_page_count", self.most_pages)?;
         db.execute_batch(
@@ -183,20 +175,11 @@
             Ok(db) => Some(db),
             Err(error) => {
                 tracing::warn!(%error, "copies on disk can't be opened; they are thrown away");
-                self.throw_away();
+                disk::throw_away(&self.path);
                 self.open().ok()
             }
         }
     }
-
-    fn throw_away(&self) {
-        for end in ["", "-wal", "-shm"] {
-            let mut name = self.path.clone().into_os_string();
-            name.push(end);
-            // What is not there need not go.
-            let _ = std::fs::remove_file(name);
-        }
-    }
 }
 
 fn crc(head: &[u8], body: &[u8]) -> i64 {
@@ -298,7 +281,7 @@
     if let Some(Err(error)) = &found {
         tracing::warn!(%error, "copies on disk can't be read; they are thrown away");
         db = None;
-        file.throw_away();
+        disk::throw_away(&file.path);
     }
     // Nobody may wait for them any more.
     let _ = tell.send(found.and_then(Result::ok).unwrap_or_default());
@@ -314,7 +297,7 @@
             // Full, or the disk refuses: what should have gone may still lie there, so that all of it goes.
             tracing::warn!(%error, "copies not written to disk; those there are thrown away");
             db = None;
-            file.throw_away();
+            disk::throw_away(&file.path);
             std::thread::sleep(AGAIN);
         }
     }
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -11,6 +11,7 @@
 mod declare;
 mod demo;
 mod direct;
+mod disk;
 mod edge;
 mod feed;
 mod kept;
