The fleet goes down sessions by what has changed, as do members between control nodes

Cause: each change of a server, a shield or the number of edges sent servers + shields to every session, and each session that came or went sent the whole list of its control node to four peers. Change: plane/src/fleet.rs tells a fleet whole once and then by numbered differences; one that does not build on what is here ends the session, which begins anew. Control nodes tell members likewise. Edges are told by marks, not as a number, so that each can work out what the others do. Messages and bytes on held connections are counted and shown by status. What a push costs in bytes is to be read from the counters.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -7,7 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use glenfall_plane::messages::{Aged, Down, Fleet, News, Open, Purge, Up};
+use glenfall_plane::fleet::{Fleet, Gap, Numbered, Told};
+use glenfall_plane::messages::{Aged, Down, News, Open, Purge, Up};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -28,7 +29,10 @@
 #[derive(Default)]
 struct Known {
     config: Option<(u64, Arc<Vec<u8>>)>,
-    fleet: Option<Fleet>,
+    /// What the control node of this session has told.
+    told: Numbered,
+    /// What the proxy goes by: nothing yet, or that and what is known from others.
+    fleet: Option<Numbered>,
     controls: Vec<Ipv4Addr>,
     /// Control has told all that was missed.
     in_touch: bool,
@@ -79,7 +83,7 @@
             // What was purged while the proxy was away is not known one by one.
             let mut news = vec![News::Purges(vec![Aged { purge: Purge::Everything, age_ms: 0 }])];
             news.extend(known.config.clone().map(|(rev, document)| News::Config { rev, document }));
-            news.extend(known.fleet.clone().map(News::Fleet));
+            news.extend(known.fleet.as_ref().map(|fleet| News::Fleet(fleet.whole())));
             news.push(News::InTouch(known.in_touch));
             (Vec::new(), news)
         };
@@ -105,7 +109,8 @@
                 let reports = async {
                     loop {
                         sleep(REPORT).await;
-                        let report = self.proxies.seen().into_iter().flat_map(|seen| seen.report).collect();
+                        let report = self.proxies.seen().into_iter().flat_map(|seen| seen.report);
+                        let report = report.chain(link::report("agent_")).collect();
                         if !outbox.send(Up::Report(report)) {
                             return;
                         }
@@ -147,56 +152,70 @@
         self.proxies.push(&News::InTouch(yes));
     }
 
-    async fn take(&self, down: Down) {
+    /// Takes what control tells; false where it does not build on what is known.
+    async fn take(&self, down: Down) -> bool {
         let news = match down {
             Down::Controls(controls) => {
                 self.known.borrow_mut().controls = controls;
-                return;
+                return true;
             }
             Down::Push { news, .. } => news,
-            Down::Leaving | Down::Ping => return,
+            Down::Leaving | Down::Ping => return true,
         };
         let news = match news {
             News::Config { rev, document } => {
                 let mut known = self.known.borrow_mut();
                 if known.config.as_ref().is_some_and(|(known, _)| *known >= rev) {
-                    return;
+                    return true;
                 }
                 known.config = Some((rev, Arc::clone(&document)));
                 News::Config { rev, document }
             }
-            News::Fleet(fleet) => {
-                let mut known = self.known.borrow_mut();
-                let fleet = merged(known.fleet.take(), fleet);
-                known.fleet = Some(fleet.clone());
-                News::Fleet(fleet)
-            }
+            News::Fleet(told) => match self.known.borrow_mut().take_fleet(told) {
+                Ok(Some(told)) => News::Fleet(told),
+                Ok(None) => return true,
+                Err(gap) => {
+                    tracing::warn!(%gap, "the session with control begins anew");
+                    return false;
+                }
+            },
             // The first thing that control tells is all that may have been missed.
             News::Purges(purges) => News::Purges(purges),
-            News::InTouch(yes) => return self.touch(yes),
+            News::InTouch(yes) => {
+                self.touch(yes);
+                return true;
+            }
         };
         self.proxies.push(&news);
         if !self.proxies.applied(APPLY).await {
             self.proxies.drop_behind();
         }
+        true
+    }
+}
+
+impl Known {
+    /// Takes what control tells of the fleet; gives what the proxy has to be told of it.
+    fn take_fleet(&mut self, told: Told) -> Result<Option<Told>, Gap> {
+        self.told.take(told)?;
+        let first = self.fleet.is_none();
+        let fleet = self.fleet.get_or_insert_default();
+        let next = merged(fleet.fleet(), self.told.fleet().clone());
+        let told = fleet.become_next(next);
+        Ok(if first { Some(fleet.whole()) } else { told })
     }
 }
 
 /// A control node that has just started has not heard of all: until it has, what is known stays.
-fn merged(known: Option<Fleet>, mut fleet: Fleet) -> Fleet {
-    if let (false, Some(known)) = (fleet.complete, known) {
+fn merged(known: &Fleet, mut fleet: Fleet) -> Fleet {
+    if !fleet.complete {
         let addrs: Vec<_> = fleet.servers.iter().map(|server| server.addr).collect();
-        let absent = |id: &str| !fleet.servers.iter().any(|server| server.id == id);
-        let kept: Vec<_> =
-            known.servers.into_iter().filter(|s| absent(&s.id) && !addrs.contains(&s.addr)).collect();
-        fleet.servers.extend(kept);
-        let shields: Vec<_> = known
-            .shields
-            .into_iter()
-            .filter(|s| !fleet.shields.iter().any(|new| new.node == s.node))
-            .collect();
-        fleet.shields.extend(shields);
-        fleet.edges = fleet.edges.max(known.edges);
+        let kept = known.servers.iter().filter(|server| !addrs.contains(&server.addr));
+        // Sorting keeps the first of a name: what is told now.
+        fleet.servers.extend(kept.cloned().collect::<Vec<_>>());
+        fleet.shields.extend(known.shields.iter().cloned());
+        fleet.edges.extend(&known.edges);
+        fleet.sort();
     }
     fleet
 }
@@ -219,7 +238,7 @@
     }
 
     fn fleet(complete: bool, servers: Vec<Server>) -> Fleet {
-        Fleet { complete, servers, shields: Vec::new(), edges: 1, cores: 1 }
+        Fleet { complete, servers, shields: Vec::new(), edges: vec![1], cores: 1 }
     }
 
     #[test]
@@ -228,13 +247,34 @@
         // `b` drains, and a new server has the address of `c`.
         let new = fleet(false, vec![server("b", 2, false), server("d", 3, true)]);
         let merged_ids = |new| {
-            let mut servers: Vec<_> =
-                merged(Some(known.clone()), new).servers.into_iter().map(|s| (s.id, s.ready)).collect();
-            servers.sort();
-            servers
+            let servers = merged(&known, new).servers;
+            servers.into_iter().map(|server| (server.id, server.ready)).collect::<Vec<_>>()
         };
         let told = |id: &str, ready| (id.to_owned(), ready);
         assert_eq!(merged_ids(new.clone()), [told("a", true), told("b", false), told("d", true)]);
         assert_eq!(merged_ids(Fleet { complete: true, ..new }), [told("b", false), told("d", true)]);
     }
+    #[test]
+    fn the_proxy_is_told_all_once_and_then_what_changes() {
+        let mut control = Numbered::default();
+        let mut known = Known::default();
+        let mut proxy = Numbered::default();
+        control.become_next(fleet(true, vec![server("a", 1, true), server("b", 2, true)]));
+        let first = known.take_fleet(control.whole()).unwrap().expect("all of it");
+        assert!(matches!(first, Told::Whole { .. }));
+        proxy.take(first).unwrap();
+        let told = control.become_next(fleet(true, vec![server("b", 2, false), server("c", 3, true)])).unwrap();
+        proxy.take(known.take_fleet(told).unwrap().expect("a change")).unwrap();
+        assert_eq!(proxy.fleet(), control.fleet());
+        // Another control node, which has just started and counts from the beginning, tells nothing new.
+        let mut other = Numbered::default();
+        other.become_next(fleet(false, vec![server("c", 3, true)]));
+        let told = known.take_fleet(other.whole()).unwrap().expect("it is not complete");
+        proxy.take(told).unwrap();
+        let ids: Vec<_> = proxy.fleet().servers.iter().map(|server| &server.id[..]).collect();
+        assert_eq!((ids, proxy.fleet().complete), (vec!["b", "c"], false));
+        // What builds on what the first one told is turned away.
+        let late = control.become_next(fleet(true, Vec::new())).unwrap();
+        assert!(known.take_fleet(late).is_err());
+    }
 }
--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -207,6 +207,7 @@
             })
             .collect();
         let fleet = control.fleet.borrow();
+        let fleet = fleet.fleet();
         json!({
             "node": control.boot.node,
             "rev": chain.committed().rev,
@@ -218,6 +219,7 @@
             "servers": fleet.servers,
             "shields": fleet.shields,
             "sessions": sessions,
+            "counters": crate::link::report("").into_iter().collect::<std::collections::BTreeMap<_, _>>(),
             "upMs": Duration::as_millis(&control.began.elapsed()) as u64,
         })
     }
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -15,7 +15,8 @@
 use std::time::Duration;
 
 use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start, Terms};
-use glenfall_plane::messages::{Down, Fleet, Member, News, Open, Peer, Proxy, Purge, Stamped};
+use glenfall_plane::fleet::{edge_mark, Fleet, Members, Numbered};
+use glenfall_plane::messages::{Down, Member, News, Open, Peer, Proxy, Purge, Stamped};
 use glenfall_plane::purges::{Purges, REMEMBERED};
 use glenfall_plane::registry::{Entry, EntryStatus, Heard, Registry};
 use glenfall_plane::Millis;
@@ -78,7 +79,9 @@
     life: u64,
     sessions: Sessions,
     peers: Peers,
-    fleet: RefCell<Fleet>,
+    fleet: RefCell<Numbered>,
+    /// The members with their sessions here, as peers have been told.
+    told_members: RefCell<Vec<Member>>,
     fleet_changed: Notify,
     stop: watch::Sender<bool>,
     /// When this node was last seen to reach a majority.
@@ -131,6 +134,7 @@
         sessions: Sessions::default(),
         peers: Peers::new(me, life),
         fleet: RefCell::default(),
+        told_members: RefCell::default(),
         fleet_changed: Notify::new(),
         stop: watch::Sender::new(false),
         reached: Cell::new(Instant::now()),
@@ -242,7 +246,7 @@
         if record.rev > 0 {
             news.push(config_news(record));
         }
-        news.push(News::Fleet(self.fleet.borrow().clone()));
+        news.push(News::Fleet(self.fleet.borrow().whole()));
         news.push(News::InTouch(self.vouches.get()));
         (vec![Down::Controls(self.peers.all())], news)
     }
@@ -262,7 +266,7 @@
                 self.cut_off();
                 self.vouch();
                 let silent = self.registry.borrow_mut().expire(now);
-                if silent || self.peers.expire() || self.complete() != self.fleet.borrow().complete {
+                if silent || self.peers.expire() || self.complete() != self.fleet.borrow().fleet().complete {
                     self.fleet_changed.notify_one();
                 }
             }
@@ -346,25 +350,28 @@
     }
 
     fn members_changed(&self) {
-        self.peers.tell(&Peer::Sessions(self.sessions.members()));
-        self.fleet_changed.notify_one();
+        let members = Members::listed(self.sessions.members());
+        let change = Members::between(&self.told_members.borrow(), &members);
+        self.told_members.replace(members);
+        if let Some(change) = change {
+            self.peers.tell(&Peer::Sessions(change));
+            self.fleet_changed.notify_one();
+        }
     }
 
     fn present_fleet(&self) -> Fleet {
-        let mut members: Vec<Member> = self.sessions.members();
-        members.extend(self.peers.members());
-        members.sort_by(|a, b| a.node.cmp(&b.node));
-        // Who has just moved from one control node to another stands in both lists for a moment.
-        members.dedup_by(|a, b| a.node == b.node);
-        let edges = members.iter().filter(|member| member.proxy == Proxy::Edge).count() as u32;
-        members.retain(|member| member.proxy == Proxy::Shield);
-        Fleet {
+        let members = self.sessions.members().into_iter().chain(self.peers.members());
+        let (shields, edges): (Vec<_>, Vec<_>) = members.partition(|member| member.proxy == Proxy::Shield);
+        let mut fleet = Fleet {
             complete: self.complete(),
             servers: self.registry.borrow().servers(self.now()),
-            shields: members,
-            edges,
+            shields,
+            edges: edges.iter().map(|edge| edge_mark(&edge.node)).collect(),
             cores: self.chain.borrow().members().voters.len() as u32,
-        }
+        };
+        // Who has just moved from one control node to another stands in both lists for a moment.
+        fleet.sort();
+        fleet
     }
 
     async fn push_fleet(self: Rc<Self>) {
@@ -376,15 +383,9 @@
     }
 
     fn push_fleet_now(&self) {
-        let fleet = self.present_fleet();
-        let plain = |fleet: &Fleet| {
-            let mut fleet = fleet.clone();
-            fleet.servers.iter_mut().for_each(|server| server.warmup_left_ms = 0);
-            fleet
-        };
-        if plain(&fleet) != plain(&self.fleet.borrow()) {
-            self.fleet.replace(fleet.clone());
-            self.sessions.push(&News::Fleet(fleet));
+        let told = self.fleet.borrow_mut().become_next(self.present_fleet());
+        if let Some(told) = told {
+            self.sessions.push(&News::Fleet(told));
         }
     }
 
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use glenfall_plane::fleet::Members;
 use glenfall_plane::messages::{Member, Open, Peer, Proxy};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -235,7 +236,7 @@
     tracing::info!(peer = %ip, "peer up");
     let now = control.now();
     let peers = &control.peers;
-    peers.send(ip, Peer::Sessions(control.sessions.members()));
+    peers.send(ip, Peer::Sessions(Members::whole(&control.told_members.borrow())));
     peers.send(ip, Peer::Servers(control.registry.borrow().all(now)));
     peers.send(ip, Peer::Purges { id: 0, purges: control.purges.borrow().all(now) });
     control.sessions.tell(&glenfall_plane::messages::Down::Controls(peers.all()));
@@ -279,11 +280,9 @@
         }
         Peer::Sessions(members) => {
             if let Some(link) = control.peers.links.borrow_mut().get_mut(&from) {
+                members.apply(&mut link.members);
                 // A shield is a member through the control node beside it.
-                link.members = members
-                    .into_iter()
-                    .filter(|m| m.proxy != Proxy::Shield || *m.http.ip() == from)
-                    .collect();
+                link.members.retain(|m| m.proxy != Proxy::Shield || *m.http.ip() == from);
             }
             control.fleet_changed.notify_one();
         }
--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use glenfall_plane::budget::Budget;
 use glenfall_plane::ceiling::{Ceiling, Holder};
-use glenfall_plane::messages::{Fleet, Proxy};
+use glenfall_plane::fleet::Fleet;
+use glenfall_plane::messages::Proxy;
 use glenfall_plane::Millis;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -132,10 +133,10 @@
         for addr in self.origins.update(&fleet.servers) {
             self.pool.forget(addr.into());
         }
-        let machines = fleet.edges as usize + fleet.shields.len();
+        let machines = fleet.edges.len() + fleet.shields.len();
         self.budget.borrow_mut().share_among(self.now(), machines);
         let sharers = match self.sharers {
-            Proxy::Edge => fleet.edges as usize,
+            Proxy::Edge => fleet.edges.len(),
             Proxy::Shield => fleet.shields.iter().filter(|shield| shield.ready).count(),
         };
         let mut shares = BTreeMap::new();
@@ -347,7 +348,7 @@
              seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n[timing]\nretryRatio = 1.2\nretrySlack = 0\n",
         );
         let direct = Direct::new(Pool::new(8), &boot.expect("settings"), Proxy::Edge);
-        direct.update(&Fleet { complete: true, servers, shields: Vec::new(), edges: 1, cores: 1 });
+        direct.update(&Fleet { complete: true, servers, shields: Vec::new(), edges: vec![1], cores: 1 });
         (0..counted).for_each(|_| direct.count("s"));
         direct
     }
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -10,7 +10,8 @@
 use bytes::Bytes;
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
-use glenfall_plane::messages::{Aged, Fleet, Proxy, Purge};
+use glenfall_plane::fleet::Fleet;
+use glenfall_plane::messages::{Aged, Proxy, Purge};
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
@@ -350,7 +351,7 @@
         let near = fleet.shields.iter().filter(|member| member.zone == self.zone);
         self.near.replace(near.map(|member| ServerId(member.http.to_string().as_str().into())).collect());
         self.shields.borrow_mut().update(&ready);
-        self.edges.set(fleet.edges.max(1));
+        self.edges.set(fleet.edges.len().max(1) as u32);
         self.shielded.set(!ready.is_empty());
         self.hold();
     }
--- a/glenfall/src/feed.rs
+++ b/glenfall/src/feed.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use glenfall_plane::config::Config;
-use glenfall_plane::messages::{Aged, Down, Fleet, Member, News, Open, Proxy, Up};
+use glenfall_plane::fleet::{Fleet, Numbered};
+use glenfall_plane::messages::{Aged, Down, Member, News, Open, Proxy, Up};
 use tokio::sync::{watch, Notify};
 use tokio::time::sleep;
 
@@ -31,6 +32,7 @@
     boot: Rc<Boot>,
     proxy: Proxy,
     config: RefCell<Option<Arc<Config>>>,
+    fleet: RefCell<Numbered>,
     fleet_known: Cell<bool>,
     leaving: Cell<bool>,
     changed: Notify,
@@ -44,6 +46,7 @@
             boot,
             proxy,
             config: RefCell::default(),
+            fleet: RefCell::default(),
             fleet_known: Cell::new(false),
             leaving: Cell::new(false),
             changed: Notify::new(),
@@ -91,12 +94,17 @@
         Up::Hello { node: self.boot.node.clone(), member: Some(member) }
     }
 
-    fn take(&self, news: News, follower: &impl Follower) {
+    /// Takes what the agent tells; false where it does not build on what is known.
+    fn take(&self, news: News, follower: &impl Follower) -> bool {
         let was_ready = self.ready();
         match news {
             News::Config { rev, document } => self.take_config(rev, &document, follower),
-            News::Fleet(fleet) => {
-                follower.fleet(&fleet);
+            News::Fleet(told) => {
+                if let Err(gap) = self.fleet.borrow_mut().take(told) {
+                    tracing::warn!(%gap, "the session with the agent begins anew");
+                    return false;
+                }
+                follower.fleet(self.fleet.borrow().fleet());
                 self.fleet_known.set(true);
             }
             News::Purges(purges) => follower.purge(&purges),
@@ -105,6 +113,7 @@
         if self.ready() != was_ready {
             self.changed.notify_one();
         }
+        true
     }
 
     fn take_config(&self, rev: u64, document: &[u8], follower: &impl Follower) {
@@ -129,15 +138,15 @@
         loop {
             if let Ok((read, write)) = link::open(self.boot.feed(), &Open::Session).await {
                 let outbox = Outbox::start(write);
-                let take = async |down| {
-                    if let Down::Push { news, .. } = down {
-                        self.take(news, follower);
-                    }
+                let take = async |down| match down {
+                    Down::Push { news, .. } => self.take(news, follower),
+                    _ => true,
                 };
                 let reports = async {
                     loop {
                         sleep(REPORT).await;
-                        if !outbox.send(Up::Report(follower.report())) {
+                        let report = follower.report().into_iter().chain(link::report(""));
+                        if !outbox.send(Up::Report(report.collect())) {
                             return;
                         }
                     }
--- a/glenfall/src/link.rs
+++ b/glenfall/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddrV4;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
@@ -29,6 +30,38 @@
 /// A connection not up by then is given up.
 const CONNECT: Duration = Duration::from_millis(250);
 
+/// What this process has said and heard on held connections since its start. Whoever writes and reads them is one
+/// thread; the figures are for people.
+static SAID: Traffic = Traffic::new();
+static HEARD: Traffic = Traffic::new();
+
+struct Traffic {
+    messages: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Traffic {
+    const fn new() -> Self {
+        Traffic { messages: AtomicU64::new(0), bytes: AtomicU64::new(0) }
+    }
+
+    fn add(&self, messages: u64, bytes: usize) {
+        self.messages.fetch_add(messages, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// Counters for `status`, with a word in front of each name.
+pub fn report(before: &str) -> [(String, u64); 4] {
+    let told = |name: &str, count: &AtomicU64| (format!("{before}{name}"), count.load(Ordering::Relaxed));
+    [
+        told("messages_said", &SAID.messages),
+        told("message_bytes_said", &SAID.bytes),
+        told("messages_heard", &HEARD.messages),
+        told("message_bytes_heard", &HEARD.bytes),
+    ]
+}
+
 fn invalid(what: impl std::fmt::Display) -> io::Error {
     io::Error::new(io::ErrorKind::InvalidData, what.to_string())
 }
@@ -103,6 +136,7 @@
                 if self.buffer.len() >= 4 + length {
                     self.buffer.advance(4);
                     let frame = self.buffer.split_to(length);
+                    HEARD.add(1, 4 + length);
                     return postcard::from_bytes(&frame).map_err(invalid);
                 }
             }
@@ -155,12 +189,15 @@
         if encode(&message, &mut buffer).is_err() {
             return;
         }
+        let mut messages = 1;
         while buffer.len() < 64 << 10 {
             let Ok(message) = waiting.try_recv() else { break };
             if encode(&message, &mut buffer).is_err() {
                 return;
             }
+            messages += 1;
         }
+        SAID.add(messages, buffer.len());
         // The other side reads what it is sent within this time, or it is lost.
         if !matches!(timeout(SILENCE, write.write_all(&buffer)).await, Ok(Ok(()))) {
             return;
--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -188,14 +188,14 @@
     }
 }
 
-/// The lower side of a session: says hello, hands each change to `take`, and tells that it is applied.
-/// Returns when the session is lost or the other side leaves.
+/// The lower side of a session: says hello, hands each change to `take`, and tells that it is applied. Returns when
+/// the session is lost, the other side leaves, or `take` says that what came can't be built on: it begins anew then.
 pub async fn follow(
     mut frames: Frames,
     outbox: Outbox<Up>,
     hello: impl Fn() -> Up,
     changed: &Notify,
-    mut take: impl AsyncFnMut(Down),
+    mut take: impl AsyncFnMut(Down) -> bool,
 ) {
     if !outbox.send(hello()) {
         return;
@@ -211,8 +211,8 @@
                     Down::Leaving => return,
                     _ => None,
                 };
-                if !matches!(down, Down::Ping) {
-                    take(down).await;
+                if !matches!(down, Down::Ping) && !take(down).await {
+                    return;
                 }
                 if number.is_some_and(|number| !outbox.send(Up::Applied(number))) {
                     return;
--- a/http/src/socket.rs
+++ b/http/src/socket.rs
@@ -1,6 +1,7 @@
 //! A socket to an upstream that knows how far a request on it has come.
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::io::ErrorKind;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -16,6 +17,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Sleep;
 
 /// How far the request last begun on a connection has been written.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -32,11 +34,13 @@
     read: Notify,
     /// What has come was a 1xx, which is no answer yet. hyper wants to share it between threads.
     informed: Arc<AtomicBool>,
+    /// The end of the next request is held back for so long.
+    wary: Cell<Option<Duration>>,
 }
 
 impl Progress {
     fn new() -> Self {
-        Progress { written: Cell::new(Written::Nothing), read: Notify::new(), informed: Arc::default() }
+        Progress { written: Cell::new(Written::Nothing), read: Notify::new(), informed: Arc::default(), wary: Cell::new(None) }
     }
 
     /// Ends when an answer has begun and has then had so long to come whole. What a server does after its
@@ -52,6 +56,12 @@
         }
     }
 
+    /// Writes all of the next request but its last byte, and that one only after so long. A server that has
+    /// forgotten the connection resets it meanwhile, and has certainly not run what it never had whole.
+    pub fn be_wary(&self, pause: Duration) {
+        self.wary.set(Some(pause));
+    }
+
     /// Lets 1xx answers to this request be noted.
     pub fn watch<B>(&self, request: &mut Request<B>) {
         let informed = Arc::clone(&self.informed);
@@ -81,20 +91,24 @@
 pub struct Socket {
     stream: TokioIo<TcpStream>,
     progress: Rc<Progress>,
+    /// All of a request but its last byte is written; that one goes when this has passed.
+    held: Option<Pin<Box<Sleep>>>,
     _open: OpenSocket,
 }
 
 impl Socket {
     pub fn new(stream: TcpStream, open: OpenSocket) -> (Self, Rc<Progress>) {
         let progress = Rc::new(Progress::new());
-        (Socket { stream: TokioIo::new(stream), progress: Rc::clone(&progress), _open: open }, progress)
+        let socket =
+            Socket { stream: TokioIo::new(stream), progress: Rc::clone(&progress), held: None, _open: open };
+        (socket, progress)
     }
 
     /// Fails where anything has come before the first byte of a request is written. It would be read as the
     /// answer to that request, be it a second copy of the last answer, noise or the server's close. Asks the
     /// kernel, as bytes may lie there that the reactor has not told of yet.
     fn check_silent(&self) -> std::io::Result<()> {
-        if self.progress.written.get() != Written::Nothing {
+        if self.progress.written.get() != Written::Nothing && self.held.is_none() {
             return Ok(());
         }
         let socket = SockRef::from(self.stream.inner());
@@ -105,6 +119,24 @@
         }
     }
 
+    /// How many of the bytes at hand may be written now, the first `whole` of which are all that there is.
+    fn may_write(&mut self, cx: &mut Context<'_>, whole: usize) -> Poll<std::io::Result<usize>> {
+        if let Some(held) = &mut self.held {
+            std::task::ready!(held.as_mut().poll(cx));
+            self.check_silent()?;
+            self.held = None;
+            return Poll::Ready(Ok(whole));
+        }
+        self.check_silent()?;
+        match self.progress.wary.take() {
+            Some(pause) if whole > 1 => {
+                self.held = Some(Box::pin(tokio::time::sleep(pause)));
+                Poll::Ready(Ok(whole - 1))
+            }
+            _ => Poll::Ready(Ok(whole)),
+        }
+    }
+
     fn note(&self, result: Poll<std::io::Result<usize>>) -> Poll<std::io::Result<usize>> {
         if matches!(result, Poll::Ready(Ok(1..))) {
             self.progress.written.set(Written::Partly);
@@ -133,8 +165,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        self.check_silent()?;
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let most = std::task::ready!(self.may_write(cx, buf.len()))?;
+        let result = Pin::new(&mut self.stream).poll_write(cx, &buf[..most]);
         self.note(result)
     }
 
@@ -143,8 +175,15 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        self.check_silent()?;
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let whole = bufs.iter().map(|buf| buf.len()).sum();
+        let most = std::task::ready!(self.may_write(cx, whole))?;
+        let result = if most == whole {
+            Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        } else {
+            // The head alone, or as much of it: what follows comes again.
+            let first = bufs.iter().find(|buf| !buf.is_empty()).map_or(&[][..], |buf| buf);
+            Pin::new(&mut self.stream).poll_write(cx, &first[..first.len().min(most)])
+        };
         self.note(result)
     }
 
--- /dev/null
+++ b/plane/src/fleet.rs
@@ -0,0 +1,314 @@
+//! Who there is: the servers, the shields and the edges, as control tells proxies. Told whole once, at the start of
+//! a session, and by what has changed from then on: a change costs as much as it is large, whatever the size of the
+//! fleet. Changes are numbered, and one that does not build on what the receiver has is turned away.
+
+use std::cmp::Ordering;
+
+use mallowpaddle::mix;
+use serde::{Deserialize, Serialize};
+
+use crate::messages::{Member, Server};
+
+/// All servers, shields and edges, each list in the order of names.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// The sender has heard of all there are: who is absent is gone. Otherwise it only adds.
+    pub complete: bool,
+    pub servers: Vec<Server>,
+    pub shields: Vec<Member>,
+    /// What stands for each edge.
+    pub edges: Vec<u64>,
+    /// How many core machines there are by rights, each with a shield.
+    pub cores: u32,
+}
+
+/// What stands for an edge among all edges, by the name of its machine.
+pub fn edge_mark(node: &str) -> u64 {
+    node.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)))
+}
+
+impl Fleet {
+    /// Brings what was put together from several lists into order; of two that have the same name the first stays.
+    pub fn sort(&mut self) {
+        self.servers.sort_by(|a, b| a.id.cmp(&b.id));
+        self.servers.dedup_by(|a, b| a.id == b.id);
+        self.shields.sort_by(|a, b| a.node.cmp(&b.node));
+        self.shields.dedup_by(|a, b| a.node == b.node);
+        self.edges.sort_unstable();
+        self.edges.dedup();
+    }
+}
+
+/// The entries of a list in order that have come or are others now, and the names of those that have gone.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct Difference<T, N> {
+    put: Vec<T>,
+    gone: Vec<N>,
+}
+
+impl<T: Clone, N: Ord> Difference<T, N> {
+    fn between(old: &[T], new: &[T], name: impl Fn(&T) -> N, same: impl Fn(&T, &T) -> bool) -> Self {
+        let (mut put, mut gone) = (Vec::new(), Vec::new());
+        let (mut old, mut new) = (old.iter().peekable(), new.iter().peekable());
+        loop {
+            let order = match (old.peek(), new.peek()) {
+                (None, None) => return Difference { put, gone },
+                (Some(_), None) => Ordering::Less,
+                (None, Some(_)) => Ordering::Greater,
+                (Some(a), Some(b)) => name(a).cmp(&name(b)),
+            };
+            let before = if order.is_le() { old.next() } else { None };
+            let after = if order.is_ge() { new.next() } else { None };
+            match (before, after) {
+                (Some(before), None) => gone.push(name(before)),
+                (Some(before), Some(after)) if same(before, after) => {}
+                (_, Some(after)) => put.push(after.clone()),
+                (None, None) => {}
+            }
+        }
+    }
+
+    fn apply(&self, list: &mut Vec<T>, name: impl Fn(&T) -> N) {
+        list.retain(|entry| !self.gone.contains(&name(entry)));
+        for entry in &self.put {
+            match list.binary_search_by(|known| name(known).cmp(&name(entry))) {
+                Ok(at) => list[at] = entry.clone(),
+                Err(at) => list.insert(at, entry.clone()),
+            }
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.put.is_empty() && self.gone.is_empty()
+    }
+}
+
+/// What makes a fleet the next one.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    builds_on: u64,
+    number: u64,
+    complete: bool,
+    cores: u32,
+    servers: Difference<Server, String>,
+    shields: Difference<Member, String>,
+    edges: Difference<u64, u64>,
+}
+
+/// What is told of a fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Told {
+    Whole { number: u64, fleet: Fleet },
+    Change(Change),
+}
+
+/// A change that does not build on what is here: something was missed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("a change of the fleet builds on number {expected}, and number {here} is here")]
+pub struct Gap {
+    pub expected: u64,
+    pub here: u64,
+}
+
+/// A fleet and how often it has changed at whoever tells of it.
+#[derive(Clone, Debug, Default)]
+pub struct Numbered {
+    number: u64,
+    fleet: Fleet,
+}
+
+impl Numbered {
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    pub fn whole(&self) -> Told {
+        Told::Whole { number: self.number, fleet: self.fleet.clone() }
+    }
+
+    /// Makes `next` the fleet; gives what those who know the last one have to be told. How warm a server is changes
+    /// with time alone, and is told when it comes.
+    pub fn become_next(&mut self, next: Fleet) -> Option<Told> {
+        let warmth_aside = |a: &Server, b: &Server| {
+            (&a.backend, a.addr, &a.zone, a.capacity, a.ready)
+                == (&b.backend, b.addr, &b.zone, b.capacity, b.ready)
+        };
+        let old = &self.fleet;
+        let change = Change {
+            builds_on: self.number,
+            number: self.number + 1,
+            complete: next.complete,
+            cores: next.cores,
+            servers: Difference::between(&old.servers, &next.servers, |s| s.id.clone(), warmth_aside),
+            shields: Difference::between(&old.shields, &next.shields, |m| m.node.clone(), |a, b| a == b),
+            edges: Difference::between(&old.edges, &next.edges, |edge| *edge, |a, b| a == b),
+        };
+        let nothing = change.servers.is_empty() && change.shields.is_empty() && change.edges.is_empty();
+        if nothing && (old.complete, old.cores) == (next.complete, next.cores) {
+            return None;
+        }
+        (self.number, self.fleet) = (change.number, next);
+        Some(Told::Change(change))
+    }
+
+    /// Takes what was told.
+    pub fn take(&mut self, told: Told) -> Result<(), Gap> {
+        match told {
+            Told::Whole { number, fleet } => (self.number, self.fleet) = (number, fleet),
+            Told::Change(change) => {
+                if change.builds_on != self.number {
+                    return Err(Gap { expected: change.builds_on, here: self.number });
+                }
+                change.servers.apply(&mut self.fleet.servers, |server| server.id.clone());
+                change.shields.apply(&mut self.fleet.shields, |member| member.node.clone());
+                change.edges.apply(&mut self.fleet.edges, |edge| *edge);
+                (self.fleet.complete, self.fleet.cores) = (change.complete, change.cores);
+                self.number = change.number;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Members with their sessions at one control node, as it tells its peers: whole when a link comes up, and by what
+/// has changed from then on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Members {
+    whole: bool,
+    difference: Difference<Member, String>,
+}
+
+impl Members {
+    /// The members of a list in any order, each name once; the last of a name stays.
+    pub fn listed(members: Vec<Member>) -> Vec<Member> {
+        let by_name: std::collections::BTreeMap<_, _> =
+            members.into_iter().map(|member| (member.node.clone(), member)).collect();
+        by_name.into_values().collect()
+    }
+
+    pub fn whole(members: &[Member]) -> Self {
+        Members { whole: true, difference: Difference { put: members.to_vec(), gone: Vec::new() } }
+    }
+
+    /// `None` where nothing has changed.
+    pub fn between(old: &[Member], new: &[Member]) -> Option<Self> {
+        let difference = Difference::between(old, new, |member| member.node.clone(), |a, b| a == b);
+        (!difference.is_empty()).then_some(Members { whole: false, difference })
+    }
+
+    pub fn apply(&self, members: &mut Vec<Member>) {
+        if self.whole {
+            members.clear();
+        }
+        self.difference.apply(members, |member| member.node.clone());
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::messages::Proxy;
+    use rand::{Rng, SeedableRng};
+    use rand_chacha::ChaCha8Rng;
+    use std::net::SocketAddrV4;
+
+    fn server(n: u16, rng: &mut ChaCha8Rng) -> Server {
+        Server {
+            id: format!("s{n}"),
+            backend: "b".into(),
+            addr: SocketAddrV4::new([127, 0, 0, 1].into(), n),
+            zone: "z".into(),
+            capacity: rng.random_range(1..3),
+            ready: rng.random(),
+            warmup_left_ms: 0,
+        }
+    }
+
+    fn member(n: u16, ready: bool) -> Member {
+        let http = SocketAddrV4::new([127, 0, 0, 1].into(), n);
+        Member { node: format!("m{n}"), zone: "z".into(), proxy: Proxy::Shield, http, ready }
+    }
+
+    fn drawn(rng: &mut ChaCha8Rng) -> Fleet {
+        let mut fleet = Fleet { complete: rng.random(), cores: rng.random_range(3..5), ..Fleet::default() };
+        for n in 0..8 {
+            if rng.random() {
+                fleet.servers.push(server(n, rng));
+            }
+            if rng.random() {
+                fleet.shields.push(member(n, rng.random()));
+            }
+            if rng.random() {
+                fleet.edges.push(edge_mark(&format!("e{n}")));
+            }
+        }
+        fleet.sort();
+        fleet
+    }
+
+    #[test]
+    fn changes_make_the_fleet_that_was_meant_whatever_it_is() {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let (mut here, mut there) = (Numbered::default(), Numbered::default());
+        there.take(here.whole()).unwrap();
+        let mut changes = 0;
+        for _ in 0..5000 {
+            let next = drawn(&mut rng);
+            if let Some(told) = here.become_next(next.clone()) {
+                there.take(told).unwrap();
+                changes += 1;
+            }
+            assert_eq!(there.fleet(), &next);
+            assert_eq!(here.become_next(next), None, "nothing has changed");
+        }
+        assert!(changes > 4900);
+    }
+
+    #[test]
+    fn a_change_that_builds_on_another_fleet_is_turned_away_and_changes_nothing() {
+        let mut rng = ChaCha8Rng::seed_from_u64(2);
+        let (mut here, mut there) = (Numbered::default(), Numbered::default());
+        let first = here.become_next(drawn(&mut rng)).unwrap();
+        let missed = here.become_next(drawn(&mut rng)).unwrap();
+        let third = here.become_next(drawn(&mut rng)).unwrap();
+        there.take(first).unwrap();
+        let before = there.fleet().clone();
+        assert_eq!(there.take(third.clone()), Err(Gap { expected: 2, here: 1 }));
+        assert_eq!(there.fleet(), &before);
+        there.take(missed).unwrap();
+        there.take(third).unwrap();
+        assert_eq!(there.fleet(), here.fleet());
+    }
+
+    #[test]
+    fn warmth_that_passes_is_no_change_and_comes_with_a_server() {
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        let cold = |left| Server { warmup_left_ms: left, ready: true, ..server(1, &mut rng.clone()) };
+        let fleet = |servers| Fleet { servers, ..Fleet::default() };
+        let (mut here, mut there) = (Numbered::default(), Numbered::default());
+        there.take(here.become_next(fleet(vec![cold(3000)])).unwrap()).unwrap();
+        assert_eq!(there.fleet().servers[0].warmup_left_ms, 3000);
+        assert_eq!(here.become_next(fleet(vec![cold(1000)])), None);
+        let next = fleet(vec![cold(500), server(2, &mut rng)]);
+        there.take(here.become_next(next).unwrap()).unwrap();
+        assert_eq!(there.fleet().servers.len(), 2);
+    }
+
+    #[test]
+    fn members_are_told_by_what_has_changed() {
+        let mut rng = ChaCha8Rng::seed_from_u64(4);
+        let (mut told, mut known) = (Vec::new(), vec![member(99, true)]);
+        Members::whole(&told).apply(&mut known);
+        for _ in 0..2000 {
+            // One that moves has two sessions for a moment.
+            let drawn = (0..8).map(|_| member(rng.random_range(0..6), rng.random())).collect();
+            let next = Members::listed(drawn);
+            match Members::between(&told, &next) {
+                Some(change) => change.apply(&mut known),
+                None => assert_eq!(told, next),
+            }
+            assert_eq!(known, next);
+            told = next;
+        }
+    }
+}
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -8,9 +8,11 @@
 pub mod ceiling;
 pub mod chain;
 pub mod config;
+pub mod fleet;
 pub mod messages;
 pub mod purges;
 pub mod registry;
+pub mod subset;
 
 /// Milliseconds on the caller's steady clock.
 pub type Millis = u64;
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::chain;
+use crate::fleet;
 use crate::registry::Entry;
 
 /// Longest frame: a configuration of many hundred routes, and room.
@@ -62,19 +63,6 @@
     pub warmup_left_ms: u64,
 }
 
-/// All servers and shields.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Fleet {
-    /// The sender has heard of all there are: who is absent is gone. Otherwise it only adds.
-    pub complete: bool,
-    pub servers: Vec<Server>,
-    pub shields: Vec<Member>,
-    /// How many edges there are.
-    pub edges: u32,
-    /// How many core machines there are by rights, each with a shield.
-    pub cores: u32,
-}
-
 /// What copies a purge ends.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Purge {
@@ -102,7 +90,7 @@
         rev: u64,
         document: Arc<Vec<u8>>,
     },
-    Fleet(Fleet),
+    Fleet(fleet::Told),
     Purges(Vec<Aged>),
     /// Whether the link to control stands: without it purges may be missed, and copies can't be vouched for.
     InTouch(bool),
@@ -126,8 +114,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Peer {
     Chain(chain::Message),
-    /// The members whose sessions stand at the sender, all of them.
-    Sessions(Vec<Member>),
+    /// The members whose sessions stand at the sender.
+    Sessions(fleet::Members),
     /// What servers have told; `age_ms` since the sender heard of each.
     Servers(Vec<(Entry, u64)>),
     /// The same, and the sender waits for the word that it is pushed on.
