Edges keep to a subset of the servers, and don't trust an idle connection with a whole request

More reuse alone would lose more writes where servers forget idle connections. After 100 ms of rest a request is held short of its last byte for two ways there and back: a forgotten connection is reset by then, and what was never whole goes out again.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -263,7 +263,8 @@
         let first = known.take_fleet(control.whole()).unwrap().expect("all of it");
         assert!(matches!(first, Told::Whole { .. }));
         proxy.take(first).unwrap();
-        let told = control.become_next(fleet(true, vec![server("b", 2, false), server("c", 3, true)])).unwrap();
+        let told =
+            control.become_next(fleet(true, vec![server("b", 2, false), server("c", 3, true)])).unwrap();
         proxy.take(known.take_fleet(told).unwrap().expect("a change")).unwrap();
         assert_eq!(proxy.fleet(), control.fleet());
         // Another control node, which has just started and counts from the beginning, tells nothing new.
--- a/glenfall/src/demo.rs
+++ b/glenfall/src/demo.rs
@@ -20,7 +20,7 @@
 
 use crate::local::{Layout, Local};
 use crate::ops::{self, Controls};
-use crate::pool::{Pool, Reply};
+use crate::pool::{Pool, Reply, Trust};
 use crate::serve::{self, plain, Answer, Handler, Whole};
 
 /// Each step of the demo comes true within this time, also on a busy machine.
@@ -156,7 +156,7 @@
                     request
                 };
                 let until = Instant::now() + Duration::from_secs(1);
-                let reply = pool.exchange((*control).into(), request, until, || true).await;
+                let reply = pool.exchange((*control).into(), request, until, Trust::Ours, || true).await;
                 if reply.is_ok_and(|reply| reply.status.is_success()) {
                     break;
                 }
@@ -226,7 +226,7 @@
         request
     };
     let until = Instant::now() + Duration::from_secs(3);
-    let reply = Pool::new(8).exchange(edge.into(), request, until, || true).await.ok()?;
+    let reply = Pool::new(8).exchange(edge.into(), request, until, Trust::Ours, || true).await.ok()?;
     (reply.status == StatusCode::OK && reply.headers.contains_key("x-glenfall-seal")).then_some(reply)
 }
 
--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -20,7 +20,7 @@
 use crate::counter::Counter;
 use crate::limit::Limits;
 use crate::origins::{End, Origins};
-use crate::pool::{Pool, Reply, Trouble};
+use crate::pool::{Pool, Reply, Trouble, Trust};
 use crate::serve::{DEADLINE, TRY_ID};
 
 const WANT_SERVER: HeaderName = HeaderName::from_static("x-glenfall-want-server");
@@ -130,7 +130,9 @@
 
     /// Takes the servers and the size of a fleet.
     pub fn update(&self, fleet: &Fleet) {
-        for addr in self.origins.update(&fleet.servers) {
+        // What a shield asks of servers has its own order.
+        let edges = if self.sharers == Proxy::Edge { &fleet.edges[..] } else { &[] };
+        for addr in self.origins.update(&fleet.servers, edges) {
             self.pool.forget(addr.into());
         }
         let machines = fleet.edges.len() + fleet.shields.len();
@@ -212,7 +214,8 @@
                 break;
             }
             turn = true;
-            let Some(server) = self.origins.choose(job.service, &tried) else { break };
+            let warm = |addr| self.pool.is_warm(addr);
+            let Some(server) = self.origins.choose(job.service, &tried, warm) else { break };
             tried.push(server.id.clone());
             if Instant::now() >= job.until || (job.again || sends > 0) && !self.may_repeat(job.service) {
                 break;
@@ -234,7 +237,7 @@
             };
             let in_flight = self.origins.begin(&server.id);
             let still = || self.origins.takes(&server.id);
-            let ended = self.pool.exchange(server.addr.into(), request, until, still).await;
+            let ended = self.pool.exchange(server.addr.into(), request, until, Trust::Wary, still).await;
             turn = matches!(ended, Err(Trouble::Unsent));
             match ended {
                 Ok(reply)
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -24,7 +24,7 @@
 use crate::direct::{Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
-use crate::pool::{Pool, Reply};
+use crate::pool::{Pool, Reply, Trust};
 use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
 use crate::shield::{object_draw, object_hash, AGAIN, REV, SHIELD};
 
@@ -253,7 +253,7 @@
             let sent = self.now();
             let ended = {
                 let _counted = InFlight::at(&self.shields, &shield);
-                self.direct.pool.exchange(addr, request, attempt, || true).await
+                self.direct.pool.exchange(addr, request, attempt, Trust::Ours, || true).await
             };
             let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
             self.shields.borrow_mut().heard(self.now(), &shield, sent, reply.is_none());
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -17,7 +17,7 @@
 use crate::control::backup::{Backup, BackupError};
 use crate::control::store::{self, StoreError};
 use crate::declare::{self, DeclareError, Declared, Difference};
-use crate::pool::{Pool, Reply};
+use crate::pool::{Pool, Reply, Trust};
 
 /// One call to a control node; it answers within a second or not at all.
 const CALL: Duration = Duration::from_millis(1500);
@@ -188,7 +188,7 @@
             }
             request
         };
-        match pool.exchange((*addr).into(), request, Instant::now() + CALL, || true).await {
+        match pool.exchange((*addr).into(), request, Instant::now() + CALL, Trust::Ours, || true).await {
             Ok(reply) if reply.status.is_success() => return Ok(reply),
             Ok(reply) if reply.status.is_client_error() => {
                 let body = String::from_utf8_lossy(&reply.body).into_owned();
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -2,10 +2,12 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
+use glenfall_plane::fleet::edge_mark;
 use glenfall_plane::messages::Server;
+use glenfall_plane::subset;
 use mallowpaddle::mix;
 use tokio::time::Instant;
 
@@ -19,6 +21,9 @@
 const COLD: f64 = 0.4;
 /// A server in another zone, for those whom its bytes cost: taken when those of the own zone are crowded.
 const FAR: f64 = 0.1;
+/// A server to which a connection lies idle takes so many times as much: a new one costs the way there and back, and
+/// may hold a place at the server.
+const WARM: f64 = 4.0;
 
 struct Known {
     server: Server,
@@ -27,6 +32,15 @@
     /// Smoothed answer time in seconds, 0 while unknown.
     time: f64,
     rests_until: Instant,
+    /// One of this machine's subset of the servers of its service.
+    own: bool,
+}
+
+/// What the subsets follow from: the edges, and the names and places of a service's servers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Basis {
+    edges: Vec<u64>,
+    servers: Vec<(String, u32)>,
 }
 
 /// Where a request may go.
@@ -49,19 +63,25 @@
     zone: String,
     /// Prefers servers of its own zone: what it fetches is large.
     near: bool,
+    /// What this machine is among the edges.
+    mark: u64,
     known: RefCell<BTreeMap<String, Known>>,
+    /// By service, what the subsets were last worked out from.
+    bases: RefCell<BTreeMap<String, Basis>>,
     rng: RefCell<u64>,
 }
 
 impl Origins {
     /// `node` is the name of this machine: each draws in an order of its own, the same one every time.
     pub fn new(zone: &str, near: bool, node: &str) -> Self {
-        let seed = node.bytes().fold(0, |hash, byte| mix(hash ^ u64::from(byte)));
-        Origins { zone: zone.to_owned(), near, known: RefCell::default(), rng: RefCell::new(seed) }
+        let mark = edge_mark(node);
+        let zone = zone.to_owned();
+        let (known, bases) = (RefCell::default(), RefCell::default());
+        Origins { zone, near, mark, known, bases, rng: RefCell::new(mark) }
     }
 
-    /// Takes the servers of a fleet; returns the addresses that take nothing more.
-    pub fn update(&self, servers: &[Server]) -> Vec<SocketAddrV4> {
+    /// Takes the servers of a fleet and the edges that share them; returns the addresses that take nothing more.
+    pub fn update(&self, servers: &[Server], edges: &[u64]) -> Vec<SocketAddrV4> {
         let now = Instant::now();
         let mut known = self.known.borrow_mut();
         let mut closed: Vec<SocketAddrV4> =
@@ -69,23 +89,69 @@
         known.retain(|id, _| servers.iter().any(|server| server.id == *id));
         for server in servers {
             let warm_at = now + Duration::from_millis(server.warmup_left_ms);
-            let fresh =
-                || Known { server: server.clone(), warm_at, in_flight: 0, time: 0.0, rests_until: now };
+            let fresh = || Known {
+                server: server.clone(),
+                warm_at,
+                in_flight: 0,
+                time: 0.0,
+                rests_until: now,
+                own: true,
+            };
             let k = known.entry(server.id.clone()).or_insert_with(fresh);
-            (k.server, k.warm_at) = (server.clone(), warm_at);
+            // How warm it is was told when it came or changed, and runs off since.
+            if k.server != *server {
+                (k.server, k.warm_at) = (server.clone(), warm_at);
+            }
         }
+        self.divide(&mut known, edges);
         closed.retain(|addr| !known.values().any(|k| k.server.ready && k.server.addr == *addr));
         closed
     }
 
-    /// A server of the service that takes requests, none of those `tried`.
-    pub fn choose(&self, service: &str, tried: &[String]) -> Option<Chosen> {
+    /// Works out this machine's subset of each service whose servers or sharers are others now.
+    fn divide(&self, known: &mut BTreeMap<String, Known>, edges: &[u64]) {
+        let mut bases: BTreeMap<String, Basis> = BTreeMap::new();
+        for (id, k) in known.iter().filter(|(_, k)| k.server.ready) {
+            let basis = bases.entry(k.server.backend.clone()).or_default();
+            basis.servers.push((id.clone(), k.server.capacity));
+        }
+        let mut old = self.bases.borrow_mut();
+        for (service, basis) in &mut bases {
+            basis.edges = edges.to_vec();
+            if old.get(service) == Some(basis) {
+                continue;
+            }
+            let servers: Vec<(&str, u32)> =
+                basis.servers.iter().map(|(id, places)| (&id[..], *places)).collect();
+            // Control may not have heard of this machine yet: it takes any of them until then.
+            let own = subset::subsets(edges, &servers).remove(&self.mark);
+            for (at, (id, _)) in servers.iter().enumerate() {
+                if let Some(k) = known.get_mut(*id) {
+                    k.own = own.as_ref().is_none_or(|own| own.contains(&at));
+                }
+            }
+        }
+        *old = bases;
+    }
+
+    /// A server of the service that takes requests, none of those `tried`: one of this machine's subset where one of
+    /// them has room. `warm` says whether a connection to a server lies idle.
+    pub fn choose(
+        &self,
+        service: &str,
+        tried: &[String],
+        warm: impl Fn(SocketAddr) -> bool,
+    ) -> Option<Chosen> {
         let now = Instant::now();
         let known = self.known.borrow();
-        let open: Vec<&Known> = known
+        let mut open: Vec<&Known> = known
             .values()
             .filter(|k| k.server.ready && k.server.backend == service && !tried.contains(&k.server.id))
             .collect();
+        let has_room = |k: &&Known| k.rests_until <= now && k.in_flight < k.server.capacity.max(1);
+        if open.iter().any(|k| k.own && has_room(k)) {
+            open.retain(|k| k.own);
+        }
         // Where all rest, each is as good as the next.
         let awake = open.iter().any(|k| k.rests_until <= now);
         let usual = {
@@ -104,9 +170,10 @@
             let room = 1.0 / (1.0 + f64::from(k.in_flight) * 4.0 / f64::from(k.server.capacity.max(1)));
             let cold = if k.warm_at > now { COLD } else { 1.0 };
             let far = if self.near && k.server.zone != self.zone { FAR } else { 1.0 };
+            let warm = if warm(k.server.addr.into()) { WARM } else { 1.0 };
             // Squared: faster and emptier servers take more than their share of what others would queue.
-            (f64::from(k.server.capacity.max(1)) * room * room * cold * far * (usual / time).powi(2))
-                .max(1e-9)
+            let weight = f64::from(k.server.capacity.max(1)) * room * room * (usual / time).powi(2);
+            (weight * cold * far * warm).max(1e-9)
         };
         let weights: Vec<f64> = open.iter().map(|k| weigh(k)).collect();
         let mut left = self.draw() * weights.iter().sum::<f64>();
@@ -177,3 +244,92 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    fn server(n: u16, ready: bool) -> Server {
+        Server {
+            id: format!("i-{n}"),
+            backend: "s".into(),
+            addr: SocketAddrV4::new([127, 0, 0, 1].into(), n),
+            zone: "z".into(),
+            capacity: 2,
+            ready,
+            warmup_left_ms: 0,
+        }
+    }
+
+    fn servers() -> Vec<Server> {
+        (1..=49).map(|n| server(n, true)).collect()
+    }
+
+    fn marks() -> Vec<u64> {
+        (0..90).map(|n| edge_mark(&format!("edge-{n}"))).collect()
+    }
+
+    fn drawn(origins: &Origins, warm: impl Fn(SocketAddr) -> bool) -> BTreeSet<String> {
+        (0..500).filter_map(|_| origins.choose("s", &[], &warm)).map(|chosen| chosen.id).collect()
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn an_edge_goes_to_its_subset_and_to_others_where_that_has_no_room() {
+        let origins = Origins::new("z", false, "edge-7");
+        origins.update(&servers(), &marks());
+        let own = drawn(&origins, |_| false);
+        assert_eq!(own.len(), subset::size(90, 49));
+        // Full by this edge's own requests, or resting: any of the others.
+        let own: Vec<String> = own.into_iter().collect();
+        let out: Vec<InFlight> = own.iter().flat_map(|id| [origins.begin(id), origins.begin(id)]).collect();
+        assert!(drawn(&origins, |_| false).len() > 40);
+        drop(out);
+        own.iter().for_each(|id| origins.begin(id).ended(End::Failed));
+        let others = drawn(&origins, |_| false);
+        assert!(others.len() == 49 - own.len() && others.is_disjoint(&own.iter().cloned().collect()));
+        tokio::time::advance(REST).await;
+        assert_eq!(drawn(&origins, |_| false).len(), own.len());
+        // One that was tried is out, and so is one that drains.
+        assert!(!own.contains(&origins.choose("s", &own, |_| false).expect("one of the others").id));
+        let first = own[0].clone();
+        let left: Vec<Server> = servers().into_iter().map(|s| Server { ready: s.id != first, ..s }).collect();
+        origins.update(&left, &marks());
+        assert!(!drawn(&origins, |_| false).contains(&first));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_machine_that_is_no_known_edge_goes_to_all() {
+        let origins = Origins::new("z", false, "shield-1");
+        origins.update(&servers(), &[]);
+        assert!(drawn(&origins, |_| false).len() > 45);
+        origins.update(&servers(), &marks());
+        assert!(drawn(&origins, |_| false).len() > 45);
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_server_with_an_idle_connection_is_preferred() {
+        let origins = Origins::new("z", false, "edge-7");
+        origins.update(&servers()[..4], &marks());
+        let warm: SocketAddr = servers()[0].addr.into();
+        let count = |id: &str| {
+            let chosen = (0..1000).filter_map(|_| origins.choose("s", &[], |addr| addr == warm));
+            chosen.filter(|chosen| chosen.id == id).count()
+        };
+        assert!((500..650).contains(&count("i-1")), "four of seven parts");
+        assert!((100..190).contains(&count("i-2")), "one of seven");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_server_warms_up_from_when_it_was_told_whatever_else_is_told() {
+        let origins = Origins::new("z", false, "edge-7");
+        let cold = Server { warmup_left_ms: 3000, ..server(1, true) };
+        let told = |origins: &Origins, others: &[Server]| {
+            origins.update(&[std::slice::from_ref(&cold), others].concat(), &[]);
+            origins.known.borrow()["i-1"].warm_at
+        };
+        let warm_at = told(&origins, &[]);
+        tokio::time::advance(Duration::from_secs(2)).await;
+        assert_eq!(told(&origins, &[server(2, true)]), warm_at);
+    }
+}
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -27,6 +27,8 @@
 const LARGEST: usize = 16 << 20;
 /// From its first byte an answer comes whole within this time, or it is spoilt.
 const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// No server forgets a connection that was in use as short a time ago as this.
+const SURE: Duration = Duration::from_millis(100);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -51,9 +53,20 @@
 
 struct Idle {
     connection: Connection,
+    since: Instant,
     until: Instant,
 }
 
+/// How far an idle connection is trusted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trust {
+    /// The other side is ours: it closes what it forgets.
+    Ours,
+    /// A server may have forgotten it without a word, and what is sent on it is lost: the end of the request waits
+    /// until that would have shown.
+    Wary,
+}
+
 /// All connections that one process opens.
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
@@ -85,12 +98,22 @@
         self.idle.borrow_mut().remove(&addr);
     }
 
-    fn take_idle(&self, addr: SocketAddr) -> Option<Connection> {
+    /// Whether there is an idle connection to a server.
+    pub fn is_warm(&self, addr: SocketAddr) -> bool {
+        let now = Instant::now();
+        let usable = |idle: &Idle| idle.until > now && !idle.connection.is_closed();
+        self.idle.borrow().get(&addr).is_some_and(|idle| idle.iter().any(usable))
+    }
+
+    fn take_idle(&self, addr: SocketAddr, trust: Trust) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let idle = idle.get_mut(&addr)?;
         let now = Instant::now();
         while let Some(last) = idle.pop() {
             if last.until > now && !last.connection.is_closed() {
+                if trust == Trust::Wary && now - last.since >= SURE {
+                    last.connection.be_wary();
+                }
                 return Some(last.connection);
             }
         }
@@ -116,10 +139,11 @@
         addr: SocketAddr,
         request: impl Fn() -> Request<Full<Bytes>>,
         until: Instant,
+        trust: Trust,
         still: impl Fn() -> bool,
     ) -> Result<Reply, Trouble> {
         loop {
-            let (mut connection, reused) = match self.take_idle(addr) {
+            let (mut connection, reused) = match self.take_idle(addr, trust) {
                 Some(connection) => (connection, true),
                 None => match timeout_at(until, self.connect(addr)).await {
                     Ok(Some(connection)) => (connection, false),
@@ -154,7 +178,8 @@
                 Ok((reply, kept)) => {
                     if let Some(kept) = kept {
                         if connection.is_free().await {
-                            let idle = Idle { connection, until: Instant::now() + kept };
+                            let since = Instant::now();
+                            let idle = Idle { connection, since, until: since + kept };
                             self.idle.borrow_mut().entry(addr).or_default().push(idle);
                         }
                     }
@@ -246,7 +271,7 @@
     }
 
     /// What two requests get, one after the other.
-    async fn two(answer: &'static str, unasked: &'static str) -> [Result<String, Trouble>; 2] {
+    async fn two(answer: &'static str, unasked: &'static str, trust: Trust) -> [Result<String, Trouble>; 2] {
         let (pool, addr) = (Pool::new(8), server(answer, unasked).await);
         let mut got = Vec::new();
         for _ in 0..2 {
@@ -255,7 +280,8 @@
                 *request.uri_mut() = Uri::from_static("/x");
                 request
             };
-            let ended = pool.exchange(addr, request, Instant::now() + Duration::from_secs(20), || true).await;
+            let ended =
+                pool.exchange(addr, request, Instant::now() + Duration::from_secs(20), trust, || true).await;
             got.push(ended.map(|reply| String::from_utf8_lossy(&reply.body).into_owned()));
             sleep(Duration::from_millis(150)).await;
         }
@@ -285,7 +311,66 @@
                 ("shorter than it says", shorter, "", [Err(Trouble::Unknown), ok("later")]),
                 ("no length", neither, "", [Err(Trouble::Unknown), ok("later")]),
             ] {
-                assert_eq!(two(answer, unasked).await, got, "{case}");
+                for trust in [Trust::Ours, Trust::Wary] {
+                    assert_eq!(two(answer, unasked, trust).await, got, "{case}, {trust:?}");
+                }
+            }
+        });
+    }
+
+    /// A server that forgets connections without a word: what comes after its first answer is reset, once a few bytes
+    /// of it are there. Counts the requests that reached it whole.
+    async fn forgetful(whole: Rc<Cell<u32>>) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("its address");
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let whole = Rc::clone(&whole);
+                spawn_local(async move {
+                    let mut heard = Vec::new();
+                    while !heard.ends_with(b"\r\n\r\nbody") {
+                        if stream.read_buf(&mut heard).await.is_ok_and(|n| n == 0) {
+                            return;
+                        }
+                    }
+                    whole.set(whole.get() + 1);
+                    let _ = stream.write_all(FIRST.as_bytes()).await;
+                    let mut more = [0; 4096];
+                    let read = stream.read(&mut more).await.unwrap_or(0);
+                    whole.set(whole.get() + u32::from(more[..read].ends_with(b"body")));
+                    // Without waiting for what is still to come.
+                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                });
+            }
+        });
+        addr
+    }
+
+    #[test]
+    fn a_request_on_a_forgotten_connection_goes_out_again_only_where_it_was_not_sent_whole() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            for (trust, got) in [
+                // The reset comes before the last byte goes.
+                (Trust::Wary, Ok("first".to_owned())),
+                // Sent whole at once, it may have run.
+                (Trust::Ours, Err(Trouble::Unknown)),
+            ] {
+                let whole = Rc::new(Cell::new(0));
+                let (pool, addr) = (Pool::new(8), forgetful(Rc::clone(&whole)).await);
+                let request = || {
+                    let mut request = Request::new(Full::new(Bytes::from_static(b"body")));
+                    *request.method_mut() = Method::POST;
+                    *request.uri_mut() = Uri::from_static("/x");
+                    request
+                };
+                let until = || Instant::now() + Duration::from_secs(20);
+                assert!(pool.exchange(addr, request, until(), trust, || true).await.is_ok());
+                assert!(pool.is_warm(addr));
+                sleep(SURE).await;
+                let second = pool.exchange(addr, request, until(), trust, || true).await;
+                let second = second.map(|reply| String::from_utf8_lossy(&reply.body).into_owned());
+                assert_eq!((second, whole.get()), (got, 2), "{trust:?}");
             }
         });
     }
--- a/http/src/connection.rs
+++ b/http/src/connection.rs
@@ -12,16 +12,25 @@
 use hyper::{Request, Response};
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::Instant;
 
 use crate::socket::{OpenSocket, Progress, Sent, Socket};
 
 /// A connection whose answer has been read whole is free at once; one that is not is of no further use.
 const SETTLE: Duration = Duration::from_millis(5);
+/// A reset of what is sent on a forgotten connection is back after one way there and back. Twice that, measured when
+/// the connection was opened, and what the two machines take to wake up; where it took long, the opening packet was
+/// lost or a machine was busy.
+const RESET_BACK: u32 = 2;
+const WAKE_UP: Duration = Duration::from_millis(1);
+const LONGEST_PAUSE: Duration = Duration::from_millis(20);
 
 /// An open connection. Dropping it closes it, whatever is out on it.
 pub struct Connection {
     pub addr: SocketAddr,
     pub progress: Rc<Progress>,
+    /// How long it took to open.
+    opened_in: Duration,
     sender: http1::SendRequest<Full<Bytes>>,
     driver: JoinHandle<()>,
 }
@@ -44,7 +53,9 @@
 impl Connection {
     /// Opens a connection; `None` where that fails. The caller bounds its time.
     pub async fn open(addr: SocketAddr, open: OpenSocket, longest_head: usize) -> Option<Self> {
+        let began = Instant::now();
         let stream = TcpStream::connect(addr).await.ok()?;
+        let opened_in = began.elapsed();
         stream.set_nodelay(true).ok()?;
         let (socket, progress) = Socket::new(stream, open);
         let mut builder = http1::Builder::new();
@@ -53,7 +64,7 @@
             // How it ended shows in the answers of `sender`.
             let _ = driving.await;
         });
-        Some(Connection { addr, progress, sender, driver })
+        Some(Connection { addr, progress, opened_in, sender, driver })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -71,6 +82,12 @@
         }
     }
 
+    /// The next request is held short of its last byte until a server that has forgotten this connection would have
+    /// reset it: it then has certainly not run, and may go elsewhere.
+    pub fn be_wary(&self) {
+        self.progress.be_wary((self.opened_in * RESET_BACK + WAKE_UP).min(LONGEST_PAUSE));
+    }
+
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
--- a/http/src/socket.rs
+++ b/http/src/socket.rs
@@ -40,7 +40,12 @@
 
 impl Progress {
     fn new() -> Self {
-        Progress { written: Cell::new(Written::Nothing), read: Notify::new(), informed: Arc::default(), wary: Cell::new(None) }
+        Progress {
+            written: Cell::new(Written::Nothing),
+            read: Notify::new(),
+            informed: Arc::default(),
+            wary: Cell::new(None),
+        }
     }
 
     /// Ends when an answer has begun and has then had so long to come whole. What a server does after its
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall::pool::{Pool, Reply, Trouble};
+use glenfall::pool::{Pool, Reply, Trouble, Trust};
 use glenfall::serve::{DEADLINE, TRY_ID};
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
@@ -172,7 +172,7 @@
             }
             request
         };
-        self.pool.exchange(edge.into(), request, until, || true).await
+        self.pool.exchange(edge.into(), request, until, Trust::Ours, || true).await
     }
 
     /// Objects that change, each with its purge.
--- a/lab/src/origin.rs
+++ b/lab/src/origin.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use glenfall::ops::Controls;
-use glenfall::pool::Pool;
+use glenfall::pool::{Pool, Trust};
 use glenfall::serve::{self, plain, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
 use glenfall_plane::config::ReqLimits;
 use http_body_util::Full;
@@ -245,7 +245,8 @@
             request.headers_mut().insert(header::HOST, HeaderValue::from_static("control"));
             request
         };
-        let reply = pool.exchange((*control).into(), request, Instant::now() + CALL, || true).await;
+        let reply =
+            pool.exchange((*control).into(), request, Instant::now() + CALL, Trust::Ours, || true).await;
         if reply.is_ok_and(|reply| reply.status.is_success()) {
             return true;
         }
--- a/plane/src/subset.rs
+++ b/plane/src/subset.rs
@@ -134,7 +134,8 @@
         let places: usize = before.values().map(Vec::len).sum();
         let moved = |after: &BTreeMap<u64, Vec<String>>| {
             let stays = |edge: &u64, server: &String| after.get(edge).is_some_and(|s| s.contains(server));
-            let gone = before.iter().flat_map(|(edge, subset)| subset.iter().filter(move |s| !stays(edge, s)));
+            let gone =
+                before.iter().flat_map(|(edge, subset)| subset.iter().filter(move |s| !stays(edge, s)));
             gone.count() as f64 / places as f64
         };
         let (mut by_server, mut by_edge) = (Vec::new(), Vec::new());
