A server that fails requests draws fewer of them, however fast it fails

Change: the part of its requests that a server failed of late cuts its weight, half of it is forgiven in 4 s, and errors don't count as answer times. Origins is told the time, as the other decisions are.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -132,7 +132,7 @@
     pub fn update(&self, fleet: &Fleet) {
         // What a shield asks of servers has its own order.
         let edges = if self.sharers == Proxy::Edge { &fleet.edges[..] } else { &[] };
-        for addr in self.origins.update(&fleet.servers, edges) {
+        for addr in self.origins.update(Instant::now(), &fleet.servers, edges) {
             self.pool.forget(addr.into());
         }
         let machines = fleet.edges.len() + fleet.shields.len();
@@ -215,7 +215,7 @@
             }
             turn = true;
             let warm = |addr| self.pool.is_warm(addr);
-            let Some(server) = self.origins.choose(job.service, &tried, warm) else { break };
+            let Some(server) = self.origins.choose(Instant::now(), job.service, &tried, warm) else { break };
             tried.push(server.id.clone());
             if Instant::now() >= job.until || (job.again || sends > 0) && !self.may_repeat(job.service) {
                 break;
@@ -270,9 +270,9 @@
                     }
                 }
                 Ok(reply) => {
-                    in_flight.ended(End::Answered);
-                    sends += 1;
                     let failure = reply.status.is_server_error();
+                    in_flight.ended(if failure { End::Erred } else { End::Answered });
+                    sends += 1;
                     fallback = Outcome::Answered(reply);
                     if !(failure && more) {
                         break;
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -20,7 +20,7 @@
 mod link;
 pub mod local;
 pub mod ops;
-mod origins;
+pub mod origins;
 mod pace;
 pub mod pool;
 pub mod serve;
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -1,4 +1,4 @@
-//! The servers as one process sees them, and the choice among those of a service.
+//! The servers as one process sees them, and the choice among those of a service. Callers say what time it is.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -24,6 +24,12 @@
 /// A server to which a connection lies idle takes so many times as much: a new one costs the way there and back, and
 /// may hold a place at the server.
 const WARM: f64 = 4.0;
+/// Weight of a request's end in the part that a server fails, and the time after which half of what is held against
+/// it is forgotten: it is tried again then, by few requests.
+const BLAME: f64 = 0.3;
+const FORGIVEN: Duration = Duration::from_secs(4);
+/// How steeply a server that fails requests falls behind the others: one that fails a third of them gets a fifth.
+const SHY: i32 = 4;
 
 struct Known {
     server: Server,
@@ -32,10 +38,20 @@
     /// Smoothed answer time in seconds, 0 while unknown.
     time: f64,
     rests_until: Instant,
+    /// Part of the requests that it failed of late, as it was at `blamed`.
+    failing: f64,
+    blamed: Instant,
     /// One of this machine's subset of the servers of its service.
     own: bool,
 }
 
+impl Known {
+    fn failing_at(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.blamed).as_secs_f64();
+        self.failing * 0.5f64.powf(passed / FORGIVEN.as_secs_f64())
+    }
+}
+
 /// What the subsets follow from: the edges, and the names and places of a service's servers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct Basis {
@@ -54,6 +70,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
     Answered,
+    /// Answered with an error of its own. That says nothing of its speed: a server that fails all may do so at once.
+    Erred,
     /// Turned away: full, or not the one that was meant.
     TurnedAway,
     Failed,
@@ -81,8 +99,7 @@
     }
 
     /// Takes the servers of a fleet and the edges that share them; returns the addresses that take nothing more.
-    pub fn update(&self, servers: &[Server], edges: &[u64]) -> Vec<SocketAddrV4> {
-        let now = Instant::now();
+    pub fn update(&self, now: Instant, servers: &[Server], edges: &[u64]) -> Vec<SocketAddrV4> {
         let mut known = self.known.borrow_mut();
         let mut closed: Vec<SocketAddrV4> =
             known.values().filter(|k| k.server.ready).map(|k| k.server.addr).collect();
@@ -95,6 +112,8 @@
                 in_flight: 0,
                 time: 0.0,
                 rests_until: now,
+                failing: 0.0,
+                blamed: now,
                 own: true,
             };
             let k = known.entry(server.id.clone()).or_insert_with(fresh);
@@ -138,11 +157,11 @@
     /// them has room. `warm` says whether a connection to a server lies idle.
     pub fn choose(
         &self,
+        now: Instant,
         service: &str,
         tried: &[String],
         warm: impl Fn(SocketAddr) -> bool,
     ) -> Option<Chosen> {
-        let now = Instant::now();
         let known = self.known.borrow();
         let mut open: Vec<&Known> = known
             .values()
@@ -173,7 +192,8 @@
             let warm = if warm(k.server.addr.into()) { WARM } else { 1.0 };
             // Squared: faster and emptier servers take more than their share of what others would queue.
             let weight = f64::from(k.server.capacity.max(1)) * room * room * (usual / time).powi(2);
-            (weight * cold * far * warm).max(1e-9)
+            let well = (1.0 - k.failing_at(now)).powi(SHY);
+            (weight * well * cold * far * warm).max(1e-9)
         };
         let weights: Vec<f64> = open.iter().map(|k| weigh(k)).collect();
         let mut left = self.draw() * weights.iter().sum::<f64>();
@@ -205,11 +225,47 @@
         self.known.borrow().values().map(|k| k.in_flight).sum()
     }
 
-    /// A request goes to a server. It is counted there until what this gives is dropped.
-    pub fn begin<'a>(&'a self, id: &'a str) -> InFlight<'a> {
+    /// A request goes to a server.
+    pub fn enter(&self, id: &str) {
         if let Some(k) = self.known.borrow_mut().get_mut(id) {
             k.in_flight += 1;
         }
+    }
+
+    /// It is there no longer.
+    pub fn exit(&self, id: &str) {
+        if let Some(k) = self.known.borrow_mut().get_mut(id) {
+            k.in_flight = k.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// How a request ended at a server, and how long that took.
+    pub fn heard(&self, now: Instant, id: &str, end: End, took: Duration) {
+        let mut known = self.known.borrow_mut();
+        let Some(k) = known.get_mut(id) else { return };
+        let failed = match end {
+            End::Answered => Some(0.0),
+            End::Erred | End::Failed => Some(1.0),
+            End::TurnedAway => None,
+        };
+        if let Some(failed) = failed {
+            let before = k.failing_at(now);
+            (k.failing, k.blamed) = (before + BLAME * (failed - before), now);
+        }
+        match end {
+            End::Erred => {}
+            End::Answered => {
+                let took = took.as_secs_f64();
+                k.time = if k.time > 0.0 { k.time + SMOOTH * (took - k.time) } else { took };
+            }
+            End::TurnedAway => k.rests_until = now + FULL,
+            End::Failed => k.rests_until = now + REST,
+        }
+    }
+
+    /// A request goes to a server. It is counted there until what this gives is dropped.
+    pub fn begin<'a>(&'a self, id: &'a str) -> InFlight<'a> {
+        self.enter(id);
         InFlight { origins: self, id, began: Instant::now() }
     }
 }
@@ -224,24 +280,13 @@
 impl InFlight<'_> {
     pub fn ended(self, end: End) {
         let now = Instant::now();
-        if let Some(k) = self.origins.known.borrow_mut().get_mut(self.id) {
-            match end {
-                End::Answered => {
-                    let took = now.duration_since(self.began).as_secs_f64();
-                    k.time = if k.time > 0.0 { k.time + SMOOTH * (took - k.time) } else { took };
-                }
-                End::TurnedAway => k.rests_until = now + FULL,
-                End::Failed => k.rests_until = now + REST,
-            }
-        }
+        self.origins.heard(now, self.id, end, now - self.began);
     }
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
-        if let Some(k) = self.origins.known.borrow_mut().get_mut(self.id) {
-            k.in_flight = k.in_flight.saturating_sub(1);
-        }
+        self.origins.exit(self.id);
     }
 }
 
@@ -271,13 +316,16 @@
     }
 
     fn drawn(origins: &Origins, warm: impl Fn(SocketAddr) -> bool) -> BTreeSet<String> {
-        (0..500).filter_map(|_| origins.choose("s", &[], &warm)).map(|chosen| chosen.id).collect()
+        (0..500)
+            .filter_map(|_| origins.choose(Instant::now(), "s", &[], &warm))
+            .map(|chosen| chosen.id)
+            .collect()
     }
 
     #[tokio::test(start_paused = true)]
     async fn an_edge_goes_to_its_subset_and_to_others_where_that_has_no_room() {
         let origins = Origins::new("z", false, "edge-7");
-        origins.update(&servers(), &marks());
+        origins.update(Instant::now(), &servers(), &marks());
         let own = drawn(&origins, |_| false);
         assert_eq!(own.len(), subset::size(90, 49));
         // Full by this edge's own requests, or resting: any of the others.
@@ -291,41 +339,70 @@
         tokio::time::advance(REST).await;
         assert_eq!(drawn(&origins, |_| false).len(), own.len());
         // One that was tried is out, and so is one that drains.
-        assert!(!own.contains(&origins.choose("s", &own, |_| false).expect("one of the others").id));
+        assert!(!own
+            .contains(&origins.choose(Instant::now(), "s", &own, |_| false).expect("one of the others").id));
         let first = own[0].clone();
         let left: Vec<Server> = servers().into_iter().map(|s| Server { ready: s.id != first, ..s }).collect();
-        origins.update(&left, &marks());
+        origins.update(Instant::now(), &left, &marks());
         assert!(!drawn(&origins, |_| false).contains(&first));
     }
 
     #[tokio::test(start_paused = true)]
     async fn a_machine_that_is_no_known_edge_goes_to_all() {
         let origins = Origins::new("z", false, "shield-1");
-        origins.update(&servers(), &[]);
+        origins.update(Instant::now(), &servers(), &[]);
         assert!(drawn(&origins, |_| false).len() > 45);
-        origins.update(&servers(), &marks());
+        origins.update(Instant::now(), &servers(), &marks());
         assert!(drawn(&origins, |_| false).len() > 45);
     }
 
     #[tokio::test(start_paused = true)]
     async fn a_server_with_an_idle_connection_is_preferred() {
         let origins = Origins::new("z", false, "edge-7");
-        origins.update(&servers()[..4], &marks());
+        origins.update(Instant::now(), &servers()[..4], &marks());
         let warm: SocketAddr = servers()[0].addr.into();
         let count = |id: &str| {
-            let chosen = (0..1000).filter_map(|_| origins.choose("s", &[], |addr| addr == warm));
+            let chosen =
+                (0..1000).filter_map(|_| origins.choose(Instant::now(), "s", &[], |addr| addr == warm));
             chosen.filter(|chosen| chosen.id == id).count()
         };
         assert!((500..650).contains(&count("i-1")), "four of seven parts");
         assert!((100..190).contains(&count("i-2")), "one of seven");
     }
 
+    /// How many of 300 requests, one each 30 ms, go to a server that fails all, each in a millisecond, from the
+    /// first on; the others take 30.
+    async fn at_the_failing_one(origins: &Origins, how: End) -> usize {
+        let mut count = 0;
+        for _ in 0..300 {
+            let chosen = origins.choose(Instant::now(), "s", &[], |_| false).expect("one of them");
+            let (ill, began) = (chosen.id == "i-1", origins.begin(&chosen.id));
+            tokio::time::advance(Duration::from_millis(if ill { 1 } else { 30 })).await;
+            began.ended(if ill { how } else { End::Answered });
+            tokio::time::advance(Duration::from_millis(if ill { 29 } else { 0 })).await;
+            count += usize::from(ill);
+        }
+        count
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_server_that_fails_at_once_draws_no_requests_but_for_a_trial_now_and_then() {
+        let origins = Origins::new("z", false, "edge-7");
+        origins.update(Instant::now(), &servers()[..4], &marks());
+        // It fails for 9 s; the time in which half is forgiven is 4 s.
+        let erred = at_the_failing_one(&origins, End::Erred).await;
+        assert!((2..12).contains(&erred), "{erred} of 300");
+        // Well again, it has its part back before long.
+        let recovered = at_the_failing_one(&origins, End::Answered).await;
+        assert!(recovered > 60, "{recovered} of 300");
+    }
+
     #[tokio::test(start_paused = true)]
     async fn a_server_warms_up_from_when_it_was_told_whatever_else_is_told() {
         let origins = Origins::new("z", false, "edge-7");
         let cold = Server { warmup_left_ms: 3000, ..server(1, true) };
         let told = |origins: &Origins, others: &[Server]| {
-            origins.update(&[std::slice::from_ref(&cold), others].concat(), &[]);
+            origins.update(Instant::now(), &[std::slice::from_ref(&cold), others].concat(), &[]);
             origins.known.borrow()["i-1"].warm_at
         };
         let warm_at = told(&origins, &[]);
