glenfall-lab plays the decisions of fleets of up to 5,000 edges without sockets

Cause: what grows with the number of edges could only be read from the code or seen at one size. Change: glenfall-lab fleet PLAN plays control's telling, the choice among servers with connections emulated, and shields under a ceiling, with the state machines of the system and virtual time, and writes a table and a plot of growth.

--- /dev/null
+++ b/lab/src/fleet/mod.rs
@@ -0,0 +1,281 @@
+//! A fleet of any size in one process: the same state machines and decisions as in the system's processes, without
+//! sockets, under virtual time. Tells what grows with the number of edges: what control says, how edges go to
+//! servers, what reaches an origin under its ceiling.
+
+mod reads;
+mod telling;
+mod writes;
+
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::plan::PlanError;
+use crate::plot::PlotError;
+
+/// Edges that a plan may ask for: a session is a line in a table, and a minute is long enough.
+const MOST_EDGES: u32 = 5000;
+
+/// What grows, and by what. Rates are those of one edge, so that load grows with the fleet.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct FleetPlan {
+    /// Numbers of edges that are played, each by itself.
+    pub sizes: Vec<u32>,
+    /// Virtual seconds of requests.
+    pub seconds: f64,
+    pub seed: u64,
+    /// Control nodes, each with a shield beside it; they don't grow with the edges.
+    pub cores: u8,
+    pub writes: WritePlan,
+    pub reads: ReadPlan,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct WritePlan {
+    pub per_s: f64,
+    /// Servers for each edge.
+    pub servers: f64,
+    pub slots: u32,
+    pub queue: u32,
+    pub work_ms: f64,
+    /// Spread of the logarithm of the work.
+    pub spread: f64,
+    /// How long an edge keeps an idle connection, and how many a server accepts.
+    pub keep_s: f64,
+    pub max_conns: u32,
+    /// How often servers call control.
+    pub beat_ms: u64,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReadPlan {
+    pub per_s: f64,
+    /// Objects, whatever the size, and the exponent of the Zipf law that prefers the first.
+    pub objects: u32,
+    pub skew: f64,
+    pub max_age_s: f64,
+    /// What the origin takes a second for each edge.
+    pub rate_per_s: f64,
+}
+
+impl FleetPlan {
+    pub fn load(path: &Path) -> Result<Self, PlanError> {
+        let text =
+            std::fs::read_to_string(path).map_err(|what| PlanError::File { path: path.to_owned(), what })?;
+        let wrong = |what: String| PlanError::Wrong { path: path.to_owned(), what };
+        let plan: FleetPlan = toml::from_str(&text).map_err(|e| wrong(e.to_string()))?;
+        plan.check().map_err(wrong)?;
+        Ok(plan)
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let positive = [
+            ("seconds", self.seconds),
+            ("writes.per_s", self.writes.per_s),
+            ("writes.servers", self.writes.servers),
+            ("writes.work_ms", self.writes.work_ms),
+            ("writes.keep_s", self.writes.keep_s),
+            ("reads.per_s", self.reads.per_s),
+            ("reads.max_age_s", self.reads.max_age_s),
+            ("reads.rate_per_s", self.reads.rate_per_s),
+        ];
+        if let Some((name, _)) = positive.iter().find(|(_, value)| !(*value > 0.0 && value.is_finite())) {
+            return Err(format!("{name}: a figure above 0 expected"));
+        }
+        if self.sizes.is_empty() || self.sizes.iter().any(|size| !(1..=MOST_EDGES).contains(size)) {
+            return Err(format!("sizes: numbers from 1 to {MOST_EDGES} expected"));
+        }
+        let counts = [
+            ("cores", u32::from(self.cores)),
+            ("writes.slots", self.writes.slots),
+            ("writes.max_conns", self.writes.max_conns),
+            ("writes.beat_ms", self.writes.beat_ms.min(u64::from(u32::MAX)) as u32),
+            ("reads.objects", self.reads.objects),
+        ];
+        match counts.iter().find(|(_, count)| *count == 0) {
+            Some((name, _)) => Err(format!("{name}: at least 1 expected")),
+            None if !(0.0..4.0).contains(&self.writes.spread) || !(0.0..4.0).contains(&self.reads.skew) => {
+                Err("writes.spread, reads.skew: from 0 to 4 expected".into())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn servers(&self, edges: u32) -> u32 {
+        (f64::from(edges) * self.writes.servers).round().max(1.0) as u32
+    }
+}
+
+/// What was found at one size.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Found {
+    pub edges: u32,
+    pub servers: u32,
+    pub telling: Vec<telling::Phase>,
+    pub writes: writes::Writes,
+    pub reads: reads::Reads,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetReport {
+    pub sizes: Vec<Found>,
+}
+
+/// Plays all sizes, each in a thread of its own.
+pub fn play(plan: &FleetPlan) -> std::io::Result<FleetReport> {
+    let one = |edges: u32| Found {
+        edges,
+        servers: plan.servers(edges),
+        telling: telling::play(plan, edges),
+        writes: writes::play(plan, edges),
+        reads: reads::play(plan, edges),
+    };
+    let found = std::thread::scope(|scope| {
+        let threads: Vec<_> = plan.sizes.iter().map(|edges| scope.spawn(move || one(*edges))).collect();
+        let broken = |_| std::io::Error::other("a size could not be played");
+        threads.into_iter().map(|thread| thread.join().map_err(broken)).collect::<Result<_, _>>()
+    });
+    Ok(FleetReport { sizes: found? })
+}
+
+/// Rows of the report: a name, and its figure at a size.
+type Row = (String, fn(&Found) -> f64);
+
+fn rows() -> Vec<Row> {
+    vec![
+        ("connections opened for each write".into(), |f| f.writes.opened_per_write),
+        ("connections at a server at once, most".into(), |f| f64::from(f.writes.most_at_a_server)),
+        ("beyond what a server accepts".into(), |f| f.writes.over_cap as f64),
+        ("writes a server has, busiest over mean".into(), |f| f.writes.busiest),
+        ("writes turned away by a server, part".into(), |f| f.writes.turned_away),
+        ("writes not served, part".into(), |f| f.writes.not_served),
+        ("subsets, most over mean servers".into(), |f| f.writes.subset_most),
+        ("reads refused under the ceiling, part".into(), |f| f.reads.refused),
+        ("origin requests for each read".into(), |f| f.reads.fetched),
+        ("most in a window over what is allowed".into(), |f| f.reads.most_over_allowed),
+        ("reads a shield has, busiest over mean".into(), |f| f.reads.busiest),
+    ]
+}
+
+impl FleetReport {
+    pub fn markdown(&self) -> String {
+        let line = |name: &str, cells: Vec<String>| format!("| {name} | {} |\n", cells.join(" | "));
+        let each = |name: &str, figure: &dyn Fn(&Found) -> String| {
+            line(name, self.sizes.iter().map(figure).collect())
+        };
+        let mut text = each("edges", &|f| f.edges.to_string());
+        text += &line("---", vec!["---".to_owned(); self.sizes.len()]);
+        text += &each("servers", &|f| f.servers.to_string());
+        for (name, figure) in rows() {
+            text += &each(&name, &|f| format!("{:.3}", figure(f)));
+        }
+        let phases = self.sizes.first().map_or(0, |found| found.telling.len());
+        for at in 0..phases {
+            let name = &self.sizes[0].telling[at].name;
+            let told = |f: &Found| f.telling[at].clone();
+            text += &each(&format!("{name}: messages to each edge"), &|f| format!("{:.1}", told(f).to_edge));
+            text +=
+                &each(&format!("{name}: bytes to each edge"), &|f| format!("{:.0}", told(f).bytes_to_edge));
+            text += &each(&format!("{name}: the same, told whole each time"), &|f| {
+                format!("{:.0}", told(f).whole_bytes_to_edge)
+            });
+            text += &each(&format!("{name}: bytes between control nodes"), &|f| {
+                format!("{}", told(f).bytes_between_controls)
+            });
+        }
+        text
+    }
+
+    /// Draws how figures grow with the number of edges, each against its value at the smallest size.
+    pub fn draw(&self, path: &Path) -> Result<(), PlotError> {
+        let wrong = |e: &dyn std::fmt::Display| PlotError::new(e);
+        let roll = |f: &Found, whole: bool| {
+            f.telling.last().map_or(0.0, |p| if whole { p.whole_bytes_to_edge } else { p.bytes_to_edge })
+        };
+        type Line<'a> = (&'a str, RGBColor, Box<dyn Fn(&Found) -> f64 + 'a>);
+        let lines: [Line; 4] = [
+            ("connections for each write", BLACK, Box::new(|f| f.writes.opened_per_write)),
+            ("most connections at a server", BLUE, Box::new(|f| f64::from(f.writes.most_at_a_server))),
+            ("bytes to an edge at a roll", GREEN, Box::new(move |f| roll(f, false))),
+            ("the same, told whole", RED, Box::new(move |f| roll(f, true))),
+        ];
+        let points = |figure: &dyn Fn(&Found) -> f64| -> Vec<(f64, f64)> {
+            let first = self.sizes.first().map_or(1.0, figure).max(1e-9);
+            self.sizes.iter().map(|f| (f64::from(f.edges), (figure(f) / first).max(1e-3))).collect()
+        };
+        let all: Vec<(f64, f64)> = lines.iter().flat_map(|(_, _, figure)| points(figure)).collect();
+        let most = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(1.0, f64::max);
+        let least = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(f64::MAX, f64::min);
+        let (xs, ys) = (least(|p| p.0)..most(|p| p.0) * 1.2, least(|p| p.1) * 0.8..most(|p| p.1) * 1.2);
+        let area = SVGBackend::new(path, (960, 420)).into_drawing_area();
+        area.fill(&WHITE).map_err(|e| wrong(&e))?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption("growth with the number of edges, smallest size = 1", ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(30)
+            .y_label_area_size(60)
+            .build_cartesian_2d(xs.log_scale(), ys.log_scale())
+            .map_err(|e| wrong(&e))?;
+        chart.configure_mesh().x_desc("edges").draw().map_err(|e| wrong(&e))?;
+        for (name, color, figure) in &lines {
+            let color = *color;
+            chart
+                .draw_series(LineSeries::new(points(figure), &color))
+                .map_err(|e| wrong(&e))?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE)
+            .border_style(BLACK)
+            .draw()
+            .map_err(|e| wrong(&e))?;
+        area.present().map_err(|e| wrong(&e))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const PLAN: &str = include_str!("../../plans/fleet.toml");
+
+    fn plan(sizes: Vec<u32>) -> FleetPlan {
+        let plan: FleetPlan = toml::from_str(PLAN).unwrap();
+        FleetPlan { sizes, seconds: 8.0, ..plan }
+    }
+
+    #[test]
+    fn the_plan_that_comes_along_is_sound_and_mistakes_are_named() {
+        let good = plan(vec![10]);
+        assert_eq!(good.check(), Ok(()));
+        let wrong = FleetPlan { sizes: vec![0], ..good.clone() };
+        assert!(wrong.check().unwrap_err().starts_with("sizes"));
+        let wrong = FleetPlan { cores: 0, ..good.clone() };
+        assert!(wrong.check().unwrap_err().starts_with("cores"));
+        let wrong = FleetPlan { seconds: f64::NAN, ..good };
+        assert!(wrong.check().unwrap_err().starts_with("seconds"));
+    }
+
+    #[test]
+    fn what_is_told_and_opened_stays_the_same_for_each_edge_as_the_fleet_grows() {
+        let report = play(&plan(vec![30, 240])).unwrap();
+        let [small, large] = &report.sizes[..] else { panic!("two sizes") };
+        assert!(large.writes.opened_per_write < small.writes.opened_per_write * 1.5, "{report:?}");
+        assert_eq!((small.writes.over_cap, large.writes.over_cap), (0, 0));
+        assert!(large.reads.most_over_allowed <= 1.0 && small.reads.most_over_allowed <= 1.0, "{report:?}");
+        for (small, large) in small.telling.iter().zip(&large.telling) {
+            // Eight times as many edges and servers: what changes is told, eight times as much at most, and a
+            // little for longer names.
+            assert!(large.bytes_to_edge <= small.bytes_to_edge.max(1.0) * 12.0, "{small:?} {large:?}");
+            assert!(large.bytes_to_edge <= large.whole_bytes_to_edge, "{large:?}");
+        }
+        assert_eq!(play(&plan(vec![30, 240])).unwrap(), report, "the same again under the same seed");
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 mod experiment;
+mod fleet;
 mod ledger;
 mod load;
 mod origin;
@@ -42,6 +43,13 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Play the machines' decisions for fleets of many sizes, without sockets; write fleet.json, fleet.md, fleet.svg
+    Fleet {
+        plan: PathBuf,
+        /// Folder of the report; it is made
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Check a plan, and name the place of a mistake
     Check { plan: PathBuf },
     /// Set two reports (report.json) side by side
@@ -79,6 +87,15 @@
             print!("{}", report.markdown());
             Ok(!report.any_broken())
         }
+        Command::Fleet { plan, out } => {
+            let report = fleet::play(&fleet::FleetPlan::load(&plan)?)?;
+            std::fs::create_dir_all(&out)?;
+            std::fs::write(out.join("fleet.json"), serde_json::to_string_pretty(&report)?)?;
+            std::fs::write(out.join("fleet.md"), report.markdown())?;
+            report.draw(&out.join("fleet.svg"))?;
+            print!("{}", report.markdown());
+            Ok(true)
+        }
         Command::Check { plan } => {
             let plan = Plan::load(&plan)?;
             let (services, classes) = (plan.services.len(), plan.classes.len());
--- a/lab/src/plot.rs
+++ b/lab/src/plot.rs
@@ -12,6 +12,12 @@
 #[error("plot: {0}")]
 pub struct PlotError(String);
 
+impl PlotError {
+    pub fn new(what: &dyn std::fmt::Display) -> Self {
+        PlotError(what.to_string().replace('\n', " "))
+    }
+}
+
 /// Draws what clients were owed and got in each second, all classes together.
 pub fn draw(report: &Report, path: &Path) -> Result<(), PlotError> {
     let seconds = report.classes.iter().map(|class| class.seconds.len()).max().unwrap_or(0);
@@ -30,7 +36,7 @@
         ("failed", RED, sum(|counts| counts.failed)),
     ];
     let most = lines.iter().flat_map(|(_, _, line)| line).map(|point| point.1).fold(1.0, f64::max);
-    let wrong = |e: &dyn std::fmt::Display| PlotError(e.to_string().replace('\n', " "));
+    let wrong = |e: &dyn std::fmt::Display| PlotError::new(e);
     let area = SVGBackend::new(path, SIZE).into_drawing_area();
     area.fill(&WHITE).map_err(|e| wrong(&e))?;
     let mut chart = ChartBuilder::on(&area)
