Answers that a proxy holds are bounded by its memory, and slow readers are let go of

Cause: answers were read whole, up to 16 MiB each, as many as there were clients; those that don't read them held them for ever where they took a byte now and then. 48 clients with answers of 8 MiB took 420 MB of an edge that has 96. Change: glenfall/src/room.rs: an answer takes room before it is read and keeps it until its last piece is dropped; while an eighth is left nothing new is sent for, and that is said with 503 and Retry-After. A client takes 8 KiB a second, beside the idle limit, or its connection ends. Measured: the same clients and as many endless bodies: 62 MB at most (tests/memory.rs, which fails without the bound).

--- a/glenfall/src/demo.rs
+++ b/glenfall/src/demo.rs
@@ -19,8 +19,9 @@
 use tokio::time::{sleep, Instant};
 
 use crate::local::{Layout, Local};
-use crate::ops::{self, Controls};
+use crate::ops::{self, Controls, ROOM};
 use crate::pool::{Pool, Reply, Trust};
+use crate::room::Room;
 use crate::serve::{self, plain, Answer, Handler, Whole};
 
 /// Each step of the demo comes true within this time, also on a busy machine.
@@ -140,7 +141,7 @@
     spawn_local(serve::serve(terms, server, stopping));
     let (at, zone) = (local.controls(), local.zone(number));
     spawn_local(async move {
-        let pool = Pool::new(8);
+        let pool = Pool::new(8, Room::new(ROOM));
         for seq in 1u64.. {
             let body = json!({
                 "backend": "demo", "addr": listen, "zone": zone, "rev": "v1", "capacity": 8,
@@ -226,7 +227,10 @@
         request
     };
     let until = Instant::now() + Duration::from_secs(3);
-    let reply = Pool::new(8).exchange(edge.into(), request, until, Trust::Ours, || true).await.ok()?;
+    let reply = Pool::new(8, Room::new(ROOM))
+        .exchange(edge.into(), request, until, Trust::Ours, || true)
+        .await
+        .ok()?;
     (reply.status == StatusCode::OK && reply.headers.contains_key("x-glenfall-seal")).then_some(reply)
 }
 
--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -86,6 +86,8 @@
     spent: Counter,
     /// Requests refused as the service is crowded.
     limited: Counter,
+    /// Requests refused as there is no room for their answers.
+    no_room: Counter,
     /// Requests that waited for their turn under a ceiling, and those that did not get it.
     waited: Counter,
     above_ceiling: Counter,
@@ -107,6 +109,7 @@
             further: Counter::default(),
             spent: Counter::default(),
             limited: Counter::default(),
+            no_room: Counter::default(),
             waited: Counter::default(),
             above_ceiling: Counter::default(),
         }
@@ -117,11 +120,13 @@
     }
 
     /// Counters for `status`.
-    pub fn report(&self) -> [(&'static str, u64); 6] {
+    pub fn report(&self) -> [(&'static str, u64); 8] {
         [
             ("further_tries", self.further.get()),
             ("budget_spent", self.spent.get()),
             ("limited", self.limited.get()),
+            ("no_room", self.no_room.get()),
+            ("answer_bytes_held", self.pool.room.held() as u64),
             ("waited", self.waited.get()),
             ("above_ceiling", self.above_ceiling.get()),
             ("connections_opened", self.pool.opened.get()),
@@ -190,6 +195,10 @@
     /// Sends a request to one server of its service, and to others where that can do no harm; to none where the
     /// service has enough to do.
     pub async fn send(&self, job: Job<'_>) -> Outcome {
+        if !self.pool.room.is_free() {
+            self.no_room.add();
+            return Outcome::NotRun(FULL);
+        }
         let Some(mut admitted) = self.limits.admit(job.service, job.rank, job.aim) else {
             self.limited.add();
             return Outcome::NotRun(FULL);
@@ -311,6 +320,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::room::Room;
     use glenfall_plane::messages::Server;
     use std::cell::Cell;
     use std::net::SocketAddrV4;
@@ -350,7 +360,7 @@
             "node = \"n\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
              seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n[timing]\nretryRatio = 1.2\nretrySlack = 0\n",
         );
-        let direct = Direct::new(Pool::new(8), &boot.expect("settings"), Proxy::Edge);
+        let direct = Direct::new(Pool::new(8, Room::new(1 << 20)), &boot.expect("settings"), Proxy::Edge);
         direct.update(&Fleet { complete: true, servers, shields: Vec::new(), edges: vec![1], cores: 1 });
         (0..counted).for_each(|_| direct.count("s"));
         direct
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -38,7 +38,7 @@
 const DARK: Duration = Duration::from_millis(200);
 /// Part of the machine's memory for copies of its own, of objects whose home lies in another zone: the bytes
 /// between zones are what they save. More would cost more memory than the rarer objects are worth.
-const COPIES: f64 = 0.06;
+pub const COPIES: f64 = 0.06;
 /// For so long after a purge nothing that it names is kept: a shield may hear of it later than this edge, and
 /// an answer from before it may be under way.
 const PURGED: Duration = Duration::from_secs(3);
@@ -112,9 +112,7 @@
             direct: Direct::new(pool, boot, Proxy::Edge),
             shields: RefCell::default(),
             near: RefCell::default(),
-            copies: RefCell::new(Cache::new(
-                (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize,
-            )),
+            copies: RefCell::new(Cache::new(crate::memory_part(boot, COPIES))),
             purged: RefCell::default(),
             in_touch: Cell::new(false),
             zone: boot.zone.clone(),
@@ -226,6 +224,10 @@
             headers.remove(header::IF_RANGE);
             headers.insert(header::IF_NONE_MATCH, etag.clone());
         }
+        if !self.direct.pool.room.is_free() {
+            self.counters.refused.add();
+            return Asked::Answered(refused(StatusCode::SERVICE_UNAVAILABLE, "no room", UNREADY));
+        }
         let asked_whole = !headers.contains_key(header::RANGE);
         let mut tried: Vec<ServerId> = Vec::new();
         while tried.len() < MOST_SHIELDS {
@@ -447,6 +449,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::room::Room;
 
     const SETTINGS: &str = "node = \"e\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
                             seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n";
@@ -454,7 +457,7 @@
     fn edge() -> Rc<Edge> {
         let boot = Rc::new(Boot::parse(SETTINGS).unwrap());
         let feed = Feed::new(Rc::clone(&boot), Proxy::Edge);
-        Edge::new(&boot, feed, Pool::new(8))
+        Edge::new(&boot, feed, Pool::new(8, Room::new(1 << 20)))
     }
 
     fn object(path: &str) -> ObjectKey {
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod origins;
 mod pace;
 pub mod pool;
+pub mod room;
 pub mod serve;
 mod sessions;
 mod shield;
@@ -41,6 +42,7 @@
 use boot::Boot;
 use feed::Feed;
 use pool::Pool;
+use room::Room;
 
 #[derive(Parser)]
 #[command(version, about)]
@@ -91,6 +93,9 @@
 const OTHER_DESCRIPTORS: usize = 300;
 /// Part of an edge's memory for bodies of requests under way; copies, connections and answers have the rest.
 const BODIES: f64 = 0.4;
+/// Part of the memory for answers on their way, beside copies: bodies, answers and copies leave a quarter at least for
+/// connections and all else.
+const ANSWERS: f64 = 0.25;
 /// Those who send connections to an edge ask it once a second and believe the second refusal; then what they
 /// have sent must still be taken.
 const STILL_ACCEPTING: Duration = Duration::from_millis(3200);
@@ -183,12 +188,17 @@
     stopping
 }
 
+/// Bytes of a part of the memory that this process may take.
+fn memory_part(boot: &Boot, part: f64) -> usize {
+    (boot.req_limits.mem_mb as f64 * part * f64::from(1 << 20)) as usize
+}
+
 async fn edge(boot: Rc<Boot>) -> Result<(), Failure> {
     let listen = boot.need("http", |listeners| listeners.http)?;
     let ready = boot.need("readyAddr", |listeners| listeners.ready_addr)?;
     let descriptors = boot.req_limits.max_fds.saturating_sub(OTHER_DESCRIPTORS).max(16);
     let feed = Feed::new(Rc::clone(&boot), Proxy::Edge);
-    let pool = Pool::new(descriptors / 2);
+    let pool = Pool::new(descriptors / 2, Room::new(memory_part(&boot, edge::COPIES + ANSWERS)));
     let edge = edge::Edge::new(&boot, Rc::clone(&feed), Rc::clone(&pool));
     spawn_local(async move { pool.sweep().await });
     let stopping = stopping(&feed);
@@ -206,7 +216,7 @@
     let terms = serve::Terms {
         listen,
         most: descriptors / 2,
-        most_bodies: (boot.req_limits.mem_mb as f64 * BODIES * f64::from(1 << 20)) as usize,
+        most_bodies: memory_part(&boot, BODIES),
         still_accepting: STILL_ACCEPTING.min(boot.grace()),
         grace: boot.grace(),
     };
@@ -223,7 +233,7 @@
 async fn shield(boot: Rc<Boot>) -> Result<(), Failure> {
     let descriptors = boot.req_limits.max_fds.saturating_sub(OTHER_DESCRIPTORS).max(16);
     let feed = Feed::new(Rc::clone(&boot), Proxy::Shield);
-    let pool = Pool::new(descriptors / 2);
+    let pool = Pool::new(descriptors / 2, Room::new(memory_part(&boot, shield::COPIES + ANSWERS)));
     let shield = shield::Shield::new(&boot, Rc::clone(&feed), Rc::clone(&pool));
     spawn_local(async move { pool.sweep().await });
     let stopping = stopping(&feed);
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -18,6 +18,7 @@
 use crate::control::store::{self, StoreError};
 use crate::declare::{self, DeclareError, Declared, Difference};
 use crate::pool::{Pool, Reply, Trust};
+use crate::room::Room;
 
 /// One call to a control node; it answers within a second or not at all.
 const CALL: Duration = Duration::from_millis(1500);
@@ -25,6 +26,8 @@
 const ROUNDS: usize = 3;
 /// Connections a verb may hold.
 const CONNECTIONS: usize = 8;
+/// The largest answers of control, and room.
+pub const ROOM: usize = 64 << 20;
 
 /// Why a verb failed; one line.
 #[derive(Debug, thiserror::Error)]
@@ -174,7 +177,7 @@
     if_match: Option<u64>,
     body: Bytes,
 ) -> Result<Reply, OpsError> {
-    let pool = Pool::new(CONNECTIONS);
+    let pool = Pool::new(CONNECTIONS, Room::new(ROOM));
     for addr in at.controls.iter().cycle().take(at.controls.len() * ROUNDS) {
         let request = || {
             let mut request = Request::new(Full::new(body.clone()));
--- a/glenfall/src/pace.rs
+++ b/glenfall/src/pace.rs
@@ -13,6 +13,10 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, Instant};
 
+/// A client takes an answer at this many bytes a second at least, or it would hold the room for it for ever. It has
+/// the idle limit besides; whoever is faster is never cut off.
+const SLOWEST_ANSWER: f64 = 8.0 * 1024.0;
+
 /// What a connection waits for.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Phase {
@@ -28,6 +32,9 @@
     phase: Cell<Phase>,
     /// Since when; while idle, since the client last took something.
     since: Cell<Instant>,
+    /// When the last answer was ready, and how much of it the client has taken.
+    answered: Cell<Instant>,
+    taken: Cell<usize>,
     head: Duration,
     idle: Duration,
 }
@@ -45,7 +52,9 @@
 
 impl Pace {
     pub fn new(head: Duration, idle: Duration) -> Rc<Self> {
-        Rc::new(Pace { phase: Cell::new(Phase::Idle), since: Cell::new(Instant::now()), head, idle })
+        let now = Instant::now();
+        let (since, answered) = (Cell::new(now), Cell::new(now));
+        Rc::new(Pace { phase: Cell::new(Phase::Idle), since, answered, taken: Cell::new(0), head, idle })
     }
 
     fn set(&self, phase: Phase) {
@@ -61,7 +70,10 @@
 
     fn due(&self) -> Option<Instant> {
         match self.phase.get() {
-            Phase::Idle => Some(self.since.get() + self.idle),
+            Phase::Idle => {
+                let pace = Duration::from_secs_f64(self.taken.get() as f64 / SLOWEST_ANSWER);
+                Some((self.since.get() + self.idle).min(self.answered.get() + self.idle + pace))
+            }
             Phase::Head => Some(self.since.get() + self.head),
             Phase::Busy => None,
         }
@@ -99,6 +111,8 @@
 impl Drop for Busy<'_> {
     fn drop(&mut self) {
         self.0.set(Phase::Idle);
+        self.0.answered.set(self.0.since.get());
+        self.0.taken.set(0);
     }
 }
 
@@ -137,8 +151,11 @@
 impl Paced {
     /// A client that takes an answer in pieces is not idle.
     fn taken(&self, result: Poll<std::io::Result<usize>>) -> Poll<std::io::Result<usize>> {
-        if matches!(result, Poll::Ready(Ok(1..))) && self.pace.phase.get() == Phase::Idle {
-            self.pace.set(Phase::Idle);
+        if let Poll::Ready(Ok(bytes @ 1..)) = result {
+            if self.pace.phase.get() == Phase::Idle {
+                self.pace.set(Phase::Idle);
+                self.pace.taken.set(self.pace.taken.get() + bytes);
+            }
         }
         result
     }
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -6,14 +6,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use glenfall_http::{Connection, Failed, OpenSocket, Sent};
-use http_body_util::{BodyExt, Full, Limited};
+use bytes::{Bytes, BytesMut};
+use glenfall_http::{Connection, Failed, OpenSocket, Progress, Sent};
+use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+use crate::room::Room;
+
 /// A connection not up by then is not waited for: the opening packet was lost, or the machine is dark.
 const CONNECT: Duration = Duration::from_millis(300);
 /// Idle connections are closed this long before their server does, as a request that crosses the close ends
@@ -74,11 +76,13 @@
     most: usize,
     /// Connections opened so far.
     pub opened: Cell<u64>,
+    /// Where answers are held.
+    pub room: Room,
 }
 
 impl Pool {
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, opened: Cell::new(0) })
+    pub fn new(most: usize, room: Room) -> Rc<Self> {
+        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, opened: Cell::new(0), room })
     }
 
     /// Closes what would be unused for too long, for as long as the process runs.
@@ -157,9 +161,13 @@
             let request = request();
             let method = request.method().clone();
             let progress = Rc::clone(&connection.progress);
+            // What waits for room of ours is no fault of the server's.
+            let waiting = Cell::new(false);
             let exchange = async {
                 match connection.send(request, &sent).await {
-                    Ok(response) => read(response, &method).await.ok_or(Some(Trouble::Unknown)),
+                    Ok(response) => {
+                        read(response, &method, &self.room, &waiting).await.ok_or(Some(Trouble::Unknown))
+                    }
                     // It had been closed, or something came on it unasked; the server has seen nothing.
                     Err(Failed::Unsent) if reused => Err(None),
                     Err(Failed::Unsent) => Err(Some(Trouble::Unsent)),
@@ -169,7 +177,7 @@
             let ended = tokio::select! {
                 biased;
                 ended = exchange => ended,
-                () = progress.stalled(ANSWER_TIME) => Err(Some(Trouble::Unknown)),
+                () = stalled(&progress, &waiting) => Err(Some(Trouble::Unknown)),
                 () = tokio::time::sleep_until(until) => {
                     Err(Some(if sent.whole() { Trouble::TimedOut } else { Trouble::Unsent }))
                 }
@@ -192,8 +200,23 @@
     }
 }
 
+/// Ends when an answer has begun and does not come whole, though there is room for it.
+async fn stalled(progress: &Progress, waiting: &Cell<bool>) {
+    loop {
+        progress.stalled(ANSWER_TIME).await;
+        if !waiting.get() {
+            return;
+        }
+    }
+}
+
 /// Reads an answer whole, and for how long its connection may be kept. `None` where it is no whole answer.
-async fn read(response: Response<Incoming>, method: &Method) -> Option<(Reply, Option<Duration>)> {
+async fn read(
+    response: Response<Incoming>,
+    method: &Method,
+    room: &Room,
+    waiting: &Cell<bool>,
+) -> Option<(Reply, Option<Duration>)> {
     let (head, body) = response.into_parts();
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return None;
@@ -207,11 +230,41 @@
     if (length == chunked && !bodiless) || body.size_hint().lower() > LARGEST as u64 {
         return None;
     }
-    let body = Limited::new(body, LARGEST).collect().await.ok()?.to_bytes();
+    let body = read_body(body, room, waiting).await?;
     let kept = kept_for(&head.headers);
     Some((Reply { status: head.status, headers: head.headers, body }, kept))
 }
 
+/// Reads a body for which there is room, or will be.
+async fn read_body(mut body: Incoming, room: &Room, waiting: &Cell<bool>) -> Option<Bytes> {
+    if body.is_end_stream() {
+        return Some(Bytes::new());
+    }
+    let stated = body.size_hint().lower() as usize;
+    waiting.set(true);
+    let mut held = room.hold(stated).await?;
+    waiting.set(false);
+    let mut buffer = BytesMut::with_capacity(stated);
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        let length = buffer.len() + data.len();
+        if buffer.is_empty() && body.is_end_stream() && length <= held.bytes() {
+            return Some(held.keeping(data));
+        }
+        if length > LARGEST {
+            return None;
+        }
+        if length > held.bytes() {
+            // No length is stated: as much again as has come.
+            waiting.set(true);
+            held.grow((2 * length).min(LARGEST)).await?;
+            waiting.set(false);
+        }
+        buffer.extend_from_slice(&data);
+    }
+    Some(held.keeping(buffer.freeze()))
+}
+
 /// How long a connection may be kept idle after an answer.
 fn kept_for(headers: &HeaderMap) -> Option<Duration> {
     let words = |name| headers.get_all(name).iter().filter_map(|value| value.to_str().ok());
@@ -272,7 +325,7 @@
 
     /// What two requests get, one after the other.
     async fn two(answer: &'static str, unasked: &'static str, trust: Trust) -> [Result<String, Trouble>; 2] {
-        let (pool, addr) = (Pool::new(8), server(answer, unasked).await);
+        let (pool, addr) = (Pool::new(8, Room::new(1 << 20)), server(answer, unasked).await);
         let mut got = Vec::new();
         for _ in 0..2 {
             let request = || {
@@ -357,7 +410,7 @@
                 (Trust::Ours, Err(Trouble::Unknown)),
             ] {
                 let whole = Rc::new(Cell::new(0));
-                let (pool, addr) = (Pool::new(8), forgetful(Rc::clone(&whole)).await);
+                let (pool, addr) = (Pool::new(8, Room::new(1 << 20)), forgetful(Rc::clone(&whole)).await);
                 let request = || {
                     let mut request = Request::new(Full::new(Bytes::from_static(b"body")));
                     *request.method_mut() = Method::POST;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -39,7 +39,7 @@
 pub const SHIELD: HeaderName = HeaderName::from_static("x-glenfall-shield");
 
 /// Part of the machine's memory for copies: the rest is for what is under way, and for control beside it.
-const COPIES: f64 = 0.4;
+pub const COPIES: f64 = 0.4;
 /// Fetches under way at most; what misses beyond is told to come back.
 const MOST_FETCHES: usize = 1024;
 
@@ -111,7 +111,7 @@
 
 impl Shield {
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
-        let most = (boot.req_limits.mem_mb as f64 * COPIES * f64::from(1 << 20)) as usize;
+        let most = crate::memory_part(boot, COPIES);
         let kept = boot.state_dir.as_ref().and_then(|folder| {
             let opened = Kept::open(folder, boot.req_limits.disk_mb);
             opened.inspect_err(|error| tracing::warn!(%error, "no copies on disk")).ok()
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -81,6 +81,11 @@
 impl System {
     /// Starts these roles on each core machine and on the edge's.
     pub fn start(core: &[&'static str], edge: &[&'static str]) -> System {
+        System::start_with(core, edge, "")
+    }
+
+    /// The same, with more lines of settings.
+    pub fn start_with(core: &[&'static str], edge: &[&'static str], settings: &str) -> System {
         let one = ONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         let base = free_ports();
         let folder = std::env::temp_dir().join(format!("glenfall-system-{}-{base}", std::process::id()));
@@ -94,7 +99,7 @@
             let text = format!(
                 "node = \"node-{n}\"\nzone = \"z\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nbeatMs = 120000\n\
                  portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\n\
-                 [listeners]\ncontrolAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n",
+                 [listeners]\ncontrolAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n{settings}",
                 ports[0],
                 seeds.join(", "),
                 system.state_dir(n).display(),
@@ -141,6 +146,10 @@
         }
     }
 
+    pub fn pid(&mut self, n: u8, role: &str) -> u32 {
+        self.child(n, role).id()
+    }
+
     pub fn signal(&mut self, n: u8, role: &str, name: &str) {
         let pid = self.child(n, role).id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().unwrap().success());
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use glenfall::pool::{Pool, Reply, Trouble, Trust};
+use glenfall::room::Room;
 use glenfall::serve::{DEADLINE, TRY_ID};
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
@@ -29,6 +30,8 @@
 const MOST: u32 = 20_000;
 /// Connections that the clients hold together.
 const CONNECTIONS: usize = 2000;
+/// All clients' answers.
+const ROOM: usize = 512 << 20;
 
 pub struct Load {
     plan: Plan,
@@ -50,7 +53,7 @@
         Rc::new(Load {
             plan: plan.clone(),
             edges,
-            pool: Pool::new(CONNECTIONS),
+            pool: Pool::new(CONNECTIONS, Room::new(ROOM)),
             ledger: Rc::clone(ledger),
             seen: Rc::clone(seen),
             under_way: Cell::new(0),
