Voters are added and removed by verb; new ones are in the chain before they count

Cause: who votes could not be seen or changed by an operator. Change: glenfall core list, add and remove; Chain::ask_voters refuses what would lose a majority or bear fewer losses than promised.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -1,10 +1,11 @@
 //! What servers and operators call.
 
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall_plane::chain::{Call, Outcome};
+use glenfall_plane::chain::{Call, Outcome, Refused, Seat};
 use glenfall_plane::config::{Change, ReqLimits};
 use glenfall_plane::messages::Purge;
 use glenfall_plane::registry::{Beat, Entry, Heard};
@@ -13,6 +14,7 @@
 use hyper::{Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
+use tokio::time::{sleep, Instant};
 
 use super::backup::Backup;
 use super::Control;
@@ -20,6 +22,8 @@
 
 /// Largest configuration that is taken.
 const LARGEST: usize = 3 << 20;
+/// How long a change of the voters is waited for.
+const SEATED: Duration = Duration::from_millis(3200);
 /// Longest host, path or label of a purge.
 const LONGEST: usize = 8 << 10;
 
@@ -53,13 +57,19 @@
             ("PATCH", "/api/config") => self.change(&whole, Change::Patch).await,
             ("POST", "/api/purge") => self.purge(&whole.body).await,
             ("GET", "/api/state") => self.export().await,
+            ("GET", "/api/core") => answer(StatusCode::OK, self.core()),
+            ("POST", "/api/core") => self.seat(&whole.body).await,
             ("GET", "/api/status") => answer(StatusCode::OK, self.status()),
             ("GET", "/api/ready") => answer(StatusCode::OK, json!({})),
             (method, path) => match (method, path.strip_prefix("/api/servers/")) {
                 ("PUT", Some(id)) => self.beat(id, &whole.body).await,
                 ("DELETE", Some(id)) => self.goodbye(id).await,
                 (_, Some(_)) => wrong(StatusCode::METHOD_NOT_ALLOWED, "PUT or DELETE expected"),
-                _ if matches!(path, "/api/config" | "/api/purge" | "/api/state" | "/api/status") => {
+                _ if matches!(
+                    path,
+                    "/api/config" | "/api/core" | "/api/purge" | "/api/state" | "/api/status"
+                ) =>
+                {
                     wrong(StatusCode::METHOD_NOT_ALLOWED, "method not known here")
                 }
                 _ => wrong(StatusCode::NOT_FOUND, "no such call"),
@@ -110,6 +120,69 @@
         }
     }
 
+    /// Who votes, who stands by, and what may be lost.
+    fn core(&self) -> serde_json::Value {
+        let chain = self.0.chain.borrow();
+        let members = chain.members();
+        let voters: Vec<_> = members
+            .voters
+            .iter()
+            .map(|voter| {
+                let in_chain = chain.view().is_some_and(|view| view.chain.contains(voter));
+                json!({ "node": voter, "inChain": in_chain, "awayMs": chain.away(*voter) })
+            })
+            .collect();
+        json!({
+            "node": self.0.boot.bind_ip,
+            "view": chain.view().map(|view| view.name()),
+            "voters": voters,
+            "lettingGoOf": members.before,
+            "standingBy": chain.standing_by(),
+            "losses": self.0.boot.survive.hosts,
+            "outlivesLosses": chain.outlives_losses(),
+            "inMajority": chain.in_majority(),
+        })
+    }
+
+    /// A voter is added or removed; answered once views with the new set stand.
+    async fn seat(&self, body: &[u8]) -> Answer {
+        #[derive(Deserialize)]
+        #[serde(deny_unknown_fields)]
+        struct Body {
+            add: Option<Ipv4Addr>,
+            remove: Option<Ipv4Addr>,
+        }
+        let seat = match serde_json::from_slice(body) {
+            Err(e) => return wrong(StatusCode::BAD_REQUEST, e),
+            Ok(Body { add: Some(node), remove: None }) => Seat::Add(node),
+            Ok(Body { add: None, remove: Some(node) }) => Seat::Remove(node),
+            Ok(_) => return wrong(StatusCode::BAD_REQUEST, "add or remove expected, with an address"),
+        };
+        let control = &self.0;
+        let asked = {
+            let now = control.now();
+            control.chain.borrow_mut().ask_voters(now, seat)
+        };
+        let voters = match asked {
+            Ok(voters) => voters,
+            Err(refused @ (Refused::NoView | Refused::UnderWay)) => {
+                return wrong(StatusCode::SERVICE_UNAVAILABLE, refused);
+            }
+            Err(refused) => return wrong(StatusCode::CONFLICT, refused),
+        };
+        tracing::info!(?seat, ?voters, "an operator changes the voters");
+        let began = Instant::now();
+        while began.elapsed() < SEATED {
+            sleep(super::TICK).await;
+            let chain = control.chain.borrow();
+            let members = chain.members();
+            if members.voters == voters && members.before.is_empty() {
+                return answer(StatusCode::OK, json!({ "voters": voters }));
+            }
+        }
+        wrong(StatusCode::SERVICE_UNAVAILABLE, "not all views stand yet: look at who votes, and ask again")
+    }
+
     async fn change(&self, whole: &Whole, change: impl Fn(Vec<u8>) -> Change) -> Answer {
         let stated = whole.head.headers.get(header::IF_MATCH).and_then(|value| value.to_str().ok());
         let Some(builds_on) = stated.and_then(|value| value.trim().trim_matches('"').parse().ok()) else {
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -72,6 +72,9 @@
     /// Back up, restore and check the state of control
     #[command(subcommand)]
     State(ops::StateVerb),
+    /// Show, add and remove the voters of the core
+    #[command(subcommand)]
+    Core(ops::CoreVerb),
     /// End all copies of an object, or of all objects with a label
     Purge(ops::PurgeArgs),
     /// Show members, servers, and who has applied what
@@ -138,6 +141,7 @@
             Command::Config(verb) => print(ops::config(&verb).await),
             Command::Declared(verb) => print(ops::declared(verb).await),
             Command::State(verb) => print(ops::state(verb).await),
+            Command::Core(verb) => print(ops::core(&verb).await),
             Command::Purge(args) => print(ops::purge(&args).await),
             Command::Status { at } => print(ops::status(&at).await),
             Command::Demo { once } => Ok(demo::run(once).await?),
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -20,8 +20,9 @@
 use crate::pool::{Pool, Reply, Trust};
 use crate::room::Room;
 
-/// One call to a control node; it answers within a second or not at all.
+/// One call to a control node; it answers within a second or not at all, but for a change of the voters.
 const CALL: Duration = Duration::from_millis(1500);
+const CORE_CALL: Duration = Duration::from_millis(4500);
 /// How often all nodes are asked before a call is given up.
 const ROUNDS: usize = 3;
 /// Connections a verb may hold.
@@ -135,6 +136,29 @@
     Verify { path: PathBuf },
 }
 
+#[derive(Subcommand)]
+pub enum CoreVerb {
+    /// Show who votes, who stands by, and what may be lost, as each control node sees it
+    List {
+        #[command(flatten)]
+        at: Controls,
+    },
+    /// Make a control node that stands by a voter
+    Add {
+        #[command(flatten)]
+        at: Controls,
+        /// Address of the machine
+        node: Ipv4Addr,
+    },
+    /// Take a voter out; one that stands by takes its place
+    Remove {
+        #[command(flatten)]
+        at: Controls,
+        /// Address of the machine
+        node: Ipv4Addr,
+    },
+}
+
 #[derive(Args)]
 pub struct PurgeArgs {
     #[command(flatten)]
@@ -178,6 +202,7 @@
     body: Bytes,
 ) -> Result<Reply, OpsError> {
     let pool = Pool::new(CONNECTIONS, Room::new(ROOM));
+    let within = if path == "/api/core" { CORE_CALL } else { CALL };
     for addr in at.controls.iter().cycle().take(at.controls.len() * ROUNDS) {
         let request = || {
             let mut request = Request::new(Full::new(body.clone()));
@@ -191,7 +216,7 @@
             }
             request
         };
-        match pool.exchange((*addr).into(), request, Instant::now() + CALL, Trust::Ours, || true).await {
+        match pool.exchange((*addr).into(), request, Instant::now() + within, Trust::Ours, || true).await {
             Ok(reply) if reply.status.is_success() => return Ok(reply),
             Ok(reply) if reply.status.is_client_error() => {
                 let body = String::from_utf8_lossy(&reply.body).into_owned();
@@ -327,12 +352,25 @@
     call(&args.at, Method::POST, "/api/purge", None, body.to_string().into()).await.map(text)
 }
 
+pub async fn core(verb: &CoreVerb) -> Result<String, OpsError> {
+    let (at, body) = match verb {
+        CoreVerb::List { at } => return from_each(at, "/api/core").await,
+        CoreVerb::Add { at, node } => (at, serde_json::json!({ "add": node })),
+        CoreVerb::Remove { at, node } => (at, serde_json::json!({ "remove": node })),
+    };
+    call(at, Method::POST, "/api/core", None, body.to_string().into()).await.map(text)
+}
+
 /// What each control node sees, one document apiece.
 pub async fn status(at: &Controls) -> Result<String, OpsError> {
+    from_each(at, "/api/status").await
+}
+
+async fn from_each(at: &Controls, path: &'static str) -> Result<String, OpsError> {
     let mut seen = Vec::new();
     for control in &at.controls {
         let one = Controls { controls: vec![*control] };
-        let reply = call(&one, Method::GET, "/api/status", None, Bytes::new()).await;
+        let reply = call(&one, Method::GET, path, None, Bytes::new()).await;
         let value = match reply {
             Ok(reply) => serde_json::from_slice(&reply.body).unwrap_or(serde_json::Value::Null),
             Err(error) => serde_json::json!({ "control": control, "error": error.to_string() }),
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -97,7 +97,7 @@
             let ports = [2, 3, 4, 5].map(|offset| base + offset);
             // Servers are not heard of again within a test.
             let text = format!(
-                "node = \"node-{n}\"\nzone = \"z\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nbeatMs = 120000\n\
+                "node = \"node-{n}\"\nzone = \"z\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nbeatMs = 120000\nvoter = true\n\
                  portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\n\
                  [listeners]\ncontrolAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n{settings}",
                 ports[0],
--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::{await_that, request, System, PATIENCE};
+use common::{await_that, request, System, EDGE, PATIENCE};
 
 #[test]
 fn a_core_machine_that_was_frozen_is_taken_into_the_chain_again_and_stays() {
@@ -179,3 +179,45 @@
     let same = core.verb(&["declared", "plan", "--control", &at, "copy"]);
     assert_eq!(same, (true, "version 2 is what is declared\n".into()));
 }
+
+/// The voters as every control node names them, where all agree.
+fn voters(core: &System) -> Option<Vec<u64>> {
+    let seen = |n: u8| -> Option<Vec<u64>> {
+        let status = core.status(n)?;
+        let voters = status["voters"].as_array()?.iter();
+        voters.map(|voter| voter.as_str()?.rsplit('.').next()?.parse().ok()).collect()
+    };
+    let first = seen(1)?;
+    (2..=3).all(|n| seen(n).as_ref() == Some(&first)).then_some(first)
+}
+
+#[test]
+fn voters_are_taken_out_and_in_by_verb_and_what_can_not_be_is_told_in_one_line() {
+    let mut core = System::start(&["control"], &["agent"]);
+    core.await_chain(&[1, 2, 3], 3);
+    let at = core.control(1);
+    let verb = |core: &System, what: &str, n: u8| {
+        core.verb(&["core", what, "--control", &at, &core.control_addr(n).ip().to_string()])
+    };
+    let (listed, text) = core.verb(&["core", "list", "--control", &at]);
+    let seen: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert!(listed && seen[0]["voters"].as_array().unwrap().len() == 3, "{text}");
+    assert_eq!(seen[0]["standingBy"].as_array().unwrap().len(), 0, "{text}");
+    let (added, why) = verb(&core, "add", 2);
+    assert!(!added && why.contains("127.0.8.2 is a voter already") && why.lines().count() == 1, "{why}");
+    let (removed, why) = verb(&core, "remove", EDGE);
+    assert!(!removed && why.contains("127.0.8.4 is no voter"), "{why}");
+
+    let (removed, told) = verb(&core, "remove", 3);
+    assert!(removed, "{told}");
+    await_that("all know the two", || voters(&core) == Some(vec![1, 2]));
+    std::fs::write(core.folder.join("c.json"), r#"{"rev": 1}"#).unwrap();
+    let put = core.verb(&["config", "put", "--control", &at, "--builds-on", "0", "c.json"]);
+    assert!(put.0, "{}", put.1);
+    let (added, told) = verb(&core, "add", 3);
+    assert!(added, "{told}");
+    // Agreed, and on disk: no process remembers it otherwise.
+    core.kill_all(|_| ());
+    core.await_chain(&[1, 2, 3], 3);
+    await_that("all know the three", || voters(&core) == Some(vec![1, 2, 3]));
+}
--- a/lab/src/fleet/writes.rs
+++ b/lab/src/fleet/writes.rs
@@ -121,7 +121,8 @@
         }
         self.origins[edge].enter(&chosen.id);
         if let Some(write) = self.writes.get_mut(&number) {
-            (write.began, write.tried) = (self.now, [&write.tried[..], std::slice::from_ref(&chosen.id)].concat());
+            (write.began, write.tried) =
+                (self.now, [&write.tried[..], std::slice::from_ref(&chosen.id)].concat());
         }
         let server = &mut self.servers[at];
         if server.working < self.plan.writes.slots {
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -11,8 +11,9 @@
 //! or whose disk stalls makes a new view. A voter without its disk ([`Start::Wiped`]) may have forgotten a
 //! promise: it gives none until a view that has taken it in stands.
 //!
-//! The voters change in two views. The first counts both sets: it stands on a majority of each, and so does any view
-//! that follows an attempt at it. Once it stands, the next one lets go of the old set. As long as the voters are too
+//! The voters change in three views. The first takes the new ones into its chain, which gives them a vote, while the old
+//! set counts. The second counts both sets: it stands on a majority of each, and so does any view that follows an
+//! attempt at it. Once it stands, the third lets go of the old set. As long as the voters are too
 //! few to outlive the losses that are promised ([`Terms::losses`]), nothing is acknowledged.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -46,6 +47,8 @@
 const STALL: Millis = 600;
 /// A voter that has been away for so long gives its place to a machine that stands by.
 const REPLACE: Millis = 10_000;
+/// What an operator asks of the voters is tried for so long; two views take less, unless others are lost meanwhile.
+const ASKED: Millis = 3000;
 /// A change that has not come through the chain by then has been lost on the way.
 const STUCK: Millis = 1500;
 /// A call is answered by then, if only with `Unavailable`: callers move on after a second.
@@ -150,6 +153,38 @@
     Read,
 }
 
+/// What an operator asks of the voters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seat {
+    /// A machine that stands by becomes a voter.
+    Add(NodeId),
+    /// A voter gives its place to one that stands by, or leaves where there are more than the losses ask for.
+    Remove(NodeId),
+}
+
+/// Why the voters stay as they are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    #[error("this node is in no view that stands: ask another one, or again in a moment")]
+    NoView,
+    #[error("a change of the voters is under way: ask again in a moment")]
+    UnderWay,
+    #[error("{0} is a voter already")]
+    Votes(NodeId),
+    #[error("{0} is no voter")]
+    NoVoter(NodeId),
+    #[error("{0} is not there, or not all voters that are hear it")]
+    NotThere(NodeId),
+    #[error("the settings of {0} don't say that it may vote")]
+    NotEligible(NodeId),
+    #[error("{MOST_VOTERS} voters are the most")]
+    TooMany,
+    #[error("no machine stands by: {left} voters would be left, and {needed} are needed to outlive {losses} losses")]
+    NobodyStandsBy { left: usize, needed: usize, losses: usize },
+    #[error("only {there} of {voters} voters would be there, which is no majority")]
+    NoMajority { there: usize, voters: usize },
+}
+
 /// What came of a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
@@ -321,7 +356,7 @@
     Publish(Arc<Record>),
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Peer {
     up: bool,
     heard: Millis,
@@ -329,6 +364,7 @@
     shunned_until: Millis,
 }
 
+#[derive(Clone, Debug)]
 struct Installed {
     view: View,
     /// All members have made it durable.
@@ -338,12 +374,14 @@
 }
 
 /// What a voter had accepted when it gave its promise.
+#[derive(Clone, Debug)]
 struct Accepted {
     number: u64,
     members: Members,
     record: Arc<Record>,
 }
 
+#[derive(Clone, Debug)]
 struct Proposal {
     number: u64,
     since: Millis,
@@ -356,6 +394,7 @@
     view: Option<(View, BTreeSet<NodeId>)>,
 }
 
+#[derive(Clone, Debug)]
 struct Waiting {
     what: Call,
     until: Millis,
@@ -364,6 +403,7 @@
 }
 
 /// A change on its way through the chain.
+#[derive(Clone, Debug)]
 struct Pending {
     origin: NodeId,
     call: u64,
@@ -373,6 +413,7 @@
 }
 
 /// One node's part.
+#[derive(Clone, Debug)]
 pub struct Chain {
     me: NodeId,
     terms: Terms,
@@ -391,6 +432,8 @@
     hold_until: Millis,
     last_beat: Option<Millis>,
     pending: Option<Pending>,
+    /// The voters that an operator wants, and until when this node tries.
+    asked: Option<(Vec<NodeId>, Millis)>,
     queue: VecDeque<(NodeId, u64, u64, Change)>,
     waiting: BTreeMap<u64, Waiting>,
     /// Persists that are under way: number, since when, and what follows.
@@ -426,6 +469,7 @@
             hold_until: 0,
             last_beat: None,
             pending: None,
+            asked: None,
             queue: VecDeque::new(),
             waiting: BTreeMap::new(),
             syncs: VecDeque::new(),
@@ -480,6 +524,13 @@
         if self.pending.as_ref().is_some_and(|p| now >= p.since + STUCK) {
             self.break_view();
         }
+        let attained = |asked: &Vec<NodeId>| {
+            let members = self.members();
+            members.voters == *asked && members.before.is_empty()
+        };
+        if self.asked.as_ref().is_some_and(|(asked, until)| now >= *until || attained(asked)) {
+            self.asked = None;
+        }
         self.tend_proposal();
         self.consider();
         self.finish()
@@ -548,6 +599,71 @@
         self.finish()
     }
 
+    /// An operator asks for other voters: gives those that there will be, once views with them stand
+    /// ([`Chain::members`] tells), or says why not. Safe whoever dies on the way: each view carries the set, and the
+    /// wish is forgotten with this node.
+    pub fn ask_voters(&mut self, now: Millis, seat: Seat) -> Result<Vec<NodeId>, Refused> {
+        self.now = now;
+        let stands = self.installed.as_ref().is_some_and(|i| i.stands && !i.broken);
+        let members = self.members();
+        if !stands || !members.contains(self.me) || !self.in_majority() {
+            return Err(Refused::NoView);
+        }
+        if !members.before.is_empty() || self.asked.is_some() {
+            return Err(Refused::UnderWay);
+        }
+        let (reached, mut voters) = (self.reached(), members.voters.clone());
+        match seat {
+            Seat::Add(node) if voters.contains(&node) => return Err(Refused::Votes(node)),
+            Seat::Add(_) if voters.len() >= MOST_VOTERS => return Err(Refused::TooMany),
+            Seat::Add(node) if !self.peers.get(&node).is_some_and(|p| p.up) => {
+                return Err(Refused::NotThere(node));
+            }
+            Seat::Add(node) if !self.peers.get(&node).is_some_and(|p| p.beat.eligible) => {
+                return Err(Refused::NotEligible(node));
+            }
+            Seat::Add(node) if !reached.contains(&node) => return Err(Refused::NotThere(node)),
+            Seat::Add(node) => voters.push(node),
+            Seat::Remove(node) if !voters.contains(&node) => return Err(Refused::NoVoter(node)),
+            Seat::Remove(node) => {
+                voters.retain(|voter| *voter != node);
+                let (left, losses) = (voters.len(), self.terms.losses);
+                let needed = 2 * losses + 1;
+                if left < needed {
+                    let instead = reached.iter().find(|node| !members.contains(**node));
+                    voters.push(*instead.ok_or(Refused::NobodyStandsBy { left, needed, losses })?);
+                }
+            }
+        }
+        voters.sort();
+        let wanted = Members::of(voters.clone());
+        // A new one is taken into the chain first, and has a vote by then.
+        let is_there =
+            |node: &NodeId| reached.contains(node) && !(members.contains(*node) && self.wiped_node(*node));
+        if !wanted.majority(is_there) {
+            let there = voters.iter().filter(|node| is_there(node)).count();
+            return Err(Refused::NoMajority { there, voters: voters.len() });
+        }
+        self.asked = Some((voters.clone(), now + ASKED));
+        Ok(voters)
+    }
+
+    /// Control nodes that may vote and don't, and are there.
+    pub fn standing_by(&self) -> Vec<NodeId> {
+        let members = self.members();
+        let eligible = self.peers.iter().filter(|(id, peer)| peer.beat.eligible && self.hears(**id));
+        eligible.map(|(id, _)| *id).filter(|id| !members.contains(*id)).collect()
+    }
+
+    /// How long a voter has not been heard; 0 where it is there.
+    pub fn away(&self, node: NodeId) -> Millis {
+        if node == self.me {
+            0
+        } else {
+            self.away_for(node)
+        }
+    }
+
     /// Whether any other voter still counts on this node.
     pub fn is_needed(&self) -> bool {
         self.known.as_ref().is_some_and(|view| view.chain.contains(&self.me) && view.chain.len() > 1)
@@ -666,6 +782,10 @@
         if !members.before.is_empty() {
             return None;
         }
+        if let Some((asked, _)) = &self.asked {
+            let there = |node: &NodeId| members.voters.contains(node) || reached.contains(node);
+            return (*asked != members.voters && asked.iter().all(there)).then(|| asked.clone());
+        }
         let mut standing_by = reached.iter().copied().filter(|node| !members.contains(*node));
         let mut wish = Vec::new();
         for voter in &members.voters {
@@ -733,7 +853,9 @@
             return;
         }
         let since = *self.need_since.get_or_insert(self.now);
+        // What only this node was asked for nobody else proposes.
         let before = target.iter().filter(|node| **node < self.me && !self.wiped_node(**node)).count();
+        let before = if self.asked.is_some() { 0 } else { before };
         if self.now >= self.hold_until && self.now >= since + SETTLE + TURN * before as Millis {
             self.propose(target, wish);
         }
@@ -794,8 +916,14 @@
         let chain: Vec<NodeId> = p.promises.keys().copied().collect();
         let stood = self.known.as_ref().is_some_and(|known| known.number >= *number);
         let wish = p.wish.as_ref().filter(|_| counted.before.is_empty());
-        let attained =
-            |wish: &&Vec<NodeId>| Members::of((*wish).clone()).majority(|node| chain.contains(node));
+        let votes = |node: &NodeId| p.promises.get(node).is_some_and(Option::is_some);
+        // New ones are taken into the chain of a view with the old set first, which gives them a vote. Counted without
+        // one, they would be lost to the new set if all power went before the view stands, and with one disk more it
+        // could never have a majority again.
+        let attained = |wish: &&Vec<NodeId>| {
+            wish.iter().all(|node| counted.contains(*node) || votes(node))
+                && Members::of((*wish).clone()).majority(votes)
+        };
         let members = match wish.filter(attained) {
             Some(wish) => Members { voters: wish.clone(), before: counted.voters.clone() },
             // A change that only some may have seen is made whole before the old set is let go of.
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 
 use glenfall_plane::chain::{
-    Beat, Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Record, Start, Terms, View,
+    Beat, Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Record, Refused, Seat, Start,
+    Terms, View,
 };
 use glenfall_plane::config::Change;
 use glenfall_plane::Millis;
@@ -100,6 +101,10 @@
     /// What was ever committed under a number.
     committed: BTreeMap<u64, u64>,
     done: u64,
+    /// Troubles are over.
+    mended: bool,
+    /// Changes of the voters that were begun at an operator's word.
+    seats: u64,
     /// The newest version that operators were told of: also one that was in force without an answer.
     told: u64,
 }
@@ -136,6 +141,8 @@
             acknowledged: BTreeMap::new(),
             committed: BTreeMap::new(),
             done: 0,
+            mended: false,
+            seats: 0,
             told: 0,
         }
     }
@@ -225,10 +232,31 @@
             let document = format!("{{\"rev\":{rev},\"call\":{}}}", self.next_call).into_bytes();
             self.call(n, Call::Change { builds_on, change: Change::Put(document) }, Some(rev), builds_on);
         }
+        if self.size.spare > 0 && !self.mended && self.rng.random_bool(0.1) {
+            self.ask_voters();
+        }
         let reader = self.rng.random_range(1..=self.size.nodes());
         self.call(reader, Call::Read, None, 0);
     }
 
+    /// An operator asks any node for other voters.
+    fn ask_voters(&mut self) {
+        let (at, which) =
+            (self.rng.random_range(1..=self.size.nodes()), self.rng.random_range(1..=self.size.nodes()));
+        let seat = if self.rng.random() { Seat::Add(node(which)) } else { Seat::Remove(node(which)) };
+        let now = self.now;
+        let machine = &mut self.machines[usize::from(at) - 1];
+        let Some(chain) = machine.chain.as_mut().filter(|_| machine.frozen_until <= now) else { return };
+        let before = chain.members().voters.clone();
+        match chain.ask_voters(now, seat) {
+            Ok(voters) => {
+                assert!(voters.len() > 2 * usize::from(self.size.losses) || voters.len() >= before.len());
+                self.seats += 1;
+            }
+            Err(refused) => assert!(!refused.to_string().is_empty()),
+        }
+    }
+
     fn lose_link(&mut self, a: u8, b: u8) {
         if !self.up.remove(&pair(a, b)) {
             return;
@@ -428,6 +456,7 @@
     }
 
     fn settle(&mut self) {
+        self.mended = true;
         self.cuts.clear();
         for n in 1..=self.size.nodes() {
             self.machines[usize::from(n) - 1].gone = false;
@@ -466,6 +495,18 @@
             world.operate();
         }
     }
+    if world.done <= done || !world.in_one_view() {
+        for (m, n) in world.machines.iter().zip(1..) {
+            let c = m.chain.as_ref();
+            println!(
+                "node {n}: view {:?} members {:?} maj {:?} disk {:?}",
+                c.and_then(|c| c.view().cloned()),
+                c.map(|c| c.members().clone()),
+                c.map(|c| c.in_majority()),
+                m.disk.as_ref().map(|d| (d.votes, d.promised, d.accepted, d.members.clone(), d.record.seq))
+            );
+        }
+    }
     assert!(world.done > done, "no change went through in {MENDED} ms after all was mended");
     assert!(world.in_one_view(), "not all are in one chain again");
     world.done
@@ -527,6 +568,80 @@
     assert!(!needed(&world), "still counted on after 600 ms");
 }
 
+/// Lets time pass until a node's view has these voters and no others.
+fn await_voters(world: &mut World, at: u8, voters: &[u8]) {
+    let until = world.now + 3000;
+    let wanted: Vec<NodeId> = voters.iter().copied().map(node).collect();
+    let stand = |world: &World| {
+        let chain = world.machines[usize::from(at) - 1].chain.as_ref().expect("it runs");
+        let members = chain.members();
+        members.voters == wanted && members.before.is_empty() && chain.view().is_some()
+    };
+    while !stand(world) {
+        assert!(world.now < until, "no view of the voters {voters:?}");
+        world.step();
+    }
+}
+
+#[test]
+fn voters_are_added_and_removed_at_an_operators_word_and_what_would_break_the_core_is_refused() {
+    let mut world = World::new(5, Size { losses: 1, spare: 2 });
+    for n in 4..=5 {
+        world.power_on(n);
+    }
+    while world.now < 3000 {
+        world.step();
+        if world.now.is_multiple_of(250) {
+            world.operate();
+        }
+    }
+    let ask = |world: &mut World, at: u8, seat| {
+        // The last change may not have come to this node yet.
+        let until = world.now + 1000;
+        let told = loop {
+            let now = world.now;
+            let chain = world.machines[usize::from(at) - 1].chain.as_mut().expect("it runs");
+            let told = chain.ask_voters(now, seat);
+            if !matches!(told, Err(Refused::NoView | Refused::UnderWay)) || now >= until {
+                assert!(told.is_err() || chain.ask_voters(now, seat) == Err(Refused::UnderWay));
+                break told;
+            }
+            world.step();
+        };
+        told.map(|voters| voters.into_iter().map(|voter| voter.octets()[3]).collect::<Vec<u8>>())
+    };
+    await_voters(&mut world, 1, &[1, 2, 3]);
+    assert_eq!(ask(&mut world, 1, Seat::Add(node(2))), Err(Refused::Votes(node(2))));
+    assert_eq!(ask(&mut world, 1, Seat::Add(node(9))), Err(Refused::NotThere(node(9))));
+    assert_eq!(ask(&mut world, 1, Seat::Remove(node(4))), Err(Refused::NoVoter(node(4))));
+    assert_eq!(ask(&mut world, 4, Seat::Remove(node(1))), Err(Refused::NoView), "it has no vote");
+    // One of three goes: its place is taken by one that stands by, also where it is the one that is asked.
+    assert_eq!(ask(&mut world, 2, Seat::Remove(node(2))), Ok(vec![1, 3, 4]));
+    await_voters(&mut world, 1, &[1, 3, 4]);
+    assert_eq!(ask(&mut world, 3, Seat::Add(node(5))), Ok(vec![1, 3, 4, 5]));
+    await_voters(&mut world, 1, &[1, 3, 4, 5]);
+    // More than are needed: one may go without another in its place.
+    assert_eq!(ask(&mut world, 1, Seat::Remove(node(3))), Ok(vec![1, 4, 5]));
+    await_voters(&mut world, 4, &[1, 4, 5]);
+    // Nobody stands by.
+    for n in 2..=3 {
+        world.power_off(n, false);
+    }
+    while world.now < 9000 {
+        world.step();
+    }
+    let refused = Refused::NobodyStandsBy { left: 2, needed: 3, losses: 1 };
+    assert_eq!(ask(&mut world, 1, Seat::Remove(node(5))), Err(refused));
+    let done = world.done;
+    for _ in 0..100 {
+        world.step();
+        if world.now.is_multiple_of(250) {
+            world.operate();
+        }
+    }
+    assert!(world.done > done, "changes go through");
+}
+
 /// Any message, with numbers and lists that may be far out.
 fn nonsense(rng: &mut ChaCha8Rng) -> Message {
     let number = |rng: &mut ChaCha8Rng| match rng.random_range(0..5) {
