One piece reads requests in tests, draws lines of plots, and says how long a voter is away

Each stood twice: the reading of a request in two test servers, the drawing of lines and their names in two plots of the lab, the time that a voter has been away in the chain. The time that a call of a verb may take is given by the verb, not by its path.

--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -20,8 +20,9 @@
 use crate::pool::{Pool, Reply, Trust};
 use crate::room::Room;
 
-/// One call to a control node; it answers within a second or not at all, but for a change of the voters.
+/// One call to a control node; it answers within a second or not at all.
 const CALL: Duration = Duration::from_millis(1500);
+/// A change of the voters: the node waits for three views.
 const CORE_CALL: Duration = Duration::from_millis(4500);
 /// How often all nodes are asked before a call is given up.
 const ROUNDS: usize = 3;
@@ -200,9 +201,19 @@
     path: &'static str,
     if_match: Option<u64>,
     body: Bytes,
+) -> Result<Reply, OpsError> {
+    call_within(CALL, at, method, path, if_match, body).await
+}
+
+async fn call_within(
+    within: Duration,
+    at: &Controls,
+    method: Method,
+    path: &'static str,
+    if_match: Option<u64>,
+    body: Bytes,
 ) -> Result<Reply, OpsError> {
     let pool = Pool::new(CONNECTIONS, Room::new(ROOM));
-    let within = if path == "/api/core" { CORE_CALL } else { CALL };
     for addr in at.controls.iter().cycle().take(at.controls.len() * ROUNDS) {
         let request = || {
             let mut request = Request::new(Full::new(body.clone()));
@@ -358,7 +369,8 @@
         CoreVerb::Add { at, node } => (at, serde_json::json!({ "add": node })),
         CoreVerb::Remove { at, node } => (at, serde_json::json!({ "remove": node })),
     };
-    call(at, Method::POST, "/api/core", None, body.to_string().into()).await.map(text)
+    let body = body.to_string().into();
+    call_within(CORE_CALL, at, Method::POST, "/api/core", None, body).await.map(text)
 }
 
 /// What each control node sees, one document apiece.
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
-use std::io::{Read, Write};
+use std::io::{BufRead, Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
@@ -60,6 +60,26 @@
     }
 }
 
+/// Reads one request whole, as a server: its try's id. `None` where the connection ends.
+pub fn read_request(reader: &mut impl BufRead) -> Option<String> {
+    let (mut id, mut length, mut line) = (String::new(), 0, String::new());
+    while line != "\r\n" {
+        line.clear();
+        if reader.read_line(&mut line).unwrap_or(0) == 0 {
+            return None;
+        }
+        let lower = line.to_ascii_lowercase();
+        if let Some(value) = lower.strip_prefix("x-glenfall-try-id: ") {
+            id = value.trim().to_owned();
+        }
+        if let Some(value) = lower.strip_prefix("content-length: ") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    reader.read_exact(&mut vec![0; length]).ok()?;
+    Some(id)
+}
+
 /// An answer: its status, its head and its body.
 pub type Heard = (u16, String, String);
 
--- a/glenfall/tests/memory.rs
+++ b/glenfall/tests/memory.rs
@@ -3,10 +3,10 @@
 
 mod common;
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 
-use common::{await_that, request, System, EDGE};
+use common::{await_that, read_request, request, System, EDGE};
 
 const MEMORY_MB: u64 = 96;
 /// An answer of a server.
@@ -29,25 +29,7 @@
 fn answers(mut stream: TcpStream) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let body = vec![b'x'; LARGE];
-    loop {
-        let mut line = String::new();
-        let (mut id, mut length) = (String::new(), 0);
-        while line != "\r\n" {
-            line.clear();
-            if reader.read_line(&mut line).unwrap_or(0) == 0 {
-                return;
-            }
-            let lower = line.to_ascii_lowercase();
-            if let Some(value) = lower.strip_prefix("x-glenfall-try-id: ") {
-                id = value.trim().to_owned();
-            }
-            if let Some(value) = lower.strip_prefix("content-length: ") {
-                length = value.trim().parse().unwrap();
-            }
-        }
-        if reader.read_exact(&mut vec![0; length]).is_err() {
-            return;
-        }
+    while let Some(id) = read_request(&mut reader) {
         let head = format!(
             "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: {id}\r\nX-Glenfall-Seal: s\r\nContent-Length: {LARGE}\r\n\r\n"
         );
--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -4,13 +4,13 @@
 mod common;
 
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
-use common::{await_that, request, Heard, System, EDGE};
+use common::{await_that, read_request, request, Heard, System, EDGE};
 
 /// A server that counts what it runs, and can be made to hold its answers back.
 #[derive(Default)]
@@ -38,25 +38,7 @@
 
     fn connection(&self, mut stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
-        loop {
-            let (mut id, mut length) = (String::new(), 0);
-            loop {
-                let mut line = String::new();
-                if reader.read_line(&mut line).unwrap_or(0) == 0 {
-                    return;
-                }
-                if line == "\r\n" {
-                    break;
-                }
-                let line = line.to_ascii_lowercase();
-                if let Some(value) = line.strip_prefix("x-glenfall-try-id: ") {
-                    id = value.trim().to_owned();
-                }
-                if let Some(value) = line.strip_prefix("content-length: ") {
-                    length = value.trim().parse().unwrap();
-                }
-            }
-            reader.read_exact(&mut vec![0; length]).unwrap();
+        while let Some(id) = read_request(&mut reader) {
             let run = self.runs.fetch_add(1, Ordering::Relaxed) + 1;
             self.waiting.fetch_add(1, Ordering::Relaxed);
             let mut held = self.held.lock().unwrap();
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::plan::PlanError;
-use crate::plot::PlotError;
+use crate::plot::{draw_lines, Line, PlotError, SIZE};
 
 /// Edges that a plan may ask for: a session is a line in a table, and a minute is long enough.
 const MOST_EDGES: u32 = 5000;
@@ -142,24 +142,22 @@
     Ok(FleetReport { sizes: found? })
 }
 
-/// Rows of the report: a name, and its figure at a size.
-type Row = (String, fn(&Found) -> f64);
+/// A row of the report: its name, and its figure at a size.
+type Row = (&'static str, fn(&Found) -> f64);
 
-fn rows() -> Vec<Row> {
-    vec![
-        ("connections opened for each write".into(), |f| f.writes.opened_per_write),
-        ("connections at a server at once, most".into(), |f| f64::from(f.writes.most_at_a_server)),
-        ("beyond what a server accepts".into(), |f| f.writes.over_cap as f64),
-        ("writes a server has, busiest over mean".into(), |f| f.writes.busiest),
-        ("writes turned away by a server, part".into(), |f| f.writes.turned_away),
-        ("writes not served, part".into(), |f| f.writes.not_served),
-        ("subsets, most over mean servers".into(), |f| f.writes.subset_most),
-        ("reads refused under the ceiling, part".into(), |f| f.reads.refused),
-        ("origin requests for each read".into(), |f| f.reads.fetched),
-        ("most in a window over what is allowed".into(), |f| f.reads.most_over_allowed),
-        ("reads a shield has, busiest over mean".into(), |f| f.reads.busiest),
-    ]
-}
+const ROWS: [Row; 11] = [
+    ("connections opened for each write", |f| f.writes.opened_per_write),
+    ("connections at a server at once, most", |f| f64::from(f.writes.most_at_a_server)),
+    ("beyond what a server accepts", |f| f.writes.over_cap as f64),
+    ("writes a server has, busiest over mean", |f| f.writes.busiest),
+    ("writes turned away by a server, part", |f| f.writes.turned_away),
+    ("writes not served, part", |f| f.writes.not_served),
+    ("subsets, most over mean servers", |f| f.writes.subset_most),
+    ("reads refused under the ceiling, part", |f| f.reads.refused),
+    ("origin requests for each read", |f| f.reads.fetched),
+    ("most in a window over what is allowed", |f| f.reads.most_over_allowed),
+    ("reads a shield has, busiest over mean", |f| f.reads.busiest),
+];
 
 impl FleetReport {
     pub fn markdown(&self) -> String {
@@ -170,8 +168,8 @@
         let mut text = each("edges", &|f| f.edges.to_string());
         text += &line("---", vec!["---".to_owned(); self.sizes.len()]);
         text += &each("servers", &|f| f.servers.to_string());
-        for (name, figure) in rows() {
-            text += &each(&name, &|f| format!("{:.3}", figure(f)));
+        for (name, figure) in ROWS {
+            text += &each(name, &|f| format!("{:.3}", figure(f)));
         }
         let phases = self.sizes.first().map_or(0, |found| found.telling.len());
         for at in 0..phases {
@@ -196,22 +194,22 @@
         let roll = |f: &Found, whole: bool| {
             f.telling.last().map_or(0.0, |p| if whole { p.whole_bytes_to_edge } else { p.bytes_to_edge })
         };
-        type Line<'a> = (&'a str, RGBColor, Box<dyn Fn(&Found) -> f64 + 'a>);
-        let lines: [Line; 4] = [
-            ("connections for each write", BLACK, Box::new(|f| f.writes.opened_per_write)),
-            ("most connections at a server", BLUE, Box::new(|f| f64::from(f.writes.most_at_a_server))),
-            ("bytes to an edge at a roll", GREEN, Box::new(move |f| roll(f, false))),
-            ("the same, told whole", RED, Box::new(move |f| roll(f, true))),
-        ];
-        let points = |figure: &dyn Fn(&Found) -> f64| -> Vec<(f64, f64)> {
+        let line = |name, color, figure: &dyn Fn(&Found) -> f64| -> Line {
             let first = self.sizes.first().map_or(1.0, figure).max(1e-9);
-            self.sizes.iter().map(|f| (f64::from(f.edges), (figure(f) / first).max(1e-3))).collect()
+            let points = self.sizes.iter().map(|f| (f64::from(f.edges), (figure(f) / first).max(1e-3)));
+            (name, color, points.collect())
         };
-        let all: Vec<(f64, f64)> = lines.iter().flat_map(|(_, _, figure)| points(figure)).collect();
+        let lines = [
+            line("connections for each write", BLACK, &|f| f.writes.opened_per_write),
+            line("most connections at a server", BLUE, &|f| f64::from(f.writes.most_at_a_server)),
+            line("bytes to an edge at a roll", GREEN, &|f| roll(f, false)),
+            line("the same, told whole", RED, &|f| roll(f, true)),
+        ];
+        let all: Vec<(f64, f64)> = lines.iter().flat_map(|(.., points)| points.clone()).collect();
         let most = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(1.0, f64::max);
         let least = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(f64::MAX, f64::min);
         let (xs, ys) = (least(|p| p.0)..most(|p| p.0) * 1.2, least(|p| p.1) * 0.8..most(|p| p.1) * 1.2);
-        let area = SVGBackend::new(path, (960, 420)).into_drawing_area();
+        let area = SVGBackend::new(path, SIZE).into_drawing_area();
         area.fill(&WHITE).map_err(|e| wrong(&e))?;
         let mut chart = ChartBuilder::on(&area)
             .caption("growth with the number of edges, smallest size = 1", ("sans-serif", 18))
@@ -221,21 +219,7 @@
             .build_cartesian_2d(xs.log_scale(), ys.log_scale())
             .map_err(|e| wrong(&e))?;
         chart.configure_mesh().x_desc("edges").draw().map_err(|e| wrong(&e))?;
-        for (name, color, figure) in &lines {
-            let color = *color;
-            chart
-                .draw_series(LineSeries::new(points(figure), &color))
-                .map_err(|e| wrong(&e))?
-                .label(*name)
-                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color));
-        }
-        chart
-            .configure_series_labels()
-            .position(SeriesLabelPosition::UpperLeft)
-            .background_style(WHITE)
-            .border_style(BLACK)
-            .draw()
-            .map_err(|e| wrong(&e))?;
+        draw_lines(&mut chart, lines.into())?;
         area.present().map_err(|e| wrong(&e))
     }
 }
--- a/lab/src/plot.rs
+++ b/lab/src/plot.rs
@@ -2,11 +2,12 @@
 
 use std::path::Path;
 
+use plotters::coord::ranged1d::Ranged;
 use plotters::prelude::*;
 
 use crate::report::{Counts, Report};
 
-const SIZE: (u32, u32) = (960, 420);
+pub const SIZE: (u32, u32) = (960, 420);
 
 #[derive(Debug, thiserror::Error)]
 #[error("plot: {0}")]
@@ -47,6 +48,23 @@
         .build_cartesian_2d(0.0..seconds.max(2) as f64 - 1.0, 0.0..most * 1.05)
         .map_err(|e| wrong(&e))?;
     chart.configure_mesh().x_desc("s").draw().map_err(|e| wrong(&e))?;
+    draw_lines(&mut chart, lines.into())?;
+    area.present().map_err(|e| wrong(&e))
+}
+
+/// A line of a plot: its name, its color and its points.
+pub type Line = (&'static str, RGBColor, Vec<(f64, f64)>);
+
+/// Draws lines into a chart, and what they are called beside them.
+pub fn draw_lines<'a, X, Y>(
+    chart: &mut ChartContext<'a, SVGBackend<'a>, Cartesian2d<X, Y>>,
+    lines: Vec<Line>,
+) -> Result<(), PlotError>
+where
+    X: Ranged<ValueType = f64>,
+    Y: Ranged<ValueType = f64>,
+{
+    let wrong = |e: &dyn std::fmt::Display| PlotError::new(e);
     for (name, color, line) in lines {
         chart
             .draw_series(LineSeries::new(line, &color))
@@ -54,11 +72,7 @@
             .label(name)
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], color));
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .border_style(BLACK)
-        .draw()
-        .map_err(|e| wrong(&e))?;
-    area.present().map_err(|e| wrong(&e))
+    let mut labels = chart.configure_series_labels();
+    let labels = labels.position(SeriesLabelPosition::UpperLeft).background_style(WHITE).border_style(BLACK);
+    labels.draw().map_err(|e| wrong(&e))
 }
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -655,15 +655,6 @@
         eligible.map(|(id, _)| *id).filter(|id| !members.contains(*id)).collect()
     }
 
-    /// How long a voter has not been heard; 0 where it is there.
-    pub fn away(&self, node: NodeId) -> Millis {
-        if node == self.me {
-            0
-        } else {
-            self.away_for(node)
-        }
-    }
-
     /// Whether any other voter still counts on this node.
     pub fn is_needed(&self) -> bool {
         self.known.as_ref().is_some_and(|view| view.chain.contains(&self.me) && view.chain.len() > 1)
@@ -789,7 +780,7 @@
         let mut standing_by = reached.iter().copied().filter(|node| !members.contains(*node));
         let mut wish = Vec::new();
         for voter in &members.voters {
-            let away = *voter != self.me && self.away_for(*voter) >= REPLACE;
+            let away = self.away(*voter) >= REPLACE;
             let instead = if away { standing_by.next() } else { None };
             wish.push(instead.unwrap_or(*voter));
         }
@@ -800,8 +791,9 @@
         (wish != members.voters).then_some(wish)
     }
 
-    fn away_for(&self, node: NodeId) -> Millis {
-        if self.hears(node) {
+    /// How long a voter has not been heard; 0 where it is there.
+    pub fn away(&self, node: NodeId) -> Millis {
+        if node == self.me || self.hears(node) {
             return 0;
         }
         let heard = self.peers.get(&node).map_or(0, |peer| peer.heard);
