A head with a full queue takes orders again once its voters suffice

While voters were too few, orders filled the head's queue (64); a full queue turned the next one away without going on with the first, and nothing else did. The core then took no change any more. Installing a view empties the queue: calls are sent again to the head of the view that stands.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -1036,6 +1036,8 @@
         let (members, votes) = (view.members.clone(), self.durable.votes);
         self.durable = Durable { members, votes, promised: number, accepted: number, record };
         self.pending = None;
+        // Whoever sent them sends them again, to the head of this view.
+        self.queue.clear();
         let broken = view.chain.iter().any(|member| *member != self.me && !self.hears(*member));
         self.installed = Some(Installed { view, stands: false, broken });
         self.persist(vec![Output::Send(from, Message::Installed { view: number })]);
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -84,6 +84,27 @@
     assert!(!needed(&world), "still counted on after 600 ms");
 }
 
+#[test]
+fn a_core_that_waited_long_for_its_voters_takes_changes_once_they_are_there() {
+    let mut world = World::new(4, Size { losses: 2, spare: 0 });
+    world.cut_off(5, 10_000);
+    while world.now < 10_000 {
+        step(&mut world);
+        if world.now.is_multiple_of(50) {
+            world.operate();
+        }
+    }
+    assert_eq!(world.done, 0, "four voters can't outlive two losses");
+    while world.now < 14_000 {
+        step(&mut world);
+        if world.now.is_multiple_of(250) {
+            world.operate();
+        }
+    }
+    assert!(world.in_one_view());
+    assert!(world.done > 5, "{} changes went through", world.done);
+}
+
 /// Lets time pass until a node's view has these voters and no others.
 fn await_voters(world: &mut World, at: u8, voters: &[u8]) {
     let until = world.now + 3000;
