The simulated core meets one-way cuts, kills, aimed losses and operators who insist

Each end of a link hears of its loss in its own time, as over sockets: at once from a killed process, after 1 to 1.5 s of silence from one that is dark, frozen or cut off. The store writes the newest of what waits, as the real one does.

New properties: each change was built on the one before it and is above it; nothing is acknowledged, read or named by a refusal that was not committed. A failing schedule is cut down by leaving events out.

--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -18,9 +18,9 @@
 const SMALL: Size = Size { losses: 1, spare: 0 };
 
 fn play(seed: u64) -> u64 {
-    match Schedule::drawn(seed).play() {
+    match Schedule::long(seed).play() {
         Ok(played) => played.changes,
-        Err((violation, nodes)) => panic!("{violation}\n{nodes}"),
+        Err(broken) => panic!("{} at {} ms\n{}", broken.violation, broken.at, broken.nodes),
     }
 }
 
--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -1,31 +1,39 @@
 //! The core's chain on a simulated network and disk: the real state machines, with links that delay, break and mend,
-//! cuts, freezes, power losses, wiped disks, operators who race, and voters that are replaced. All of it follows from
-//! a seed. [`World`] is driven step by step; [`Schedule`] is a list of events that replays exactly, also without some
-//! of them.
+//! cuts both ways or one, freezes, kills, power losses, wiped disks, operators who race and send orders again, and
+//! voters that are replaced. All of it follows from a seed. [`World`] is driven step by step; [`Schedule`] is a list of
+//! events that replays exactly, also without some of them.
 //!
 //! A property that is broken is kept as the world's [`Violation`], and told by the next [`World::step`].
 
 #![forbid(unsafe_code)]
 
+mod operators;
 mod schedule;
+mod shrink;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::Ipv4Addr;
 
-use glenfall_plane::chain::{
-    Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Seat, Start, Terms,
-};
-use glenfall_plane::config::Change;
+use glenfall_plane::chain::{Chain, Durable, Members, Message, NodeId, Output, Seat, Start, Terms};
 use glenfall_plane::Millis;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+pub use operators::Content;
+use operators::Operators;
 pub use schedule::{Action, Event, Played, Schedule};
+pub use shrink::shrunk;
 
 /// Seeds of the first start, as an operator names them.
 const SEEDS: u8 = 3;
 /// How much time passes in a step.
 pub const TICK: Millis = 10;
+/// A process asks its chain what time has brought so often, in steps; the real one does every 25 ms.
+const TICKS: Millis = 2 * TICK;
+/// A link on which nothing comes is given up by its end after so long, less what has passed since the last word.
+const SILENCE: std::ops::Range<Millis> = 1000..1500;
+/// An end that can be told of a lost link hears of it within so long.
+const TOLD: Millis = 20;
 
 /// The address of a machine, by its number, from 1.
 pub fn node(n: u8) -> NodeId {
@@ -57,19 +65,46 @@
     }
 }
 
+/// What the simulated machines do wrong on purpose, to see that it is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// A sync is told as done at once; the state reaches the disk half a second later.
+    LyingDisk,
+    /// A machine that lost its disk takes that for a first start, and votes.
+    FreshAfterWipe,
+}
+
+/// How long a lying disk keeps what it said it had written.
+const LIES: Millis = 500;
+
 /// What must not be.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Violation {
     #[error("node {node} published change {seq} after change {before}")]
     WentBack { node: u8, seq: u64, before: u64 },
-    #[error("versions {first} and {second} were committed as change {seq}")]
+    #[error("versions {first} and {second}, or two contents of one, were committed as change {seq}")]
     TwoCommitted { seq: u64, first: u64, second: u64 },
+    #[error("change {seq} was committed as version {rev}, which is not above the one before")]
+    NotAbove { seq: u64, rev: u64 },
+    #[error("version {rev}, which builds on {builds_on}, was committed upon another")]
+    BuiltOnOther { rev: u64, builds_on: u64 },
     #[error("versions {first} and {second}, which both build on {builds_on}, were acknowledged")]
     TwoAcknowledged { builds_on: u64, first: u64, second: u64 },
+    #[error("two orders of version {rev} with other contents were acknowledged")]
+    TwoUnderOneNumber { rev: u64 },
     #[error("version {answered} was acknowledged to the order of version {ordered}")]
     OtherAcknowledged { ordered: u64, answered: u64 },
+    #[error("version {rev} was acknowledged, and no node had published it by then")]
+    AcknowledgedUncommitted { rev: u64 },
+    #[error("version {rev} was taken, which is no configuration")]
+    InvalidTaken { rev: u64 },
+    #[error("a refusal named version {current}, which was not in force by then")]
+    UncommittedRefusal { current: u64 },
     #[error("a read gave version {read} after version {acknowledged} was acknowledged")]
     OldRead { read: u64, acknowledged: u64 },
+    #[error("a read gave version {read}, which was not in force by then")]
+    UncommittedRead { read: u64 },
     #[error("{voters} voters were promised to an operator, {needed} are needed")]
     FewVoters { voters: usize, needed: usize },
     #[error("a refusal says nothing")]
@@ -78,6 +113,8 @@
     Stuck(Millis),
     #[error("not all are in one chain again")]
     Apart,
+    #[error("a node panicked: {0}")]
+    Panic(String),
 }
 
 impl Violation {
@@ -90,70 +127,93 @@
 pub struct Machine {
     /// `None` while it has no power.
     pub chain: Option<Chain>,
-    /// What has reached the disk, and what is under way to it: when it is there, number, state.
+    /// What has reached the disk.
     pub disk: Option<Durable>,
-    syncing: VecDeque<(Millis, u64, Durable)>,
+    /// What is being written and when it is there: number, state. What comes meanwhile waits, and the newest of it is
+    /// written next.
+    writing: Option<(Millis, u64, Durable)>,
+    waiting: Option<(u64, Durable)>,
+    /// What a lying disk keeps to itself.
+    kept_back: VecDeque<(Millis, Durable)>,
     /// Its disk was lost once: without state it is no node that starts for the first time.
     pub wiped: bool,
     /// Gone for good: it is not switched on again, until an empty machine takes its place.
     pub gone: bool,
     /// Nothing is done before then.
     pub frozen_until: Millis,
+    frozen_since: Millis,
     pub stalled_until: Millis,
     life: u64,
     published: u64,
+    /// Of its disk, and of the order in which it does what came at once.
+    rng: ChaCha8Rng,
 }
 
-/// Messages in order: when each arrives, and the life of the link that it was sent on.
-type Link = VecDeque<(Millis, u64, Message)>;
+/// One direction of a link between two machines.
+struct Way {
+    /// Messages in order: when each arrives, and the life of the link that it was sent on.
+    messages: VecDeque<(Millis, u64, Message)>,
+    /// Nothing arrives in this time; what was sent comes after it, if the link lasts.
+    mute: std::ops::Range<Millis>,
+    /// The life of the link that the receiver hears on, until it is told that the link is lost.
+    open: Option<u64>,
+    rng: ChaCha8Rng,
+}
 
-/// A call that an operator waits for.
-struct Asked {
-    at: u8,
+/// A link, and until when nothing goes over it.
+#[derive(Clone, Default)]
+struct Link {
+    up: bool,
     life: u64,
-    rev: Option<u64>,
-    builds_on: u64,
-    /// The newest acknowledged version when a read began.
-    floor: u64,
+    cut_until: Millis,
+}
+
+/// What a machine learns of a link: when, on which machine, of which, and whether it is up.
+struct Notice {
+    at: Millis,
+    on: u8,
+    of: u8,
+    up: bool,
 }
 
 pub struct World {
     pub size: Size,
-    /// Of delays, syncs, links that come up, and of operators that are not told what to do.
+    /// Of operators that are not told what to do.
     pub rng: ChaCha8Rng,
     pub now: Millis,
     pub machines: Vec<Machine>,
-    /// Messages under way, by sender and receiver.
-    links: BTreeMap<(u8, u8), Link>,
-    link_life: BTreeMap<(u8, u8), u64>,
-    up: BTreeSet<(u8, u8)>,
-    /// Pairs that are cut off from each other, and until when.
-    pub cuts: BTreeMap<(u8, u8), Millis>,
-    asked: BTreeMap<u64, Asked>,
-    next_call: u64,
-    /// What each call was answered.
-    outcomes: BTreeMap<u64, Outcome>,
-    /// Acknowledged versions, by the version that they build on.
-    pub acknowledged: BTreeMap<u64, u64>,
-    /// What was ever committed under a number.
-    pub committed: BTreeMap<u64, u64>,
-    /// Changes that were acknowledged, and reads answered.
+    ways: Vec<Way>,
+    links: Vec<Link>,
+    notices: Vec<Notice>,
+    operators: Operators,
+    /// What was ever committed under a number: the version, and the order whose document it is.
+    pub committed: BTreeMap<u64, (u64, Option<u64>)>,
+    /// Changes that were acknowledged, reads answered, orders refused, orders that were sent again.
     pub done: u64,
     pub reads: u64,
+    pub refusals: u64,
+    pub repeats: u64,
     /// Troubles are over.
     pub mended: bool,
     /// Changes of the voters that were begun at an operator's word.
     pub seats: u64,
     /// The newest view that any node ever knew to stand, and who counts in it.
     stood: (u64, Members),
-    /// The newest version that operators were told of: also one that was in force without an answer.
-    told: u64,
+    /// Views that stood, and changes of who counts.
+    pub views: u64,
+    pub member_changes: u64,
+    /// What happens after the next acknowledgement, and after a time.
+    armed: Vec<Action>,
+    later: Vec<(Millis, Action)>,
+    pub fault: Option<Fault>,
     violation: Option<Violation>,
 }
 
-/// The key of a pair of machines.
-pub fn pair(a: u8, b: u8) -> (u8, u8) {
-    (a.min(b), a.max(b))
+/// The stream of the seed that something draws from.
+fn drawing(seed: u64, stream: u64) -> ChaCha8Rng {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(stream);
+    rng
 }
 
 impl World {
@@ -163,34 +223,47 @@
         let machine = |n| Machine {
             chain: (n <= size.voters()).then(|| Chain::new(node(n), size.terms(), Start::Fresh(seeds()))),
             disk: None,
-            syncing: VecDeque::new(),
+            writing: None,
+            waiting: None,
+            kept_back: VecDeque::new(),
             wiped: n > size.voters(),
             gone: false,
             frozen_until: 0,
+            frozen_since: 0,
             stalled_until: 0,
             life: 0,
             published: 0,
+            rng: drawing(seed, 100 + u64::from(n)),
+        };
+        let way = |stream| Way {
+            messages: VecDeque::new(),
+            mute: 0..0,
+            open: None,
+            rng: drawing(seed, 1000 + stream),
         };
+        let places = (u64::from(size.nodes()) + 1).pow(2);
         World {
             size,
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng: drawing(seed, 0),
             now: 0,
             machines: (1..=size.nodes()).map(machine).collect(),
-            links: BTreeMap::new(),
-            link_life: BTreeMap::new(),
-            up: BTreeSet::new(),
-            cuts: BTreeMap::new(),
-            asked: BTreeMap::new(),
-            next_call: 1,
-            outcomes: BTreeMap::new(),
-            acknowledged: BTreeMap::new(),
+            ways: (0..places).map(way).collect(),
+            links: vec![Link::default(); places as usize],
+            notices: Vec::new(),
+            operators: Operators::default(),
             committed: BTreeMap::new(),
             done: 0,
             reads: 0,
+            refusals: 0,
+            repeats: 0,
             mended: false,
             seats: 0,
             stood: (0, Members::of(seeds())),
-            told: 0,
+            views: 0,
+            member_changes: 0,
+            armed: Vec::new(),
+            later: Vec::new(),
+            fault: None,
             violation: None,
         }
     }
@@ -209,6 +282,24 @@
         1..=self.size.nodes()
     }
 
+    fn others(&self, n: u8) -> impl Iterator<Item = u8> {
+        self.nodes().filter(move |other| *other != n)
+    }
+
+    fn place(&self, a: u8, b: u8) -> usize {
+        usize::from(a) * (usize::from(self.size.nodes()) + 1) + usize::from(b)
+    }
+
+    fn way(&mut self, from: u8, to: u8) -> &mut Way {
+        let place = self.place(from, to);
+        &mut self.ways[place]
+    }
+
+    fn link(&mut self, a: u8, b: u8) -> &mut Link {
+        let place = self.place(a.min(b), a.max(b));
+        &mut self.links[place]
+    }
+
     /// Hands an input to a node that runs, and carries out what follows from it.
     pub fn with(&mut self, n: u8, input: impl FnOnce(&mut Chain, Millis) -> Vec<Output>) {
         let now = self.now;
@@ -229,253 +320,366 @@
         }
     }
 
-    /// What came of a call.
-    pub fn outcome(&self, call: u64) -> Option<&Outcome> {
-        self.outcomes.get(&call)
-    }
-
     fn carry_out(&mut self, n: u8, outputs: Vec<Output>) {
         for output in outputs {
             match output {
-                Output::Send(to, message) => {
-                    let to = to.octets()[3];
-                    if !self.up.contains(&pair(n, to)) {
-                        continue;
-                    }
-                    let life = self.link_life[&pair(n, to)];
-                    let link = self.links.entry((n, to)).or_default();
-                    let before = link.back().map_or(0, |(at, ..)| *at);
-                    let delay = if self.rng.random_bool(0.02) { 200 } else { self.rng.random_range(1..12) };
-                    link.push_back(((self.now + delay).max(before), life, message));
-                }
-                Output::Persist(number, state) => {
-                    let takes = self.rng.random_range(1..20);
-                    let now = self.now;
-                    let machine = self.machine(n);
-                    let before = machine.syncing.back().map_or(0, |(at, ..)| *at);
-                    let at = (now + takes).max(before).max(machine.stalled_until);
-                    machine.syncing.push_back((at, number, state));
-                }
+                Output::Send(to, message) => self.send(n, to.octets()[3], message),
+                Output::Persist(number, state) => self.persist(n, number, state),
                 Output::Answer(call, outcome) => self.answered(n, call, outcome),
                 Output::Publish(record) => {
-                    let (seq, rev) = (record.seq, record.rev);
-                    let before = std::mem::replace(&mut self.machine(n).published, seq);
+                    let before = std::mem::replace(&mut self.machine(n).published, record.seq);
+                    let seq = record.seq;
                     self.require(seq > before, || Violation::WentBack { node: n, seq, before });
-                    let first = *self.committed.entry(seq).or_insert(rev);
-                    self.require(first == rev, || Violation::TwoCommitted { seq, first, second: rev });
+                    self.commits(&record);
                 }
             }
         }
     }
 
-    fn answered(&mut self, n: u8, call: u64, outcome: Outcome) {
-        let Some(asked) = self.asked.remove(&call) else { return };
-        assert_eq!(asked.at, n, "an answer comes out where the call went in");
-        match (&outcome, asked.rev) {
-            (Outcome::Done { rev }, Some(ordered)) => {
-                let (rev, builds_on) = (*rev, asked.builds_on);
-                self.require(rev == ordered, || Violation::OtherAcknowledged { ordered, answered: rev });
-                let first = self.acknowledged.insert(builds_on, rev).unwrap_or(rev);
-                self.require(first == rev, || Violation::TwoAcknowledged { builds_on, first, second: rev });
-                self.done += 1;
-            }
-            (Outcome::Document(record), None) => {
-                let (read, acknowledged) = (record.rev, asked.floor);
-                self.require(read >= acknowledged, || Violation::OldRead { read, acknowledged });
-                self.reads += 1;
-            }
-            (Outcome::Conflict { current }, Some(_)) => self.told = self.told.max(*current),
-            _ => {}
-        }
-        self.outcomes.insert(call, outcome);
-    }
+    // ---- Links ----
 
-    /// The newest acknowledged version.
-    pub fn newest(&self) -> u64 {
-        self.acknowledged.values().copied().max().unwrap_or(0)
+    fn send(&mut self, from: u8, to: u8, message: Message) {
+        if from == to || to == 0 || to > self.size.nodes() || !self.link(from, to).up {
+            return;
+        }
+        let (now, life) = (self.now, self.link(from, to).life);
+        let way = self.way(from, to);
+        let before = way.messages.back().map_or(0, |(at, ..)| *at);
+        // One in fifty packets is lost and comes again.
+        let delay = if way.rng.random_ratio(1, 50) { 200 } else { way.rng.random_range(1..12) };
+        let muted = if way.mute.contains(&now) { way.mute.end } else { 0 };
+        way.messages.push_back(((now + delay).max(before).max(muted + delay), life, message));
     }
 
-    /// A call at a node; `rev` is what a change makes, `None` for a read. `None` where the node does not answer.
-    pub fn call(&mut self, n: u8, what: Call, rev: Option<u64>, builds_on: u64) -> Option<u64> {
-        let (call, floor, now) = (self.next_call, self.newest(), self.now);
-        let machine = self.machine(n);
-        if machine.chain.is_none() || machine.frozen_until > now {
-            return None;
+    /// The next message on a link that has arrived by now.
+    fn arrived(&mut self, from: u8, to: u8) -> Option<Message> {
+        let now = self.now;
+        let way = self.way(from, to);
+        loop {
+            let (_, life, message) = way.messages.pop_front_if(|(at, ..)| *at <= now)?;
+            if way.open == Some(life) {
+                return Some(message);
+            }
         }
-        let life = machine.life;
-        self.next_call += 1;
-        self.asked.insert(call, Asked { at: n, life, rev, builds_on, floor });
-        self.with(n, |chain, now| chain.call(now, call, what));
-        Some(call)
     }
 
-    pub fn read(&mut self, n: u8) -> Option<u64> {
-        self.call(n, Call::Read, None, 0)
+    fn notice(&mut self, at: Millis, on: u8, of: u8, up: bool) {
+        self.notices.push(Notice { at, on, of, up });
     }
 
-    /// An operator at a node puts a document in force whose version is higher by `raise` than the newest that it knows.
-    pub fn change(&mut self, n: u8, raise: u64) -> Option<u64> {
-        let builds_on = self.newest().max(self.told);
-        let rev = builds_on + raise;
-        let document = format!("{{\"rev\":{rev},\"call\":{}}}", self.next_call).into_bytes();
-        self.call(n, Call::Change { builds_on, change: Change::Put(document) }, Some(rev), builds_on)
+    /// A link ends; each end hears of it in its own time. What is under way still arrives, but for `silent` ends.
+    fn break_link(&mut self, a: u8, b: u8, told: [Millis; 2], arrives: [bool; 2]) {
+        if !std::mem::take(&mut self.link(a, b).up) {
+            return;
+        }
+        for ((on, of), (told, arrives)) in [(a, b), (b, a)].into_iter().zip(told.into_iter().zip(arrives)) {
+            if !arrives {
+                self.way(of, on).messages.clear();
+            }
+            // Not before it was told that the link is up.
+            let up = self.notices.iter().filter(|n| n.on == on && n.of == of).map(|n| n.at).max();
+            self.notice((self.now + told).max(up.unwrap_or(0)), on, of, false);
+        }
     }
 
-    /// An operator changes what it knows to be in force; sometimes two do at once. Another one reads.
-    pub fn operate(&mut self) {
-        let builds_on = self.newest().max(self.told);
-        let operators = self.rng.random_range(1..=2);
-        for _ in 0..operators {
-            let (n, rev) =
-                (self.rng.random_range(1..=self.size.nodes()), builds_on + self.rng.random_range(1..9));
-            let document = format!("{{\"rev\":{rev},\"call\":{}}}", self.next_call).into_bytes();
-            self.call(n, Call::Change { builds_on, change: Change::Put(document) }, Some(rev), builds_on);
-        }
-        let reader = self.rng.random_range(1..=self.size.nodes());
-        self.read(reader);
+    /// A link breaks, with what is under way on it.
+    pub fn lose_link(&mut self, a: u8, b: u8) {
+        let told = [(a, b), (b, a)].map(|(from, to)| self.way(from, to).rng.random_range(0..TOLD));
+        self.break_link(a, b, told, [false, false]);
     }
 
-    /// An operator asks a node for other voters.
-    pub fn ask_voters(&mut self, n: u8, seat: Seat) {
-        let (now, losses) = (self.now, usize::from(self.size.losses));
-        let machine = self.machine(n);
-        let Some(chain) = machine.chain.as_mut().filter(|_| machine.frozen_until <= now) else { return };
-        let before = chain.members().voters.len();
-        match chain.ask_voters(now, seat) {
-            Ok(voters) => {
-                let (voters, needed) = (voters.len(), (2 * losses + 1).min(before));
-                self.require(voters >= needed, || Violation::FewVoters { voters, needed });
-                self.seats += 1;
-            }
-            Err(refused) => {
-                self.require(!refused.to_string().is_empty(), || Violation::SilentRefusal);
-            }
-        }
+    fn silence(&mut self, from: u8, to: u8) -> Millis {
+        self.way(from, to).rng.random_range(SILENCE)
     }
 
     /// Two machines hear nothing of each other for so long.
     pub fn cut(&mut self, a: u8, b: u8, lasts: Millis) {
-        self.cuts.insert(pair(a, b), self.now + lasts);
+        let until = self.now + lasts;
+        self.link(a, b).cut_until = until;
+        let told = [self.silence(a, b), self.silence(b, a)];
+        // Where it ends before anybody has noticed, packets that were lost come again.
+        if lasts < SILENCE.start {
+            self.mute(a, b, lasts);
+            return self.mute(b, a, lasts);
+        }
+        self.break_link(a, b, told, [false, false]);
     }
 
-    /// A machine hears nothing of any other.
+    /// A machine hears nothing of any other, and no other hears of it.
     pub fn cut_off(&mut self, n: u8, lasts: Millis) {
-        for other in self.nodes().filter(|other| *other != n) {
+        for other in self.others(n) {
             self.cut(n, other, lasts);
         }
     }
 
+    /// Nothing of one machine comes to another for so long; the other direction works.
+    pub fn mute(&mut self, from: u8, to: u8, lasts: Millis) {
+        let now = self.now;
+        let way = self.way(from, to);
+        way.mute = now..(now + lasts).max(way.mute.end);
+        let (end, mut before) = (way.mute.end, 0);
+        for (at, ..) in &mut way.messages {
+            before = (*at).max(end + 1).max(before);
+            *at = before;
+        }
+    }
+
     /// The process does nothing for so long.
     pub fn freeze(&mut self, n: u8, lasts: Millis) {
-        self.machine(n).frozen_until = self.now + lasts;
+        let now = self.now;
+        let machine = self.machine(n);
+        if machine.frozen_until <= now {
+            machine.frozen_since = now;
+        }
+        machine.frozen_until = now + lasts;
     }
 
-    /// No sync that begins in this time is done before its end.
-    pub fn stall(&mut self, n: u8, lasts: Millis) {
-        self.machine(n).stalled_until = self.now + lasts;
+    fn frozen(&self, n: u8) -> bool {
+        self.machines[usize::from(n) - 1].frozen_until > self.now
     }
 
-    pub fn lose_link(&mut self, a: u8, b: u8) {
-        if !self.up.remove(&pair(a, b)) {
-            return;
+    /// Links that are silent for too long end; others come up where both ends run and nothing cuts them.
+    fn tend_links(&mut self) {
+        for a in self.nodes() {
+            for b in a + 1..=self.size.nodes() {
+                let place = self.place(a, b);
+                if self.links[place].up {
+                    self.tend_silent(a, b);
+                    continue;
+                }
+                let both = self.chain(a).is_some() && self.chain(b).is_some();
+                let silent = self.links[place].cut_until > self.now
+                    || [(a, b), (b, a)].into_iter().any(|(x, y)| self.way(x, y).mute.end > self.now)
+                    || self.frozen(a)
+                    || self.frozen(b);
+                let told = || !self.notices.iter().any(|n| [(n.on, n.of), (n.of, n.on)].contains(&(a, b)));
+                if both && !silent && told() && self.way(a, b).rng.random_ratio(1, 5) {
+                    let link = &mut self.links[place];
+                    link.up = true;
+                    link.life += 1;
+                    let life = link.life;
+                    for (on, of) in [(a, b), (b, a)] {
+                        let way = self.way(of, on);
+                        way.messages.clear();
+                        way.open = Some(life);
+                        let at = self.now + self.way(of, on).rng.random_range(0..TOLD);
+                        self.notice(at, on, of, true);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Ends a link of which one end has heard nothing for too long.
+    fn tend_silent(&mut self, a: u8, b: u8) {
+        for (on, of) in [(a, b), (b, a)] {
+            let now = self.now;
+            let muted = self.way(of, on).mute.clone();
+            let since = match self.frozen(of) {
+                true => Some(self.machine(of).frozen_since),
+                false => (muted.end > now).then_some(muted.start),
+            };
+            if since.is_some_and(|since| now >= since + SILENCE.start)
+                && self.way(of, on).rng.random_ratio(1, 25)
+            {
+                // It says so to the other, who hears it where it is not frozen.
+                let told = self.way(on, of).rng.random_range(0..TOLD);
+                return match on < of {
+                    true => self.break_link(on, of, [0, told], [true, true]),
+                    false => self.break_link(of, on, [told, 0], [true, true]),
+                };
+            }
         }
-        for (n, other) in [(a, b), (b, a)] {
-            self.links.remove(&(n, other));
-            self.with(n, |chain, now| chain.peer_down(now, node(other)));
+    }
+
+    // ---- Machines ----
+
+    fn persist(&mut self, n: u8, number: u64, state: Durable) {
+        let machine = self.machine(n);
+        machine.waiting = Some((number, state));
+        self.write(n);
+    }
+
+    fn write(&mut self, n: u8) {
+        let now = self.now;
+        let machine = self.machine(n);
+        if machine.writing.is_none() {
+            if let Some((number, state)) = machine.waiting.take() {
+                let takes = machine.rng.random_range(1..20);
+                machine.writing = Some(((now + takes).max(machine.stalled_until), number, state));
+            }
         }
     }
 
-    /// Power goes: what is not on disk is lost, or there by luck. The disk may go with it.
-    pub fn power_off(&mut self, n: u8, wipe: bool) {
-        for other in self.nodes().filter(|other| *other != n) {
-            self.lose_link(n, other);
+    /// No write that is under way, or begins in this time, is done before its end.
+    pub fn stall(&mut self, n: u8, lasts: Millis) {
+        let until = self.now + lasts;
+        let machine = self.machine(n);
+        machine.stalled_until = until;
+        if let Some((at, ..)) = &mut machine.writing {
+            *at = (*at).max(until);
+        }
+    }
+
+    fn stop(&mut self, n: u8) {
+        self.notices.retain(|notice| notice.on != n);
+        for other in self.others(n) {
+            self.way(other, n).open = None;
         }
-        let lucky = self.rng.random_bool(0.3);
         let machine = self.machine(n);
         machine.chain = None;
         machine.life += 1;
         machine.published = 0;
-        if let (true, Some((_, _, state))) = (lucky, machine.syncing.pop_front()) {
+        machine.waiting = None;
+        // What was being written is there, or is not.
+        if let Some((_, _, state)) = machine.writing.take().filter(|_| machine.rng.random()) {
             machine.disk = Some(state);
         }
-        machine.syncing.clear();
+    }
+
+    /// The process dies; what it said is still on its way, and its ends of the links tell.
+    pub fn kill(&mut self, n: u8) {
+        for other in self.others(n) {
+            let told = self.way(n, other).rng.random_range(0..TOLD);
+            match n < other {
+                true => self.break_link(n, other, [0, told], [false, true]),
+                false => self.break_link(other, n, [told, 0], [true, false]),
+            }
+        }
+        let machine = self.machine(n);
+        if let Some((_, state)) = machine.kept_back.pop_back() {
+            (machine.disk, machine.kept_back) = (Some(state), VecDeque::new());
+        }
+        self.stop(n);
+    }
+
+    /// Power goes: what is not on disk is lost. The disk may go with it. Others hear nothing of it.
+    pub fn power_off(&mut self, n: u8, wipe: bool) {
+        for other in self.others(n) {
+            let told = self.silence(n, other);
+            match n < other {
+                true => self.break_link(n, other, [0, told], [false, false]),
+                false => self.break_link(other, n, [told, 0], [false, false]),
+            }
+        }
+        self.stop(n);
+        let machine = self.machine(n);
+        machine.kept_back.clear();
         if wipe {
             (machine.disk, machine.wiped) = (None, true);
         }
-        let life = machine.life;
-        self.asked.retain(|_, asked| asked.at != n || asked.life >= life);
     }
 
     pub fn power_on(&mut self, n: u8) {
-        let terms = self.size.terms();
+        let (now, terms) = (self.now, self.size.terms());
+        let forgets = self.fault == Some(Fault::FreshAfterWipe);
         let machine = self.machine(n);
         if machine.chain.is_some() || machine.gone {
             return;
         }
         let start = match machine.disk.clone() {
             Some(kept) => Start::Kept(kept),
-            None if machine.wiped => Start::Wiped,
+            None if machine.wiped && !forgets => Start::Wiped,
             // It died before its first write: it has promised nothing.
             None => Start::Fresh(seeds()),
         };
         machine.chain = Some(Chain::new(node(n), terms, start));
         machine.frozen_until = 0;
+        // It knows nothing of the links of its last life, and says so to who still speaks there.
+        for notice in self.notices.iter_mut().filter(|notice| notice.of == n) {
+            notice.at = notice.at.min(now + 2 * TOLD);
+        }
     }
 
     /// Time passes, and what has arrived by then is done. Tells the first property that was broken so far.
     pub fn step(&mut self) -> Result<(), Violation> {
         self.now += TICK;
         let now = self.now;
-        self.cuts.retain(|_, until| *until > now);
-        // Links come up where both ends run and nothing cuts them.
-        for a in self.nodes() {
-            for b in a + 1..=self.size.nodes() {
-                let both = self.chain(a).is_some() && self.chain(b).is_some();
-                if self.cuts.contains_key(&(a, b)) {
-                    self.lose_link(a, b);
-                } else if both && !self.up.contains(&(a, b)) && self.rng.random_bool(0.2) {
-                    self.up.insert((a, b));
-                    *self.link_life.entry((a, b)).or_default() += 1;
-                    for (n, other) in [(a, b), (b, a)] {
-                        self.with(n, |chain, now| chain.peer_up(now, node(other)));
-                    }
-                }
-            }
+        while let Some(due) = self.later.iter().position(|(at, _)| *at <= now) {
+            let (_, action) = self.later.remove(due);
+            self.act(&action);
         }
+        self.tend_links();
         for n in self.nodes() {
-            if self.machine(n).frozen_until <= now && self.chain(n).is_some() {
+            if !self.frozen(n) && self.chain(n).is_some() {
                 self.run(n);
             }
         }
+        self.tend_orders();
         self.check()
     }
 
-    /// The next message on a link that has arrived by now.
-    fn arrived(&mut self, from: u8, to: u8) -> Option<(Millis, u64, Message)> {
-        let now = self.now;
-        self.links.get_mut(&(from, to))?.pop_front_if(|(at, ..)| *at <= now)
-    }
-
     fn run(&mut self, n: u8) {
         let now = self.now;
-        while let Some((_, number, state)) = self.machine(n).syncing.pop_front_if(|(at, ..)| *at <= now) {
-            self.machine(n).disk = Some(state);
+        while let Some((_, number, state)) = self.machine(n).writing.take_if(|(at, ..)| *at <= now) {
+            let lies = self.fault == Some(Fault::LyingDisk);
+            let machine = self.machine(n);
+            match lies {
+                true => machine.kept_back.push_back((now + LIES, state)),
+                false => machine.disk = Some(state),
+            }
+            self.write(n);
             self.with(n, |chain, now| chain.synced(now, number));
         }
-        for from in self.nodes().filter(|from| *from != n) {
-            while let Some((_, life, message)) = self.arrived(from, n) {
-                if self.link_life.get(&pair(from, n)) == Some(&life) {
-                    self.with(n, |chain, now| chain.message(now, node(from), message));
-                }
+        while let Some((_, state)) = self.machine(n).kept_back.pop_front_if(|(at, _)| *at <= now) {
+            self.machine(n).disk = Some(state);
+        }
+        // What came at once is done in any order.
+        let first = self.notices.iter().any(|notice| notice.on == n) && self.machine(n).rng.random();
+        if first {
+            self.tell(n);
+        }
+        for from in self.others(n) {
+            while let Some(message) = self.arrived(from, n) {
+                self.with(n, |chain, now| chain.message(now, node(from), message));
             }
         }
-        self.with(n, |chain, now| chain.tick(now));
+        self.tell(n);
+        if now.is_multiple_of(TICKS) {
+            self.with(n, |chain, now| chain.tick(now));
+        }
         let view = self.machines[usize::from(n) - 1].chain.as_ref().and_then(Chain::view);
         if let Some(view) = view.filter(|view| view.number > self.stood.0) {
+            self.views += 1;
+            self.member_changes += u64::from(view.members != self.stood.1);
             self.stood = (view.number, view.members.clone());
         }
     }
 
+    /// A node learns what became of its links.
+    fn tell(&mut self, n: u8) {
+        let now = self.now;
+        while let Some(due) = self.notices.iter().position(|notice| notice.on == n && notice.at <= now) {
+            let Notice { of, up, .. } = self.notices.remove(due);
+            if up {
+                self.with(n, |chain, now| chain.peer_up(now, node(of)));
+            } else {
+                self.way(of, n).open = None;
+                self.with(n, |chain, now| chain.peer_down(now, node(of)));
+            }
+        }
+    }
+
+    /// An operator asks a node for other voters.
+    pub fn ask_voters(&mut self, n: u8, seat: Seat) {
+        let (now, losses) = (self.now, usize::from(self.size.losses));
+        if self.frozen(n) {
+            return;
+        }
+        let Some(chain) = &mut self.machine(n).chain else { return };
+        let before = chain.members().voters.len();
+        match chain.ask_voters(now, seat) {
+            Ok(voters) => {
+                let (voters, needed) = (voters.len(), (2 * losses + 1).min(before));
+                self.require(voters >= needed, || Violation::FewVoters { voters, needed });
+                self.seats += 1;
+            }
+            Err(refused) => {
+                self.require(!refused.to_string().is_empty(), || Violation::SilentRefusal);
+            }
+        }
+    }
+
     /// Machines whose disks may be lost now: as many as the voters outlive, less those that are without a vote
     /// already, as no view that stands has taken them in since. Voters are those of the newest view that stood, and of
     /// the newest that is on any disk. At first they are the seeds alone.
@@ -508,7 +712,15 @@
     /// All troubles end.
     pub fn settle(&mut self) {
         self.mended = true;
-        self.cuts.clear();
+        self.armed.clear();
+        self.later.clear();
+        let now = self.now;
+        for link in &mut self.links {
+            link.cut_until = 0;
+        }
+        for way in &mut self.ways {
+            way.mute.end = way.mute.end.min(now);
+        }
         for n in self.nodes() {
             self.machine(n).gone = false;
             self.power_on(n);
--- /dev/null
+++ b/sim/tests/schedules.rs
@@ -0,0 +1,91 @@
+//! Some thousands of schedules, of all kinds; and machines that do wrong on purpose, which must be found.
+//! `SCHEDULES=n cargo test -p glenfall-sim` plays more; a failing seed replays with `glenfall-lab schedules`.
+
+use glenfall_sim::{shrunk, Action, Event, Fault, Played, Schedule, Violation};
+
+/// Plays in as many threads as there are; gives what they brought about, and the seeds that failed.
+fn play(seeds: std::ops::Range<u64>, fault: Option<Fault>) -> (Played, Vec<(u64, Violation)>) {
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
+    let part = |first: u64| {
+        let mut sum = (Played::default(), Vec::new());
+        for seed in (seeds.start + first..seeds.end).step_by(threads as usize) {
+            match (Schedule { fault, ..Schedule::drawn(seed) }).play() {
+                Ok(played) => sum.0 += played,
+                Err(broken) => sum.1.push((seed, broken.violation)),
+            }
+        }
+        sum
+    };
+    std::thread::scope(|scope| {
+        let parts: Vec<_> = (0..threads).map(|first| scope.spawn(move || part(first))).collect();
+        parts.into_iter().map(|part| part.join().expect("a part ends")).fold(
+            (Played::default(), Vec::new()),
+            |mut sum, (played, failed)| {
+                sum.0 += played;
+                sum.1.extend(failed);
+                sum
+            },
+        )
+    })
+}
+
+#[test]
+fn all_properties_hold_in_thousands_of_schedules() {
+    let count = std::env::var("SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(4000);
+    let (played, failed) = play(0..count, None);
+    println!("{count} schedules: {played:?}");
+    assert_eq!(failed, [], "seeds that failed");
+    let each = [played.changes, played.reads, played.refusals, played.repeats, played.views];
+    assert!(each.iter().all(|sum| *sum > 2 * count), "{played:?} in {count} schedules");
+    assert!(played.member_changes + played.seats > count / 4, "{played:?} in {count} schedules");
+}
+
+#[test]
+fn a_schedule_replays_exactly_and_so_does_a_part_of_it() {
+    for seed in 0..40 {
+        let schedule = Schedule::drawn(seed);
+        assert_eq!(schedule.play(), schedule.play(), "seed {seed}");
+        let events: Vec<Event> = schedule.events.iter().skip(1).step_by(2).cloned().collect();
+        let part = Schedule { events, ..schedule };
+        assert_eq!(part.play(), part.play(), "seed {seed}, every second event");
+    }
+}
+
+/// The first failing schedule under a fault, cut down.
+fn found(fault: Fault) -> (Schedule, Violation) {
+    let (_, failed) = play(0..200, Some(fault));
+    let seed = failed.iter().map(|(seed, _)| *seed).min().expect("some seed fails");
+    let schedule = Schedule { fault: Some(fault), ..Schedule::drawn(seed) };
+    let broken = schedule.play().expect_err("it fails again");
+    let (short, tries) = shrunk(&schedule).expect("it fails");
+    let violation = short.play().expect_err("the short one fails").violation;
+    println!(
+        "{fault:?}: seed {seed}, {} events, {} after {tries} tries: {violation}",
+        schedule.events.len(),
+        short.events.len()
+    );
+    assert!(violation.is_like(&broken.violation), "{violation} in place of {}", broken.violation);
+    // What holds of the short one holds of it alone: without the fault it plays to its end.
+    assert_eq!(Schedule { fault: None, ..short.clone() }.play().err(), None);
+    (short, violation)
+}
+
+#[test]
+fn a_disk_that_lies_about_its_syncs_is_found_and_the_schedule_cut_down_to_a_few_events() {
+    let (short, _) = found(Fault::LyingDisk);
+    assert!(short.events.len() <= 8, "{:?}", short.events);
+    let power = |event: &Event| matches!(event.action, Action::PowerOff { .. } | Action::Acknowledged { .. });
+    assert!(short.events.iter().any(power), "{:?}", short.events);
+}
+
+#[test]
+fn a_lost_disk_taken_for_a_first_start_is_found() {
+    let (short, _) = found(Fault::FreshAfterWipe);
+    assert!(short.events.len() <= 12, "{:?}", short.events);
+    let lost = |action: &Action| matches!(action, Action::Wipe { .. } | Action::Lose { .. });
+    let loses = |event: &Event| match &event.action {
+        Action::Acknowledged { then } => lost(then),
+        action => lost(action),
+    };
+    assert!(short.events.iter().any(loses), "{:?}", short.events);
+}
