glenfall-lab schedules plays the core's random schedules in parallel, cuts failing ones down, replays

Until now a failing seed could only be played again whole, by a test. The verb plays any number, names failing seeds with the property that is broken, and writes each as a file with few events that replays the same.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod plot;
 mod report;
+mod schedules;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -50,6 +51,8 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Play random schedules of the core's chain, without sockets or disks, and name those in which a promise is broken
+    Schedules(schedules::Wanted),
     /// Check a plan, and name the place of a mistake
     Check { plan: PathBuf },
     /// Set two reports (report.json) side by side
@@ -96,6 +99,7 @@
             print!("{}", report.markdown());
             Ok(true)
         }
+        Command::Schedules(wanted) => schedules::play(&wanted),
         Command::Check { plan } => {
             let plan = Plan::load(&plan)?;
             let (services, classes) = (plan.services.len(), plan.classes.len());
--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use operators::Content;
 use operators::Operators;
-pub use schedule::{Action, Event, Played, Schedule};
+pub use schedule::{Action, Broken, Event, Nonsense, Played, Schedule};
 pub use shrink::shrunk;
 
 /// Seeds of the first start, as an operator names them.
--- a/sim/src/schedule.rs
+++ b/sim/src/schedule.rs
@@ -99,6 +99,44 @@
     },
 }
 
+impl Action {
+    /// How long it lasts, or by how much it raises the version.
+    fn figure(&self) -> u64 {
+        match self {
+            Action::Change { raise, lost, .. } => (*raise).max(u64::from(*lost)),
+            Action::ChangeOnce { raise, .. } => *raise,
+            Action::Cut { lasts, .. }
+            | Action::Mute { lasts, .. }
+            | Action::Freeze { lasts, .. }
+            | Action::Stall { lasts, .. } => *lasts,
+            Action::Acknowledged { then } => then.figure(),
+            _ => 0,
+        }
+    }
+
+    /// Those that it names.
+    fn machines(&self) -> Vec<u8> {
+        match self {
+            Action::Change { at, .. }
+            | Action::ChangeOnce { at, .. }
+            | Action::Again { at, .. }
+            | Action::Read { at } => vec![*at],
+            Action::Add { at, node } | Action::Remove { at, node } => vec![*at, *node],
+            Action::Kill { nodes }
+            | Action::PowerOff { nodes }
+            | Action::PowerOn { nodes }
+            | Action::Wipe { nodes }
+            | Action::Freeze { nodes, .. } => nodes.clone(),
+            Action::Lose { node } | Action::Stall { node, .. } => vec![*node],
+            Action::Cut { pairs: ends, .. } | Action::Mute { ways: ends, .. } => {
+                ends.iter().flat_map(|(a, b)| [*a, *b]).collect()
+            }
+            Action::LoseLink { a, b } => vec![*a, *b],
+            Action::Acknowledged { then } => then.machines(),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Event {
     pub at: Millis,
@@ -119,6 +157,26 @@
     pub events: Vec<Event>,
 }
 
+/// Why a schedule can't be played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Nonsense {
+    #[error("size: 1 to {MOST_LOSSES} losses and at most {MOST_SPARE} machines that stand by expected")]
+    Size,
+    #[error("troubles, watched: {LONGEST} ms at most expected")]
+    Time,
+    #[error("event at {0} ms: no machine has that number")]
+    Machine(Millis),
+    #[error("event at {0} ms: out of order")]
+    Order(Millis),
+    #[error("event at {0} ms: lasts, raise, lost: {LONGEST} at most expected")]
+    Figure(Millis),
+}
+
+/// What a file may ask for.
+const MOST_LOSSES: u8 = 3;
+const MOST_SPARE: u8 = 3;
+const LONGEST: Millis = 600_000;
+
 /// What a schedule that held brought about.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Played {
@@ -391,6 +449,27 @@
         drawing.finish(seed, until, WATCHED)
     }
 
+    /// Whether it can be played, where it does not come from a drawing.
+    pub fn check(&self) -> Result<(), Nonsense> {
+        if !(1..=MOST_LOSSES).contains(&self.size.losses) || self.size.spare > MOST_SPARE {
+            return Err(Nonsense::Size);
+        }
+        if self.troubles.max(self.watched) > LONGEST {
+            return Err(Nonsense::Time);
+        }
+        let nodes = 1..=self.size.nodes();
+        if let Some(event) =
+            self.events.iter().find(|e| !e.action.machines().iter().all(|n| nodes.contains(n)))
+        {
+            return Err(Nonsense::Machine(event.at));
+        }
+        if let Some(event) = self.events.iter().find(|event| event.action.figure() > LONGEST) {
+            return Err(Nonsense::Figure(event.at));
+        }
+        let out_of_order = self.events.windows(2).find(|pair| pair[0].at > pair[1].at);
+        out_of_order.map_or(Ok(()), |pair| Err(Nonsense::Order(pair[1].at)))
+    }
+
     /// Plays it from the start.
     pub fn play(&self) -> Result<Played, Broken> {
         let mut world = World::new(self.seed, self.size);
--- a/sim/tests/schedules.rs
+++ b/sim/tests/schedules.rs
@@ -1,7 +1,7 @@
 //! Some thousands of schedules, of all kinds; and machines that do wrong on purpose, which must be found.
 //! `SCHEDULES=n cargo test -p glenfall-sim` plays more; a failing seed replays with `glenfall-lab schedules`.
 
-use glenfall_sim::{shrunk, Action, Event, Fault, Played, Schedule, Violation};
+use glenfall_sim::{shrunk, Action, Event, Fault, Nonsense, Played, Schedule, Violation};
 
 /// Plays in as many threads as there are; gives what they brought about, and the seeds that failed.
 fn play(seeds: std::ops::Range<u64>, fault: Option<Fault>) -> (Played, Vec<(u64, Violation)>) {
@@ -48,9 +48,34 @@
         let events: Vec<Event> = schedule.events.iter().skip(1).step_by(2).cloned().collect();
         let part = Schedule { events, ..schedule };
         assert_eq!(part.play(), part.play(), "seed {seed}, every second event");
+        let read: Schedule = serde_json::from_str(&serde_json::to_string(&part).unwrap()).unwrap();
+        assert_eq!((read.check(), &read), (Ok(()), &part), "seed {seed}, written and read");
     }
 }
 
+#[test]
+fn a_file_that_asks_for_what_is_not_there_is_turned_away() {
+    let spoilt = |spoil: fn(&mut Schedule)| {
+        let mut schedule = Schedule::drawn(1);
+        spoil(&mut schedule);
+        schedule.check()
+    };
+    assert_eq!(spoilt(|s| s.size.losses = 0), Err(Nonsense::Size));
+    assert_eq!(spoilt(|s| s.troubles = u64::MAX), Err(Nonsense::Time));
+    assert_eq!(spoilt(|s| s.events[0] = at(3, Action::Read { at: 0 })), Err(Nonsense::Machine(3)));
+    let lose = |s: &mut Schedule| {
+        s.events[0] = at(3, Action::Acknowledged { then: Box::new(Action::Lose { node: 99 }) });
+    };
+    assert_eq!(spoilt(lose), Err(Nonsense::Machine(3)));
+    let forever = |s: &mut Schedule| s.events[0] = at(3, Action::Freeze { nodes: vec![1], lasts: u64::MAX });
+    assert_eq!(spoilt(forever), Err(Nonsense::Figure(3)));
+    assert!(matches!(spoilt(|s| s.events.reverse()), Err(Nonsense::Order(_))));
+}
+
+fn at(at: u64, action: Action) -> Event {
+    Event { at, action }
+}
+
 /// The first failing schedule under a fault, cut down.
 fn found(fault: Fault) -> (Schedule, Violation) {
     let (_, failed) = play(0..200, Some(fault));
