A promise ends with its link, and a tail that is read knows that its view stands

Two faults that the simulation found.

Promises are forgotten with the link, and a view whose chain loses a member is given up. What comes down the chain shows that the view stands. Each test fails without its mend.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -554,6 +554,13 @@
         if self.installed.as_ref().is_some_and(|i| i.view.chain.contains(&peer)) {
             self.break_view();
         }
+        if let Some(p) = &mut self.proposal {
+            // It may have lost its disk since it promised, and have promised more in between.
+            p.promises.remove(&peer);
+            if p.view.as_ref().is_some_and(|(view, _)| view.chain.contains(&peer)) {
+                self.proposal = None;
+            }
+        }
         self.consider();
         self.finish()
     }
@@ -1093,11 +1100,20 @@
         let Some(view) = self.member_of(number) else { return };
         let in_turn = view.before(self.me) == Some(from) && record.seq == self.durable.record.seq + 1;
         if in_turn {
-            // What comes down the chain shows that the view stands.
+            self.shown_to_stand(number);
             self.accept(record);
         }
     }
 
+    /// What comes down the chain shows that its view stands, also where the word of that is still on its way. What the
+    /// view began with is committed then, and what follows is not yet.
+    fn shown_to_stand(&mut self, number: u64) {
+        let Some(view) = self.member_of(number).cloned() else { return };
+        if self.installed.as_ref().is_some_and(|i| !i.stands) {
+            self.stands(view);
+        }
+    }
+
     /// Makes a change durable, then passes it on, or commits it at the tail.
     fn accept(&mut self, record: Arc<Record>) {
         let Some(installed) = &self.installed else { return };
@@ -1182,6 +1198,7 @@
     }
 
     fn read_down(&mut self, number: u64, origin: NodeId, call: u64) {
+        self.shown_to_stand(number);
         let Some(view) = self.member_of(number) else { return };
         match view.after(self.me) {
             Some(next) => self.send(next, Message::ReadDown { view: number, origin, call }),
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use glenfall_plane::chain::{
-    Beat, Call, Chain, Members, Message, NodeId, Outcome, Output, Record, Refused, Seat, Start, View,
+    Beat, Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Record, Refused, Seat, Start, View,
 };
 use glenfall_plane::config::Change;
 use glenfall_sim::{node, seeds, Schedule, Size, World};
@@ -276,3 +276,94 @@
         }
     }
 }
+
+/// What a node that has begun from its disk says to some messages.
+fn said(chain: &mut Chain, now: u64, from: u8, message: Message) -> Vec<Output> {
+    let mut said = Vec::new();
+    for output in chain.message(now, node(from), message) {
+        match output {
+            Output::Persist(number, _) => said.extend(chain.synced(now, number)),
+            output => said.push(output),
+        }
+    }
+    said
+}
+
+fn record(seq: u64) -> Arc<Record> {
+    Arc::new(Record { seq, rev: seq, document: format!("{{\"rev\":{seq}}}").into_bytes(), taken: Vec::new() })
+}
+
+#[test]
+fn what_comes_down_the_chain_before_the_word_that_the_view_stands_shows_that_it_does() {
+    let members = Members::of(seeds());
+    let view = View { number: 3 << 32, chain: seeds(), members: members.clone() };
+    // The tail begins anew from its disk: it knows of no committed record.
+    let begins = || {
+        let disk =
+            Durable { members: members.clone(), votes: true, promised: 1, accepted: 1, record: record(6) };
+        let mut chain = Chain::new(node(3), SMALL.terms(), Start::Kept(disk));
+        for peer in 1..=2 {
+            chain.peer_up(0, node(peer));
+        }
+        said(&mut chain, 1, 1, Message::Install { view: view.clone(), record: record(6) });
+        chain
+    };
+    let mut chain = begins();
+    let read = Message::ReadDown { view: view.number, origin: node(2), call: 9 };
+    let answer = Message::Answer { call: 9, outcome: Outcome::Document(record(6)) };
+    assert!(said(&mut chain, 2, 2, read).contains(&Output::Send(node(2), answer)), "not what was before");
+
+    // A member in the middle: what is on its way down is not committed when the word comes.
+    let middle = View { chain: vec![node(1), node(3), node(2)], ..view.clone() };
+    let mut chain = begins();
+    let install = Message::Install { view: View { number: 4 << 32, ..middle.clone() }, record: record(6) };
+    said(&mut chain, 2, 2, install);
+    let update = Message::Update { view: 4 << 32, record: record(7) };
+    let passed = said(&mut chain, 3, 1, update);
+    assert!(passed.contains(&Output::Publish(record(6))), "{passed:?}");
+    let told = said(&mut chain, 4, 2, Message::Stands { view: View { number: 4 << 32, ..middle } });
+    assert!(!told.contains(&Output::Publish(record(7))), "{told:?}");
+}
+
+#[test]
+fn a_promise_does_not_outlive_the_link_on_which_it_was_given() {
+    let mut chain = Chain::new(node(1), SMALL.terms(), Start::Fresh(seeds()));
+    let beat = |hears: [u8; 2], wiped| {
+        let hears = hears.map(node).to_vec();
+        Message::Beat(Beat { members: Members::of(seeds()), hears, wiped, ..Beat::default() })
+    };
+    for peer in 2..=3 {
+        chain.peer_up(0, node(peer));
+        chain.message(0, node(peer), beat([1, 5 - peer], false));
+    }
+    // It proposes a view, and its own disk is slow; 3 promises, and 2 says nothing.
+    let mut syncs = Vec::new();
+    let mut view = None;
+    for now in (0..200).step_by(20) {
+        for output in chain.tick(now) {
+            match output {
+                Output::Send(_, Message::Prepare { view: number }) => view = Some(number),
+                Output::Persist(number, _) => syncs.push(number),
+                _ => {}
+            }
+        }
+    }
+    let view = view.expect("it proposes");
+    let promise =
+        Message::Promise { view, accepted: Some(0), members: Members::of(seeds()), record: Arc::default() };
+    assert_eq!(chain.message(200, node(3), promise), []);
+    // 3 loses its disk, and with it what it promised since; it is back at once.
+    chain.peer_down(210, node(3));
+    chain.peer_up(220, node(3));
+    chain.message(220, node(3), beat([1, 2], true));
+    let mut said: Vec<Output> = syncs.iter().flat_map(|number| chain.synced(230, *number)).collect();
+    for now in (240..700).step_by(20) {
+        said.extend(chain.tick(now));
+    }
+    let installs = |output: &&Output| matches!(output, Output::Send(_, Message::Install { .. }));
+    assert_eq!(
+        said.iter().find(installs),
+        None,
+        "a majority was counted with a promise that may be forgotten"
+    );
+}
