Record decides what an order is: new, taken, stale or invalid

An order sent again was known by one of 64 prints of 64 bits (FNV-1a) over its body alone. One pure function, Record::decide, judges an order by it; what may have been taken too long ago to tell is neither confirmed nor refused (Outcome::Forgotten, 503 at once). A PATCH with two "rev" fields was taken by the last of them and not known again, as its version was read otherwise than by apply: read the same way now.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -199,6 +199,12 @@
                 json!({ "error": "another version is current", "current": current }),
             ),
             Outcome::Invalid(why) => wrong(StatusCode::BAD_REQUEST, why),
+            Outcome::Forgotten { up_to } => wrong(
+                StatusCode::SERVICE_UNAVAILABLE,
+                format_args!(
+                    "no clear answer: versions up to {up_to} may have been taken, too long ago to tell"
+                ),
+            ),
             Outcome::Document(_) | Outcome::Unavailable => {
                 wrong(StatusCode::SERVICE_UNAVAILABLE, "no clear answer: the same call may be made again")
             }
--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -6,13 +6,16 @@
 use std::time::Duration;
 
 use glenfall_plane::chain::{Durable, Members, NodeId, Record};
+use glenfall_plane::orders::TakenOrders;
 use rusqlite::{Connection, ErrorCode, OpenFlags, OptionalExtension};
 use serde::{Deserialize, Serialize};
 
 /// Pause before a write that the disk refused is tried again; what waits for it waits on.
 const AGAIN: Duration = Duration::from_millis(200);
-/// The layout of the file. A file that says another is not read, but for the one before.
-const LAYOUT: i64 = 2;
+/// The layout of the file. A file that says another is not read, but for those before.
+const LAYOUT: i64 = 3;
+/// The layout in which taken orders were known by weak prints, which are not read any more.
+const PRINTS: i64 = 2;
 /// The layout in which the voters were fixed.
 const FIXED: i64 = 1;
 /// The row that the store was made with. It holds nothing; where it is missing, others may be as well.
@@ -119,13 +122,13 @@
         }
         let state = read_whole(&db)?;
         let store = Store(db);
-        if layout(&store.0)? == FIXED {
+        if layout(&store.0)? != LAYOUT {
             store.take_over(state.as_ref())?;
         }
         Ok((store, state))
     }
 
-    /// Writes what was found in the layout before in this one, both or neither.
+    /// Writes what was found in a layout before in this one, both or neither.
     fn take_over(&self, state: Option<&Durable>) -> Result<(), StoreError> {
         self.0.execute_batch("BEGIN")?;
         if let Some(state) = state {
@@ -154,7 +157,7 @@
 fn read_whole(db: &Connection) -> Result<Option<Durable>, StoreError> {
     let damaged = |what: &str| StoreError::Damaged(what.into());
     let layout = layout(db)?;
-    if !matches!(layout, LAYOUT | FIXED) {
+    if !matches!(layout, LAYOUT | PRINTS | FIXED) {
         return Err(StoreError::Damaged(format!("layout {LAYOUT} expected, got {layout}")));
     }
     let checked: String = db.query_row("PRAGMA integrity_check(1)", [], |row| row.get(0))?;
@@ -172,10 +175,45 @@
     if crc != i64::from(crc32fast::hash(&bytes)) {
         return Err(damaged("checksum does not match"));
     }
-    if layout == FIXED {
-        return Ok(Some(postcard::from_bytes::<WithFixedVoters>(&bytes)?.into()));
+    Ok(Some(match layout {
+        FIXED => postcard::from_bytes::<WithFixedVoters>(&bytes)?.into(),
+        PRINTS => postcard::from_bytes::<WithPrints>(&bytes)?.into(),
+        _ => postcard::from_bytes(&bytes)?,
+    }))
+}
+
+/// A record as it was while taken orders were known by prints of 64 bits.
+#[derive(Serialize, Deserialize)]
+struct PrintsRecord {
+    seq: u64,
+    rev: u64,
+    document: Vec<u8>,
+    prints: Vec<(u64, u64)>,
+}
+
+impl From<PrintsRecord> for Arc<Record> {
+    /// A print is not enough to confirm an order by, and its absence none to refuse one.
+    fn from(old: PrintsRecord) -> Arc<Record> {
+        let taken = TakenOrders::forgotten(old.rev);
+        Arc::new(Record { seq: old.seq, rev: old.rev, document: old.document, taken })
+    }
+}
+
+/// The state as it was then.
+#[derive(Serialize, Deserialize)]
+struct WithPrints {
+    members: Members,
+    votes: bool,
+    promised: u64,
+    accepted: u64,
+    record: PrintsRecord,
+}
+
+impl From<WithPrints> for Durable {
+    fn from(old: WithPrints) -> Durable {
+        let WithPrints { members, votes, promised, accepted, record } = old;
+        Durable { members, votes, promised, accepted, record: record.into() }
     }
-    Ok(Some(postcard::from_bytes(&bytes)?))
 }
 
 /// The state as it was while the voters were fixed.
@@ -184,13 +222,13 @@
     voters: Vec<NodeId>,
     promised: u64,
     accepted: u64,
-    record: Arc<Record>,
+    record: PrintsRecord,
 }
 
 impl From<WithFixedVoters> for Durable {
     fn from(old: WithFixedVoters) -> Durable {
         let WithFixedVoters { voters, promised, accepted, record } = old;
-        Durable { members: Members::of(voters), votes: true, promised, accepted, record }
+        Durable { members: Members::of(voters), votes: true, promised, accepted, record: record.into() }
     }
 }
 
@@ -239,6 +277,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use glenfall_plane::orders::{OrderKey, TakenOrder};
+
     fn folder(name: &str) -> PathBuf {
         let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
@@ -247,30 +287,50 @@
 
     fn state(promised: u64, size: usize) -> Durable {
         let document = (0..size).map(|n| (n * 7 % 251) as u8).collect();
-        let record = Record { seq: 3, rev: 9, document, taken: vec![(9, 1)] };
+        let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
+        let taken = TakenOrders::listed(0, &[7, 8, 9].map(order)).unwrap();
+        let record = Record { seq: 3, rev: 9, document, taken };
         let members = Members::of(vec![[10, 0, 0, 1].into()]);
         Durable { members, votes: true, promised, accepted: 16, record: Arc::new(record) }
     }
 
     #[test]
-    fn the_layout_before_is_taken_over_once() {
+    fn each_layout_before_is_taken_over_once_and_its_prints_confirm_and_refuse_nothing() {
         let folder = folder("before");
         let whole = state(64, 100);
-        {
-            let (store, _) = Store::open(&folder).unwrap();
-            let Durable { members, promised, accepted, record, .. } = whole.clone();
-            let old = WithFixedVoters { voters: members.voters, promised, accepted, record };
-            let bytes = postcard::to_stdvec(&old).unwrap();
-            let crc = i64::from(crc32fast::hash(&bytes));
-            store
-                .0
-                .execute("INSERT INTO chain (id, state, crc) VALUES (?1, ?2, ?3)", (STATE, bytes, crc))
-                .unwrap();
-            store.0.pragma_update(None, "user_version", FIXED).unwrap();
-        }
-        for _ in 0..2 {
-            assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(whole.clone()));
-            assert_eq!(layout(&Connection::open(path_in(&folder)).unwrap()).unwrap(), LAYOUT);
+        let mut expected = whole.clone();
+        let taken = TakenOrders::forgotten(9);
+        expected.record = Arc::new(Record { taken, ..(*whole.record).clone() });
+        for before in [FIXED, PRINTS] {
+            let _ = std::fs::remove_dir_all(&folder);
+            {
+                let (store, _) = Store::open(&folder).unwrap();
+                let Durable { members, votes, promised, accepted, record } = whole.clone();
+                let record = PrintsRecord {
+                    seq: record.seq,
+                    rev: record.rev,
+                    document: record.document.clone(),
+                    prints: vec![(7, 1), (9, 2)],
+                };
+                let bytes = if before == FIXED {
+                    let voters = members.voters;
+                    postcard::to_stdvec(&WithFixedVoters { voters, promised, accepted, record }).unwrap()
+                } else {
+                    let old = WithPrints { members, votes, promised, accepted, record };
+                    postcard::to_stdvec(&old).unwrap()
+                };
+                let crc = i64::from(crc32fast::hash(&bytes));
+                store
+                    .0
+                    .execute("INSERT INTO chain (id, state, crc) VALUES (?1, ?2, ?3)", (STATE, bytes, crc))
+                    .unwrap();
+                store.0.pragma_update(None, "user_version", before).unwrap();
+            }
+            for _ in 0..2 {
+                assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(expected.clone()), "{before}");
+                let now = layout(&Connection::open(path_in(&folder)).unwrap()).unwrap();
+                assert_eq!(now, LAYOUT, "{before}");
+            }
         }
         std::fs::remove_dir_all(&folder).unwrap();
     }
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -132,6 +132,9 @@
         /// Addresses of the control nodes that vote, if others than in the file; may be repeated
         #[arg(long = "voter")]
         voters: Vec<Ipv4Addr>,
+        /// The highest version that may have been acknowledged since the export: none up to it is taken again
+        #[arg(long, default_value_t = 0)]
+        acknowledged: u64,
     },
     /// Check an exported file, or the state folder of a control node that is stopped
     Verify { path: PathBuf },
@@ -330,12 +333,14 @@
             out.write_all(&reply.body).and_then(|()| out.sync_all()).map_err(broken)?;
             Ok(format!("configuration {}, change {}, exported", backup.rev, backup.seq))
         }
-        StateVerb::Import { file, into, voters } => {
+        StateVerb::Import { file, into, voters, acknowledged } => {
             let backup = backup(&file)?;
             let told = format!("configuration {}, change {}, imported", backup.rev, backup.seq);
             let voters = if voters.is_empty() { backup.voters.clone() } else { voters };
+            let unsound = |what| OpsError::Backup { path: file.clone(), what };
+            let state = backup.state(voters, acknowledged).map_err(unsound)?;
             let wrong = |what| OpsError::Store { path: into.clone(), what };
-            store::create(&into, &backup.state(voters)).map_err(wrong)?;
+            store::create(&into, &state).map_err(wrong)?;
             Ok(told)
         }
         StateVerb::Verify { path } if path.is_dir() => match store::verify(&path) {
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Change, Invalid};
+use crate::orders::{self, Decision, TakenOrders};
 use crate::Millis;
 
 /// A core machine, by its address.
@@ -55,8 +56,6 @@
 const CALL: Millis = 900;
 /// Calls that may wait at one node; operators are few.
 const MOST_CALLS: usize = 64;
-/// Fingerprints of changes that are kept to know a repeated call.
-const MOST_TAKEN: usize = 64;
 
 /// The lower half of a view's number is its proposer's address, so that no two propose the same one.
 const PROPOSER_BITS: u32 = 32;
@@ -117,8 +116,8 @@
     pub rev: u64,
     /// The newest configuration document; empty before the first.
     pub document: Vec<u8>,
-    /// Version and fingerprint of the changes taken last, the newest at the end.
-    pub taken: Vec<(u64, u64)>,
+    /// The orders taken last, by which one that is sent again is known.
+    pub taken: TakenOrders,
 }
 
 /// What must be on disk before what follows from it is said.
@@ -197,6 +196,10 @@
         current: u64,
     },
     Invalid(Invalid),
+    /// The order may be one of those that were taken too long ago to be known: no clear answer, of any node.
+    Forgotten {
+        up_to: u64,
+    },
     Document(Arc<Record>),
     /// No clear answer: try again elsewhere.
     Unavailable,
@@ -314,7 +317,7 @@
     /// broken must not take the others along.
     pub fn is_sound(&self) -> bool {
         let number = |number: &u64| *number < HIGHEST;
-        let record = |record: &Record| number(&record.seq) && record.taken.len() <= MOST_TAKEN;
+        let record = |record: &Record| number(&record.seq) && record.taken.len() <= orders::MOST_TAKEN;
         let voters = |voters: &[NodeId]| voters.len() <= MOST_VOTERS;
         let members = |members: &Members| voters(&members.voters) && voters(&members.before);
         let view = |view: &View| {
@@ -1195,23 +1198,17 @@
         while self.is_head().is_some() && self.pending.is_none() && self.outlives_losses() {
             let Some((origin, call, builds_on, change)) = self.queue.pop_front() else { return };
             let current = Arc::clone(&self.durable.record);
-            let digest = change.digest();
-            let taken = |rev: u64| current.taken.contains(&(rev, digest));
-            let outcome = match change.rev() {
-                Some(rev) if taken(rev) => Outcome::Done { rev },
-                _ if builds_on != current.rev => Outcome::Conflict { current: current.rev },
-                _ => match change.apply(&current.document, current.rev) {
-                    Err(invalid) => Outcome::Invalid(invalid),
-                    Ok((rev, document)) => {
-                        let seq = current.seq + 1;
-                        let mut taken = current.taken.clone();
-                        taken.push((rev, digest));
-                        taken.drain(..taken.len().saturating_sub(MOST_TAKEN));
-                        self.pending = Some(Pending { origin, call, seq, rev, since: self.now });
-                        self.accept(Arc::new(Record { seq, rev, document, taken }));
-                        return;
-                    }
-                },
+            let outcome = match current.decide(builds_on, &change) {
+                Decision::New(entry) => {
+                    let (seq, rev) = (entry.seq, entry.order.rev);
+                    self.pending = Some(Pending { origin, call, seq, rev, since: self.now });
+                    self.accept(Arc::new(current.after(&entry)));
+                    return;
+                }
+                Decision::Taken { rev } => Outcome::Done { rev },
+                Decision::Forgotten { up_to } => Outcome::Forgotten { up_to },
+                Decision::Stale { current } => Outcome::Conflict { current },
+                Decision::Invalid(invalid) => Outcome::Invalid(invalid),
             };
             self.send(origin, Message::Answer { call, outcome });
         }
--- a/plane/src/config.rs
+++ b/plane/src/config.rs
@@ -267,29 +267,17 @@
 }
 
 impl Change {
-    /// A fingerprint by which the same call is known again. Not for use against forgers: operators are
-    /// trusted, and a collision needs the same version and the same length as well.
-    pub fn digest(&self) -> u64 {
-        let (tag, bytes) = match self {
-            Change::Put(bytes) => (1u8, bytes),
-            Change::Patch(bytes) => (2u8, bytes),
-        };
-        // FNV-1a: the same on all machines and in all versions, as it is kept on disk.
-        let seed = 0xcbf2_9ce4_8422_2325u64;
-        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        bytes.iter().fold(step(seed, tag), |hash, byte| step(hash, *byte)) ^ bytes.len() as u64
-    }
-
     /// The version that the change makes, where it can be told.
     pub fn rev(&self) -> Option<u64> {
-        let bytes = match self {
-            Change::Put(bytes) | Change::Patch(bytes) => bytes,
-        };
         #[derive(Deserialize)]
         struct Rev {
             rev: u64,
         }
-        serde_json::from_slice::<Rev>(bytes).ok().map(|r| r.rev)
+        match self {
+            Change::Put(bytes) => serde_json::from_slice::<Rev>(bytes).ok().map(|r| r.rev),
+            // As `apply` reads it: of a field that is there twice, the last counts.
+            Change::Patch(bytes) => object(bytes).ok()?.get("rev")?.as_u64(),
+        }
     }
 
     /// The document that results from the change to `current`, whose version is `rev`.
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod config;
 pub mod fleet;
 pub mod messages;
+pub mod orders;
 pub mod purges;
 pub mod registry;
 pub mod subset;
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -13,6 +13,7 @@
     Terms, View,
 };
 use glenfall_plane::config::Change;
+use glenfall_plane::orders::{OrderKey, TakenOrder, TakenOrders};
 use glenfall_plane::Millis;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -656,7 +657,9 @@
     };
     let record = |rng: &mut ChaCha8Rng| {
         let document = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
-        Arc::new(Record { seq: number(rng), rev: number(rng), document, taken: vec![(number(rng), 1)] })
+        let order = TakenOrder { rev: number(rng), key: OrderKey([1; 32]) };
+        let taken = TakenOrders::listed(number(rng), &[order]).expect("one order rises");
+        Arc::new(Record { seq: number(rng), rev: number(rng), document, taken })
     };
     let members = |rng: &mut ChaCha8Rng| Members { voters: nodes(rng), before: nodes(rng) };
     let view = |rng: &mut ChaCha8Rng| View { number: number(rng), chain: nodes(rng), members: members(rng) };
