A change carries only what is new down the chain; taken orders tried by tests of their own

Each Update carried the whole record. With a table of 4,096 orders that would be up to 176 KB more for each change and hop, so it carries the entry now: number, document and the one new order; each member adds it to the record before it. Committed, to nodes outside the chain, goes without the table: they only hand the document on, and whoever comes to vote has it from Install. A read or backup takes the whole, as the record of a view that stands takes the place of one told without it. An entry whose version does not rise, and a table that reaches beyond its record, are unsound.

plane/tests/orders.rs: repeats after 0 to 9,000 changes, the same number under another order, restores, the bound, random operators against a plain list of all orders, and the chain across losses, views and changes of voters, orders under way sent to four nodes at once among them.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -23,7 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Change, Invalid};
-use crate::orders::{self, Decision, TakenOrders};
+use crate::orders::{Decision, Entry, TakenOrders};
 use crate::Millis;
 
 /// A core machine, by its address.
@@ -284,16 +284,18 @@
     Stands {
         view: View,
     },
+    /// A change on its way down the chain, for a member that has all before it.
     Update {
         view: u64,
-        record: Arc<Record>,
+        entry: Arc<Entry>,
     },
     /// From the tail to the chain.
     Acked {
         view: u64,
         seq: u64,
     },
-    /// To those who are not in the chain.
+    /// To those who are not in the chain, without the table of orders: they only hand the document on. Whoever comes to
+    /// vote has it from `Install`.
     Committed {
         record: Arc<Record>,
     },
@@ -317,7 +319,8 @@
     /// broken must not take the others along.
     pub fn is_sound(&self) -> bool {
         let number = |number: &u64| *number < HIGHEST;
-        let record = |record: &Record| number(&record.seq) && record.taken.len() <= orders::MOST_TAKEN;
+        // The table of orders is bounded where it is read.
+        let record = |record: &Record| number(&record.seq) && record.taken.newest() <= record.rev;
         let voters = |voters: &[NodeId]| voters.len() <= MOST_VOTERS;
         let members = |members: &Members| voters(&members.voters) && voters(&members.before);
         let view = |view: &View| {
@@ -339,7 +342,7 @@
             Message::Nack { promised } => number(promised),
             Message::Install { view: v, record: r } => view(v) && record(r),
             Message::Stands { view: v } => view(v),
-            Message::Update { view, record: r } => number(view) && record(r),
+            Message::Update { view, entry } => number(view) && number(&entry.seq),
             Message::Acked { view, seq } => number(view) && number(seq),
             Message::Committed { record: r } => record(r),
             Message::ReadDown { view, .. } => number(view),
@@ -963,14 +966,15 @@
             Message::Install { view, record } => self.install(from, view, record),
             Message::Installed { view } => self.note_installed(from, view),
             Message::Stands { view } => self.stands(view),
-            Message::Update { view, record } => self.update(from, view, record),
+            Message::Update { view, entry } => self.update(from, view, &entry),
             Message::Acked { view, seq } => {
                 let current = self.member_of(view).is_some() && self.durable.record.seq == seq;
                 if current {
                     self.commit();
                 }
             }
-            Message::Committed { record } => self.publish(record),
+            Message::Committed { record } if record.seq > self.committed.seq => self.publish(record),
+            Message::Committed { .. } => {}
             Message::Forward { call, what } => self.head_takes(from, call, what),
             Message::ReadDown { view, origin, call } => self.read_down(view, origin, call),
             Message::Answer { call, outcome } => {
@@ -1001,7 +1005,7 @@
             }
         }
         if beat.committed < self.committed.seq {
-            let record = Arc::clone(&self.committed);
+            let record = Arc::new(self.committed.without_table());
             self.send(from, Message::Committed { record });
         }
         if let Some(peer) = self.peers.get_mut(&from) {
@@ -1090,22 +1094,23 @@
         (installed.view.number == number && self.durable.promised == number).then_some(&installed.view)
     }
 
-    fn update(&mut self, from: NodeId, number: u64, record: Arc<Record>) {
+    fn update(&mut self, from: NodeId, number: u64, entry: &Arc<Entry>) {
         let Some(view) = self.member_of(number) else { return };
-        let in_turn = view.before(self.me) == Some(from) && record.seq == self.durable.record.seq + 1;
-        if in_turn {
+        let record = &self.durable.record;
+        let next = entry.seq == record.seq + 1 && entry.order.rev > record.rev;
+        if next && view.before(self.me) == Some(from) {
             // What comes down the chain shows that the view stands.
-            self.accept(record);
+            self.accept(entry);
         }
     }
 
     /// Makes a change durable, then passes it on, or commits it at the tail.
-    fn accept(&mut self, record: Arc<Record>) {
+    fn accept(&mut self, entry: &Arc<Entry>) {
         let Some(installed) = &self.installed else { return };
-        let (number, seq) = (installed.view.number, record.seq);
+        let (number, seq) = (installed.view.number, entry.seq);
         let then = match installed.view.after(self.me) {
             Some(next) => {
-                vec![Output::Send(next, Message::Update { view: number, record: Arc::clone(&record) })]
+                vec![Output::Send(next, Message::Update { view: number, entry: Arc::clone(entry) })]
             }
             None => {
                 // The tail takes its own word too, last, so that it commits after the sync as well.
@@ -1113,7 +1118,7 @@
                 chain.map(|member| Output::Send(*member, Message::Acked { view: number, seq })).collect()
             }
         };
-        self.durable.record = record;
+        self.durable.record = Arc::new(self.durable.record.after(entry));
         self.persist(then);
     }
 
@@ -1125,8 +1130,9 @@
             let chain = self.installed.as_ref().map(|i| i.view.chain.clone()).unwrap_or_default();
             let others: Vec<NodeId> =
                 self.peers.iter().filter(|(id, p)| p.up && !chain.contains(id)).map(|(id, _)| *id).collect();
+            let told = Arc::new(record.without_table());
             for peer in others {
-                self.send(peer, Message::Committed { record: Arc::clone(&record) });
+                self.send(peer, Message::Committed { record: Arc::clone(&told) });
             }
         }
         let done = self.pending.take_if(|p| p.seq == record.seq);
@@ -1141,6 +1147,9 @@
         if record.seq > self.committed.seq {
             self.committed = Arc::clone(&record);
             self.out.push(Output::Publish(record));
+        } else if record.seq == self.committed.seq {
+            // It may have been told without the table of orders, which a backup needs.
+            self.committed = record;
         }
     }
 
@@ -1202,7 +1211,7 @@
                 Decision::New(entry) => {
                     let (seq, rev) = (entry.seq, entry.order.rev);
                     self.pending = Some(Pending { origin, call, seq, rev, since: self.now });
-                    self.accept(Arc::new(current.after(&entry)));
+                    self.accept(&Arc::new(entry));
                     return;
                 }
                 Decision::Taken { rev } => Outcome::Done { rev },
--- a/plane/src/orders.rs
+++ b/plane/src/orders.rs
@@ -135,6 +135,12 @@
         self.len() == 0
     }
 
+    /// The version that the newest of them made; 0 where there is none.
+    pub fn newest(&self) -> u64 {
+        let last = self.open.last().or_else(|| self.full.last()?.last());
+        last.map_or(0, |order| order.rev)
+    }
+
     /// The highest version of an order that may have been taken and has left the table.
     pub fn forgotten_up_to(&self) -> u64 {
         self.forgotten_up_to
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -13,7 +13,7 @@
     Terms, View,
 };
 use glenfall_plane::config::Change;
-use glenfall_plane::orders::{OrderKey, TakenOrder, TakenOrders};
+use glenfall_plane::orders::{Entry, OrderKey, TakenOrder, TakenOrders};
 use glenfall_plane::Millis;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -657,9 +657,11 @@
     };
     let record = |rng: &mut ChaCha8Rng| {
         let document = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
-        let order = TakenOrder { rev: number(rng), key: OrderKey([1; 32]) };
+        let rev = number(rng);
+        let newest = if rng.random_bool(0.1) { number(rng) } else { rev };
+        let order = TakenOrder { rev: newest, key: OrderKey([1; 32]) };
         let taken = TakenOrders::listed(number(rng), &[order]).expect("one order rises");
-        Arc::new(Record { seq: number(rng), rev: number(rng), document, taken })
+        Arc::new(Record { seq: number(rng), rev, document, taken })
     };
     let members = |rng: &mut ChaCha8Rng| Members { voters: nodes(rng), before: nodes(rng) };
     let view = |rng: &mut ChaCha8Rng| View { number: number(rng), chain: nodes(rng), members: members(rng) };
@@ -687,7 +689,11 @@
         4 => Message::Install { view: view(rng), record: record(rng) },
         5 => Message::Installed { view: number(rng) },
         6 => Message::Stands { view: view(rng) },
-        7 => Message::Update { view: number(rng), record: record(rng) },
+        7 => {
+            let order = TakenOrder { rev: number(rng), key: OrderKey([2; 32]) };
+            let entry = Entry { seq: number(rng), document: record(rng).document.clone(), order };
+            Message::Update { view: number(rng), entry: Arc::new(entry) }
+        }
         8 => Message::Acked { view: number(rng), seq: number(rng) },
         9 => Message::Committed { record: record(rng) },
         10 => Message::Forward { call: number(rng), what: change(rng) },
--- /dev/null
+++ b/plane/tests/orders.rs
@@ -0,0 +1,490 @@
+//! Orders that are sent again, late, twice at once, to any node and across views and voters, and orders that share a
+//! number. One record alone first, then the chain on a network without delay, whose messages pass through their wire form.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::Ipv4Addr;
+use std::sync::Arc;
+
+use glenfall_plane::chain::{
+    Call, Chain, Durable, Message, NodeId, Outcome, Output, Record, Seat, Start, Terms,
+};
+use glenfall_plane::config::{Change, Invalid};
+use glenfall_plane::orders::{Decision, OrderKey, TakenOrder, TakenOrders, Unsound, CHUNK, MOST_TAKEN};
+use glenfall_plane::Millis;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// The least number of further changes that an order is known through.
+const HORIZON: usize = MOST_TAKEN - CHUNK;
+
+type Order = (u64, Change);
+
+fn put(builds_on: u64, rev: u64, note: u64) -> Order {
+    (builds_on, Change::Put(format!("{{\"rev\":{rev},\"note\":{note}}}").into_bytes()))
+}
+
+fn patch(builds_on: u64, rev: u64, note: u64) -> Order {
+    (builds_on, Change::Patch(format!("{{\"rev\":{rev},\"upsert\":{{\"note\":{note}}}}}").into_bytes()))
+}
+
+fn take(record: &mut Record, order: &Order) {
+    match record.decide(order.0, &order.1) {
+        Decision::New(entry) => *record = record.after(&entry),
+        other => panic!("{other:?}: {order:?} upon {}", record.rev),
+    }
+}
+
+fn decide(record: &Record, order: &Order) -> Decision {
+    record.decide(order.0, &order.1)
+}
+
+/// A PUT and a PATCH in turn, each upon the one before, two versions apart.
+fn further(record: &mut Record, changes: usize) {
+    for n in 0..changes {
+        let (rev, make) = (record.rev, if n % 2 == 0 { put } else { patch });
+        take(record, &make(rev, rev + 2, 0));
+    }
+}
+
+#[test]
+fn an_order_is_known_again_through_thousands_of_changes_and_never_refused_after_that() {
+    for make in [put, patch] {
+        let mut record = Record::default();
+        further(&mut record, 3);
+        let order = make(record.rev, record.rev + 3, 7);
+        take(&mut record, &order);
+        let rev = record.rev;
+        let mut made = 0;
+        for after in [0, 1, 64, 65, 1000, HORIZON] {
+            further(&mut record, after - made);
+            made = after;
+            assert_eq!(decide(&record, &order), Decision::Taken { rev }, "after {after}");
+            // Another one with its number is never confirmed: by the other method, of other content, upon another version.
+            let others = [put(order.0, rev, 8), patch(order.0, rev, 8), put(order.0 - 1, rev, 7)];
+            let other_method = if matches!(order.1, Change::Put(_)) { patch } else { put };
+            for other in others.iter().chain([&other_method(order.0, rev, 7)]) {
+                assert_eq!(decide(&record, other), Decision::Stale { current: record.rev }, "after {after}");
+            }
+        }
+        for after in [MOST_TAKEN, 5000, 9000] {
+            further(&mut record, after - made);
+            made = after;
+            let up_to = record.taken.forgotten_up_to();
+            assert!(up_to >= rev && record.taken.len() <= MOST_TAKEN);
+            assert_eq!(decide(&record, &order), Decision::Forgotten { up_to }, "after {after}");
+            assert_eq!(decide(&record, &put(order.0, rev, 8)), Decision::Forgotten { up_to });
+            // What never made a version is told so, however old.
+            let refused = Invalid::OldVersion { current: record.rev, got: rev };
+            assert_eq!(decide(&record, &put(record.rev, rev, 7)), Decision::Invalid(refused));
+            assert_eq!(decide(&record, &put(rev, rev, 7)), Decision::Stale { current: record.rev });
+        }
+    }
+}
+
+#[test]
+fn an_order_is_known_by_all_of_it() {
+    let mut keys = std::collections::HashSet::new();
+    for builds_on in [0, 1, 5, 256, u64::MAX] {
+        for body in [&b""[..], b"a", b"b", b"a\0", b"\0a", b" {\"rev\":5}"] {
+            assert!(keys.insert(OrderKey::of(builds_on, &Change::Put(body.to_vec())).0));
+            assert!(keys.insert(OrderKey::of(builds_on, &Change::Patch(body.to_vec())).0));
+        }
+    }
+    // The same in all versions, as it is kept on disk: SHA-256 of "PATCH", 258 in eight bytes and the body.
+    let key = OrderKey::of(258, &Change::Patch(b"{\"rev\":260}".to_vec()));
+    assert_eq!(key.to_string(), "57f92f777dc32a89bab1162fa292d5f2236aa33528bd3fb3ed58a2cf30e5b2f9");
+    assert_eq!(key.to_string().parse(), Ok(key));
+    assert_eq!("12".parse::<OrderKey>(), Err(Unsound::Key));
+    assert_eq!("x".repeat(64).parse::<OrderKey>(), Err(Unsound::Key));
+}
+
+#[test]
+fn a_patch_whose_version_is_named_twice_is_known_by_the_one_that_counts() {
+    let mut record = Record::default();
+    let twice = (0, Change::Patch(b"{\"rev\":3,\"upsert\":{},\"rev\":4}".to_vec()));
+    take(&mut record, &twice);
+    assert_eq!((record.rev, decide(&record, &twice)), (4, Decision::Taken { rev: 4 }));
+    further(&mut record, 5000);
+    let up_to = record.taken.forgotten_up_to();
+    assert_eq!(decide(&record, &twice), Decision::Forgotten { up_to });
+}
+
+#[test]
+fn what_a_restored_core_does_not_know_is_neither_confirmed_nor_refused() {
+    let mut record = Record::default();
+    further(&mut record, 4);
+    let known = put(8, 10, 1);
+    take(&mut record, &known);
+    let mut lost = record.clone();
+    let orders = [put(10, 12, 1), patch(12, 13, 1)];
+    for order in &orders {
+        take(&mut lost, order);
+    }
+    // The backup was made before the last two; who restores it says that versions up to 13 were acknowledged.
+    record.taken.forget_up_to(13);
+    for order in orders.iter().chain([&put(10, 12, 2), &patch(10, 13, 2)]) {
+        assert_eq!(decide(&record, order), Decision::Forgotten { up_to: 13 });
+    }
+    assert_eq!(decide(&record, &known), Decision::Taken { rev: 10 });
+    take(&mut record, &put(10, 14, 1));
+    assert_eq!(decide(&record, &orders[0]), Decision::Forgotten { up_to: 13 });
+    assert_eq!(decide(&record, &put(10, 15, 1)), Decision::Stale { current: 14 });
+}
+
+#[test]
+fn the_table_is_bounded_comes_back_as_it_was_and_is_told_from_what_is_none() {
+    let mut record = Record { rev: u64::MAX - (1 << 20), ..Record::default() };
+    let mut longest = 0;
+    for _ in 0..MOST_TAKEN + CHUNK + 1 {
+        further(&mut record, 1);
+        longest = longest.max(record.taken.len());
+    }
+    assert_eq!(longest, MOST_TAKEN);
+    for changes in [0, 1, CHUNK - 1, CHUNK, 1000] {
+        further(&mut record, changes);
+        let told = postcard::to_stdvec(&record.taken).unwrap();
+        assert!(told.len() <= 176_000, "{} bytes", told.len());
+        assert_eq!(postcard::from_bytes::<TakenOrders>(&told).unwrap(), record.taken);
+    }
+    // Most of it is shared with the record before.
+    let mut next = record.clone();
+    further(&mut next, 1);
+    let shared = |(one, other): (&Arc<_>, &Arc<_>)| Arc::ptr_eq(one, other);
+    assert!(record.taken.chunks().0.iter().zip(next.taken.chunks().0).all(shared));
+    let order = |rev| TakenOrder { rev, key: OrderKey([0; 32]) };
+    let falling = TakenOrders::listed(0, &[order(4), order(6), order(6)]);
+    assert_eq!(falling, Err(Unsound::NotRising(6, 6)));
+    let many: Vec<TakenOrder> = (0..=MOST_TAKEN as u64).map(order).collect();
+    assert_eq!(TakenOrders::listed(0, &many), Err(Unsound::TooMany(MOST_TAKEN + 1)));
+    let spoilt = postcard::to_stdvec(&(0u64, many)).unwrap();
+    assert!(postcard::from_bytes::<TakenOrders>(&spoilt).is_err());
+}
+
+/// What a plain list says of an order: every order ever taken, in the order of their taking.
+struct Reference {
+    taken: Vec<(Order, u64)>,
+}
+
+impl Reference {
+    fn current(&self) -> u64 {
+        self.taken.last().map_or(0, |(_, rev)| *rev)
+    }
+
+    fn check(&self, order: &Order, rev: u64, told: &Decision, case: &str) {
+        let place = self.taken.iter().position(|(taken, _)| taken == order);
+        let known = place.is_some_and(|place| self.taken.len() - 1 - place <= HORIZON);
+        match told {
+            Decision::Taken { rev: told } => assert!(place.is_some() && *told == rev, "{case}"),
+            Decision::Forgotten { .. } => {
+                // Only where so many were taken above its number that the table may have let it go.
+                let above = self.taken.iter().filter(|(_, taken)| *taken > rev).count();
+                assert!(!known && above >= HORIZON, "{case}: {above} above it");
+            }
+            Decision::New(entry) => {
+                let next = order.0 == self.current() && rev > self.current();
+                assert!(place.is_none() && next && entry.order.rev == rev, "{case}");
+            }
+            Decision::Stale { current } => {
+                assert!(place.is_none() && order.0 != self.current() && *current == self.current(), "{case}");
+            }
+            Decision::Invalid(_) => {
+                assert!(place.is_none() && order.0 == self.current() && rev <= self.current(), "{case}");
+            }
+        }
+    }
+}
+
+#[test]
+fn random_operators_are_told_what_a_list_of_all_orders_says() {
+    for seed in 0..3 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut record, mut reference) = (Record::default(), Reference { taken: Vec::new() });
+        let mut under_way: Vec<(Order, u64)> = Vec::new();
+        let mut told = [0usize; 5];
+        while reference.taken.len() < 5500 {
+            // Operators look at the newest version or at one that they saw before, and pick numbers that others pick too.
+            while under_way.len() < 8 {
+                let behind = if rng.random_bool(0.7) { 0 } else { rng.random_range(0..5) };
+                let builds_on = reference.taken.iter().rev().nth(behind).map_or(0, |(_, rev)| *rev);
+                let rev = (builds_on + rng.random_range(0..4)).max(1);
+                let make = if rng.random() { put } else { patch };
+                under_way.push((make(builds_on, rev, rng.random_range(0..3)), rev));
+            }
+            // One arrives, at times more than once, or one of long ago once more.
+            let late = rng.random_bool(0.3).then(|| reference.taken.choose(&mut rng).cloned()).flatten();
+            let (order, rev) = match late {
+                Some(late) => late,
+                None => under_way.swap_remove(rng.random_range(0..under_way.len())),
+            };
+            let decision = decide(&record, &order);
+            let case = format!("seed {seed}, {} taken: {order:?}: {decision:?}", reference.taken.len());
+            reference.check(&order, rev, &decision, &case);
+            told[match &decision {
+                Decision::New(_) => 0,
+                Decision::Taken { .. } => 1,
+                Decision::Forgotten { .. } => 2,
+                Decision::Stale { .. } => 3,
+                Decision::Invalid(_) => 4,
+            }] += 1;
+            if let Decision::New(entry) = decision {
+                record = record.after(&entry);
+                reference.taken.push((order.clone(), rev));
+            }
+            if rng.random_bool(0.3) && under_way.len() < 8 {
+                under_way.push((order, rev));
+            }
+        }
+        assert!(told.iter().all(|times| *times > 100), "seed {seed}: {told:?}");
+    }
+}
+
+const TICK: Millis = 20;
+
+fn node(n: usize) -> NodeId {
+    Ipv4Addr::new(10, 0, 0, n as u8 + 1)
+}
+
+/// A core whose messages arrive and whose writes are done at once, in a turn that is drawn.
+struct Core {
+    rng: ChaCha8Rng,
+    now: Millis,
+    chains: Vec<Option<Chain>>,
+    disks: Vec<Option<Durable>>,
+    links: BTreeMap<(usize, usize), VecDeque<Message>>,
+    syncs: Vec<VecDeque<u64>>,
+    answers: BTreeMap<u64, Outcome>,
+    calls: u64,
+}
+
+impl Core {
+    /// Three voters, and one that stands by.
+    fn new(seed: u64) -> Core {
+        let mut core = Core {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: 0,
+            chains: vec![None, None, None, None],
+            disks: vec![None, None, None, None],
+            links: BTreeMap::new(),
+            syncs: vec![VecDeque::new(); 4],
+            answers: BTreeMap::new(),
+            calls: 0,
+        };
+        let seeds: Vec<NodeId> = (0..3).map(node).collect();
+        for n in 0..4 {
+            core.start(n, if n < 3 { Start::Fresh(seeds.clone()) } else { Start::Wiped });
+        }
+        core
+    }
+
+    fn running(&self) -> Vec<usize> {
+        (0..4).filter(|n| self.chains[*n].is_some()).collect()
+    }
+
+    fn start(&mut self, n: usize, start: Start) {
+        let terms = Terms { losses: 1, eligible: true };
+        self.chains[n] = Some(Chain::new(node(n), terms, start));
+        for other in self.running().into_iter().filter(|other| *other != n) {
+            self.links.insert((n, other), VecDeque::new());
+            self.links.insert((other, n), VecDeque::new());
+            self.with(n, |chain, now| chain.peer_up(now, node(other)));
+            self.with(other, |chain, now| chain.peer_up(now, node(n)));
+        }
+    }
+
+    /// Power goes; what was written is kept, or the disk is lost too.
+    fn stop(&mut self, n: usize, wipe: bool) {
+        self.chains[n] = None;
+        self.syncs[n].clear();
+        self.links.retain(|(a, b), _| *a != n && *b != n);
+        if wipe {
+            self.disks[n] = None;
+        }
+        for other in self.running() {
+            self.with(other, |chain, now| chain.peer_down(now, node(n)));
+        }
+    }
+
+    fn restart(&mut self, n: usize) {
+        let start = self.disks[n].clone().map_or(Start::Wiped, Start::Kept);
+        self.start(n, start);
+    }
+
+    fn with(&mut self, n: usize, act: impl FnOnce(&mut Chain, Millis) -> Vec<Output>) {
+        let now = self.now;
+        let Some(chain) = &mut self.chains[n] else { return };
+        for output in act(chain, now) {
+            match output {
+                Output::Send(to, message) => {
+                    let to = usize::from(to.octets()[3]) - 1;
+                    let told = postcard::to_stdvec(&message).unwrap();
+                    let heard: Message = postcard::from_bytes(&told).unwrap();
+                    assert!(heard == message && heard.is_sound());
+                    if let Some(link) = self.links.get_mut(&(n, to)) {
+                        link.push_back(heard);
+                    }
+                }
+                Output::Persist(number, state) => {
+                    self.disks[n] = Some(state);
+                    self.syncs[n].push_back(number);
+                }
+                Output::Answer(call, outcome) => {
+                    self.answers.insert(call, outcome);
+                }
+                Output::Publish(_) => {}
+            }
+        }
+    }
+
+    /// One thing that is due happens; false where nothing is.
+    fn step(&mut self) -> bool {
+        let links = self.links.iter().filter(|(_, link)| !link.is_empty()).map(|(ends, _)| Some(*ends));
+        let syncs = (0..4).filter(|n| !self.syncs[*n].is_empty());
+        let due: Vec<(Option<(usize, usize)>, usize)> =
+            links.map(|ends| (ends, 0)).chain(syncs.map(|n| (None, n))).collect();
+        match due.choose(&mut self.rng) {
+            None => return false,
+            Some((Some((from, to)), _)) => {
+                let message = self.links.get_mut(&(*from, *to)).and_then(VecDeque::pop_front);
+                let Some(message) = message else { return true };
+                self.with(*to, |chain, now| chain.message(now, node(*from), message));
+            }
+            Some((None, n)) => {
+                let number = self.syncs[*n].pop_front().unwrap_or(0);
+                self.with(*n, |chain, now| chain.synced(now, number));
+            }
+        }
+        true
+    }
+
+    fn pass(&mut self, time: Millis) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now += TICK;
+            for n in self.running() {
+                self.with(n, |chain, now| chain.tick(now));
+            }
+            while self.step() {}
+        }
+    }
+
+    fn ask(&mut self, n: usize, order: &Order) -> u64 {
+        self.calls += 1;
+        let call = self.calls;
+        let what = Call::Change { builds_on: order.0, change: order.1.clone() };
+        self.with(n, |chain, now| chain.call(now, call, what));
+        call
+    }
+
+    /// Sends an order to any node that runs, until the answer is clear.
+    fn told(&mut self, order: &Order) -> Outcome {
+        for _ in 0..60 {
+            let at = *self.running().choose(&mut self.rng).expect("one runs");
+            let call = self.ask(at, order);
+            for _ in 0..60 {
+                while !self.answers.contains_key(&call) && self.step() {}
+                match self.answers.remove(&call) {
+                    None => self.pass(TICK),
+                    Some(Outcome::Unavailable) => break,
+                    Some(clear) => return clear,
+                }
+            }
+        }
+        panic!("no clear answer to {order:?}");
+    }
+
+    fn current(&self) -> u64 {
+        self.running()
+            .iter()
+            .filter_map(|n| self.chains[*n].as_ref())
+            .map(|c| c.committed().rev)
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+#[test]
+fn orders_taken_before_any_loss_view_and_change_of_voters_are_confirmed_at_any_node_after_it() {
+    let mut core = Core::new(1);
+    core.pass(1000);
+    let mut taken: Vec<(Order, u64)> = Vec::new();
+    for round in 0..16u64 {
+        for n in 0..24 {
+            let current = core.current();
+            let make = if n % 2 == 0 { put } else { patch };
+            let (order, rev) = (make(current, current + 3, round), current + 3);
+            assert_eq!(core.told(&order), Outcome::Done { rev }, "round {round}");
+            taken.push((order, rev));
+        }
+        // One loses power, each second time its disk with it; then its place goes to the one that stands by.
+        let n = (round % 3) as usize;
+        core.stop(n, round % 2 == 1);
+        core.pass(1500);
+        if round % 4 == 3 {
+            let other = *core.running().iter().find(|other| **other != 3).expect("one runs");
+            let seat = if round % 8 == 3 { Seat::Remove(node(n)) } else { Seat::Remove(node(3)) };
+            core.with(other, |chain, now| {
+                let _ = chain.ask_voters(now, seat);
+                Vec::new()
+            });
+            core.pass(2000);
+        }
+        core.restart(n);
+        core.pass(1500);
+        for (order, rev) in &taken {
+            assert_eq!(core.told(order), Outcome::Done { rev: *rev }, "round {round}: {order:?}");
+            let (builds_on, other) = put(order.0, *rev, 1000);
+            let refused = core.told(&(builds_on, other));
+            assert!(matches!(refused, Outcome::Conflict { .. }), "round {round}: {refused:?}");
+        }
+    }
+    let whole = |chain: &Chain| chain.committed().taken.len() == taken.len();
+    assert!(core.running().iter().filter_map(|n| core.chains[*n].as_ref()).filter(|c| whole(c)).count() >= 3);
+}
+
+#[test]
+fn an_order_under_way_that_arrives_again_is_confirmed_with_the_first() {
+    for seed in 0..200 {
+        let mut core = Core::new(seed);
+        core.pass(1000);
+        let first = put(0, 1, 0);
+        assert_eq!(core.told(&first), Outcome::Done { rev: 1 });
+        // Two operators upon one version with one number, each sending its order to four nodes at once.
+        let orders = [put(1, 4, 1), patch(1, 4, 2)];
+        let mut asked = Vec::new();
+        for n in 0..8 {
+            let which = n % 2;
+            asked.push((which, core.ask(n / 2, &orders[which])));
+            for _ in 0..core.rng.random_range(0..4) {
+                core.step();
+            }
+        }
+        for _ in 0..core.rng.random_range(0..60) {
+            core.step();
+        }
+        // In every second world the head dies in the middle of it.
+        if seed % 2 == 1 {
+            core.stop(0, false);
+        }
+        core.pass(2500);
+        let told: Vec<_> = asked.iter().map(|(which, call)| (*which, core.answers.remove(call))).collect();
+        let done = |outcome: &Option<Outcome>| *outcome == Some(Outcome::Done { rev: 4 });
+        let winners: Vec<usize> = told.iter().filter(|(_, o)| done(o)).map(|(which, _)| *which).collect();
+        assert!(winners.iter().all(|which| *which == winners[0]), "seed {seed}: both confirmed: {told:?}");
+        for (which, outcome) in &told {
+            let refused = matches!(outcome, Some(Outcome::Conflict { .. } | Outcome::Invalid(_)));
+            assert!(!(refused && winners.contains(which)), "seed {seed}: refused and taken: {told:?}");
+        }
+        if seed % 2 == 0 {
+            assert_eq!(winners.len(), 4, "seed {seed}: {told:?}");
+        }
+        // Asked once more, each gets the same clear answer.
+        let again = orders.clone().map(|order| core.told(&order));
+        assert_eq!(
+            again.iter().filter(|o| **o == Outcome::Done { rev: 4 }).count(),
+            1,
+            "seed {seed}: {again:?}"
+        );
+        assert!(winners.iter().all(|which| again[*which] == Outcome::Done { rev: 4 }), "seed {seed}");
+    }
+}
