--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod peers;
 mod purge_log;
 pub mod store;
+mod taken;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -1,15 +1,18 @@
-//! The chain's state on disk: one row of SQLite with a checksum, written by a thread of its own, as a sync takes
+//! The chain's state on disk: one row of SQLite with a checksum, and those of `taken.rs`, written by a thread of its own, as a sync takes
 //! its time. What can't be trusted is set aside, never read as if it were whole.
 
+use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
 use glenfall_plane::chain::{Durable, Members, NodeId, Record};
-use glenfall_plane::orders::TakenOrders;
+use glenfall_plane::orders::{TakenOrder, TakenOrders};
 use rusqlite::{Connection, ErrorCode, OpenFlags, OptionalExtension};
 use serde::{Deserialize, Serialize};
 
+use super::taken;
+
 /// Pause before a write that the disk refused is tried again; what waits for it waits on.
 const AGAIN: Duration = Duration::from_millis(200);
 /// The layout of the file. A file that says another is not read, but for those before.
@@ -67,7 +70,11 @@
     Damaged(String),
 }
 
-pub struct Store(Connection);
+pub struct Store {
+    db: Connection,
+    /// Chunks of taken orders that have a row.
+    written: RefCell<Vec<Arc<[TakenOrder]>>>,
+}
 
 /// The database in a folder.
 pub fn path_in(folder: &Path) -> PathBuf {
@@ -116,13 +123,15 @@
                 "CREATE TABLE chain (id INTEGER PRIMARY KEY, state BLOB NOT NULL, crc INTEGER NOT NULL)",
             )?;
             making.execute("INSERT INTO chain (id, state, crc) VALUES (?1, x'', 0)", [MADE])?;
+            making.execute_batch(taken::TABLE)?;
             making.pragma_update(None, "user_version", LAYOUT)?;
             making.commit()?;
-            return Ok((Store(db), None));
+            return Ok((Store { db, written: RefCell::default() }, None));
         }
         let state = read_whole(&db)?;
-        let store = Store(db);
-        if layout(&store.0)? != LAYOUT {
+        let taken = state.as_ref().map(|state| state.record.taken.chunks().0.to_vec());
+        let store = Store { db, written: RefCell::new(taken.unwrap_or_default()) };
+        if layout(&store.db)? != LAYOUT {
             store.take_over(state.as_ref())?;
         }
         Ok((store, state))
@@ -130,18 +139,29 @@
 
     /// Writes what was found in a layout before in this one, both or neither.
     fn take_over(&self, state: Option<&Durable>) -> Result<(), StoreError> {
-        self.0.execute_batch("BEGIN")?;
+        let whole = self.db.unchecked_transaction()?;
+        whole.execute_batch(taken::TABLE)?;
         if let Some(state) = state {
-            self.save(state)?;
+            self.write(state)?;
         }
-        self.0.pragma_update(None, "user_version", LAYOUT)?;
-        Ok(self.0.execute_batch("COMMIT")?)
+        whole.pragma_update(None, "user_version", LAYOUT)?;
+        Ok(whole.commit()?)
     }
 
     pub fn save(&self, state: &Durable) -> Result<(), StoreError> {
-        let bytes = postcard::to_stdvec(state)?;
+        // Undone where it is dropped before its end.
+        let whole = self.db.unchecked_transaction()?;
+        self.write(state)?;
+        whole.commit()?;
+        self.written.replace(state.record.taken.chunks().0.to_vec());
+        Ok(())
+    }
+
+    fn write(&self, state: &Durable) -> Result<(), StoreError> {
+        let table = taken::write(&self.db, &self.written.borrow(), &state.record.taken)?;
+        let bytes = postcard::to_stdvec(&Row::of(state, table))?;
         let crc = i64::from(crc32fast::hash(&bytes));
-        self.0.execute(
+        self.db.execute(
             "INSERT OR REPLACE INTO chain (id, state, crc) VALUES (?1, ?2, ?3)",
             (STATE, bytes, crc),
         )?;
@@ -149,6 +169,33 @@
     }
 }
 
+/// The state as its row has it.
+#[derive(Serialize, Deserialize)]
+struct Row {
+    members: Members,
+    votes: bool,
+    promised: u64,
+    accepted: u64,
+    seq: u64,
+    rev: u64,
+    document: Vec<u8>,
+    taken: taken::Named,
+}
+
+impl Row {
+    fn of(state: &Durable, taken: taken::Named) -> Row {
+        let Durable { members, votes, promised, accepted, record } = state.clone();
+        let (seq, rev, document) = (record.seq, record.rev, record.document.clone());
+        Row { members, votes, promised, accepted, seq, rev, document, taken }
+    }
+
+    fn state(self, taken: TakenOrders) -> Durable {
+        let Row { members, votes, promised, accepted, seq, rev, document, .. } = self;
+        let record = Arc::new(Record { seq, rev, document, taken });
+        Durable { members, votes, promised, accepted, record }
+    }
+}
+
 fn layout(db: &Connection) -> Result<i64, rusqlite::Error> {
     db.query_row("PRAGMA user_version", [], |row| row.get(0))
 }
@@ -178,7 +225,11 @@
     Ok(Some(match layout {
         FIXED => postcard::from_bytes::<WithFixedVoters>(&bytes)?.into(),
         PRINTS => postcard::from_bytes::<WithPrints>(&bytes)?.into(),
-        _ => postcard::from_bytes(&bytes)?,
+        _ => {
+            let row = postcard::from_bytes::<Row>(&bytes)?;
+            let taken = taken::read(db, &row.taken)?;
+            row.state(taken)
+        }
     }))
 }
 
@@ -277,7 +328,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use glenfall_plane::orders::{OrderKey, TakenOrder};
+    use glenfall_plane::orders::{OrderKey, CHUNK, MOST_TAKEN};
 
     fn folder(name: &str) -> PathBuf {
         let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
@@ -288,8 +339,10 @@
     fn state(promised: u64, size: usize) -> Durable {
         let document = (0..size).map(|n| (n * 7 % 251) as u8).collect();
         let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
-        let taken = TakenOrders::listed(0, &[7, 8, 9].map(order)).unwrap();
-        let record = Record { seq: 3, rev: 9, document, taken };
+        // One chunk that is full, and three orders more.
+        let orders: Vec<TakenOrder> = (1..=CHUNK as u64 + 3).map(order).collect();
+        let taken = TakenOrders::listed(0, &orders).unwrap();
+        let record = Record { seq: 67, rev: 67, document, taken };
         let members = Members::of(vec![[10, 0, 0, 1].into()]);
         Durable { members, votes: true, promised, accepted: 16, record: Arc::new(record) }
     }
@@ -299,12 +352,13 @@
         let folder = folder("before");
         let whole = state(64, 100);
         let mut expected = whole.clone();
-        let taken = TakenOrders::forgotten(9);
+        let taken = TakenOrders::forgotten(67);
         expected.record = Arc::new(Record { taken, ..(*whole.record).clone() });
         for before in [FIXED, PRINTS] {
             let _ = std::fs::remove_dir_all(&folder);
             {
                 let (store, _) = Store::open(&folder).unwrap();
+                store.db.execute_batch("DROP TABLE taken").unwrap();
                 let Durable { members, votes, promised, accepted, record } = whole.clone();
                 let record = PrintsRecord {
                     seq: record.seq,
@@ -321,10 +375,10 @@
                 };
                 let crc = i64::from(crc32fast::hash(&bytes));
                 store
-                    .0
+                    .db
                     .execute("INSERT INTO chain (id, state, crc) VALUES (?1, ?2, ?3)", (STATE, bytes, crc))
                     .unwrap();
-                store.0.pragma_update(None, "user_version", before).unwrap();
+                store.db.pragma_update(None, "user_version", before).unwrap();
             }
             for _ in 0..2 {
                 assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(expected.clone()), "{before}");
@@ -354,6 +408,59 @@
         std::fs::remove_dir_all(&folder).unwrap();
     }
 
+    #[test]
+    fn taken_orders_are_written_once_and_those_that_leave_the_table_leave_the_file() {
+        let folder = folder("taken");
+        let (store, _) = Store::open(&folder).unwrap();
+        let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
+        let with = |orders: std::ops::RangeInclusive<u64>| {
+            let (orders, forgotten): (Vec<_>, u64) =
+                (orders.clone().map(order).collect(), orders.start() - 1);
+            let (rev, taken) =
+                (orders[orders.len() - 1].rev, TakenOrders::listed(forgotten, &orders).unwrap());
+            let record = Record { seq: rev, rev, document: b"{}".to_vec(), taken };
+            Durable { record: Arc::new(record), ..state(16, 0) }
+        };
+        let written =
+            || store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
+        let (most, chunk) = (MOST_TAKEN as u64, CHUNK as u64);
+        // The table grows, is full, lets go of its oldest chunk, and begins anew as a restored one does. Rows that are
+        // written or deleted, that of the state included.
+        let cases = [
+            (1..=chunk - 1, 1),
+            (1..=chunk, 2),
+            (1..=chunk + 1, 1),
+            (1..=most, most / chunk),
+            (chunk + 1..=most + 1, 2),
+            (chunk + 1..=most + 2, 1),
+            (7..=9, most / chunk),
+            (1..=chunk, 2),
+        ];
+        for (orders, rows) in cases {
+            let (whole, before) = (with(orders.clone()), written());
+            store.save(&whole).unwrap();
+            assert_eq!(written() - before, rows, "{orders:?}");
+            assert_eq!(read_whole(&store.db).unwrap(), Some(whole), "{orders:?}");
+        }
+        for spoil in
+            ["DELETE FROM taken", "UPDATE taken SET orders = x'00'", "INSERT INTO taken VALUES (-1, x'')"]
+        {
+            store.db.execute_batch("BEGIN").unwrap();
+            store.db.execute(spoil, []).unwrap();
+            assert!(read_whole(&store.db).is_err_and(|e| e.is_damage()), "{spoil}");
+            store.db.execute_batch("ROLLBACK").unwrap();
+        }
+        drop(store);
+        // What has a row is known after a start as well.
+        let (store, found) = Store::open(&folder).unwrap();
+        assert_eq!(found, Found::Kept(with(1..=chunk)));
+        let before = store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
+        store.save(&with(1..=chunk + 1)).unwrap();
+        let after = store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
+        assert_eq!(after - before, 1);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     /// Opens a folder whose file holds these bytes. What is found is the state or that it is damaged; then the
     /// file can be written again, and a start after that knows that something was lost.
     fn open_spoilt(folder: &Path, bytes: &[u8], whole: &Durable, case: &str) -> bool {
