A configuration that grows by PATCH is bounded as one that is PUT

The API bounds the body of a call at 3 MiB; a PATCH was held to that too, the document that it made was not. One that does not fit into a frame of 4 MiB with what travels beside it could be accepted by the head and never reach another member, nor could a promise that carries it. Such a PATCH is refused as invalid (400) now; plane/tests/orders.rs builds the largest message there is, 16 voters and a full table of orders, and finds it in a frame.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use glenfall_plane::chain::{Call, Outcome, Refused, Seat};
-use glenfall_plane::config::{Change, ReqLimits};
+use glenfall_plane::config::{Change, ReqLimits, LARGEST};
 use glenfall_plane::messages::Purge;
 use glenfall_plane::registry::{Beat, Entry, Heard};
 use http_body_util::Full;
@@ -20,8 +20,6 @@
 use super::Control;
 use crate::serve::{Answer, Handler, Whole};
 
-/// Largest configuration that is taken.
-const LARGEST: usize = 3 << 20;
 /// How long a change of the voters is waited for.
 const SEATED: Duration = Duration::from_millis(3200);
 /// Longest host, path or label of a purge.
--- a/plane/src/config.rs
+++ b/plane/src/config.rs
@@ -9,6 +9,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
+/// Largest document, also of one that grows by PATCH: with the table of taken orders and a view it fits into a frame, and
+/// what does not could never reach another member of the chain.
+pub const LARGEST: usize = 3 << 20;
+
 /// Why a document or a change is not taken.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum Invalid {
@@ -32,6 +36,8 @@
     Prefix(String),
     #[error("path {0:?}: exactly one of backend and split expected")]
     Target(String),
+    #[error("{LARGEST} bytes are the most, got {0}")]
+    TooLarge(usize),
 }
 
 /// What a route allows to be repeated.
@@ -286,6 +292,9 @@
             Change::Put(bytes) => bytes.clone(),
             Change::Patch(bytes) => patched(current, bytes)?,
         };
+        if document.len() > LARGEST {
+            return Err(Invalid::TooLarge(document.len()));
+        }
         let config = Config::read(&document)?;
         if config.rev <= rev {
             return Err(Invalid::OldVersion { current: rev, got: config.rev });
--- a/plane/tests/orders.rs
+++ b/plane/tests/orders.rs
@@ -6,9 +6,10 @@
 use std::sync::Arc;
 
 use glenfall_plane::chain::{
-    Call, Chain, Durable, Message, NodeId, Outcome, Output, Record, Seat, Start, Terms,
+    Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Record, Seat, Start, Terms, View,
 };
-use glenfall_plane::config::{Change, Invalid};
+use glenfall_plane::config::{Change, Invalid, LARGEST};
+use glenfall_plane::messages::LONGEST_FRAME;
 use glenfall_plane::orders::{Decision, OrderKey, TakenOrder, TakenOrders, Unsound, CHUNK, MOST_TAKEN};
 use glenfall_plane::Millis;
 use rand::seq::IndexedRandom;
@@ -161,6 +162,27 @@
     assert!(postcard::from_bytes::<TakenOrders>(&spoilt).is_err());
 }
 
+#[test]
+fn a_document_that_grows_by_patches_never_outgrows_a_frame() {
+    let mut record = Record::default();
+    let grown = |rev: u64, name: &str, bytes: usize| {
+        let text = "x".repeat(bytes);
+        (rev - 1, Change::Patch(format!(r#"{{"rev":{rev},"upsert":{{"{name}":"{text}"}}}}"#).into_bytes()))
+    };
+    further(&mut record, MOST_TAKEN);
+    let rev = record.rev;
+    for (n, name) in (1..).zip(["a", "b", "c"]) {
+        take(&mut record, &grown(rev + n, name, (1 << 20) - 40));
+    }
+    let last = grown(rev + 4, "d", 1000);
+    assert!(matches!(decide(&record, &last), Decision::Invalid(Invalid::TooLarge(_))));
+    let view =
+        View { number: 1 << 40, chain: vec![node(0); 32], members: Members::of((0..16).map(node).collect()) };
+    let install = Message::Install { view, record: Arc::new(record) };
+    let bytes = postcard::to_stdvec(&install).unwrap().len();
+    assert!(bytes > LARGEST && bytes < LONGEST_FRAME, "{bytes} bytes");
+}
+
 /// What a plain list says of an order: every order ever taken, in the order of their taking.
 struct Reference {
     taken: Vec<(Order, u64)>,
