--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -146,6 +146,71 @@
     assert!(put.0, "{}", put.1);
 }
 
+#[test]
+fn orders_taken_before_a_backup_are_confirmed_after_it_and_the_numbers_of_lost_ones_are_not_taken_again() {
+    let mut core = System::start(&["control"], &[]);
+    core.await_chain(&[1, 2, 3], 3);
+    let document =
+        |rev: u64, note: &str| format!(r#"{{"rev":{rev},"paths":[],"backends":[],"note":"{note}"}}"#);
+    let patch =
+        |rev: u64, name: &str| format!(r#"{{"rev":{rev},"upsert":{{"backends":[{{"name":"{name}"}}]}}}}"#);
+    // The same order is sent until its answer is clear; what may have been taken too long ago never gets one.
+    let told = |core: &System, n: u8, method: &str, builds_on: u64, body: &str| {
+        let headers = format!("Host: c\r\nIf-Match: {builds_on}\r\n");
+        let mut heard = (0, String::new());
+        await_that("a clear answer", || {
+            let line = format!("{method} /api/config");
+            if let Some((status, _, said)) = request(core.control_addr(n), &line, &headers, body) {
+                heard = (status, said);
+            }
+            !matches!(heard.0, 0 | 503) || heard.1.contains("too long ago")
+        });
+        heard
+    };
+    let put = told(&core, 1, "PUT", 0, &document(5, "one"));
+    assert_eq!(put, (200, r#"{"rev":5}"#.into()));
+    assert_eq!(told(&core, 2, "PATCH", 5, &patch(7, "s")).0, 200);
+    // The same number with another content, by the other method, or upon another version.
+    assert_eq!(told(&core, 1, "PATCH", 5, &patch(7, "t")).0, 412);
+    assert_eq!(told(&core, 2, "PUT", 5, &patch(7, "s")).0, 412);
+    assert_eq!(told(&core, 3, "PATCH", 0, &patch(7, "s")).0, 412);
+    let exported = core.verb(&["state", "export", "--control", &core.control(3), "backup.json"]);
+    assert!(exported.0, "{}", exported.1);
+    assert_eq!(told(&core, 3, "PUT", 7, &document(9, "lost")).0, 200);
+    core.kill_all(|core| {
+        for n in 1..=3 {
+            std::fs::remove_dir_all(core.state_dir(n)).unwrap();
+            let into = format!("state-{n}");
+            let line = ["state", "import", "backup.json", "--into", &into, "--acknowledged", "9"];
+            assert_eq!(core.verb(&line), (true, "configuration 7, change 2, imported\n".into()));
+        }
+    });
+    core.await_chain(&[1, 2, 3], 3);
+    for restarted in [false, true] {
+        for n in 1..=3 {
+            assert_eq!(told(&core, n, "PUT", 0, &document(5, "one")), (200, r#"{"rev":5}"#.into()));
+            assert_eq!(told(&core, n, "PATCH", 5, &patch(7, "s")).0, 200);
+            // What was lost, and other orders with a number that may have been acknowledged.
+            let (lost, other) = (document(9, "lost"), document(9, "another"));
+            for (method, builds_on, body) in [
+                ("PUT", 7, &lost),
+                ("PUT", 7, &other),
+                ("PATCH", 5, &patch(7, "t")),
+                ("PUT", 5, &patch(7, "s")),
+            ] {
+                let (status, why) = told(&core, n, method, builds_on, body);
+                assert!(status == 503 && why.contains("versions up to 9"), "{status}: {why}");
+            }
+        }
+        if !restarted {
+            assert_eq!(told(&core, 1, "PUT", 7, &document(11, "on")).0, 200);
+            // From the disks, not from the backup.
+            core.kill_all(|_| ());
+            core.await_chain(&[1, 2, 3], 3);
+        }
+    }
+}
+
 #[test]
 fn a_declared_configuration_is_planned_applied_once_and_written_back() {
     let core = System::start(&["control"], &[]);
