--- a/plane/tests/orders.rs
+++ b/plane/tests/orders.rs
@@ -10,7 +10,9 @@
 };
 use glenfall_plane::config::{Change, Invalid, LARGEST};
 use glenfall_plane::messages::LONGEST_FRAME;
-use glenfall_plane::orders::{Decision, OrderKey, TakenOrder, TakenOrders, Unsound, CHUNK, MOST_TAKEN};
+use glenfall_plane::orders::{
+    Decision, Entry, OrderKey, TakenOrder, TakenOrders, Unsound, CHUNK, MOST_TAKEN,
+};
 use glenfall_plane::Millis;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -391,18 +393,25 @@
     }
 
     fn ask(&mut self, n: usize, order: &Order) -> u64 {
+        self.call(n, Call::Change { builds_on: order.0, change: order.1.clone() })
+    }
+
+    fn call(&mut self, n: usize, what: Call) -> u64 {
         self.calls += 1;
         let call = self.calls;
-        let what = Call::Change { builds_on: order.0, change: order.1.clone() };
         self.with(n, |chain, now| chain.call(now, call, what));
         call
     }
 
     /// Sends an order to any node that runs, until the answer is clear.
     fn told(&mut self, order: &Order) -> Outcome {
+        self.answer(&Call::Change { builds_on: order.0, change: order.1.clone() })
+    }
+
+    fn answer(&mut self, what: &Call) -> Outcome {
         for _ in 0..60 {
             let at = *self.running().choose(&mut self.rng).expect("one runs");
-            let call = self.ask(at, order);
+            let call = self.call(at, what.clone());
             for _ in 0..60 {
                 while !self.answers.contains_key(&call) && self.step() {}
                 match self.answers.remove(&call) {
@@ -412,7 +421,7 @@
                 }
             }
         }
-        panic!("no clear answer to {order:?}");
+        panic!("no clear answer to {what:?}");
     }
 
     fn current(&self) -> u64 {
@@ -451,6 +460,11 @@
             });
             core.pass(2000);
         }
+        // A backup that is made now holds all of them, whichever node is the tail.
+        let Outcome::Document(record) = core.answer(&Call::Read) else {
+            panic!("round {round}: no document")
+        };
+        assert_eq!(record.taken.len(), taken.len(), "round {round}");
         core.restart(n);
         core.pass(1500);
         for (order, rev) in &taken {
@@ -460,8 +474,26 @@
             assert!(matches!(refused, Outcome::Conflict { .. }), "round {round}: {refused:?}");
         }
     }
-    let whole = |chain: &Chain| chain.committed().taken.len() == taken.len();
-    assert!(core.running().iter().filter_map(|n| core.chains[*n].as_ref()).filter(|c| whole(c)).count() >= 3);
+}
+
+#[test]
+fn an_entry_that_does_not_rise_above_the_record_is_not_taken() {
+    let mut core = Core::new(1);
+    core.pass(1000);
+    for (builds_on, rev) in [(0, 5), (5, 9)] {
+        assert_eq!(core.told(&put(builds_on, rev, 0)), Outcome::Done { rev });
+    }
+    core.pass(500);
+    let view = core.chains[1].as_ref().and_then(|chain| chain.view()).expect("a view").clone();
+    assert_eq!(view.chain[..2], [node(0), node(1)]);
+    for (seq, rev, taken) in [(3, 9, false), (3, 7, false), (4, 10, false), (2, 10, false), (3, 10, true)] {
+        let order = TakenOrder { rev, key: OrderKey([3; 32]) };
+        let entry = Arc::new(Entry { seq, document: b"{}".to_vec(), order });
+        let message = Message::Update { view: view.number, entry };
+        let chain = core.chains[1].as_mut().expect("it runs");
+        let outputs = chain.message(core.now, node(0), message);
+        assert_eq!(!outputs.is_empty(), taken, "number {seq}, version {rev}");
+    }
 }
 
 #[test]
