--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -1,18 +1,24 @@
-//! The chain's state on disk: one row of SQLite with a checksum, written by a thread of its own, as a sync takes
+//! The chain's state on disk: one row of SQLite with a checksum, and those of `taken.rs`, written by a thread of its own, as a sync takes
 //! its time. What can't be trusted is set aside, never read as if it were whole.
 
+use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
 use glenfall_plane::chain::{Durable, Members, NodeId, Record};
+use glenfall_plane::orders::{TakenOrder, TakenOrders};
 use rusqlite::{Connection, ErrorCode, OpenFlags, OptionalExtension};
 use serde::{Deserialize, Serialize};
 
+use super::taken;
+
 /// Pause before a write that the disk refused is tried again; what waits for it waits on.
 const AGAIN: Duration = Duration::from_millis(200);
-/// The layout of the file. A file that says another is not read, but for the one before.
-const LAYOUT: i64 = 2;
+/// The layout of the file. A file that says another is not read, but for those before.
+const LAYOUT: i64 = 3;
+/// The layout in which taken orders were known by weak prints, which are not read any more.
+const PRINTS: i64 = 2;
 /// The layout in which the voters were fixed.
 const FIXED: i64 = 1;
 /// The row that the store was made with. It holds nothing; where it is missing, others may be as well.
@@ -64,7 +70,11 @@
     Damaged(String),
 }
 
-pub struct Store(Connection);
+pub struct Store {
+    db: Connection,
+    /// Chunks of taken orders that have a row.
+    written: RefCell<Vec<Arc<[TakenOrder]>>>,
+}
 
 /// The database in a folder.
 pub fn path_in(folder: &Path) -> PathBuf {
@@ -113,32 +123,45 @@
                 "CREATE TABLE chain (id INTEGER PRIMARY KEY, state BLOB NOT NULL, crc INTEGER NOT NULL)",
             )?;
             making.execute("INSERT INTO chain (id, state, crc) VALUES (?1, x'', 0)", [MADE])?;
+            making.execute_batch(taken::TABLE)?;
             making.pragma_update(None, "user_version", LAYOUT)?;
             making.commit()?;
-            return Ok((Store(db), None));
+            return Ok((Store { db, written: RefCell::default() }, None));
         }
         let state = read_whole(&db)?;
-        let store = Store(db);
-        if layout(&store.0)? == FIXED {
+        let taken = state.as_ref().map(|state| state.record.taken.chunks().0.to_vec());
+        let store = Store { db, written: RefCell::new(taken.unwrap_or_default()) };
+        if layout(&store.db)? != LAYOUT {
             store.take_over(state.as_ref())?;
         }
         Ok((store, state))
     }
 
-    /// Writes what was found in the layout before in this one, both or neither.
+    /// Writes what was found in a layout before in this one, both or neither.
     fn take_over(&self, state: Option<&Durable>) -> Result<(), StoreError> {
-        self.0.execute_batch("BEGIN")?;
+        let whole = self.db.unchecked_transaction()?;
+        whole.execute_batch(taken::TABLE)?;
         if let Some(state) = state {
-            self.save(state)?;
+            self.write(state)?;
         }
-        self.0.pragma_update(None, "user_version", LAYOUT)?;
-        Ok(self.0.execute_batch("COMMIT")?)
+        whole.pragma_update(None, "user_version", LAYOUT)?;
+        Ok(whole.commit()?)
     }
 
     pub fn save(&self, state: &Durable) -> Result<(), StoreError> {
-        let bytes = postcard::to_stdvec(state)?;
+        // Undone where it is dropped before its end.
+        let whole = self.db.unchecked_transaction()?;
+        self.write(state)?;
+        whole.commit()?;
+        self.written.replace(state.record.taken.chunks().0.to_vec());
+        Ok(())
+    }
+
+    fn write(&self, state: &Durable) -> Result<(), StoreError> {
+        let table = taken::write(&self.db, &self.written.borrow(), &state.record.taken)?;
+        let bytes = postcard::to_stdvec(&Row::of(state, table))?;
         let crc = i64::from(crc32fast::hash(&bytes));
-        self.0.execute(
+        self.db.execute(
             "INSERT OR REPLACE INTO chain (id, state, crc) VALUES (?1, ?2, ?3)",
             (STATE, bytes, crc),
         )?;
@@ -146,6 +169,33 @@
     }
 }
 
+/// The state as its row has it.
+#[derive(Serialize, Deserialize)]
+struct Row {
+    members: Members,
+    votes: bool,
+    promised: u64,
+    accepted: u64,
+    seq: u64,
+    rev: u64,
+    document: Vec<u8>,
+    taken: taken::Named,
+}
+
+impl Row {
+    fn of(state: &Durable, taken: taken::Named) -> Row {
+        let Durable { members, votes, promised, accepted, record } = state.clone();
+        let (seq, rev, document) = (record.seq, record.rev, record.document.clone());
+        Row { members, votes, promised, accepted, seq, rev, document, taken }
+    }
+
+    fn state(self, taken: TakenOrders) -> Durable {
+        let Row { members, votes, promised, accepted, seq, rev, document, .. } = self;
+        let record = Arc::new(Record { seq, rev, document, taken });
+        Durable { members, votes, promised, accepted, record }
+    }
+}
+
 fn layout(db: &Connection) -> Result<i64, rusqlite::Error> {
     db.query_row("PRAGMA user_version", [], |row| row.get(0))
 }
@@ -154,7 +204,7 @@
 fn read_whole(db: &Connection) -> Result<Option<Durable>, StoreError> {
     let damaged = |what: &str| StoreError::Damaged(what.into());
     let layout = layout(db)?;
-    if !matches!(layout, LAYOUT | FIXED) {
+    if !matches!(layout, LAYOUT | PRINTS | FIXED) {
         return Err(StoreError::Damaged(format!("layout {LAYOUT} expected, got {layout}")));
     }
     let checked: String = db.query_row("PRAGMA integrity_check(1)", [], |row| row.get(0))?;
@@ -172,10 +222,49 @@
     if crc != i64::from(crc32fast::hash(&bytes)) {
         return Err(damaged("checksum does not match"));
     }
-    if layout == FIXED {
-        return Ok(Some(postcard::from_bytes::<WithFixedVoters>(&bytes)?.into()));
+    Ok(Some(match layout {
+        FIXED => postcard::from_bytes::<WithFixedVoters>(&bytes)?.into(),
+        PRINTS => postcard::from_bytes::<WithPrints>(&bytes)?.into(),
+        _ => {
+            let row = postcard::from_bytes::<Row>(&bytes)?;
+            let taken = taken::read(db, &row.taken)?;
+            row.state(taken)
+        }
+    }))
+}
+
+/// A record as it was while taken orders were known by prints of 64 bits.
+#[derive(Serialize, Deserialize)]
+struct PrintsRecord {
+    seq: u64,
+    rev: u64,
+    document: Vec<u8>,
+    prints: Vec<(u64, u64)>,
+}
+
+impl From<PrintsRecord> for Arc<Record> {
+    /// A print is not enough to confirm an order by, and its absence none to refuse one.
+    fn from(old: PrintsRecord) -> Arc<Record> {
+        let taken = TakenOrders::forgotten(old.rev);
+        Arc::new(Record { seq: old.seq, rev: old.rev, document: old.document, taken })
+    }
+}
+
+/// The state as it was then.
+#[derive(Serialize, Deserialize)]
+struct WithPrints {
+    members: Members,
+    votes: bool,
+    promised: u64,
+    accepted: u64,
+    record: PrintsRecord,
+}
+
+impl From<WithPrints> for Durable {
+    fn from(old: WithPrints) -> Durable {
+        let WithPrints { members, votes, promised, accepted, record } = old;
+        Durable { members, votes, promised, accepted, record: record.into() }
     }
-    Ok(Some(postcard::from_bytes(&bytes)?))
 }
 
 /// The state as it was while the voters were fixed.
@@ -184,13 +273,13 @@
     voters: Vec<NodeId>,
     promised: u64,
     accepted: u64,
-    record: Arc<Record>,
+    record: PrintsRecord,
 }
 
 impl From<WithFixedVoters> for Durable {
     fn from(old: WithFixedVoters) -> Durable {
         let WithFixedVoters { voters, promised, accepted, record } = old;
-        Durable { members: Members::of(voters), votes: true, promised, accepted, record }
+        Durable { members: Members::of(voters), votes: true, promised, accepted, record: record.into() }
     }
 }
 
@@ -239,6 +328,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use glenfall_plane::orders::{OrderKey, CHUNK, MOST_TAKEN};
+
     fn folder(name: &str) -> PathBuf {
         let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
@@ -247,30 +338,53 @@
 
     fn state(promised: u64, size: usize) -> Durable {
         let document = (0..size).map(|n| (n * 7 % 251) as u8).collect();
-        let record = Record { seq: 3, rev: 9, document, taken: vec![(9, 1)] };
+        let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
+        // One chunk that is full, and three orders more.
+        let orders: Vec<TakenOrder> = (1..=CHUNK as u64 + 3).map(order).collect();
+        let taken = TakenOrders::listed(0, &orders).unwrap();
+        let record = Record { seq: 67, rev: 67, document, taken };
         let members = Members::of(vec![[10, 0, 0, 1].into()]);
         Durable { members, votes: true, promised, accepted: 16, record: Arc::new(record) }
     }
 
     #[test]
-    fn the_layout_before_is_taken_over_once() {
+    fn each_layout_before_is_taken_over_once_and_its_prints_confirm_and_refuse_nothing() {
         let folder = folder("before");
         let whole = state(64, 100);
-        {
-            let (store, _) = Store::open(&folder).unwrap();
-            let Durable { members, promised, accepted, record, .. } = whole.clone();
-            let old = WithFixedVoters { voters: members.voters, promised, accepted, record };
-            let bytes = postcard::to_stdvec(&old).unwrap();
-            let crc = i64::from(crc32fast::hash(&bytes));
-            store
-                .0
-                .execute("INSERT INTO chain (id, state, crc) VALUES (?1, ?2, ?3)", (STATE, bytes, crc))
-                .unwrap();
-            store.0.pragma_update(None, "user_version", FIXED).unwrap();
-        }
-        for _ in 0..2 {
-            assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(whole.clone()));
-            assert_eq!(layout(&Connection::open(path_in(&folder)).unwrap()).unwrap(), LAYOUT);
+        let mut expected = whole.clone();
+        let taken = TakenOrders::forgotten(67);
+        expected.record = Arc::new(Record { taken, ..(*whole.record).clone() });
+        for before in [FIXED, PRINTS] {
+            let _ = std::fs::remove_dir_all(&folder);
+            {
+                let (store, _) = Store::open(&folder).unwrap();
+                store.db.execute_batch("DROP TABLE taken").unwrap();
+                let Durable { members, votes, promised, accepted, record } = whole.clone();
+                let record = PrintsRecord {
+                    seq: record.seq,
+                    rev: record.rev,
+                    document: record.document.clone(),
+                    prints: vec![(7, 1), (9, 2)],
+                };
+                let bytes = if before == FIXED {
+                    let voters = members.voters;
+                    postcard::to_stdvec(&WithFixedVoters { voters, promised, accepted, record }).unwrap()
+                } else {
+                    let old = WithPrints { members, votes, promised, accepted, record };
+                    postcard::to_stdvec(&old).unwrap()
+                };
+                let crc = i64::from(crc32fast::hash(&bytes));
+                store
+                    .db
+                    .execute("INSERT INTO chain (id, state, crc) VALUES (?1, ?2, ?3)", (STATE, bytes, crc))
+                    .unwrap();
+                store.db.pragma_update(None, "user_version", before).unwrap();
+            }
+            for _ in 0..2 {
+                assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(expected.clone()), "{before}");
+                let now = layout(&Connection::open(path_in(&folder)).unwrap()).unwrap();
+                assert_eq!(now, LAYOUT, "{before}");
+            }
         }
         std::fs::remove_dir_all(&folder).unwrap();
     }
@@ -294,6 +408,59 @@
         std::fs::remove_dir_all(&folder).unwrap();
     }
 
+    #[test]
+    fn taken_orders_are_written_once_and_those_that_leave_the_table_leave_the_file() {
+        let folder = folder("taken");
+        let (store, _) = Store::open(&folder).unwrap();
+        let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
+        let with = |orders: std::ops::RangeInclusive<u64>| {
+            let (orders, forgotten): (Vec<_>, u64) =
+                (orders.clone().map(order).collect(), orders.start() - 1);
+            let (rev, taken) =
+                (orders[orders.len() - 1].rev, TakenOrders::listed(forgotten, &orders).unwrap());
+            let record = Record { seq: rev, rev, document: b"{}".to_vec(), taken };
+            Durable { record: Arc::new(record), ..state(16, 0) }
+        };
+        let written =
+            || store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
+        let (most, chunk) = (MOST_TAKEN as u64, CHUNK as u64);
+        // The table grows, is full, lets go of its oldest chunk, and begins anew as a restored one does. Rows that are
+        // written or deleted, that of the state included.
+        let cases = [
+            (1..=chunk - 1, 1),
+            (1..=chunk, 2),
+            (1..=chunk + 1, 1),
+            (1..=most, most / chunk),
+            (chunk + 1..=most + 1, 2),
+            (chunk + 1..=most + 2, 1),
+            (7..=9, most / chunk),
+            (1..=chunk, 2),
+        ];
+        for (orders, rows) in cases {
+            let (whole, before) = (with(orders.clone()), written());
+            store.save(&whole).unwrap();
+            assert_eq!(written() - before, rows, "{orders:?}");
+            assert_eq!(read_whole(&store.db).unwrap(), Some(whole), "{orders:?}");
+        }
+        for spoil in
+            ["DELETE FROM taken", "UPDATE taken SET orders = x'00'", "INSERT INTO taken VALUES (-1, x'')"]
+        {
+            store.db.execute_batch("BEGIN").unwrap();
+            store.db.execute(spoil, []).unwrap();
+            assert!(read_whole(&store.db).is_err_and(|e| e.is_damage()), "{spoil}");
+            store.db.execute_batch("ROLLBACK").unwrap();
+        }
+        drop(store);
+        // What has a row is known after a start as well.
+        let (store, found) = Store::open(&folder).unwrap();
+        assert_eq!(found, Found::Kept(with(1..=chunk)));
+        let before = store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
+        store.save(&with(1..=chunk + 1)).unwrap();
+        let after = store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
+        assert_eq!(after - before, 1);
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+
     /// Opens a folder whose file holds these bytes. What is found is the state or that it is damaged; then the
     /// file can be written again, and a start after that knows that something was lost.
     fn open_spoilt(folder: &Path, bytes: &[u8], whole: &Durable, case: &str) -> bool {
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -23,6 +23,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Change, Invalid};
+use crate::orders::{Decision, Entry, TakenOrders};
 use crate::Millis;
 
 /// A core machine, by its address.
@@ -55,8 +56,6 @@
 const CALL: Millis = 900;
 /// Calls that may wait at one node; operators are few.
 const MOST_CALLS: usize = 64;
-/// Fingerprints of changes that are kept to know a repeated call.
-const MOST_TAKEN: usize = 64;
 
 /// The lower half of a view's number is its proposer's address, so that no two propose the same one.
 const PROPOSER_BITS: u32 = 32;
@@ -117,8 +116,8 @@
     pub rev: u64,
     /// The newest configuration document; empty before the first.
     pub document: Vec<u8>,
-    /// Version and fingerprint of the changes taken last, the newest at the end.
-    pub taken: Vec<(u64, u64)>,
+    /// The orders taken last, by which one that is sent again is known.
+    pub taken: TakenOrders,
 }
 
 /// What must be on disk before what follows from it is said.
@@ -197,6 +196,10 @@
         current: u64,
     },
     Invalid(Invalid),
+    /// The order may be one of those that were taken too long ago to be known: no clear answer, of any node.
+    Forgotten {
+        up_to: u64,
+    },
     Document(Arc<Record>),
     /// No clear answer: try again elsewhere.
     Unavailable,
@@ -281,16 +284,18 @@
     Stands {
         view: View,
     },
+    /// A change on its way down the chain, for a member that has all before it.
     Update {
         view: u64,
-        record: Arc<Record>,
+        entry: Arc<Entry>,
     },
     /// From the tail to the chain.
     Acked {
         view: u64,
         seq: u64,
     },
-    /// To those who are not in the chain.
+    /// To those who are not in the chain, without the table of orders: they only hand the document on. Whoever comes to
+    /// vote has it from `Install`.
     Committed {
         record: Arc<Record>,
     },
@@ -314,7 +319,8 @@
     /// broken must not take the others along.
     pub fn is_sound(&self) -> bool {
         let number = |number: &u64| *number < HIGHEST;
-        let record = |record: &Record| number(&record.seq) && record.taken.len() <= MOST_TAKEN;
+        // The table of orders is bounded where it is read.
+        let record = |record: &Record| number(&record.seq) && record.taken.newest() <= record.rev;
         let voters = |voters: &[NodeId]| voters.len() <= MOST_VOTERS;
         let members = |members: &Members| voters(&members.voters) && voters(&members.before);
         let view = |view: &View| {
@@ -336,7 +342,7 @@
             Message::Nack { promised } => number(promised),
             Message::Install { view: v, record: r } => view(v) && record(r),
             Message::Stands { view: v } => view(v),
-            Message::Update { view, record: r } => number(view) && record(r),
+            Message::Update { view, entry } => number(view) && number(&entry.seq),
             Message::Acked { view, seq } => number(view) && number(seq),
             Message::Committed { record: r } => record(r),
             Message::ReadDown { view, .. } => number(view),
@@ -967,14 +973,15 @@
             Message::Install { view, record } => self.install(from, view, record),
             Message::Installed { view } => self.note_installed(from, view),
             Message::Stands { view } => self.stands(view),
-            Message::Update { view, record } => self.update(from, view, record),
+            Message::Update { view, entry } => self.update(from, view, &entry),
             Message::Acked { view, seq } => {
                 let current = self.member_of(view).is_some() && self.durable.record.seq == seq;
                 if current {
                     self.commit();
                 }
             }
-            Message::Committed { record } => self.publish(record),
+            Message::Committed { record } if record.seq > self.committed.seq => self.publish(record),
+            Message::Committed { .. } => {}
             Message::Forward { call, what } => self.head_takes(from, call, what),
             Message::ReadDown { view, origin, call } => self.read_down(view, origin, call),
             Message::Answer { call, outcome } => {
@@ -1005,7 +1012,7 @@
             }
         }
         if beat.committed < self.committed.seq {
-            let record = Arc::clone(&self.committed);
+            let record = Arc::new(self.committed.without_table());
             self.send(from, Message::Committed { record });
         }
         if let Some(peer) = self.peers.get_mut(&from) {
@@ -1096,12 +1103,13 @@
         (installed.view.number == number && self.durable.promised == number).then_some(&installed.view)
     }
 
-    fn update(&mut self, from: NodeId, number: u64, record: Arc<Record>) {
+    fn update(&mut self, from: NodeId, number: u64, entry: &Arc<Entry>) {
         let Some(view) = self.member_of(number) else { return };
-        let in_turn = view.before(self.me) == Some(from) && record.seq == self.durable.record.seq + 1;
-        if in_turn {
+        let record = &self.durable.record;
+        let next = entry.seq == record.seq + 1 && entry.order.rev > record.rev;
+        if next && view.before(self.me) == Some(from) {
             self.shown_to_stand(number);
-            self.accept(record);
+            self.accept(entry);
         }
     }
 
@@ -1115,12 +1123,12 @@
     }
 
     /// Makes a change durable, then passes it on, or commits it at the tail.
-    fn accept(&mut self, record: Arc<Record>) {
+    fn accept(&mut self, entry: &Arc<Entry>) {
         let Some(installed) = &self.installed else { return };
-        let (number, seq) = (installed.view.number, record.seq);
+        let (number, seq) = (installed.view.number, entry.seq);
         let then = match installed.view.after(self.me) {
             Some(next) => {
-                vec![Output::Send(next, Message::Update { view: number, record: Arc::clone(&record) })]
+                vec![Output::Send(next, Message::Update { view: number, entry: Arc::clone(entry) })]
             }
             None => {
                 // The tail takes its own word too, last, so that it commits after the sync as well.
@@ -1128,7 +1136,7 @@
                 chain.map(|member| Output::Send(*member, Message::Acked { view: number, seq })).collect()
             }
         };
-        self.durable.record = record;
+        self.durable.record = Arc::new(self.durable.record.after(entry));
         self.persist(then);
     }
 
@@ -1140,8 +1148,9 @@
             let chain = self.installed.as_ref().map(|i| i.view.chain.clone()).unwrap_or_default();
             let others: Vec<NodeId> =
                 self.peers.iter().filter(|(id, p)| p.up && !chain.contains(id)).map(|(id, _)| *id).collect();
+            let told = Arc::new(record.without_table());
             for peer in others {
-                self.send(peer, Message::Committed { record: Arc::clone(&record) });
+                self.send(peer, Message::Committed { record: Arc::clone(&told) });
             }
         }
         let done = self.pending.take_if(|p| p.seq == record.seq);
@@ -1156,6 +1165,9 @@
         if record.seq > self.committed.seq {
             self.committed = Arc::clone(&record);
             self.out.push(Output::Publish(record));
+        } else if record.seq == self.committed.seq {
+            // It may have been told without the table of orders, which a backup needs.
+            self.committed = record;
         }
     }
 
@@ -1214,23 +1226,17 @@
         while self.is_head().is_some() && self.pending.is_none() && self.outlives_losses() {
             let Some((origin, call, builds_on, change)) = self.queue.pop_front() else { return };
             let current = Arc::clone(&self.durable.record);
-            let digest = change.digest();
-            let taken = |rev: u64| current.taken.contains(&(rev, digest));
-            let outcome = match change.rev() {
-                Some(rev) if taken(rev) => Outcome::Done { rev },
-                _ if builds_on != current.rev => Outcome::Conflict { current: current.rev },
-                _ => match change.apply(&current.document, current.rev) {
-                    Err(invalid) => Outcome::Invalid(invalid),
-                    Ok((rev, document)) => {
-                        let seq = current.seq + 1;
-                        let mut taken = current.taken.clone();
-                        taken.push((rev, digest));
-                        taken.drain(..taken.len().saturating_sub(MOST_TAKEN));
-                        self.pending = Some(Pending { origin, call, seq, rev, since: self.now });
-                        self.accept(Arc::new(Record { seq, rev, document, taken }));
-                        return;
-                    }
-                },
+            let outcome = match current.decide(builds_on, &change) {
+                Decision::New(entry) => {
+                    let (seq, rev) = (entry.seq, entry.order.rev);
+                    self.pending = Some(Pending { origin, call, seq, rev, since: self.now });
+                    self.accept(&Arc::new(entry));
+                    return;
+                }
+                Decision::Taken { rev } => Outcome::Done { rev },
+                Decision::Forgotten { up_to } => Outcome::Forgotten { up_to },
+                Decision::Stale { current } => Outcome::Conflict { current },
+                Decision::Invalid(invalid) => Outcome::Invalid(invalid),
             };
             self.send(origin, Message::Answer { call, outcome });
         }
--- a/plane/src/config.rs
+++ b/plane/src/config.rs
@@ -9,6 +9,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
+/// Largest document, also of one that grows by PATCH: with the table of taken orders and a view it fits into a frame, and
+/// what does not could never reach another member of the chain.
+pub const LARGEST: usize = 3 << 20;
+
 /// Why a document or a change is not taken.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error, Serialize, Deserialize)]
 pub enum Invalid {
@@ -32,6 +36,8 @@
     Prefix(String),
     #[error("path {0:?}: exactly one of backend and split expected")]
     Target(String),
+    #[error("{LARGEST} bytes are the most, got {0}")]
+    TooLarge(usize),
 }
 
 /// What a route allows to be repeated.
@@ -267,29 +273,17 @@
 }
 
 impl Change {
-    /// A fingerprint by which the same call is known again. Not for use against forgers: operators are
-    /// trusted, and a collision needs the same version and the same length as well.
-    pub fn digest(&self) -> u64 {
-        let (tag, bytes) = match self {
-            Change::Put(bytes) => (1u8, bytes),
-            Change::Patch(bytes) => (2u8, bytes),
-        };
-        // FNV-1a: the same on all machines and in all versions, as it is kept on disk.
-        let seed = 0xcbf2_9ce4_8422_2325u64;
-        let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        bytes.iter().fold(step(seed, tag), |hash, byte| step(hash, *byte)) ^ bytes.len() as u64
-    }
-
     /// The version that the change makes, where it can be told.
     pub fn rev(&self) -> Option<u64> {
-        let bytes = match self {
-            Change::Put(bytes) | Change::Patch(bytes) => bytes,
-        };
         #[derive(Deserialize)]
         struct Rev {
             rev: u64,
         }
-        serde_json::from_slice::<Rev>(bytes).ok().map(|r| r.rev)
+        match self {
+            Change::Put(bytes) => serde_json::from_slice::<Rev>(bytes).ok().map(|r| r.rev),
+            // As `apply` reads it: of a field that is there twice, the last counts.
+            Change::Patch(bytes) => object(bytes).ok()?.get("rev")?.as_u64(),
+        }
     }
 
     /// The document that results from the change to `current`, whose version is `rev`.
@@ -298,6 +292,9 @@
             Change::Put(bytes) => bytes.clone(),
             Change::Patch(bytes) => patched(current, bytes)?,
         };
+        if document.len() > LARGEST {
+            return Err(Invalid::TooLarge(document.len()));
+        }
         let config = Config::read(&document)?;
         if config.rev <= rev {
             return Err(Invalid::OldVersion { current: rev, got: config.rev });
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -11,6 +11,7 @@
     Beat, Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Record, Refused, Seat, Start, View,
 };
 use glenfall_plane::config::Change;
+use glenfall_plane::orders::{Entry, OrderKey, TakenOrder, TakenOrders};
 use glenfall_sim::{node, seeds, Schedule, Size, World};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -193,7 +194,11 @@
     };
     let record = |rng: &mut ChaCha8Rng| {
         let document = (0..rng.random_range(0..40)).map(|_| rng.random()).collect();
-        Arc::new(Record { seq: number(rng), rev: number(rng), document, taken: vec![(number(rng), 1)] })
+        let rev = number(rng);
+        let newest = if rng.random_bool(0.1) { number(rng) } else { rev };
+        let order = TakenOrder { rev: newest, key: OrderKey([1; 32]) };
+        let taken = TakenOrders::listed(number(rng), &[order]).expect("one order rises");
+        Arc::new(Record { seq: number(rng), rev, document, taken })
     };
     let members = |rng: &mut ChaCha8Rng| Members { voters: nodes(rng), before: nodes(rng) };
     let view = |rng: &mut ChaCha8Rng| View { number: number(rng), chain: nodes(rng), members: members(rng) };
@@ -221,7 +226,11 @@
         4 => Message::Install { view: view(rng), record: record(rng) },
         5 => Message::Installed { view: number(rng) },
         6 => Message::Stands { view: view(rng) },
-        7 => Message::Update { view: number(rng), record: record(rng) },
+        7 => {
+            let order = TakenOrder { rev: number(rng), key: OrderKey([2; 32]) };
+            let entry = Entry { seq: number(rng), document: record(rng).document.clone(), order };
+            Message::Update { view: number(rng), entry: Arc::new(entry) }
+        }
         8 => Message::Acked { view: number(rng), seq: number(rng) },
         9 => Message::Committed { record: record(rng) },
         10 => Message::Forward { call: number(rng), what: change(rng) },
@@ -290,7 +299,8 @@
 }
 
 fn record(seq: u64) -> Arc<Record> {
-    Arc::new(Record { seq, rev: seq, document: format!("{{\"rev\":{seq}}}").into_bytes(), taken: Vec::new() })
+    let document = format!("{{\"rev\":{seq}}}").into_bytes();
+    Arc::new(Record { seq, rev: seq, document, taken: TakenOrders::default() })
 }
 
 #[test]
@@ -318,11 +328,17 @@
     let mut chain = begins();
     let install = Message::Install { view: View { number: 4 << 32, ..middle.clone() }, record: record(6) };
     said(&mut chain, 2, 2, install);
-    let update = Message::Update { view: 4 << 32, record: record(7) };
+    let entry = Entry {
+        seq: 7,
+        document: record(7).document.clone(),
+        order: TakenOrder { rev: 7, key: OrderKey([7; 32]) },
+    };
+    let update = Message::Update { view: 4 << 32, entry: Arc::new(entry) };
     let passed = said(&mut chain, 3, 1, update);
     assert!(passed.contains(&Output::Publish(record(6))), "{passed:?}");
     let told = said(&mut chain, 4, 2, Message::Stands { view: View { number: 4 << 32, ..middle } });
-    assert!(!told.contains(&Output::Publish(record(7))), "{told:?}");
+    let publishes_next = |output: &Output| matches!(output, Output::Publish(record) if record.seq == 7);
+    assert!(!told.iter().any(publishes_next), "{told:?}");
 }
 
 #[test]
