Store: names of files last before anything is promised, and a store that is gone is known as lost

Cause: a damaged file was renamed and a new store made beside it with one sync of the folder for both. After a loss of power between them the new name could be there and the old one not, and with bootstrap = true the node began as a fresh voter that had promised nothing. The same for a file of length 0 or one that was gone. Folders were made without a sync of those above them, exports and the removal of damaged logs without a sync of theirs.

--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -9,6 +9,8 @@
 use rusqlite::{Connection, ErrorCode, OpenFlags, OptionalExtension};
 use serde::{Deserialize, Serialize};
 
+use crate::disk;
+
 /// Pause before a write that the disk refused is tried again; what waits for it waits on.
 const AGAIN: Duration = Duration::from_millis(200);
 /// The layout of the file. A file that says another is not read, but for the one before.
@@ -24,6 +26,8 @@
 /// A damaged file is kept under this name for whoever wants to know what came of it.
 const DAMAGED: &str = "state.sqlite.damaged";
 const JOURNAL: &str = "state.sqlite-journal";
+/// Tells that there was a store here: without one beside it, the store is lost, and this is no first start.
+const WAS_MADE: &str = "state.made";
 
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -75,30 +79,40 @@
     /// Opens the database in a folder, or makes it. Nothing else uses the file: with the lock held from the
     /// start there is no index in shared memory, and a full sync covers each commit.
     pub fn open(folder: &Path) -> Result<(Store, Found), StoreError> {
-        std::fs::create_dir_all(folder)?;
-        match Store::open_whole(&path_in(folder)) {
+        disk::make_folder(folder)?;
+        let (path, made) = (path_in(folder), folder.join(WAS_MADE));
+        let empty = std::fs::metadata(&path).map_or(0, |file| file.len()) == 0;
+        if empty && made.exists() {
+            set_aside(folder)?;
+        }
+        let (store, found) = match Store::open_whole(&path) {
             Ok((store, None)) if folder.join(DAMAGED).exists() => {
-                Ok((store, Found::Damaged("set aside at an earlier start".into())))
+                (store, Found::Damaged("set aside, or gone, at this start or an earlier one".into()))
             }
-            Ok((store, None)) => Ok((store, Found::Nothing)),
-            Ok((store, Some(state))) => Ok((store, Found::Kept(state))),
+            Ok((store, None)) => (store, Found::Nothing),
+            Ok((store, Some(state))) => (store, Found::Kept(state)),
             Err(error) if error.is_damage() => {
-                std::fs::rename(path_in(folder), folder.join(DAMAGED))?;
-                match std::fs::remove_file(folder.join(JOURNAL)) {
-                    Err(e) if e.kind() != std::io::ErrorKind::NotFound => return Err(e.into()),
-                    _ => {}
-                }
-                let (store, _) = Store::open_whole(&path_in(folder))?;
-                Ok((store, Found::Damaged(error.to_string())))
+                set_aside(folder)?;
+                let (store, _) = Store::open_whole(&path)?;
+                (store, Found::Damaged(error.to_string()))
             }
-            Err(error) => Err(error),
+            Err(error) => return Err(error),
+        };
+        // Nothing is promised before the names of the files are as safe as what will be in them.
+        disk::sync_folder(folder)?;
+        if !made.exists() {
+            std::fs::File::create(&made)?.sync_all()?;
+            disk::sync_folder(folder)?;
         }
+        Ok((store, found))
     }
 
     fn open_whole(path: &Path) -> Result<(Store, Option<Durable>), StoreError> {
         // SQLite takes what is too short for a header for an empty file.
         let size = std::fs::metadata(path).map_or(0, |file| file.len());
-        if (1..SHORTEST).contains(&size) {
+        // With a journal beside it, it is put back to what it was.
+        let journal = std::fs::metadata(path.with_file_name(JOURNAL)).map_or(0, |file| file.len());
+        if (1..SHORTEST).contains(&size) && journal == 0 {
             return Err(StoreError::Damaged(format!("{size} bytes left")));
         }
         let mut db = Connection::open(path)?;
@@ -146,6 +160,22 @@
     }
 }
 
+/// Keeps a file that is no state under another name, or notes that there is none any more. Its old name is free for
+/// good before a new store is made: else a loss of power could leave the new one without a word of the old.
+fn set_aside(folder: &Path) -> Result<(), StoreError> {
+    match std::fs::rename(path_in(folder), folder.join(DAMAGED)) {
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => {
+            std::fs::File::create(folder.join(DAMAGED))?.sync_all()?;
+        }
+        renamed => renamed?,
+    }
+    disk::sync_folder(folder)?;
+    match std::fs::remove_file(folder.join(JOURNAL)) {
+        Err(e) if e.kind() != std::io::ErrorKind::NotFound => Err(e.into()),
+        _ => Ok(disk::sync_folder(folder)?),
+    }
+}
+
 fn layout(db: &Connection) -> Result<i64, rusqlite::Error> {
     db.query_row("PRAGMA user_version", [], |row| row.get(0))
 }
@@ -240,7 +270,10 @@
 mod tests {
     use super::*;
     fn folder(name: &str) -> PathBuf {
-        let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
+        // Thousands of starts, and nothing here is to outlive a real loss of power.
+        let memory = Path::new("/dev/shm");
+        let base = if memory.is_dir() { memory.to_owned() } else { std::env::temp_dir() };
+        let folder = base.join(format!("glenfall-store-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         folder
     }
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -6,7 +6,7 @@
 mod agent;
 pub mod boot;
 mod cache;
-mod control;
+pub mod control;
 mod counter;
 mod declare;
 mod demo;
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -17,6 +17,7 @@
 use crate::control::backup::{Backup, BackupError};
 use crate::control::store::{self, StoreError};
 use crate::declare::{self, DeclareError, Declared, Difference};
+use crate::disk;
 use crate::pool::{Pool, Reply, Trust};
 use crate::room::Room;
 
@@ -326,8 +327,11 @@
             let wrong = |what| OpsError::Backup { path: file.clone(), what };
             let backup = Backup::read(&reply.body).map_err(wrong)?;
             let broken = |what| OpsError::File { path: file.clone(), what };
-            let mut out = std::fs::File::create_new(&file).map_err(broken)?;
-            out.write_all(&reply.body).and_then(|()| out.sync_all()).map_err(broken)?;
+            let out = std::fs::File::create_new(&file).map_err(broken)?;
+            let folder = file.parent().filter(|folder| !folder.as_os_str().is_empty());
+            let folder = folder.unwrap_or(Path::new("."));
+            let synced = |()| out.sync_all().and_then(|()| disk::sync_folder(folder));
+            (&out).write_all(&reply.body).and_then(synced).map_err(broken)?;
             Ok(format!("configuration {}, change {}, exported", backup.rev, backup.seq))
         }
         StateVerb::Import { file, into, voters } => {
