Tests: 700 routes changed hundreds of times, catch-up after one change and many, old heads

Real processes on loopback: what lies on disk stays as large as one version; a member that missed 1, 25 (by MISSED also 100 and 1,000) changes, or lost its disk, hears three whole versions and no more; one comes into the chain while changes go on every 0.1 s; a head whose own disk is old begins with the newest record of a majority.

--- a/glenfall/tests/changes.rs
+++ b/glenfall/tests/changes.rs
@@ -1,12 +1,13 @@
 //! Hundreds of changes of a configuration with many routes, through three control nodes, an agent and an edge on
 //! loopback: what lies on their disks stays as large as one version. `CHANGES=10000` plays more, and a release build
-//! (`cargo test --release --test changes -- --nocapture`) prints the figures of docs/hardening.md.
+//! (`cargo test --release --test changes -- --nocapture`) prints the figures of docs/hardening.md. And how a node catches
+//! up that was away for one change or many (`MISSED=1,100,1000`): it is sent one whole state, whatever it missed.
 
 mod common;
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
-use common::{await_that, request, System, EDGE};
+use common::{await_that, request, System, EDGE, PATIENCE};
 
 /// Routes of the largest configuration of the users' days.
 const ROUTES: usize = 700;
@@ -27,18 +28,29 @@
     format!(r#"{{"rev":{rev},"paths":[{}],"backends":[{{"name":"s"}}],"reqLimits":{{}}}}"#, routes.join(","))
 }
 
-/// Puts a version until it is acknowledged; gives how many calls that took.
-pub fn put(core: &System, rev: u64, document: &str) -> u64 {
-    let (mut calls, head) = (0, format!("Host: c\r\nIf-Match: {}\r\n", rev - 1));
+/// Puts a version at these nodes in turn until it is acknowledged; gives how many calls that took.
+fn put(core: &System, nodes: &[u8], rev: u64) -> usize {
+    let (mut calls, head, document) = (0, format!("Host: c\r\nIf-Match: {}\r\n", rev - 1), document(rev));
     await_that("a change is acknowledged", || {
         calls += 1;
-        let node = 1 + ((rev + calls) % 3) as u8;
-        request(core.control_addr(node), "PUT /api/config", &head, document)
-            .is_some_and(|heard| heard.0 == 200)
+        let at = core.control_addr(nodes[(rev as usize + calls) % nodes.len()]);
+        request(at, "PUT /api/config", &head, &document).is_some_and(|heard| heard.0 == 200)
     });
     calls
 }
 
+/// Whether a node is in a chain of three and knows this version.
+fn caught_up(core: &System, n: u8, rev: u64) -> Option<serde_json::Value> {
+    let status = core.status(n)?;
+    let whole = status["view"]["chain"].as_array()?.len() == 3 && status["rev"].as_u64()? >= rev;
+    whole.then_some(status)
+}
+
+fn read(core: &System, n: u8) -> Option<(u16, String)> {
+    let (status, _, body) = request(core.control_addr(n), "GET /api/config", "Host: c\r\n", "")?;
+    Some((status, body.trim_end().to_owned()))
+}
+
 fn on_disk(core: &System, n: u8) -> u64 {
     let files = std::fs::read_dir(core.state_dir(n)).map(|files| files.flatten().collect::<Vec<_>>());
     files.unwrap_or_default().iter().filter_map(|file| file.metadata().ok()).map(|file| file.len()).sum()
@@ -63,7 +75,7 @@
     let bytes = document(1).len() as u64;
     println!("{ROUTES} routes, {bytes} bytes; resident and peak in KB");
     for rev in 1..=changes {
-        calls += put(&core, rev, &document(rev));
+        calls += put(&core, &[1, 2, 3], rev);
         if [changes / 100, changes / 10, changes].contains(&rev) {
             let disks: Vec<u64> = (1..EDGE).map(|n| on_disk(&core, n)).collect();
             let control: Vec<_> = (1..EDGE).map(|n| resident(&mut core, n, "control")).collect();
@@ -78,6 +90,94 @@
         let size = on_disk(&core, n);
         assert!(size <= bytes * VERSIONS_ON_DISK, "{size} bytes on disk {n} for {bytes} of one version");
     }
-    let (status, _, read) = request(core.control_addr(2), "GET /api/config", "Host: c\r\n", "").unwrap();
-    assert_eq!((status, read.trim_end()), (200, document(changes).as_str()));
+    assert_eq!(read(&core, 2), Some((200, document(changes))));
+}
+
+#[test]
+fn whoever_was_away_is_sent_one_whole_state_however_much_it_missed() {
+    let missed = std::env::var("MISSED").unwrap_or_else(|_| "1,25".into());
+    let mut core = System::start(&["control"], &["agent"]);
+    core.await_chain(&[1, 2, 3], 3);
+    let (mut rev, one) = (1, document(1).len() as u64);
+    put(&core, &[1, 2], rev);
+    let back = |core: &mut System, rev: &mut u64, missed: u64, lost: bool| {
+        core.kill(3, "control");
+        core.await_chain(&[1, 2], 2);
+        for _ in 0..missed {
+            *rev += 1;
+            put(core, &[1, 2], *rev);
+        }
+        if lost {
+            std::fs::remove_dir_all(core.state_dir(3)).unwrap();
+            let settings = core.folder.join("3.toml");
+            let text = std::fs::read_to_string(&settings).unwrap();
+            std::fs::write(settings, text.replace("bootstrap = true", "bootstrap = false")).unwrap();
+        }
+        let began = Instant::now();
+        core.start_again(3, "control");
+        await_that("it is in the chain again", || caught_up(core, 3, *rev).is_some());
+        let took = began.elapsed().as_millis();
+        let status = caught_up(core, 3, *rev).unwrap();
+        let heard = status["counters"]["message_bytes_heard"].as_u64().unwrap();
+        println!("{missed} missed, disk lost: {lost}: in the chain after {took} ms, {heard} bytes heard, {one} a version");
+        // The state with the view, and at most once before from each of the two who saw that it knows an older one.
+        assert!(heard < 5 * one, "{heard} bytes for {missed} missed changes");
+    };
+    for missed in missed.split(',') {
+        back(&mut core, &mut rev, missed.parse().unwrap(), false);
+    }
+    back(&mut core, &mut rev, 10, true);
+    assert_eq!(read(&core, 3), Some((200, document(rev))));
+}
+
+#[test]
+fn a_node_comes_into_the_chain_while_changes_go_on() {
+    let mut core = System::start(&["control"], &["agent"]);
+    core.await_chain(&[1, 2, 3], 3);
+    core.kill(3, "control");
+    core.await_chain(&[1, 2], 2);
+    let (mut rev, mut began, mut longest, mut after) = (0, None, Duration::ZERO, 0);
+    // Some before it starts, and until it has been there for some.
+    while after < 10 {
+        rev += 1;
+        let sent = Instant::now();
+        put(&core, &[1, 2], rev);
+        longest = longest.max(sent.elapsed());
+        std::thread::sleep(Duration::from_millis(100).saturating_sub(sent.elapsed()));
+        if rev == 10 {
+            core.start_again(3, "control");
+            began = Some((Instant::now(), rev));
+        }
+        let (started, at) = began.unwrap_or((Instant::now(), rev));
+        assert!(started.elapsed() < PATIENCE, "in the chain within {} changes", rev - at);
+        if caught_up(&core, 3, at).is_some() {
+            if after == 0 {
+                println!("in the chain after {} ms and {} changes", started.elapsed().as_millis(), rev - at);
+            }
+            after += 1;
+        }
+    }
+    println!("{rev} changes, the longest took {} ms", longest.as_millis());
+    assert_eq!(read(&core, 3), Some((200, document(rev))));
+}
+
+#[test]
+fn a_head_begins_with_the_newest_state_of_a_majority_though_its_own_is_old() {
+    let mut core = System::start(&["control"], &["agent"]);
+    core.await_chain(&[1, 2, 3], 3);
+    put(&core, &[1, 2, 3], 1);
+    core.kill(1, "control");
+    core.await_chain(&[2, 3], 2);
+    for rev in 2..8 {
+        put(&core, &[2, 3], rev);
+    }
+    // The first of the addresses proposes first, with a disk of before.
+    core.kill_others(1, "control");
+    core.await_chain(&[1, 2, 3], 3);
+    let head = core.status(1).unwrap()["view"]["chain"][0].clone();
+    assert_eq!(head, core.control_addr(1).ip().to_string());
+    for n in 1..EDGE {
+        assert_eq!(read(&core, n), Some((200, document(7))));
+    }
+    put(&core, &[1, 2, 3], 8);
 }
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -156,16 +156,35 @@
     /// Kills all core processes of a role; `meanwhile` is done before they start again.
     pub fn kill_role(&mut self, role: &'static str, meanwhile: impl FnOnce(&System)) {
         for n in 1..EDGE {
-            let child = self.child(n, role);
-            child.kill().unwrap();
-            child.wait().unwrap();
+            self.kill(n, role);
         }
         meanwhile(self);
         for n in 1..EDGE {
-            *self.child(n, role) = self.spawn(n, role);
+            self.start_again(n, role);
         }
     }
 
+    pub fn kill(&mut self, n: u8, role: &str) {
+        let child = self.child(n, role);
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// Kills the other core processes of a role, and starts all.
+    pub fn kill_others(&mut self, but: u8, role: &'static str) {
+        for n in (1..EDGE).filter(|n| *n != but) {
+            self.kill(n, role);
+        }
+        for n in 1..EDGE {
+            self.start_again(n, role);
+        }
+    }
+
+    /// Starts a process again that has ended.
+    pub fn start_again(&mut self, n: u8, role: &str) {
+        *self.child(n, role) = self.spawn(n, role);
+    }
+
     pub fn pid(&mut self, n: u8, role: &str) -> u32 {
         self.child(n, role).id()
     }
