--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -270,10 +270,7 @@
 mod tests {
     use super::*;
     fn folder(name: &str) -> PathBuf {
-        // Thousands of starts, and nothing here is to outlive a real loss of power.
-        let memory = Path::new("/dev/shm");
-        let base = if memory.is_dir() { memory.to_owned() } else { std::env::temp_dir() };
-        let folder = base.join(format!("glenfall-store-{name}-{}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         folder
     }
--- a/glenfall/tests/store.rs
+++ b/glenfall/tests/store.rs
@@ -145,6 +145,9 @@
     let last = store.len() - 12;
     store[last] ^= 1;
     lose_power("damaged", &files, "damaged", "2 3");
+    // A store of before there was a word that it was made.
+    files.remove("state.made");
+    lose_power("damaged-before", &files, "damaged", "2 3");
 }
 
 #[test]
