Purges and copies on disk stay bounded in a storm and behind a slow disk

Cause: the log of purges kept all of the last 120 s, however many; a batch of changes of copies was all that had come meanwhile, and each may touch a page of 16 KiB, so that the log grew with what waited behind a slow disk, and stayed so. Change: one purge more than are remembered is kept, so that whoever reads the log knows of an overflow; 256 rows of copies are written as one, without a pause while more wait, and the log is cut back to 8 MiB. Test: glenfall/tests/bounds.rs.

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -4,7 +4,7 @@
 mod api;
 pub mod backup;
 mod peers;
-mod purge_log;
+pub mod purge_log;
 pub mod store;
 
 use std::cell::{Cell, RefCell};
--- a/glenfall/src/control/purge_log.rs
+++ b/glenfall/src/control/purge_log.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use glenfall_plane::messages::Stamped;
-use glenfall_plane::purges::REMEMBERED;
+use glenfall_plane::purges::{MOST, REMEMBERED};
 use rusqlite::Connection;
 use tokio::sync::oneshot;
 
@@ -18,6 +18,8 @@
 const PAGE: usize = 4 << 10;
 /// The time of day may be off by so much, in milliseconds.
 const CLOCK_OFF: i64 = 2000;
+/// Purges in the log at most: one more than are remembered, so that whoever reads them knows that there were others.
+const MOST_KEPT: i64 = MOST as i64 + 1;
 /// Pause after the disk refused something.
 const AGAIN: Duration = Duration::from_millis(200);
 /// Writes that wait at most; with a disk that hangs, what comes beyond is known in memory only.
@@ -60,6 +62,8 @@
             insert.execute((now - stamped.age_ms as i64, bytes))?;
         }
         transaction.execute("DELETE FROM purges WHERE at <= ?1", [now - REMEMBERED as i64])?;
+        transaction
+            .execute("DELETE FROM purges WHERE rowid <= (SELECT max(rowid) FROM purges) - ?1", [MOST_KEPT])?;
     }
     transaction.commit()
 }
--- a/glenfall/src/kept.rs
+++ b/glenfall/src/kept.rs
@@ -27,8 +27,11 @@
 const MOST_WAITING: usize = 8 << 20;
 /// Pages of the file, and of the log before it, in bytes: a copy takes few of them.
 const PAGE: usize = 16 << 10;
-/// The log goes into the file when it has so many pages.
+/// The log goes into the file when it has so many pages, and is cut back to that where it was longer.
 const LOG_PAGES: usize = 512;
+/// Changes that are written as one: each may take a page of the log, which then has twice [`LOG_PAGES`] at most, and
+/// the pages of [`MOST_WAITING`].
+const MOST_AT_ONCE: usize = 256;
 /// Part of the disk that the file may take: copies by their number in memory, and what is free within it.
 const PART_OF_DISK: f64 = 0.55;
 /// Ages are told by the steady clock. Where that has begun anew since, or the time of day does not agree with it, the time
@@ -135,8 +138,8 @@
     }
 
     pub fn remove(&self, keys: &[ObjectKey]) {
-        if !keys.is_empty() {
-            self.send(Change::Remove(keys.iter().map(id).collect()));
+        for some in keys.chunks(MOST_AT_ONCE) {
+            self.send(Change::Remove(some.iter().map(id).collect()));
         }
     }
 
@@ -159,6 +162,7 @@
         }
         let db = disk::open(&self.path, PAGE)?;
         db.pragma_update(None, "wal_autocheckpoint", LOG_PAGES)?;
+        db.pragma_update(None, "journal_size_limit", LOG_PAGES * PAGE)?;
         db.pragma_update(None, "max_page_count", self.most_pages)?;
         db.execute_batch(
             "CREATE TABLE IF NOT EXISTS copies (id TEXT PRIMARY KEY, head BLOB NOT NULL, body BLOB NOT NULL, \
@@ -285,9 +289,20 @@
     }
     // Nobody may wait for them any more.
     let _ = tell.send(found.and_then(Result::ok).unwrap_or_default());
+    let mut behind = false;
     while let Ok(first) = queue.recv() {
-        std::thread::sleep(GATHER);
-        let changes: Vec<Change> = std::iter::once(first).chain(queue.try_iter()).collect();
+        if !behind {
+            std::thread::sleep(GATHER);
+        }
+        let (mut changes, mut rows) = (Vec::new(), 0);
+        for change in std::iter::once(first).chain(std::iter::from_fn(|| queue.try_recv().ok())) {
+            rows += if let Change::Remove(ids) = &change { ids.len() } else { 1 };
+            changes.push(change);
+            if rows >= MOST_AT_ONCE {
+                break;
+            }
+        }
+        behind = rows >= MOST_AT_ONCE;
         db = db.or_else(|| file.open_anew());
         let written = db.as_mut().map(|db| write(db, &changes));
         let bytes =
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -5,7 +5,7 @@
 
 mod agent;
 pub mod boot;
-mod cache;
+pub mod cache;
 pub mod control;
 mod counter;
 mod declare;
@@ -14,7 +14,7 @@
 mod disk;
 mod edge;
 mod feed;
-mod kept;
+pub mod kept;
 mod latency;
 mod limit;
 mod link;
--- /dev/null
+++ b/glenfall/tests/bounds.rs
@@ -0,0 +1,101 @@
+//! What lies on disk beside the state stays within its bounds, however much comes.
+
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use glenfall::cache::ObjectKey;
+use glenfall::control::purge_log::PurgeLog;
+use glenfall::kept::Kept;
+use glenfall_plane::messages::{Aged, Purge, Stamped};
+use glenfall_plane::purges::{Purges, MOST};
+use hyper::header::HeaderMap;
+
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("glenfall-bounds-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    folder
+}
+
+fn bytes_in(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    files.filter_map(|file| file.metadata().ok()).map(|file| file.len()).sum()
+}
+
+/// Opens the log once whoever had it before has let go of it.
+fn open_log(folder: &Path) -> (PurgeLog, Vec<Stamped>) {
+    let began = Instant::now();
+    loop {
+        let (log, found) = PurgeLog::open(folder).unwrap();
+        if !found.is_empty() || began.elapsed() > Duration::from_secs(10) {
+            return (log, found);
+        }
+        drop(log);
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn a_storm_of_purges_takes_no_more_of_the_disk_than_those_that_are_remembered() {
+    let folder = folder("purges");
+    let (log, _) = PurgeLog::open(&folder).unwrap();
+    // Of the length of a long path; thrice as many as are remembered.
+    let stamped = |number: u64| Stamped {
+        origin: [10, 0, 0, 1].into(),
+        life: 7,
+        number,
+        age_ms: 0,
+        purge: Purge::Label(format!("{number:0200}")),
+    };
+    for some in 0..3 * MOST as u64 / 512 {
+        log.write((some * 512..(some + 1) * 512).map(stamped).collect()).blocking_recv().unwrap();
+    }
+    // The purges, half-empty pages, and a log of 1,000 pages that SQLite plays back at that length.
+    let size = bytes_in(&folder);
+    assert!(size < MOST as u64 * 500 + 1100 * 4096, "{size} bytes on disk");
+    drop(log);
+    let (_log, found) = open_log(&folder);
+    assert_eq!(found.len(), MOST + 1, "one more than are remembered");
+    assert_eq!(found.last().unwrap().number, 3 * MOST as u64 - 1, "the newest");
+    let mut purges = Purges::default();
+    purges.take(0, found);
+    assert_eq!(
+        purges.missed(0),
+        [Aged { purge: Purge::Everything, age_ms: 0 }],
+        "others are known to be missing"
+    );
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+#[test]
+fn copies_on_disk_stay_within_their_part_whatever_is_done_to_them() {
+    const DISK_MB: u64 = 64;
+    let folder = folder("copies");
+    let (kept, _found) = Kept::open(&folder, DISK_MB).unwrap();
+    let key =
+        |n: u64| ObjectKey { service: "s".into(), host: "h".into(), path: format!("/{n}").as_str().into() };
+    let body = Bytes::from(vec![7; 6000]);
+    let mut most = 0;
+    let mut look = || {
+        most = most.max(bytes_in(&folder));
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    // 24 MB of copies, of pages that are then touched all at once, again and again, and all removed.
+    for n in 0..4000 {
+        kept.put(&key(n), &HeaderMap::new(), &[], &body, Duration::ZERO);
+        if n % 200 == 0 {
+            look();
+        }
+    }
+    for _ in 0..5 {
+        (0..4000).for_each(|n| kept.refreshed(&key(n), Duration::ZERO));
+        (0..50).for_each(|_| look());
+    }
+    kept.remove(&(0..4000).map(key).collect::<Vec<_>>());
+    (0..200).for_each(|_| look());
+    // The file's part, and a log of twice its pages with the copies that wait.
+    let bound = DISK_MB * (1 << 20) * 55 / 100 + (2 * 8 + 8) * (1 << 20);
+    println!("{most} bytes on disk at most, of {bound}");
+    assert!(most > 24_000_000 && most <= bound, "{most} bytes on disk, {bound} are the most");
+    std::fs::remove_dir_all(&folder).unwrap();
+}
--- a/glenfall/tests/changes.rs
+++ b/glenfall/tests/changes.rs
@@ -178,6 +178,9 @@
     assert_eq!(head, core.control_addr(1).ip().to_string());
     for n in 1..EDGE {
         assert_eq!(read(&core, n), Some((200, document(7))));
+        // Not even for a moment did anybody go back to it.
+        let told = std::fs::read_to_string(core.log(n)).unwrap();
+        assert_eq!(told.matches("configuration committed rev=1 ").count(), 1, "{told}");
     }
     put(&core, &[1, 2, 3], 8);
 }
--- a/plane/src/purges.rs
+++ b/plane/src/purges.rs
@@ -10,7 +10,7 @@
 /// process that was out of touch for longer begins with an empty cache.
 pub const REMEMBERED: Millis = 120_000;
 /// Most that are remembered; past that, who comes back is told to drop everything.
-const MOST: usize = 4096;
+pub const MOST: usize = 4096;
 
 type Name = (Ipv4Addr, u64, u64);
 
