--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -5,8 +5,8 @@
 
 mod agent;
 pub mod boot;
-mod cache;
-mod control;
+pub mod cache;
+pub mod control;
 mod counter;
 mod declare;
 mod demo;
@@ -14,7 +14,7 @@
 mod disk;
 mod edge;
 mod feed;
-mod kept;
+pub mod kept;
 mod latency;
 mod limit;
 mod link;
