Connections go by the limits in force, not by those of when they were opened

Cause: reqLimits were read once for a connection. Where a change allows clients to rest for longer, those that rested meanwhile were closed by the old limit, though they may come back after four fifths of the new one.

Change: body, head and idle limits are read with each request, and again before a connection is ended for its pace. The largest head stays that of the opening: hyper's buffer is set once.

--- a/glenfall/src/pace.rs
+++ b/glenfall/src/pace.rs
@@ -35,8 +35,16 @@
     /// When the last answer was ready, and how much of it the client has taken.
     answered: Cell<Instant>,
     taken: Cell<usize>,
-    head: Duration,
-    idle: Duration,
+    /// What holds for clients now: a configuration may change it while a connection is open.
+    limits: Box<dyn Fn() -> Limits>,
+    now: Cell<Limits>,
+}
+
+/// How long a client may take for a head, and stay idle.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub head: Duration,
+    pub idle: Duration,
 }
 
 /// How a connection came to its end.
@@ -51,10 +59,11 @@
 }
 
 impl Pace {
-    pub fn new(head: Duration, idle: Duration) -> Rc<Self> {
-        let now = Instant::now();
-        let (since, answered) = (Cell::new(now), Cell::new(now));
-        Rc::new(Pace { phase: Cell::new(Phase::Idle), since, answered, taken: Cell::new(0), head, idle })
+    pub fn new(limits: impl Fn() -> Limits + 'static) -> Rc<Self> {
+        let (at, now) = (Instant::now(), Cell::new(limits()));
+        let (since, answered) = (Cell::new(at), Cell::new(at));
+        let (phase, taken, limits) = (Cell::new(Phase::Idle), Cell::new(0), Box::new(limits));
+        Rc::new(Pace { phase, since, answered, taken, limits, now })
     }
 
     fn set(&self, phase: Phase) {
@@ -65,16 +74,18 @@
     /// A request has been read; until the guard is dropped its answer is awaited.
     pub fn busy(&self) -> Busy<'_> {
         self.phase.set(Phase::Busy);
+        self.now.set((self.limits)());
         Busy(self)
     }
 
     fn due(&self) -> Option<Instant> {
+        let Limits { head, idle } = self.now.get();
         match self.phase.get() {
             Phase::Idle => {
                 let pace = Duration::from_secs_f64(self.taken.get() as f64 / SLOWEST_ANSWER);
-                Some((self.since.get() + self.idle).min(self.answered.get() + self.idle + pace))
+                Some((self.since.get() + idle).min(self.answered.get() + idle + pace))
             }
-            Phase::Head => Some(self.since.get() + self.head),
+            Phase::Head => Some(self.since.get() + head),
             Phase::Busy => None,
         }
     }
@@ -82,7 +93,7 @@
     /// Serves a connection until it ends or its client falls behind.
     pub async fn keep<C: Future + Unpin>(&self, serving: &mut C) -> Ended {
         // Set anew only where something is due earlier, as for most requests nothing ever is.
-        let mut timer = pin!(sleep_until(self.since.get() + self.idle));
+        let mut timer = pin!(sleep_until(self.since.get() + self.now.get().idle));
         poll_fn(|cx| {
             if Pin::new(&mut *serving).poll(cx).is_ready() {
                 return Poll::Ready(Ended::Done);
@@ -92,12 +103,14 @@
             }
             while timer.as_mut().poll(cx).is_ready() {
                 let now = Instant::now();
+                // It may have more time by now.
+                self.now.set((self.limits)());
                 match self.due() {
                     Some(due) if due <= now => {
                         let slow = self.phase.get() == Phase::Head;
                         return Poll::Ready(if slow { Ended::SlowHead } else { Ended::Idle });
                     }
-                    due => timer.as_mut().reset(due.unwrap_or(now + self.idle)),
+                    due => timer.as_mut().reset(due.unwrap_or(now + self.now.get().idle)),
                 }
             }
             Poll::Pending
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -21,7 +21,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-use crate::pace::{Ended, Pace, Paced};
+use crate::pace::{self, Ended, Pace, Paced};
 
 /// A whole answer.
 pub type Answer = Response<Full<Bytes>>;
@@ -236,7 +236,13 @@
     let _ = stream.set_nodelay(true);
     let limits = handler.limits();
     let time = |ms: u64| Duration::from_millis(ms.max(1));
-    let pace = Pace::new(time(limits.header_timeout_ms), time(limits.idle_timeout_ms));
+    let pace = Pace::new({
+        let handler = Rc::clone(&handler);
+        move || {
+            let limits = handler.limits();
+            pace::Limits { head: time(limits.header_timeout_ms), idle: time(limits.idle_timeout_ms) }
+        }
+    });
     let served = Cell::new(false);
     let respond = service_fn(|request: Request<Incoming>| {
         served.set(true);
@@ -246,6 +252,7 @@
             // Beside `Transfer-Encoding` hyper hides a length; the two may disagree on where the next
             // request begins, so that nothing more is read on the connection.
             let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+            let limits = handler.limits();
             let (mut answer, understood) = match read_whole(request, &limits, clients).await {
                 Ok((whole, _room)) => (handler.answer(whole).await, true),
                 Err(answer) => (answer, false),
