A control node without a majority looks at the seeds that its settings name now

Cause: seeds were read once, at the start. They may be exchanged, and be down when a new machine starts: it knows nobody then, nobody knows it, and it stayed alone for good.

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -263,7 +263,9 @@
             if expire.elapsed() >= EXPIRE {
                 expire = Instant::now();
                 // Seen here also where no session asks.
-                self.cut_off();
+                if self.cut_off() {
+                    self.know_seeds();
+                }
                 self.vouch();
                 let silent = self.registry.borrow_mut().expire(now);
                 if silent || self.peers.expire() || self.complete() != self.fleet.borrow().fleet().complete {
@@ -273,6 +275,15 @@
         }
     }
 
+    /// Takes the seeds as the settings name them now. They are all that a node is told of others: one that began with
+    /// seeds that are down, and that nobody knows, finds none otherwise.
+    fn know_seeds(self: &Rc<Self>) {
+        if let Ok(boot) = Boot::load() {
+            let seeds: Vec<Ipv4Addr> = boot.seed_nodes.iter().map(|seed| *seed.ip()).collect();
+            peers::know(self, &seeds);
+        }
+    }
+
     /// Does what the chain asks for.
     fn carry_out(&self, outputs: Vec<Output>) {
         self.tell_view();
