An error of the API is short, whatever it quotes

Cause: reasons quote what is wrong, so that an answer to a server could be of any length; more than 4 KiB is no answer.

Change: 600 bytes of the reason are told.

Tests, in glenfall/tests/core.rs: short errors; processes that start 0.1 s apart with the seeds last; a new control node whose seeds are down, until its settings name others.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -24,6 +24,9 @@
 const LARGEST: usize = 3 << 20;
 /// How long a change of the voters is waited for.
 const SEATED: Duration = Duration::from_millis(3200);
+/// Longest reason that is told, in bytes: an answer of more than 4 KiB is none to a server, and in JSON a byte may
+/// take six.
+const LONGEST_WHY: usize = 600;
 /// Longest host, path or label of a purge.
 const LONGEST: usize = 8 << 10;
 
@@ -41,7 +44,13 @@
 }
 
 fn wrong(status: StatusCode, why: impl std::fmt::Display) -> Answer {
-    answer(status, json!({ "error": why.to_string() }))
+    let mut why = why.to_string();
+    if why.len() > LONGEST_WHY {
+        // What is wrong may be quoted, and be as long as the caller made it.
+        why.truncate(why.floor_char_boundary(LONGEST_WHY));
+        why.push('…');
+    }
+    answer(status, json!({ "error": why }))
 }
 
 fn out_of_touch() -> Answer {
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -136,6 +136,21 @@
         system
     }
 
+    /// Starts one more process.
+    pub fn add(&mut self, n: u8, role: &'static str) {
+        let child = self.spawn(n, role);
+        self.children.push((n, role, child));
+    }
+
+    /// Replaces words in a machine's settings file, all at once.
+    pub fn edit_settings(&self, n: u8, words: &[(&str, &str)]) {
+        let file = self.folder.join(format!("{n}.toml"));
+        let text = std::fs::read_to_string(&file).unwrap();
+        let text = words.iter().fold(text, |text, (from, to)| text.replace(from, to));
+        std::fs::write(file.with_extension("new"), text).unwrap();
+        std::fs::rename(file.with_extension("new"), file).unwrap();
+    }
+
     fn spawn(&self, n: u8, role: &str) -> Child {
         let log = std::fs::File::options().create(true).append(true).open(self.log(n)).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall"));
--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -221,3 +221,65 @@
     core.await_chain(&[1, 2, 3], 3);
     await_that("all know the three", || voters(&core) == Some(vec![1, 2, 3]));
 }
+
+#[test]
+fn processes_that_start_one_after_the_other_in_any_order_find_each_other() {
+    // Seeds are the last to listen, and no two of them begin at once.
+    let mut system = System::start(&[], &[]);
+    for (n, role) in [(EDGE, "edge"), (EDGE, "agent"), (3, "control"), (1, "control"), (2, "control")] {
+        system.add(n, role);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    system.await_chain(&[1, 2, 3], 3);
+    std::fs::write(system.folder.join("c.json"), r#"{"rev": 1}"#).unwrap();
+    let put = system.verb(&["config", "put", "--control", &system.control(3), "--builds-on", "0", "c.json"]);
+    assert!(put.0, "{}", put.1);
+    let ready = system.edge_addrs()[1];
+    await_that("the edge is ready", || {
+        request(ready, "GET /api/ready", "Host: e\r\n", "").is_some_and(|heard| heard.0 == 200)
+    });
+}
+
+#[test]
+fn a_new_control_node_whose_seeds_are_down_joins_once_its_settings_name_others() {
+    let mut core = System::start(&["control"], &[]);
+    core.await_chain(&[1, 2, 3], 3);
+    core.edit_settings(EDGE, &[("127.0.8.", "127.0.9."), ("bindIp = \"127.0.9.", "bindIp = \"127.0.8.")]);
+    for name in ["feedIp", "controlAddr", "http", "readyAddr"] {
+        core.edit_settings(EDGE, &[(&format!("{name} = \"127.0.9."), &format!("{name} = \"127.0.8."))]);
+    }
+    core.edit_settings(EDGE, &[("bootstrap = true", "bootstrap = false"), ("voter = true", "voter = false")]);
+    core.add(EDGE, "control");
+    await_that("it runs", || core.status(EDGE).is_some());
+    let peers =
+        |core: &System| core.status(EDGE).map(|status| status["peers"].as_array().map_or(0, Vec::len));
+    // The longest pause of a node that calls others.
+    std::thread::sleep(Duration::from_millis(1000));
+    assert_eq!(peers(&core), Some(0), "nobody is there");
+    core.edit_settings(EDGE, &[("127.0.9.", "127.0.8.")]);
+    await_that("it finds the others", || peers(&core) == Some(3));
+    await_that("and a majority", || core.status(EDGE).is_some_and(|status| status["inMajority"] == true));
+}
+
+#[test]
+fn an_error_of_the_api_is_short_whatever_it_quotes() {
+    let core = System::start(&["control"], &[]);
+    core.await_chain(&[1, 2, 3], 3);
+    // Line breaks and quotes take more room in JSON than they had.
+    let long = "ü\"\n".repeat(30_000).replace('"', "\\\"").replace('\n', "\\u0001");
+    let at = core.control_addr(2);
+    for (line, headers, body) in [
+        ("PUT /api/servers/i-1", "", format!(r#"{{"capacity": "{long}"}}"#)),
+        ("PUT /api/config", "If-Match: 0\r\n", format!(r#"{{"rev": "{long}"}}"#)),
+        (
+            "PUT /api/config",
+            "If-Match: 0\r\n",
+            format!(r#"{{"rev": 1, "backends": [{{"name": "{long}"}}, {{"name": "{long}"}}]}}"#),
+        ),
+    ] {
+        let headers = format!("Host: c\r\n{headers}");
+        let (status, _, told) = request(at, line, &headers, &body).expect("an answer");
+        assert_eq!(status, 400, "{told}");
+        assert!(told.len() <= 4096 && told.starts_with("{\"error\":"), "{line}: {} bytes", told.len());
+    }
+}
