An answer that pauses is waited for where no other server may be asked

Cause: an answer that had begun and was not whole a second later was ended with 502, also where the request can't be repeated. A server's silence is no reason to end an answer sooner; after SIGTERM that is a loss.

Change: the second after the first byte counts only while another server may be asked; else the deadline does.

Tests, in glenfall/tests/system.rs: an answer that pauses for 1.5 s; shields that get SIGTERM while they wait for a server, which is asked once.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -20,7 +20,7 @@
 use crate::counter::Counter;
 use crate::limit::Limits;
 use crate::origins::{End, Origins};
-use crate::pool::{Pool, Reply, Trouble, Trust};
+use crate::pool::{Pool, Reply, Trouble, Trust, ANSWER_TIME};
 use crate::serve::{DEADLINE, TRY_ID};
 
 const WANT_SERVER: HeaderName = HeaderName::from_static("x-glenfall-want-server");
@@ -246,7 +246,10 @@
             };
             let in_flight = self.origins.begin(&server.id);
             let still = || self.origins.takes(&server.id);
-            let ended = self.pool.exchange(server.addr.into(), request, until, Trust::Wary, still).await;
+            let whole_within = more.then_some(ANSWER_TIME);
+            let addr = server.addr.into();
+            let ended =
+                self.pool.exchange_within(whole_within, addr, request, until, Trust::Wary, still).await;
             turn = matches!(ended, Err(Trouble::Unsent));
             match ended {
                 Ok(reply)
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -27,8 +27,9 @@
 const LONGEST_HEAD: usize = 32 << 10;
 /// Largest body of an answer that is held in memory.
 const LARGEST: usize = 16 << 20;
-/// From its first byte an answer comes whole within this time, or it is spoilt.
-const ANSWER_TIME: Duration = Duration::from_secs(1);
+/// From its first byte an answer comes whole within this time, or it is asked for elsewhere. Where it can't be, it is
+/// waited for: silence alone is no end of an answer.
+pub const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// No server forgets a connection that was in use as short a time ago as this.
 const SURE: Duration = Duration::from_millis(100);
 /// How often idle connections are looked through.
@@ -145,6 +146,20 @@
         until: Instant,
         trust: Trust,
         still: impl Fn() -> bool,
+    ) -> Result<Reply, Trouble> {
+        self.exchange_within(Some(ANSWER_TIME), addr, request, until, trust, still).await
+    }
+
+    /// The same. An answer has to be whole so long after its first byte; `None` where it can't be asked for elsewhere,
+    /// and is waited for until the end.
+    pub async fn exchange_within(
+        &self,
+        whole_within: Option<Duration>,
+        addr: SocketAddr,
+        request: impl Fn() -> Request<Full<Bytes>>,
+        until: Instant,
+        trust: Trust,
+        still: impl Fn() -> bool,
     ) -> Result<Reply, Trouble> {
         loop {
             let (mut connection, reused) = match self.take_idle(addr, trust) {
@@ -177,7 +192,7 @@
             let ended = tokio::select! {
                 biased;
                 ended = exchange => ended,
-                () = stalled(&progress, &waiting) => Err(Some(Trouble::Unknown)),
+                () = stalled(&progress, whole_within, &waiting) => Err(Some(Trouble::Unknown)),
                 () = tokio::time::sleep_until(until) => {
                     Err(Some(if sent.whole() { Trouble::TimedOut } else { Trouble::Unsent }))
                 }
@@ -200,10 +215,11 @@
     }
 }
 
-/// Ends when an answer has begun and does not come whole, though there is room for it.
-async fn stalled(progress: &Progress, waiting: &Cell<bool>) {
+/// Ends when an answer has begun and does not come whole in time, though there is room for it.
+async fn stalled(progress: &Progress, whole_within: Option<Duration>, waiting: &Cell<bool>) {
+    let Some(whole_within) = whole_within else { return std::future::pending().await };
     loop {
-        progress.stalled(ANSWER_TIME).await;
+        progress.stalled(whole_within).await;
         if !waiting.get() {
             return;
         }
--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -312,3 +312,60 @@
     await_that("it ends", || path.system.ended(EDGE, "edge").is_some());
     assert_eq!(path.system.ended(EDGE, "edge"), Some(true), "in order");
 }
+
+#[test]
+fn shields_that_leave_answer_what_they_have_asked_servers_for() {
+    let (mut path, servers) = Path::start();
+    servers.iter().for_each(|server| server.hold(true));
+    let waiting = || servers.iter().map(|server| server.waiting.load(Ordering::Relaxed)).sum::<usize>();
+    let before = runs(&servers);
+    let edge = path.system.edge_addrs()[0];
+    std::thread::scope(|scope| {
+        let headers = "Host: h\r\nX-Glenfall-Try-Id: ad\r\nX-Glenfall-Deadline: 9000\r\n";
+        let asked = scope.spawn(move || request(edge, "GET /r/held", headers, ""));
+        await_that("the request is at a server", || waiting() == 1);
+        for n in 1..EDGE {
+            path.system.signal(n, "shield", "-TERM");
+        }
+        // Long enough for one that does not wait to end, and for the edge to ask elsewhere.
+        std::thread::sleep(Duration::from_millis(500));
+        servers.iter().for_each(|server| server.hold(false));
+        let (status, head, body) = asked.join().unwrap().expect("a whole answer");
+        assert!(status == 200 && body.starts_with("run "), "{status} {head} {body}");
+    });
+    assert_eq!(runs(&servers) - before, 1, "nothing was broken off and asked for again");
+    await_that("they end", || (1..EDGE).all(|n| path.system.ended(n, "shield").is_some()));
+    assert!((1..EDGE).all(|n| path.system.ended(n, "shield") == Some(true)), "in order");
+}
+
+#[test]
+fn an_answer_that_pauses_is_waited_for_where_no_other_server_may_be_asked() {
+    let (path, _servers) = Path::start();
+    // Longer than an answer may take that can be asked for elsewhere.
+    let pause = Duration::from_millis(1500);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = listener.local_addr().unwrap().port();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            while let Some(id) = read_request(&mut reader) {
+                let head = format!("HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: {id}\r\nX-Glenfall-Seal: s\r\n");
+                let _ = write!(stream, "{head}Content-Length: 10\r\n\r\nfirst");
+                std::thread::sleep(pause);
+                let _ = stream.write_all(b" last");
+            }
+        }
+    });
+    path.beat("d", "p", SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), "ready", 1);
+    let added = r#"{"rev": 2, "upsert": {"backends": [{"name": "p"}], "paths": [
+        {"name": "pauses", "hostname": "h", "pathPrefix": "/p/", "type": "mutating", "deadlineMs": 9000,
+         "targetMs": 5000, "backend": "p", "tries": 2}]}}"#;
+    path.change("patch", 1, added);
+    let mut heard = None;
+    await_that("the route is known, and the server", || {
+        heard = path.ask("POST /p/x");
+        !heard.as_ref().is_some_and(|heard| matches!(heard.0, 404 | 503))
+    });
+    let (status, head, body) = heard.expect("an answer");
+    assert_eq!((status, body.as_str()), (200, "first last"), "{head}");
+}
