Who waits for a turn under a ceiling is refused within a quarter of its aim, ways included

Cause: the wait was a fifth of the aim. With the ways between client, edge and shield a refusal comes later than a quarter where the aim is under 240 ms, and earns nothing when its next try is served.

Change: a quarter less 12 ms, and a fifth at most. Options weighed: no wait (a turn that comes in time earns all); what is left of the deadline (late turns earn little).

Where aims are 250 ms or more nothing changes.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use glenfall_plane::budget::Budget;
-use glenfall_plane::ceiling::{Ceiling, Holder};
+use glenfall_plane::ceiling::{patience, Ceiling, Holder};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::Proxy;
 use glenfall_plane::Millis;
@@ -33,9 +33,6 @@
 const FULL: Duration = Duration::from_millis(100);
 /// When to come back to one that has no server, or is above its ceiling.
 pub const NONE: Duration = Duration::from_millis(400);
-/// Part of its aim that a request may wait for its turn under a ceiling: it then still comes in time, and a
-/// refusal after that is still an early one.
-const PATIENCE: f64 = 0.2;
 
 /// A request for a server.
 pub struct Job<'a> {
@@ -174,7 +171,7 @@
     /// Takes a request out of this machine's part of its service's ceiling, and waits a little for its turn.
     async fn under_ceiling(&self, job: &Job<'_>, may_wait: bool) -> bool {
         let Some(per_s) = job.per_s else { return true };
-        let patient_until = Instant::now() + job.aim.mul_f64(if may_wait { PATIENCE } else { 0.0 });
+        let patient_until = Instant::now() + if may_wait { patience(job.aim) } else { Duration::ZERO };
         let mut waited = false;
         loop {
             let taken = self.ceiling.borrow_mut().take(self.now(), job.service, per_s, job.rank);
--- a/plane/src/ceiling.rs
+++ b/plane/src/ceiling.rs
@@ -11,6 +11,7 @@
 //! services that it has not asked yet as well.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use crate::Millis;
 
@@ -28,6 +29,19 @@
 /// Nobody is told to wait longer, in milliseconds.
 const LONGEST: f64 = 60_000.0;
 
+/// Part of its aim that a request may wait for its turn: it then still comes in time.
+const PATIENCE: u32 = 5;
+/// A refusal is an early one within this part of the aim, as the client sees it.
+const EARLY: u32 = 4;
+/// What the request and its refusal spend on their ways between client and server's proxy: twice 3 ms to the client, twice
+/// 1.4 ms between zones, and what machines take to wake up.
+const WAYS: Duration = Duration::from_millis(12);
+
+/// How long a request may wait for its turn under a ceiling: a refusal after that is still an early one.
+pub fn patience(aim: Duration) -> Duration {
+    (aim / PATIENCE).min((aim / EARLY).saturating_sub(WAYS))
+}
+
 /// The operator's bound: over any window no more than `over` times the rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
