--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -316,6 +316,9 @@
 #[test]
 fn shields_that_leave_answer_what_they_have_asked_servers_for() {
     let (mut path, servers) = Path::start();
+    await_that("reads come from copies", || {
+        path.ask("GET /r/copy").is_some_and(|heard| heard.0 == 200 && heard.1.contains("\r\nage: "))
+    });
     servers.iter().for_each(|server| server.hold(true));
     let waiting = || servers.iter().map(|server| server.waiting.load(Ordering::Relaxed)).sum::<usize>();
     let before = runs(&servers);
