--- a/glenfall/src/demo.rs
+++ b/glenfall/src/demo.rs
@@ -80,7 +80,15 @@
 
 /// Starts the system and shows its path; then goes on until a signal, or ends if `once`.
 pub async fn run(once: bool) -> Result<(), DemoError> {
-    let layout = Layout { net: NET, cores: CORES, edges: EDGES, zones: CORES, beat_ms: BEAT_MS, mem_mb: 256 };
+    let layout = Layout {
+        net: NET,
+        cores: CORES,
+        seeds: CORES,
+        edges: EDGES,
+        zones: CORES,
+        beat_ms: BEAT_MS,
+        mem_mb: 256,
+    };
     let program = std::env::current_exe()?;
     let local = Local::start(layout, &program).await?;
     let at = local.controls();
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -17,7 +17,7 @@
 mod kept;
 mod latency;
 mod limit;
-mod link;
+pub mod link;
 pub mod local;
 pub mod ops;
 pub mod origins;
@@ -25,7 +25,7 @@
 pub mod pool;
 pub mod room;
 pub mod serve;
-mod sessions;
+pub mod sessions;
 mod shield;
 
 use std::path::PathBuf;
--- a/glenfall/src/local.rs
+++ b/glenfall/src/local.rs
@@ -23,6 +23,8 @@
     pub net: u8,
     /// Machines with control and a shield; those with an edge and its agent.
     pub cores: u8,
+    /// Core machines that the settings name: they vote at the first start.
+    pub seeds: u8,
     pub edges: u8,
     pub zones: u8,
     pub beat_ms: u64,
@@ -122,8 +124,7 @@
 
     fn settings(&self, node: &str, number: u8) -> String {
         let (ip, base) = (self.machine(number), self.base);
-        let seeds: Vec<String> =
-            self.controls().controls.iter().map(|control| format!("\"{control}\"")).collect();
+        let seeds: Vec<String> = self.seeds().iter().map(|control| format!("\"{control}\"")).collect();
         format!(
             "node = \"{node}\"\nzone = \"{}\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\n\
              portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\nbeatMs = {}\n\
@@ -154,8 +155,20 @@
 
     /// Where control is called.
     pub fn controls(&self) -> Controls {
-        let addr = |number| SocketAddrV4::new(self.machine(number), self.base + CONTROL);
-        Controls { controls: (1..=self.layout.cores).map(addr).collect() }
+        Controls { controls: (1..=self.layout.cores).map(|number| self.control(number)).collect() }
+    }
+
+    fn control(&self, number: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(self.machine(number), self.base + CONTROL)
+    }
+
+    fn seeds(&self) -> Vec<SocketAddrV4> {
+        (1..=self.layout.seeds.min(self.layout.cores)).map(|number| self.control(number)).collect()
+    }
+
+    /// Where the control nodes that the settings name take sessions, and the port that all take them at.
+    pub fn links(&self) -> (Vec<Ipv4Addr>, u16) {
+        (self.seeds().iter().map(|seed| *seed.ip()).collect(), self.base)
     }
 
     /// Where edges take clients.
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -50,6 +50,7 @@
     let layout = Layout {
         net: NET,
         cores: system.cores,
+        seeds: system.cores,
         edges: system.edges,
         zones: system.zones,
         beat_ms: BEAT.as_millis() as u64,
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -8,11 +8,11 @@
 
 use std::path::Path;
 
-use plotters::prelude::*;
+use plotters::style::{BLACK, BLUE, GREEN, RED};
 use serde::{Deserialize, Serialize};
 
 use crate::plan::PlanError;
-use crate::plot::{draw_lines, Line, PlotError, SIZE};
+use crate::plot::{draw_growth, Line, PlotError};
 
 /// Edges that a plan may ask for: a session is a line in a table, and a minute is long enough.
 const MOST_EDGES: u32 = 5000;
@@ -190,7 +190,6 @@
 
     /// Draws how figures grow with the number of edges, each against its value at the smallest size.
     pub fn draw(&self, path: &Path) -> Result<(), PlotError> {
-        let wrong = |e: &dyn std::fmt::Display| PlotError::new(e);
         let roll = |f: &Found, whole: bool| {
             f.telling.last().map_or(0.0, |p| if whole { p.whole_bytes_to_edge } else { p.bytes_to_edge })
         };
@@ -205,22 +204,8 @@
             line("bytes to an edge at a roll", GREEN, &|f| roll(f, false)),
             line("the same, told whole", RED, &|f| roll(f, true)),
         ];
-        let all: Vec<(f64, f64)> = lines.iter().flat_map(|(.., points)| points.clone()).collect();
-        let most = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(1.0, f64::max);
-        let least = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(f64::MAX, f64::min);
-        let (xs, ys) = (least(|p| p.0)..most(|p| p.0) * 1.2, least(|p| p.1) * 0.8..most(|p| p.1) * 1.2);
-        let area = SVGBackend::new(path, SIZE).into_drawing_area();
-        area.fill(&WHITE).map_err(|e| wrong(&e))?;
-        let mut chart = ChartBuilder::on(&area)
-            .caption("growth with the number of edges, smallest size = 1", ("sans-serif", 18))
-            .margin(12)
-            .x_label_area_size(30)
-            .y_label_area_size(60)
-            .build_cartesian_2d(xs.log_scale(), ys.log_scale())
-            .map_err(|e| wrong(&e))?;
-        chart.configure_mesh().x_desc("edges").draw().map_err(|e| wrong(&e))?;
-        draw_lines(&mut chart, lines.into())?;
-        area.present().map_err(|e| wrong(&e))
+        let caption = "growth with the number of edges, smallest size = 1";
+        draw_growth(path, caption, "edges", lines.into())
     }
 }
 
--- /dev/null
+++ b/lab/src/hollow/nodes.rs
@@ -0,0 +1,290 @@
+//! Hollow nodes: what an agent and its edge are to control, and nothing else. Each has a real session, takes what it is
+//! pushed, says what it has applied, and turns to another control node when its own is lost. Many to a thread.
+
+use std::cell::RefCell;
+use std::collections::HashSet;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use glenfall::link::{self, Outbox};
+use glenfall::sessions;
+use glenfall_plane::fleet::Numbered;
+use glenfall_plane::messages::{Aged, Down, Member, News, Open, Proxy, Purge, Up};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
+
+/// Pauses before control is called again, and how often counters go up: as an agent has them.
+const PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const REPORT: Duration = Duration::from_secs(5);
+/// Counters of an edge and its agent, about so many.
+const COUNTERS: usize = 40;
+/// A node that is started again is away for so long.
+const AWAY: Duration = Duration::from_millis(300);
+/// What labels of purges begin with; a number follows.
+pub const LABEL: &str = "hollow-";
+/// Numbers of purges that are counted.
+const MOST_PURGES: usize = 1 << 16;
+
+/// What all nodes of a run have seen.
+pub struct Seen {
+    began: Instant,
+    /// Nodes that have heard all they need to serve, and those of them that know every server and every edge.
+    pub in_touch: AtomicU32,
+    pub know_all: AtomicU32,
+    /// Sessions lost since the start.
+    pub lost: AtomicU32,
+    /// How many nodes have taken each purge.
+    purges: Vec<AtomicU32>,
+    /// Versions as they were taken, and when, in seconds of the run.
+    applied: Mutex<Vec<(u64, f64)>>,
+    servers: usize,
+    edges: usize,
+}
+
+impl Seen {
+    pub fn new(servers: u32, edges: u32) -> Arc<Seen> {
+        Arc::new(Seen {
+            began: Instant::now(),
+            in_touch: AtomicU32::new(0),
+            know_all: AtomicU32::new(0),
+            lost: AtomicU32::new(0),
+            purges: (0..MOST_PURGES).map(|_| AtomicU32::new(0)).collect(),
+            applied: Mutex::default(),
+            servers: servers as usize,
+            edges: edges as usize,
+        })
+    }
+
+    /// Seconds of the run.
+    pub fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64()
+    }
+
+    /// Nodes that have taken a purge.
+    pub fn took_purge(&self, number: usize) -> u32 {
+        self.purges.get(number).map_or(0, |count| count.load(Ordering::Relaxed))
+    }
+
+    /// When nodes took a version.
+    pub fn took_version(&self, rev: u64) -> Vec<f64> {
+        let applied = self.applied.lock().unwrap_or_else(|broken| broken.into_inner());
+        applied.iter().filter(|(taken, _)| *taken == rev).map(|(_, at)| *at).collect()
+    }
+
+    /// Counts what a node takes, once however often it is told.
+    fn purged(&self, purges: &[Aged], taken: &mut HashSet<usize>) {
+        for aged in purges {
+            let Purge::Label(label) = &aged.purge else { continue };
+            let number = label.strip_prefix(LABEL).and_then(|number| number.parse::<usize>().ok());
+            let count = number.and_then(|number| self.purges.get(number).filter(|_| taken.insert(number)));
+            if let Some(count) = count {
+                count.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// Where control is.
+#[derive(Clone)]
+pub struct Control {
+    pub seeds: Vec<Ipv4Addr>,
+    pub port: u16,
+    pub zones: u8,
+}
+
+/// Nodes of one thread: those whose numbers are `first`, `first + step` and so on below `all`. Ends when `restarts` does;
+/// it names nodes that start again.
+pub fn run(
+    control: Control,
+    seen: Arc<Seen>,
+    (first, step, all): (u32, u32, u32),
+    mut restarts: mpsc::UnboundedReceiver<u32>,
+) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, async {
+        let nodes: Vec<Rc<Node>> = (first..all)
+            .step_by(step as usize)
+            .map(|number| Rc::new(Node::new(number, control.clone(), Arc::clone(&seen))))
+            .collect();
+        for node in &nodes {
+            spawn_local(Rc::clone(node).run());
+        }
+        while let Some(number) = restarts.recv().await {
+            if let Some(node) = nodes.get(((number.saturating_sub(first)) / step) as usize) {
+                node.restart.notify_one();
+            }
+        }
+    });
+    Ok(())
+}
+
+#[derive(Default)]
+struct Known {
+    rev: u64,
+    fleet: Numbered,
+    fleet_known: bool,
+    controls: Vec<Ipv4Addr>,
+    in_touch: bool,
+    /// As they are counted in `Seen`.
+    counted: (bool, bool),
+}
+
+struct Node {
+    name: String,
+    zone: String,
+    control: Control,
+    seen: Arc<Seen>,
+    known: RefCell<Known>,
+    /// Purges that it has taken, also before it was started again.
+    taken: RefCell<HashSet<usize>>,
+    changed: Notify,
+    restart: Notify,
+}
+
+impl Node {
+    fn new(number: u32, control: Control, seen: Arc<Seen>) -> Node {
+        Node {
+            name: format!("hollow-{number:04}"),
+            zone: format!("zone-{}", number % u32::from(control.zones.max(1)) + 1),
+            control,
+            seen,
+            known: RefCell::default(),
+            taken: RefCell::default(),
+            changed: Notify::new(),
+            restart: Notify::new(),
+        }
+    }
+
+    async fn run(self: Rc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.follow_control() => {}
+                () = self.restart.notified() => {
+                    self.count_lost();
+                    self.known.take();
+                    sleep(AWAY).await;
+                }
+            }
+        }
+    }
+
+    /// Calls control nodes in the order in which an agent does.
+    async fn follow_control(&self) {
+        let mut pause = PAUSE;
+        let mut turn = self.name.bytes().map(usize::from).sum::<usize>();
+        loop {
+            let controls = self.controls();
+            let mut met = false;
+            for step in 0..controls.len() {
+                let addr = controls[(turn + step) % controls.len()];
+                let Ok((read, write)) = link::open(addr, &Open::Session).await else { continue };
+                met = true;
+                let outbox = Outbox::start(write);
+                let reports = async {
+                    loop {
+                        sleep(REPORT).await;
+                        if !outbox.send(Up::Report(report())) {
+                            return;
+                        }
+                    }
+                };
+                let take = async |down| self.take(down);
+                let frames = link::Frames::new(read);
+                tokio::select! {
+                    () = sessions::follow(frames, outbox.clone(), || self.hello(), &self.changed, take) => {}
+                    () = reports => {}
+                }
+                self.seen.lost.fetch_add(1, Ordering::Relaxed);
+                self.count_lost();
+                turn = turn + step + 1;
+                break;
+            }
+            pause = if met { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            sleep(pause).await;
+        }
+    }
+
+    fn controls(&self) -> Vec<SocketAddrV4> {
+        let known = self.known.borrow();
+        let mut addrs: Vec<SocketAddrV4> = Vec::new();
+        for ip in known.controls.iter().chain(&self.control.seeds) {
+            let addr = SocketAddrV4::new(*ip, self.control.port);
+            if !addrs.contains(&addr) {
+                addrs.push(addr);
+            }
+        }
+        addrs
+    }
+
+    fn hello(&self) -> Up {
+        let known = self.known.borrow();
+        let member = Member {
+            node: self.name.clone(),
+            zone: self.zone.clone(),
+            proxy: Proxy::Edge,
+            // Nobody calls it.
+            http: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
+            ready: known.rev > 0 && known.fleet_known,
+        };
+        Up::Hello { node: self.name.clone(), member: Some(member) }
+    }
+
+    fn take(&self, down: Down) -> bool {
+        let mut known = self.known.borrow_mut();
+        let was_ready = known.rev > 0 && known.fleet_known;
+        match down {
+            Down::Controls(controls) => known.controls = controls,
+            Down::Push { news: News::Config { rev, .. }, .. } if rev > known.rev => {
+                known.rev = rev;
+                let at = self.seen.now();
+                self.seen.applied.lock().unwrap_or_else(|broken| broken.into_inner()).push((rev, at));
+            }
+            Down::Push { news: News::Fleet(told), .. } => {
+                if known.fleet.take(told).is_err() {
+                    return false;
+                }
+                known.fleet_known = true;
+            }
+            Down::Push { news: News::Purges(purges), .. } => {
+                self.seen.purged(&purges, &mut self.taken.borrow_mut());
+            }
+            Down::Push { news: News::InTouch(yes), .. } => known.in_touch = yes,
+            Down::Push { .. } | Down::Leaving | Down::Ping => {}
+        }
+        if !was_ready && known.rev > 0 && known.fleet_known {
+            self.changed.notify_one();
+        }
+        self.count(&mut known);
+        true
+    }
+
+    fn count(&self, known: &mut Known) {
+        let fleet = known.fleet.fleet();
+        let in_touch = known.in_touch && known.rev > 0 && known.fleet_known;
+        let whole = fleet.complete && fleet.servers.len() >= self.seen.servers;
+        let know_all = in_touch && whole && fleet.edges.len() >= self.seen.edges;
+        let set = |count: &AtomicU32, was: bool, is: bool| match (was, is) {
+            (false, true) => drop(count.fetch_add(1, Ordering::Relaxed)),
+            (true, false) => drop(count.fetch_sub(1, Ordering::Relaxed)),
+            _ => {}
+        };
+        set(&self.seen.in_touch, known.counted.0, in_touch);
+        set(&self.seen.know_all, known.counted.1, know_all);
+        known.counted = (in_touch, know_all);
+    }
+
+    fn count_lost(&self) {
+        let mut known = self.known.borrow_mut();
+        known.in_touch = false;
+        self.count(&mut known);
+    }
+}
+
+fn report() -> Vec<(String, u64)> {
+    (0..COUNTERS).map(|n| (format!("hollow_counter_{n:02}"), 100_000)).collect()
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -5,6 +5,7 @@
 
 mod experiment;
 mod fleet;
+mod hollow;
 mod ledger;
 mod load;
 mod origin;
@@ -50,6 +51,17 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Hold sessions of many hollow nodes at real control processes; write hollow.json, hollow.csv, hollow.md and plots
+    Hollow {
+        #[command(flatten)]
+        plan: hollow::HollowPlan,
+        /// Folder of the report; it is made
+        #[arg(long)]
+        out: PathBuf,
+        /// The program under test; the one beside this one if not given
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Check a plan, and name the place of a mistake
     Check { plan: PathBuf },
     /// Set two reports (report.json) side by side
@@ -74,12 +86,8 @@
     match command {
         Command::Run { plan, out, program } => {
             let plan = Plan::load(&plan)?;
-            let program = match program {
-                Some(program) => program,
-                None => std::env::current_exe()?.with_file_name("glenfall"),
-            };
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-            let report = LocalSet::new().block_on(&runtime, experiment::run(&plan, &program))?;
+            let report = LocalSet::new().block_on(&runtime, experiment::run(&plan, &beside(program)?))?;
             std::fs::create_dir_all(&out)?;
             std::fs::write(out.join("report.json"), serde_json::to_string_pretty(&report)?)?;
             std::fs::write(out.join("report.md"), report.markdown())?;
@@ -96,6 +104,17 @@
             print!("{}", report.markdown());
             Ok(true)
         }
+        Command::Hollow { plan, out, program } => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            let report = LocalSet::new().block_on(&runtime, hollow::play(&plan, &beside(program)?))?;
+            std::fs::create_dir_all(&out)?;
+            std::fs::write(out.join("hollow.json"), serde_json::to_string_pretty(&report)?)?;
+            std::fs::write(out.join("hollow.csv"), report.csv())?;
+            std::fs::write(out.join("hollow.md"), report.markdown())?;
+            report.draw(&out)?;
+            print!("{}", report.markdown());
+            Ok(report.all_in_touch())
+        }
         Command::Check { plan } => {
             let plan = Plan::load(&plan)?;
             let (services, classes) = (plan.services.len(), plan.classes.len());
@@ -109,6 +128,14 @@
     }
 }
 
+/// The program under test.
+fn beside(program: Option<PathBuf>) -> std::io::Result<PathBuf> {
+    match program {
+        Some(program) => Ok(program),
+        None => Ok(std::env::current_exe()?.with_file_name("glenfall")),
+    }
+}
+
 fn read(path: &Path) -> Result<Report, Failure> {
     let wrong = |what: &dyn std::fmt::Display| format!("{}: {what}", path.display());
     let bytes = std::fs::read(path).map_err(|e| wrong(&e))?;
--- a/lab/src/origin.rs
+++ b/lab/src/origin.rs
@@ -237,7 +237,7 @@
 }
 
 /// Calls control nodes in turn until one takes it.
-async fn call(pool: &Pool, controls: &Controls, method: Method, uri: &str, body: Bytes) -> bool {
+pub async fn call(pool: &Pool, controls: &Controls, method: Method, uri: &str, body: Bytes) -> bool {
     for control in &controls.controls {
         let request = || {
             let mut request = Request::new(Full::new(body.clone()));
--- a/lab/src/plot.rs
+++ b/lab/src/plot.rs
@@ -76,3 +76,28 @@
     let labels = labels.position(SeriesLabelPosition::UpperLeft).background_style(WHITE).border_style(BLACK);
     labels.draw().map_err(|e| wrong(&e))
 }
+
+/// Draws lines over sizes, both on logarithmic scales; what is 0 stands at the lower edge.
+pub fn draw_growth(path: &Path, caption: &str, sizes: &str, lines: Vec<Line>) -> Result<(), PlotError> {
+    let wrong = |e: &dyn std::fmt::Display| PlotError::new(e);
+    let raised = |(name, color, points): Line| -> Line {
+        (name, color, points.into_iter().map(|(x, y)| (x, y.max(1e-3))).collect())
+    };
+    let lines: Vec<Line> = lines.into_iter().map(raised).collect();
+    let all: Vec<(f64, f64)> = lines.iter().flat_map(|(.., points)| points.clone()).collect();
+    let most = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(1e-3, f64::max);
+    let least = |pick: fn(&(f64, f64)) -> f64| all.iter().map(pick).fold(f64::MAX, f64::min);
+    let (xs, ys) = (least(|p| p.0)..most(|p| p.0) * 1.2, least(|p| p.1) * 0.8..most(|p| p.1) * 1.2);
+    let area = SVGBackend::new(path, SIZE).into_drawing_area();
+    area.fill(&WHITE).map_err(|e| wrong(&e))?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption(caption, ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(30)
+        .y_label_area_size(60)
+        .build_cartesian_2d(xs.log_scale(), ys.log_scale())
+        .map_err(|e| wrong(&e))?;
+    chart.configure_mesh().x_desc(sizes).draw().map_err(|e| wrong(&e))?;
+    draw_lines(&mut chart, lines)?;
+    area.present().map_err(|e| wrong(&e))
+}
--- /dev/null
+++ b/lab/tests/hollow.rs
@@ -0,0 +1,43 @@
+//! A few hollow nodes at real control processes, as `glenfall-lab hollow` runs them: all come, all hear what they have to,
+//! and all come back when a control process is killed. What is measured is not judged here.
+
+use std::process::Command;
+
+#[test]
+fn hollow_nodes_take_all_that_is_acknowledged_and_outlive_a_control_process() {
+    let program = env!("CARGO_BIN_EXE_glenfall-lab");
+    assert!(
+        std::path::Path::new(program).with_file_name("glenfall").exists(),
+        "the program under test is missing: build the whole workspace"
+    );
+    let out = std::env::temp_dir().join(format!("glenfall-hollow-{}", std::process::id()));
+    let ended = Command::new(program)
+        .args(["hollow", "--sessions", "6,12", "--controls", "3", "--seeds", "3", "--servers", "9"])
+        .args(["--routes", "30", "--seconds", "2", "--out"])
+        .arg(&out)
+        .output()
+        .unwrap();
+    let told = String::from_utf8_lossy(&ended.stderr);
+    assert!(ended.status.success(), "not all were in touch at the end: {told}");
+    let report = std::fs::read_to_string(out.join("hollow.json")).unwrap();
+    let report: serde_json::Value = serde_json::from_str(&report).unwrap();
+    for (size, nodes) in report["sizes"].as_array().unwrap().iter().zip([6, 12]) {
+        assert_eq!(size["nodes"], nodes);
+        let phase = |name: &str| {
+            let phases = size["phases"].as_array().unwrap();
+            phases.iter().find(|phase| phase["name"] == name).unwrap().clone()
+        };
+        let (start, purges, loss) = (phase("start"), phase("purges"), phase("loss"));
+        assert_eq!((&start["failed"], &start["acknowledged"]["count"]), (&0.into(), &1.into()), "{start}");
+        assert!(purges["acknowledged"]["count"].as_u64() > Some(0), "{purges}");
+        assert_eq!(purges["early"], 0, "acknowledged before a node in touch had taken it: {purges}");
+        assert_eq!(loss["in_force"]["count"], 1, "not all moved: {loss}");
+        assert!(loss["node_messages_s"].as_f64() > Some(0.0), "{loss}");
+    }
+    let page = std::fs::read_to_string(out.join("hollow.md")).unwrap();
+    assert!(page.contains("| rest | node B/s |"), "no line through the sizes: {page}");
+    for name in ["hollow.csv", "hollow-node.svg", "hollow-cores.svg", "hollow-times.svg"] {
+        assert!(std::fs::metadata(out.join(name)).unwrap().len() > 0, "{name}");
+    }
+    std::fs::remove_dir_all(&out).unwrap();
+}
