Taking a change of the fleet costs an edge a look at each server, not at each pair

Cause: for every change of the fleet, origins looked through all servers for each known one, and for each closed address; the agent did so for addresses while a control node has not heard of all; a difference cloned every name of the list to look for none. Sets now, and no look where nothing has gone. The behaviour is the same; the tests of origins, fleet and agent hold it.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -2,6 +2,7 @@
 //! configuration and the fleet, so that an edge that starts again, or control that is away, costs nothing.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -209,7 +210,7 @@
 /// A control node that has just started has not heard of all: until it has, what is known stays.
 fn merged(known: &Fleet, mut fleet: Fleet) -> Fleet {
     if !fleet.complete {
-        let addrs: Vec<_> = fleet.servers.iter().map(|server| server.addr).collect();
+        let addrs: HashSet<_> = fleet.servers.iter().map(|server| server.addr).collect();
         let kept = known.servers.iter().filter(|server| !addrs.contains(&server.addr));
         // Sorting keeps the first of a name: what is told now.
         fleet.servers.extend(kept.cloned().collect::<Vec<_>>());
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -1,7 +1,7 @@
 //! The servers as one process sees them, and the choice among those of a service. Callers say what time it is.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
@@ -103,7 +103,9 @@
         let mut known = self.known.borrow_mut();
         let mut closed: Vec<SocketAddrV4> =
             known.values().filter(|k| k.server.ready).map(|k| k.server.addr).collect();
-        known.retain(|id, _| servers.iter().any(|server| server.id == *id));
+        // Sets: with a thousand servers, a look through the list for each of them is what a change costs most.
+        let listed: HashSet<&str> = servers.iter().map(|server| &server.id[..]).collect();
+        known.retain(|id, _| listed.contains(&id[..]));
         for server in servers {
             let warm_at = now + Duration::from_millis(server.warmup_left_ms);
             let fresh = || Known {
@@ -123,7 +125,9 @@
             }
         }
         self.divide(&mut known, edges);
-        closed.retain(|addr| !known.values().any(|k| k.server.ready && k.server.addr == *addr));
+        let open: HashSet<SocketAddrV4> =
+            known.values().filter(|k| k.server.ready).map(|k| k.server.addr).collect();
+        closed.retain(|addr| !open.contains(addr));
         closed
     }
 
--- a/plane/src/fleet.rs
+++ b/plane/src/fleet.rs
@@ -3,6 +3,7 @@
 //! fleet. Changes are numbered, and one that does not build on what the receiver has is turned away.
 
 use std::cmp::Ordering;
+use std::collections::BTreeSet;
 
 use mallowpaddle::mix;
 use serde::{Deserialize, Serialize};
@@ -69,7 +70,10 @@
     }
 
     fn apply(&self, list: &mut Vec<T>, name: impl Fn(&T) -> N) {
-        list.retain(|entry| !self.gone.contains(&name(entry)));
+        if !self.gone.is_empty() {
+            let gone: BTreeSet<&N> = self.gone.iter().collect();
+            list.retain(|entry| !gone.contains(&name(entry)));
+        }
         for entry in &self.put {
             match list.binary_search_by(|known| name(known).cmp(&name(entry))) {
                 Ok(at) => list[at] = entry.clone(),
