A shield that does not hear of a version sends edges to another

Cause: it waited for the edge's version until the edge's patience ended, and its 503 went to the client. Where control beside it is cut off the push never comes, while edges have it from elsewhere.

Where all were behind until the deadline the answer is 503, not 504: no server was asked.

Test over processes.

--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -26,7 +26,7 @@
 use crate::latency::Latency;
 use crate::pool::{Pool, Reply, Trust};
 use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
-use crate::shield::{object_draw, object_hash, AGAIN, REV, SHIELD};
+use crate::shield::{object_draw, object_hash, AGAIN, BEHIND, REV, SHIELD};
 
 /// What a request has spent on its way here since the client's clock started, and what its answer needs back.
 const TRANSIT: Duration = Duration::from_millis(12);
@@ -230,6 +230,8 @@
         }
         let asked_whole = !headers.contains_key(header::RANGE);
         let mut tried: Vec<ServerId> = Vec::new();
+        // One that was tried may have asked a server.
+        let mut again = false;
         while tried.len() < MOST_SHIELDS {
             let Some(shield) = self.shields.borrow_mut().choose(self.now(), key, &tried).cloned() else {
                 break;
@@ -247,7 +249,7 @@
                 let left = attempt.saturating_duration_since(Instant::now()).as_millis() as u64;
                 request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
                 request.headers_mut().insert(REV, HeaderValue::from(config.rev));
-                if !tried.is_empty() {
+                if again {
                     request.headers_mut().insert(AGAIN, HeaderValue::from_static("1"));
                 }
                 request
@@ -258,6 +260,8 @@
                 self.direct.pool.exchange(addr, request, attempt, Trust::Ours, || true).await
             };
             let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
+            let behind = reply.as_ref().is_some_and(|reply| reply.headers.get(SHIELD) == Some(&BEHIND));
+            let reply = reply.filter(|_| !behind);
             self.shields.borrow_mut().heard(self.now(), &shield, sent, reply.is_none());
             if let Some(reply) = reply {
                 if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &own) {
@@ -280,13 +284,14 @@
                 return Asked::Answered(passed_back(reply, &Method::GET));
             }
             self.counters.shield_failed.add();
+            again |= !behind;
             tried.push(shield);
-            if Instant::now() >= until {
+            if Instant::now() >= until && again {
                 self.counters.timed_out.add();
                 return Asked::Answered(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
             }
         }
-        Asked::Nobody { tried: !tried.is_empty() }
+        Asked::Nobody { tried: again }
     }
 
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -38,6 +38,12 @@
 /// What a shield says of its answer; no answer without it is a shield's.
 pub const SHIELD: HeaderName = HeaderName::from_static("x-glenfall-shield");
 
+/// What a shield says that does not have the edge's version yet, and has asked no server: another one may have it.
+pub const BEHIND: HeaderValue = HeaderValue::from_static("behind");
+/// A version is waited for so long. Pushes to machines of a region are milliseconds apart, between regions a way; one that
+/// takes longer may not come, as control beside is cut off.
+const PUSH: Duration = Duration::from_millis(100);
+
 /// Part of the machine's memory for copies: the rest is for what is under way, and for control beside it.
 pub const COPIES: f64 = 0.4;
 /// Fetches under way at most; what misses beyond is told to come back.
@@ -179,8 +185,10 @@
         let until = Instant::now() + Duration::from_millis(number(DEADLINE).unwrap_or(1000).min(60_000));
         let unready = || refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", Duration::from_millis(200));
         let rev = number(REV).unwrap_or(0);
-        if timeout_at(until, self.feed.reaches(rev)).await.is_err() {
-            return Err(unready());
+        if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
+            let mut answer = unready();
+            answer.headers_mut().insert(SHIELD, BEHIND);
+            return Err(answer);
         }
         let config = self.feed.config().ok_or_else(unready)?;
         let path = whole.path_and_query();
@@ -444,7 +452,7 @@
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
-        let (mut answer, said) = match self.0.read(&whole).await {
+        let answer = match self.0.read(&whole).await {
             Ok(Read { reply, said, copy }) => {
                 let mut answer = Response::new(Full::new(reply.body));
                 *answer.status_mut() = reply.status;
@@ -452,11 +460,14 @@
                 if let Some(copy) = copy {
                     copy.hand_on(answer.headers_mut());
                 }
-                (answer, said)
+                answer.headers_mut().insert(SHIELD, HeaderValue::from_static(said));
+                answer
+            }
+            Err(mut answer) => {
+                answer.headers_mut().entry(SHIELD).or_insert(HeaderValue::from_static("own"));
+                answer
             }
-            Err(answer) => (answer, "own"),
         };
-        answer.headers_mut().insert(SHIELD, HeaderValue::from_static(said));
         self.0.counters.answer.add(began.elapsed());
         answer
     }
--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -341,6 +341,31 @@
     assert!((1..EDGE).all(|n| path.system.ended(n, "shield") == Some(true)), "in order");
 }
 
+#[test]
+fn a_shield_that_does_not_hear_of_a_version_sends_edges_to_another() {
+    let (mut path, _servers) = Path::start();
+    await_that("reads come from copies", || {
+        path.ask("GET /r/copy").is_some_and(|heard| heard.0 == 200 && heard.1.contains("\r\nage: "))
+    });
+    // Control beside one shield stands still, and the edge's agent has its session elsewhere.
+    let at =
+        [1, 3].into_iter().find(|n| path.system.agents_at(*n) == Some(1)).expect("no more than its shield");
+    path.system.signal(at, "control", "-STOP");
+    await_that("the others go on", || {
+        path.system
+            .status(2)
+            .is_some_and(|status| status["view"]["chain"].as_array().map(Vec::len) == Some(2))
+    });
+    path.change("patch", 1, r#"{"rev": 2, "upsert": {"backends": [{"name": "u"}]}}"#);
+    let known = || std::fs::read_to_string(path.system.log(EDGE)).unwrap().contains("in force rev=2");
+    await_that("the edge knows it", known);
+    for n in 0..12 {
+        let (status, head, _) = path.ask(&format!("GET /r/{n}")).expect("an answer");
+        assert_eq!(status, 200, "{head}");
+    }
+    path.system.signal(at, "control", "-CONT");
+}
+
 #[test]
 fn an_answer_that_pauses_is_waited_for_where_no_other_server_may_be_asked() {
     let (path, _servers) = Path::start();
