--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -980,8 +980,7 @@
                     self.commit();
                 }
             }
-            Message::Committed { record } if record.seq > self.committed.seq => self.publish(record),
-            Message::Committed { .. } => {}
+            Message::Committed { record } => self.publish(record),
             Message::Forward { call, what } => self.head_takes(from, call, what),
             Message::ReadDown { view, origin, call } => self.read_down(view, origin, call),
             Message::Answer { call, outcome } => {
@@ -1165,8 +1164,8 @@
         if record.seq > self.committed.seq {
             self.committed = Arc::clone(&record);
             self.out.push(Output::Publish(record));
-        } else if record.seq == self.committed.seq {
-            // It may have been told without the table of orders, which a backup needs.
+        } else if record.seq == self.committed.seq && record.taken.len() > self.committed.taken.len() {
+            // It was told without the table of orders, which a backup needs.
             self.committed = record;
         }
     }
