Purges that are remembered fit in one frame, however long their names

Cause: 4,096 purges of up to 16 KiB each went to a returning peer in one frame of 4 MiB at most; past that the frame was not sent, the link was closed, and opened again, for as long as they were remembered: no view with that node. Change: their names are bounded by half a frame as well; what is beyond is the overflow that there was already. Test: glenfall/tests/bounds.rs. The test of hundreds of changes also tells the bytes heard for each change.

--- a/glenfall/tests/bounds.rs
+++ b/glenfall/tests/bounds.rs
@@ -7,7 +7,7 @@
 use glenfall::cache::ObjectKey;
 use glenfall::control::purge_log::PurgeLog;
 use glenfall::kept::Kept;
-use glenfall_plane::messages::{Aged, Purge, Stamped};
+use glenfall_plane::messages::{Aged, Purge, Stamped, LONGEST_FRAME};
 use glenfall_plane::purges::{Purges, MOST};
 use hyper::header::HeaderMap;
 
@@ -101,3 +101,28 @@
     assert!(most > 48_000_000 && most <= bounds[0] + bounds[1], "{most} bytes on disk");
     std::fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn all_purges_that_are_remembered_fit_in_one_frame_however_long_they_are() {
+    let mut purges = Purges::default();
+    let long = |number: u64| {
+        // As long as a caller may make them.
+        let purge = Purge::Object { hostname: "h".repeat(8 << 10), path: "/p".repeat(4 << 10) };
+        Stamped { origin: [10, 0, 0, 1].into(), life: u64::MAX, number, age_ms: 0, purge }
+    };
+    for number in 0..1000 {
+        assert_eq!(purges.take(number, vec![long(number)]).len(), 1);
+        let frame = postcard::to_stdvec(&purges.all(number)).unwrap().len();
+        assert!(frame < LONGEST_FRAME - (LONGEST_FRAME >> 4), "{frame} bytes after {number}");
+    }
+    assert_eq!(purges.missed(1000), [Aged { purge: Purge::Everything, age_ms: 0 }]);
+    // Short ones as well, whose numbers are longer than what they name.
+    let mut purges = Purges::default();
+    let short = |number: u64| {
+        let purge = Purge::Label("l".into());
+        Stamped { origin: [10, 0, 0, 1].into(), life: u64::MAX, number: u64::MAX - number, age_ms: 0, purge }
+    };
+    purges.take(0, (0..MOST as u64).map(short).collect());
+    assert_eq!(purges.all(0).len(), MOST);
+    assert!(postcard::to_stdvec(&purges.all(0)).unwrap().len() < LONGEST_FRAME / 2);
+}
--- a/glenfall/tests/changes.rs
+++ b/glenfall/tests/changes.rs
@@ -81,7 +81,11 @@
             let control: Vec<_> = (1..EDGE).map(|n| resident(&mut core, n, "control")).collect();
             let (agent, edge) = (resident(&mut core, EDGE, "agent"), resident(&mut core, EDGE, "edge"));
             let each = since.0.elapsed().as_secs_f64() * 1000.0 / (rev - since.1) as f64;
-            println!("{rev}: {each:.1} ms each; on disk {disks:?}; control {control:?}, agent {agent:?}, edge {edge:?}");
+            let heard = |n: u8| {
+                core.status(n).and_then(|s| s["counters"]["message_bytes_heard"].as_u64()).unwrap_or(0)
+            };
+            let versions = (1..EDGE).map(heard).sum::<u64>() as f64 / (rev * bytes) as f64;
+            println!("{rev}: {each:.1} ms and {versions:.2} versions heard each; on disk {disks:?}; control {control:?}, agent {agent:?}, edge {edge:?}");
             since = (Instant::now(), rev);
         }
     }
--- a/plane/src/purges.rs
+++ b/plane/src/purges.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashSet, VecDeque};
 use std::net::Ipv4Addr;
 
-use crate::messages::{Aged, Purge, Stamped};
+use crate::messages::{Aged, Purge, Stamped, LONGEST_FRAME};
 use crate::Millis;
 
 /// Purges are remembered for so long: no route keeps copies longer without being asked for it, and a
@@ -11,14 +11,26 @@
 pub const REMEMBERED: Millis = 120_000;
 /// Most that are remembered; past that, who comes back is told to drop everything.
 pub const MOST: usize = 4096;
+/// Bytes of their names at most: all of them go to a peer in one frame, with room for what stands beside each.
+pub const MOST_BYTES: usize = LONGEST_FRAME / 2;
 
 type Name = (Ipv4Addr, u64, u64);
 
+fn length(purge: &Purge) -> usize {
+    match purge {
+        Purge::Object { hostname, path } => hostname.len() + path.len(),
+        Purge::Label(label) => label.len(),
+        Purge::Everything => 0,
+    }
+}
+
 /// The purges of the last while, in the order in which this node heard of them.
 #[derive(Default)]
 pub struct Purges {
     known: VecDeque<(Name, Millis, Purge)>,
     names: HashSet<Name>,
+    /// Of what they name.
+    bytes: usize,
     /// Some were dropped for want of room, the last at this time.
     overflowed: Option<Millis>,
 }
@@ -31,10 +43,11 @@
             let name = (stamped.origin, stamped.life, stamped.number);
             if self.names.insert(name) {
                 fresh.push(stamped.clone());
+                self.bytes += length(&stamped.purge);
                 self.known.push_back((name, now.saturating_sub(stamped.age_ms), stamped.purge));
             }
         }
-        while self.known.len() > MOST {
+        while self.known.len() > MOST || self.bytes > MOST_BYTES {
             self.overflowed = Some(now);
             self.forget_first();
         }
@@ -48,8 +61,9 @@
     }
 
     fn forget_first(&mut self) {
-        if let Some((name, ..)) = self.known.pop_front() {
+        if let Some((name, _, purge)) = self.known.pop_front() {
             self.names.remove(&name);
+            self.bytes -= length(&purge);
         }
     }
 
