A lost voter is replaced inside syncS, and nobody whole is left out

Cause: REPLACE was 10 s while the settings give a removed machine syncS (4 to 6 s) from its successor's start; after that it still voted, and two losses left no majority of the old set. And a machine that came back with a low address was chosen for the chain before one that had been in it all the time and did not hear it yet: 130 ms without that one.

Change: the time of silence after which a stand-by takes a seat follows from timing.syncS and the losses promised (Terms::replaced_after). Members of the chain that stood are chosen first. Turns are let pass only to those who may propose, a proposer that is lost is not waited for, a proposal to a member that is lost is given up, the first time out after a late answer is 0.75 s and ends once a view with the node stands, promises are waited for 0.35 s (0.25), and a learner stays in the chain that took it in for those too who don't know whose seat it takes.

--- a/glenfall/src/boot.rs
+++ b/glenfall/src/boot.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use glenfall_plane::{budget, ceiling};
+use glenfall_plane::{budget, ceiling, Millis};
 use serde::Deserialize;
 
 /// Names the settings file.
@@ -79,6 +79,8 @@
 #[serde(rename_all = "camelCase", default)]
 pub struct Timing {
     pub grace_s: f64,
+    /// How long a machine that starts or is back has for catching up.
+    pub sync_s: f64,
     /// Further tries allowed, over all machines: this part of the requests in a window, and the slack.
     pub retry_ratio: f64,
     pub retry_window_s: f64,
@@ -92,6 +94,7 @@
     fn default() -> Self {
         Timing {
             grace_s: 6.0,
+            sync_s: 4.0,
             retry_ratio: 0.2,
             retry_window_s: 10.0,
             retry_slack: 60.0,
@@ -153,6 +156,7 @@
         let timing = &boot.timing;
         for (name, value) in [
             ("graceS", timing.grace_s),
+            ("syncS", timing.sync_s),
             ("retryRatio", timing.retry_ratio),
             ("retryWindowS", timing.retry_window_s),
             ("retrySlack", timing.retry_slack),
@@ -166,6 +170,10 @@
         Ok(boot)
     }
 
+    pub fn sync_ms(&self) -> Millis {
+        (self.timing.sync_s * 1000.0) as Millis
+    }
+
     /// What all machines together may send beyond the first try of each request.
     pub fn further_tries(&self) -> budget::Bound {
         budget::Bound {
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -113,7 +113,7 @@
             Start::Wiped
         }
     };
-    let terms = Terms { losses: boot.survive.hosts, eligible: boot.voter };
+    let terms = Terms { losses: boot.survive.hosts, eligible: boot.voter, sync: boot.sync_ms() };
     let (purge_log, written) = PurgeLog::open(&folder)?;
     let mut remembered = Purges::default();
     remembered.take(BEFORE, written);
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -37,17 +37,28 @@
 const SETTLE: Millis = 60;
 /// Each voter lets those before it propose first, for so long apiece.
 const TURN: Millis = 200;
-/// A proposal that has not stood by then is given up, and who did not answer is left out for [`SHUN`].
+/// A proposal that has not stood by then is given up, and who did not answer is left out: for a moment the first time,
+/// as a machine that comes back has to be in a chain within `syncS`, then for twice as long each time, as each attempt
+/// holds changes up.
 const PROPOSAL: Millis = 800;
-const SHUN: Millis = 3000;
+const FIRST_SHUN: Millis = 750;
+const LONGEST_SHUN: Millis = 3000;
 /// With a majority of promises, the others are waited for no longer than this: a packet that was lost comes
-/// again in 200 ms. Who was late is left out for [`LATE`], as a machine that is slow would make view after view.
-const GATHER: Millis = 250;
+/// again in 200 ms, and a slow disk takes 50 ms to sync a promise, behind another one at times. Who was late is left out
+/// for [`LATE`], as a machine that is slow would make view after view, or until another's view with it stands.
+const GATHER: Millis = 350;
 const LATE: Millis = 1000;
 /// A sync that takes longer is a stalled disk: the chain goes on without it.
 const STALL: Millis = 600;
-/// A voter that has been away for so long gives its place to a machine that stands by.
-const REPLACE: Millis = 10_000;
+/// Where the settings don't say how long a machine has for catching up.
+const SYNC: Millis = 4000;
+/// What three views take on slow disks (50 ms a sync), with a turn let pass in each: see [`Terms::replaced_after`].
+const CHANGE: Millis = 1200;
+/// What a further loss in the middle of them adds at most: its silence, and the view that goes on without it.
+const MEND: Millis = 1300;
+/// A node that stands by stays in a chain that has taken it in for so long, also for those who don't know whose place it
+/// is to take: time for the next view to give it a vote.
+const LEARNER: Millis = 1000;
 /// What an operator asks of the voters is tried for so long; two views take less, unless others are lost meanwhile.
 const ASKED: Millis = 3000;
 /// A change that has not come through the chain by then has been lost on the way.
@@ -99,12 +110,31 @@
 }
 
 /// What the settings of a node say of the core.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Terms {
     /// Machines that may be lost at once without anything acknowledged being lost.
     pub losses: usize,
     /// This node may vote.
     pub eligible: bool,
+    /// From so long after the start of its successor on, a machine that was removed counts as a loss no more.
+    pub sync: Millis,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms { losses: 0, eligible: false, sync: SYNC }
+    }
+}
+
+impl Terms {
+    /// A voter that has been silent for so long gives its seat to a machine that stands by. That may have started in
+    /// the moment of the loss, so that the rest of `sync` has to suffice for the change, with all other losses that
+    /// are promised in the middle of it; but a machine that merely starts again keeps its seat where there is time.
+    pub fn replaced_after(&self) -> Millis {
+        let others = self.losses.saturating_sub(1) as Millis;
+        let left = self.sync.saturating_sub(CHANGE + others * MEND);
+        left.min(self.sync / 2).max(SILENCE)
+    }
 }
 
 /// What the chain keeps.
@@ -368,13 +398,17 @@
     heard: Millis,
     beat: Beat,
     shunned_until: Millis,
+    /// How long it was last left out for. Once a view with it stands it has answered, and both are 0 again: else those
+    /// who took it in and those who had left it out would make view after view.
+    shunned_for: Millis,
 }
 
 #[derive(Clone, Debug)]
 struct Installed {
     view: View,
-    /// All members have made it durable.
+    /// All members have made it durable: since when this is known here.
     stands: bool,
+    since: Millis,
     /// A member was lost since.
     broken: bool,
 }
@@ -435,7 +469,8 @@
     peers: BTreeMap<NodeId, Peer>,
     proposal: Option<Proposal>,
     need_since: Option<Millis>,
-    hold_until: Millis,
+    /// Who else proposes, and until when it is let.
+    hold: Option<(NodeId, Millis)>,
     last_beat: Option<Millis>,
     pending: Option<Pending>,
     /// The voters that an operator wants, and until when this node tries.
@@ -472,7 +507,7 @@
             peers: BTreeMap::new(),
             proposal: None,
             need_since: None,
-            hold_until: 0,
+            hold: None,
             last_beat: None,
             pending: None,
             asked: None,
@@ -754,8 +789,9 @@
         all
     }
 
-    /// Of the candidates, this node, and in order each that all chosen before it hear and that hears them; voters
-    /// go before those who stand by.
+    /// Of the candidates, this node, and in order each that all chosen before it hear and that hears them: members of
+    /// the newest chain that stood first, as nobody who is whole is left out for one who comes back and is not heard by
+    /// all yet; then the other voters; then those who stand by.
     fn reached(&self) -> Vec<NodeId> {
         let mut chosen = Vec::new();
         let members = self.members();
@@ -764,7 +800,8 @@
         }
         let mut others: Vec<NodeId> = self.candidates();
         others.retain(|node| *node != self.me && self.takes_part(*node));
-        others.sort_by_key(|node| (!members.contains(*node), *node));
+        let stood = |node: &NodeId| self.known.as_ref().is_some_and(|view| view.chain.contains(node));
+        others.sort_by_key(|node| (!members.contains(*node), !stood(node), *node));
         for node in others {
             let heard_by = |other: &NodeId| {
                 self.peers.get(other).is_some_and(|p| p.beat.hears.contains(&node))
@@ -791,11 +828,11 @@
             return (*asked != members.voters && asked.iter().all(there)).then(|| asked.clone());
         }
         let mut standing_by = reached.iter().copied().filter(|node| !members.contains(*node));
-        let mut wish = Vec::new();
-        for voter in &members.voters {
-            let away = self.away(*voter) >= REPLACE;
-            let instead = if away { standing_by.next() } else { None };
-            wish.push(instead.unwrap_or(*voter));
+        // Those that have been away for longest first: they are the least likely to come back.
+        let mut wish = members.voters.clone();
+        wish.sort_by_key(|voter| std::cmp::Reverse(self.away(*voter)));
+        for voter in wish.iter_mut().filter(|voter| self.away(**voter) >= self.terms.replaced_after()) {
+            *voter = standing_by.next().unwrap_or(*voter);
         }
         let wanted = (2 * self.terms.losses + 1).min(MOST_VOTERS);
         let missing = wanted.saturating_sub(wish.len());
@@ -836,8 +873,13 @@
         let wish = self.wish(&reached);
         let members = self.members();
         let mut target = reached;
-        target
-            .retain(|node| members.contains(*node) || wish.as_ref().is_some_and(|wish| wish.contains(node)));
+        let learns = |node: &NodeId| {
+            let taken_in = |i: &Installed| i.view.chain.contains(node) && self.now < i.since + LEARNER;
+            self.installed.as_ref().is_some_and(taken_in)
+        };
+        target.retain(|node| {
+            members.contains(*node) || learns(node) || wish.as_ref().is_some_and(|wish| wish.contains(node))
+        });
         let votes = |node: &NodeId| target.contains(node) && !self.wiped_node(*node);
         let able = members.majority(votes) && self.durable.votes;
         let changing = wish.is_some() || !members.before.is_empty();
@@ -853,15 +895,21 @@
                 self.hears(*id) && p.beat.view.as_ref().is_some_and(|view| !view.chain.contains(&self.me))
             });
         let needed = changing || member.is_none_or(|chain| *chain != target);
+        // Who is not in the chain that stands proposes nothing, nor does anybody else what only this node was asked for.
+        let proposes = |node: &NodeId| {
+            members.contains(*node)
+                && !self.wiped_node(*node)
+                && member.is_none_or(|chain| chain.contains(node))
+        };
+        let before = target.iter().filter(|node| **node < self.me && proposes(node)).count();
+        let before = if self.asked.is_some() { 0 } else { before };
         if !able || others_stand || !needed || self.proposal.is_some() {
             self.need_since = None;
             return;
         }
         let since = *self.need_since.get_or_insert(self.now);
-        // What only this node was asked for nobody else proposes.
-        let before = target.iter().filter(|node| **node < self.me && !self.wiped_node(**node)).count();
-        let before = if self.asked.is_some() { 0 } else { before };
-        if self.now >= self.hold_until && self.now >= since + SETTLE + TURN * before as Millis {
+        let held = self.hold.is_some_and(|(by, until)| self.now < until && self.hears(by));
+        if !held && self.now >= since + SETTLE + TURN * before as Millis {
             self.propose(target, wish);
         }
     }
@@ -885,6 +933,11 @@
 
     /// Goes on with a proposal whose promises are in, and gives up one that takes too long.
     fn tend_proposal(&mut self) {
+        // Whom it has been sent to, and who was lost since, will not answer; the next one goes on without.
+        let view = self.proposal.as_ref().and_then(|p| p.view.as_ref());
+        if view.is_some_and(|(view, _)| view.chain.iter().any(|m| *m != self.me && !self.hears(*m))) {
+            self.proposal = None;
+        }
         let Some(p) = &mut self.proposal else { return };
         if self.now >= p.since + PROPOSAL {
             let answered: Vec<NodeId> = match &p.view {
@@ -899,7 +952,8 @@
                 .collect();
             for node in silent {
                 if let Some(peer) = self.peers.get_mut(&node) {
-                    peer.shunned_until = self.now + SHUN;
+                    peer.shunned_for = (peer.shunned_for * 2).clamp(FIRST_SHUN, LONGEST_SHUN);
+                    peer.shunned_until = self.now + peer.shunned_for;
                 }
             }
             self.proposal = None;
@@ -1023,7 +1077,7 @@
     fn prepare(&mut self, from: NodeId, view: u64) {
         self.highest = self.highest.max(view);
         if from != self.me {
-            self.hold_until = self.now + PROPOSAL;
+            self.hold = Some((from, self.now + PROPOSAL));
         }
         if !self.durable.votes {
             let (accepted, members, record) = (None, Members::default(), Arc::default());
@@ -1053,7 +1107,7 @@
         // Whoever sent them sends them again, to the head of this view.
         self.queue.clear();
         let broken = view.chain.iter().any(|member| *member != self.me && !self.hears(*member));
-        self.installed = Some(Installed { view, stands: false, broken });
+        self.installed = Some(Installed { view, stands: false, since: self.now, broken });
         self.persist(vec![Output::Send(from, Message::Installed { view: number })]);
     }
 
@@ -1076,7 +1130,12 @@
     }
 
     fn stands(&mut self, view: View) {
-        self.hold_until = self.now;
+        self.hold = None;
+        for node in &view.chain {
+            if let Some(peer) = self.peers.get_mut(node) {
+                (peer.shunned_for, peer.shunned_until) = (0, 0);
+            }
+        }
         if self.known.as_ref().is_none_or(|known| known.number < view.number) {
             self.known = Some(view.clone());
         }
@@ -1084,7 +1143,7 @@
         let fenced = self.durable.promised != view.number;
         let first = self.installed.as_mut().filter(|i| i.view == view && !i.stands && !fenced);
         if let Some(installed) = first {
-            installed.stands = true;
+            (installed.stands, installed.since) = (true, self.now);
             if !self.durable.votes {
                 // What it may have forgotten is known to a majority that has accepted this view, or lies below it.
                 self.durable.votes = true;
--- a/plane/tests/exhaustive.rs
+++ b/plane/tests/exhaustive.rs
@@ -13,7 +13,7 @@
 use glenfall_plane::Millis;
 
 const NODES: usize = 3;
-const TERMS: Terms = Terms { losses: 1, eligible: true };
+const TERMS: Terms = Terms { losses: 1, eligible: true, sync: 4000 };
 /// How time passes while the core is mended, and how long that may take.
 const PASS: Millis = 20;
 const MENDED: Millis = 6000;
--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -61,7 +61,7 @@
     }
 
     pub fn terms(self) -> Terms {
-        Terms { losses: usize::from(self.losses), eligible: true }
+        Terms { losses: usize::from(self.losses), eligible: true, ..Terms::default() }
     }
 }
 
@@ -143,6 +143,8 @@
     pub frozen_until: Millis,
     frozen_since: Millis,
     pub stalled_until: Millis,
+    /// How long a sync takes, drawn from below the second.
+    pub sync_takes: (Millis, Millis),
     life: u64,
     published: u64,
     /// Of its disk, and of the order in which it does what came at once.
@@ -178,6 +180,7 @@
 
 pub struct World {
     pub size: Size,
+    pub terms: Terms,
     /// Of operators that are not told what to do.
     pub rng: ChaCha8Rng,
     pub now: Millis,
@@ -220,8 +223,13 @@
     /// All voters that there should be start at once; those that stand by come later, as machines that never were a
     /// part of it.
     pub fn new(seed: u64, size: Size) -> Self {
+        World::under(seed, size, size.terms())
+    }
+
+    /// The same, with these settings of the core.
+    pub fn under(seed: u64, size: Size, terms: Terms) -> Self {
         let machine = |n| Machine {
-            chain: (n <= size.voters()).then(|| Chain::new(node(n), size.terms(), Start::Fresh(seeds()))),
+            chain: (n <= size.voters()).then(|| Chain::new(node(n), terms, Start::Fresh(seeds()))),
             disk: None,
             writing: None,
             waiting: None,
@@ -231,6 +239,7 @@
             frozen_until: 0,
             frozen_since: 0,
             stalled_until: 0,
+            sync_takes: (1, 20),
             life: 0,
             published: 0,
             rng: drawing(seed, 100 + u64::from(n)),
@@ -244,6 +253,7 @@
         let places = (u64::from(size.nodes()) + 1).pow(2);
         World {
             size,
+            terms,
             rng: drawing(seed, 0),
             now: 0,
             machines: (1..=size.nodes()).map(machine).collect(),
@@ -505,7 +515,7 @@
         let machine = self.machine(n);
         if machine.writing.is_none() {
             if let Some((number, state)) = machine.waiting.take() {
-                let takes = machine.rng.random_range(1..20);
+                let takes = machine.rng.random_range(machine.sync_takes.0..machine.sync_takes.1);
                 machine.writing = Some(((now + takes).max(machine.stalled_until), number, state));
             }
         }
@@ -571,7 +581,7 @@
     }
 
     pub fn power_on(&mut self, n: u8) {
-        let (now, terms) = (self.now, self.size.terms());
+        let (now, terms) = (self.now, self.terms);
         let forgets = self.fault == Some(Fault::FreshAfterWipe);
         let machine = self.machine(n);
         if machine.chain.is_some() || machine.gone {
