A voter that leaves in order gives its seat away first, and goes after that

Cause: on SIGTERM a voter went as soon as the chain stood without it, and stayed a voter for as long as it was silent. Where its successor had had its time already (started before it), it counts no more from that moment, and the next loss left no majority. In the middle of a change of voters it went while the set before, with it, still counted.

Change: its beat says that it leaves; whoever stands by takes its seat at once.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -283,6 +283,8 @@
     pub eligible: bool,
     /// It leaves, or its disk stalls: the chain goes on without it.
     pub unfit: bool,
+    /// It leaves: whoever stands by takes its seat, if it votes.
+    pub leaving: bool,
     /// Number of the newest committed record that it knows.
     pub committed: u64,
 }
@@ -397,6 +399,8 @@
     up: bool,
     heard: Millis,
     beat: Beat,
+    /// It has said that it leaves, and nothing since.
+    left: bool,
     shunned_until: Millis,
     /// How long it was last left out for. Once a view with it stands it has answered, and both are 0 again: else those
     /// who took it in and those who had left it out would make view after view.
@@ -703,9 +707,17 @@
         eligible.map(|(id, _)| *id).filter(|id| !members.contains(*id)).collect()
     }
 
-    /// Whether any other voter still counts on this node.
+    /// Whether the core still counts on this node: it is in the newest chain that stands, or that it has accepted; or it
+    /// votes, and another takes its seat, or could. A node that leaves waits for both.
     pub fn is_needed(&self) -> bool {
-        self.known.as_ref().is_some_and(|view| view.chain.contains(&self.me) && view.chain.len() > 1)
+        let installed = self.installed.as_ref().map(|installed| &installed.view);
+        let newest = [installed, self.known.as_ref()].into_iter().flatten().max_by_key(|view| view.number);
+        let in_chain = newest.is_some_and(|view| view.chain.contains(&self.me) && view.chain.len() > 1);
+        let stands_by = |id: &NodeId| self.peers.get(id).is_some_and(|peer| !peer.beat.unfit);
+        let members = self.members();
+        // While both sets count, the one before is counted with it.
+        let changing = || !members.before.is_empty() || self.standing_by().iter().any(stands_by);
+        in_chain || members.contains(self.me) && changing()
     }
 
     // ---- Sending ----
@@ -746,6 +758,7 @@
             wiped: !self.durable.votes,
             eligible: self.terms.eligible,
             unfit: self.unfit(),
+            leaving: self.leaving,
             committed: self.committed.seq,
         }
     }
@@ -828,10 +841,13 @@
             return (*asked != members.voters && asked.iter().all(there)).then(|| asked.clone());
         }
         let mut standing_by = reached.iter().copied().filter(|node| !members.contains(*node));
-        // Those that have been away for longest first: they are the least likely to come back.
+        // Those that have been away for longest first: they are the least likely to come back. Who leaves in order says
+        // so, and its seat is taken before it has gone: it may be gone for good, and then counts no more at once.
         let mut wish = members.voters.clone();
         wish.sort_by_key(|voter| std::cmp::Reverse(self.away(*voter)));
-        for voter in wish.iter_mut().filter(|voter| self.away(**voter) >= self.terms.replaced_after()) {
+        let left = |voter: &NodeId| self.peers.get(voter).is_some_and(|peer| peer.left);
+        let gives_up = |voter: &NodeId| left(voter) || self.away(*voter) >= self.terms.replaced_after();
+        for voter in wish.iter_mut().filter(|voter| gives_up(voter)) {
             *voter = standing_by.next().unwrap_or(*voter);
         }
         let wanted = (2 * self.terms.losses + 1).min(MOST_VOTERS);
@@ -1070,6 +1086,7 @@
             self.send(from, Message::Committed { record });
         }
         if let Some(peer) = self.peers.get_mut(&from) {
+            peer.left = beat.leaving;
             peer.beat = beat;
         }
     }
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -215,6 +215,7 @@
             hears: nodes(rng),
             wiped: rng.random(),
             unfit: rng.random(),
+            leaving: rng.random(),
             committed: number(rng),
         }),
         1 => Message::Prepare { view: number(rng) },
