--- a/glenfall/tests/store.rs
+++ b/glenfall/tests/store.rs
@@ -11,6 +11,7 @@
 
 use glenfall::control::store::{create, path_in, Found, Store};
 use glenfall_plane::chain::{Durable, Members, Record};
+use glenfall_plane::orders::{OrderKey, TakenOrder, TakenOrders};
 use recorder::{await_recorder, crashes, read_folder, record, say, write_folder, Files, Step};
 
 /// The test that is run as a process of its own, and followed.
@@ -35,7 +36,10 @@
 fn state(n: u64) -> Durable {
     let size = if n.is_multiple_of(2) { 14_000 } else { 90 };
     let document = (0..size).map(|at| (at * (n + 6) % 251) as u8).collect();
-    let record = Record { seq: n, rev: n, document, ..Record::default() };
+    // Some chunks of the table of taken orders with each.
+    let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
+    let taken = TakenOrders::listed(0, &(1..=n * 90).map(order).collect::<Vec<_>>()).unwrap();
+    let record = Record { seq: n, rev: n, document, taken };
     let members = Members::of(vec![[10, 0, 0, 1].into()]);
     Durable { members, votes: true, promised: n, accepted: n, record: Arc::new(record) }
 }
@@ -150,8 +154,8 @@
 fn what_was_set_aside_is_never_taken_for_a_first_start() {
     let mut files = written();
     let store = files.get_mut("state.sqlite").unwrap();
-    let last = store.len() - 12;
-    store[last] ^= 1;
+    // The row's end, where cells grow from, in the second page.
+    store[2 * 4096 - 12] ^= 1;
     lose_power("damaged", &files, "damaged", "2 3");
     // A store of before there was a word that it was made.
     files.remove("state.made");
