--- a/glenfall/tests/recorder/mod.rs
+++ b/glenfall/tests/recorder/mod.rs
@@ -392,10 +392,8 @@
             }
             names.insert(to.clone(), *file);
         }
-        Step::Remove { name, file } => {
-            if names.get(name) == Some(file) {
-                names.remove(name);
-            }
+        Step::Remove { name, file } if names.get(name) == Some(file) => {
+            names.remove(name);
         }
         _ => {}
     }
