A view that names a machine twice is no sound message: it was read down for ever

what_a_broken_peer_says_soundly_breaks_no_node never ended: nonsense of a broken peer may install a chain in which a node follows itself, and a read that comes down it went from the node to itself without end. Such a view is now refused as unsound.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -357,7 +357,13 @@
         let members = |members: &Members| voters(&members.voters) && voters(&members.before);
         let view = |view: &View| {
             let named = members(&view.members) && !view.members.voters.is_empty();
-            number(&view.number) && view.chain.len() <= 2 * MOST_VOTERS && !view.chain.is_empty() && named
+            // Who is in the chain twice would pass on to itself for ever.
+            let once = view.chain.iter().collect::<BTreeSet<_>>().len() == view.chain.len();
+            number(&view.number)
+                && view.chain.len() <= 2 * MOST_VOTERS
+                && !view.chain.is_empty()
+                && once
+                && named
         };
         match self {
             Message::Beat(beat) => {
