An answer whose end only a close would tell is no whole answer, whatever its coding

Cause: a Transfer-Encoding other than chunked passed the look at the frame, and hyper reads such a body up to the close; cut anywhere, it looked complete and went to the client as a success. Change: edge and shield take Transfer-Encoding: chunked alone, else the answer is unknown. Test: the row 'an end by close alone' in direct.rs.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -469,6 +469,7 @@
             let own_error = "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n";
             let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
             let endless = "HTTP/1.1 200 OK\r\n\r\nok";
+            let until_close = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: t\r\nTransfer-Encoding: gzip\r\n\r\nok";
             let other = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: u\r\nContent-Length: 2\r\n\r\nok";
             for (case, answer, once, repeatable) in [
                 ("whole", WHOLE, ("answered", 1), ("answered", 1)),
@@ -480,6 +481,7 @@
                 ("cut off", cut, ("unknown", 1), ("unknown", 2)),
                 ("without an end", endless, ("unknown", 1), ("unknown", 2)),
                 ("another's answer", other, ("unknown", 1), ("unknown", 2)),
+                ("an end by close alone", until_close, ("unknown", 1), ("unknown", 2)),
                 ("noise", "no answer at all\r\n\r\n", ("unknown", 1), ("unknown", 2)),
                 ("closed", "", ("unknown", 1), ("unknown", 2)),
             ] {
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -239,6 +239,11 @@
     }
     let length = head.headers.contains_key(header::CONTENT_LENGTH);
     let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    // After any other coding only a close would be the end.
+    let codings = head.headers.get_all(header::TRANSFER_ENCODING);
+    if !codings.iter().all(|coding| coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")) {
+        return None;
+    }
     let bodiless =
         method == Method::HEAD || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     // With both, the two sides may not mean the same end; with neither, only a close would be the end, and
