What may follow a send is decided in one place; early and nameless answers are no answers

Cause: (1) what came while a request was held short of its last byte, or half written, could be read as its answer, and the rest went out behind it all the same. (2) An answer without X-Glenfall-Try-Id passed for any request's, Not-Run included; edge to shield did not compare ids at all. (3) A 2xx with Not-Run went to a second server. Change: http/src/send.rs, stages and events of a send and what follows, a pure function. Once anything comes early nothing more is written and the connection is not used again. Connection::send compares the id, once and equal; shields repeat it in all answers. The node's answers must tell their end as the edge's do. Answers in the table of direct.rs now carry the id of the request, as servers' do; rows without one, with two, with Not-Run beside a 2xx and with two lengths are new.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenfall_http::send::{self, Event, Fate, Stage};
 use glenfall_plane::budget::Budget;
 use glenfall_plane::ceiling::{patience, Ceiling, Holder};
 use glenfall_plane::fleet::Fleet;
@@ -21,7 +22,7 @@
 use crate::limit::Limits;
 use crate::origins::{End, Origins};
 use crate::pool::{Pool, Reply, Trouble, Trust, ANSWER_TIME};
-use crate::serve::{DEADLINE, TRY_ID};
+use crate::serve::DEADLINE;
 
 const WANT_SERVER: HeaderName = HeaderName::from_static("x-glenfall-want-server");
 const NOT_RUN: HeaderName = HeaderName::from_static("x-glenfall-not-run");
@@ -210,7 +211,6 @@
     }
 
     async fn send_admitted(&self, mut job: Job<'_>) -> Outcome {
-        let own_id = job.headers.get(TRY_ID).cloned();
         let (mut tried, mut sends, mut unreachable) = (Vec::new(), 0, 0);
         let mut turn = false;
         let mut fallback = Outcome::NotRun(NONE);
@@ -248,72 +248,59 @@
             let ended =
                 self.pool.exchange_within(whole_within, addr, request, until, Trust::Wary, still).await;
             turn = matches!(ended, Err(Trouble::Unsent));
-            match ended {
-                Ok(reply)
-                    if own_id.is_some()
-                        && reply.headers.get(TRY_ID).is_some_and(|id| Some(id) != own_id.as_ref()) =>
-                {
-                    // The answer to another request: the connection has gone with it.
-                    in_flight.ended(End::Failed);
-                    self.pool.forget(server.addr.into());
-                    sends += 1;
-                    fallback = Outcome::Unknown;
-                    if !job.repeatable {
-                        break;
-                    }
-                }
-                Ok(reply)
-                    if reply.headers.contains_key(NOT_RUN)
-                        || reply.status == StatusCode::MISDIRECTED_REQUEST =>
-                {
-                    let misdirected = reply.status == StatusCode::MISDIRECTED_REQUEST;
-                    in_flight.ended(if misdirected { End::Failed } else { End::TurnedAway });
-                    sends += 1;
-                    let ceiling = reply.status == StatusCode::TOO_MANY_REQUESTS;
-                    if !matches!(fallback, Outcome::Answered(_)) {
-                        fallback = Outcome::NotRun(if ceiling { NONE } else { FULL });
-                    }
-                    if ceiling {
-                        // Another server of the service would say the same, and count it.
-                        break;
-                    }
-                }
-                Ok(reply) => {
-                    let failure = reply.status.is_server_error();
-                    in_flight.ended(if failure { End::Erred } else { End::Answered });
-                    sends += 1;
-                    fallback = Outcome::Answered(reply);
-                    if !(failure && more) {
-                        break;
-                    }
-                }
+            let event = match &ended {
+                Ok(reply) => event(reply),
                 Err(Trouble::Unsent) => {
                     in_flight.ended(End::Failed);
                     unreachable += 1;
+                    continue;
                 }
-                Err(trouble) => {
-                    in_flight.ended(End::Failed);
-                    sends += 1;
-                    let timed_out = trouble == Trouble::TimedOut;
-                    fallback = if timed_out { Outcome::TimedOut } else { Outcome::Unknown };
-                    if !job.repeatable {
-                        break;
+                Err(Trouble::Unknown) => Event::Broken,
+                Err(Trouble::TimedOut) => Event::Silence,
+            };
+            sends += 1;
+            let fate = send::fate(Stage::Answering, event, job.repeatable);
+            let failure = ended.as_ref().is_ok_and(|reply| reply.status.is_server_error());
+            in_flight.ended(match (&ended, event) {
+                (Err(_), _) | (_, Event::Noise) => End::Failed,
+                (Ok(reply), Event::NotRun) if reply.status == StatusCode::MISDIRECTED_REQUEST => End::Failed,
+                (_, Event::NotRun) => End::TurnedAway,
+                _ if failure => End::Erred,
+                _ => End::Answered,
+            });
+            let mut go_on = fate.may_go_out_again(job.repeatable, failure);
+            match (fate, ended) {
+                (Fate::NotRun, ended) => {
+                    // Another server of the service would say the same of its ceiling, and count it.
+                    let ceiling = ended.is_ok_and(|reply| reply.status == StatusCode::TOO_MANY_REQUESTS);
+                    go_on = !ceiling;
+                    if !matches!(fallback, Outcome::Answered(_)) {
+                        fallback = Outcome::NotRun(if ceiling { NONE } else { FULL });
                     }
                 }
+                (_, Ok(reply)) if fate == Fate::Answered => fallback = Outcome::Answered(reply),
+                _ => fallback = if event == Event::Silence { Outcome::TimedOut } else { Outcome::Unknown },
+            }
+            if !go_on {
+                break;
             }
         }
-        promised(fallback, job.repeatable)
+        fallback
     }
 }
 
-/// These statuses promise that a request has not run. Without the word that it has not, a server's own
-/// don't pass for that promise.
-fn promised(outcome: Outcome, repeatable: bool) -> Outcome {
-    match outcome {
-        Outcome::Answered(reply) if !repeatable && matches!(reply.status.as_u16(), 408 | 421 | 429 | 503) => {
-            Outcome::Unknown
-        }
-        outcome => outcome,
+/// What a whole answer of a server says.
+fn event(reply: &Reply) -> Event {
+    let status = reply.status;
+    let failure = status.is_client_error() || status.is_server_error();
+    let said = reply.headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    match status.as_u16() {
+        _ if said && failure => Event::NotRun,
+        // One that says that it has not run and what came of it.
+        _ if said => Event::Noise,
+        408 | 429 | 503 => Event::Unproven,
+        _ if status.is_server_error() => Event::Failure,
+        _ => Event::Success,
     }
 }
 
@@ -321,6 +308,7 @@
 mod tests {
     use super::*;
     use crate::room::Room;
+    use crate::serve::TRY_ID;
     use glenfall_plane::messages::Server;
     use std::cell::Cell;
     use std::net::SocketAddrV4;
@@ -462,14 +450,21 @@
     fn what_may_have_run_goes_to_no_second_server_and_is_not_promised_not_to_have() {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         LocalSet::new().block_on(&runtime, async {
-            let not_run = "HTTP/1.1 503 S\r\nX-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-            let ceiling = "HTTP/1.1 429 T\r\nX-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-            let misdirected = "HTTP/1.1 421 M\r\nX-Glenfall-Server-Id: z\r\nContent-Length: 0\r\n\r\n";
-            let unsaid = "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n";
-            let own_error = "HTTP/1.1 500 E\r\nContent-Length: 0\r\n\r\n";
-            let cut = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok";
-            let endless = "HTTP/1.1 200 OK\r\n\r\nok";
+            let not_run = "HTTP/1.1 503 S\r\nX-Glenfall-Try-Id: t\r\nX-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let ceiling = "HTTP/1.1 429 T\r\nX-Glenfall-Try-Id: t\r\nX-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let misdirected = "HTTP/1.1 421 M\r\nX-Glenfall-Try-Id: t\r\nX-Glenfall-Server-Id: z\r\nContent-Length: 0\r\n\r\n";
+            let unsaid = "HTTP/1.1 503 S\r\nX-Glenfall-Try-Id: t\r\nContent-Length: 0\r\n\r\n";
+            let own_error = "HTTP/1.1 500 E\r\nX-Glenfall-Try-Id: t\r\nContent-Length: 0\r\n\r\n";
+            let cut = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: t\r\nContent-Length: 9\r\n\r\nok";
+            let endless = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: t\r\n\r\nok";
+            let nameless = "HTTP/1.1 503 S\r\nX-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let both_ids = "HTTP/1.1 503 S\r\nX-Glenfall-Try-Id: t\r\nX-Glenfall-Try-Id: u\r\n\
+                            X-Glenfall-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+            let ran_and_not = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: t\r\nX-Glenfall-Not-Run: 1\r\n\
+                               Content-Length: 0\r\n\r\n";
             let until_close = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: t\r\nTransfer-Encoding: gzip\r\n\r\nok";
+            let both_lengths = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: t\r\nContent-Length: 2\r\n\
+                                Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n";
             let other = "HTTP/1.1 200 OK\r\nX-Glenfall-Try-Id: u\r\nContent-Length: 2\r\n\r\nok";
             for (case, answer, once, repeatable) in [
                 ("whole", WHOLE, ("answered", 1), ("answered", 1)),
@@ -481,7 +476,11 @@
                 ("cut off", cut, ("unknown", 1), ("unknown", 2)),
                 ("without an end", endless, ("unknown", 1), ("unknown", 2)),
                 ("another's answer", other, ("unknown", 1), ("unknown", 2)),
+                ("nobody's answer", nameless, ("unknown", 1), ("unknown", 2)),
+                ("two requests' answer", both_ids, ("unknown", 1), ("unknown", 2)),
+                ("run and not run", ran_and_not, ("unknown", 1), ("unknown", 2)),
                 ("an end by close alone", until_close, ("unknown", 1), ("unknown", 2)),
+                ("two lengths", both_lengths, ("unknown", 1), ("unknown", 2)),
                 ("noise", "no answer at all\r\n\r\n", ("unknown", 1), ("unknown", 2)),
                 ("closed", "", ("unknown", 1), ("unknown", 2)),
             ] {
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -10,7 +10,7 @@
 mod counter;
 mod declare;
 mod demo;
-mod direct;
+pub mod direct;
 mod disk;
 mod edge;
 mod feed;
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use glenfall_http::{Connection, Failed, OpenSocket, Progress, Sent};
+use glenfall_http::send::{self, Event, Fate};
+use glenfall_http::{tells_its_end, Connection, Failed, OpenSocket, Progress, Sent};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap};
@@ -15,6 +16,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::room::Room;
+use crate::serve::TRY_ID;
 
 /// A connection not up by then is not waited for: the opening packet was lost, or the machine is dark.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -179,23 +181,21 @@
             // What waits for room of ours is no fault of the server's.
             let waiting = Cell::new(false);
             let exchange = async {
-                match connection.send(request, &sent).await {
+                match connection.send(request, Some(&TRY_ID), &sent).await {
                     Ok(response) => {
-                        read(response, &method, &self.room, &waiting).await.ok_or(Some(Trouble::Unknown))
+                        read(response, &method, &self.room, &waiting).await.ok_or((Event::Noise, false))
                     }
                     // It had been closed, or something came on it unasked; the server has seen nothing.
-                    Err(Failed::Unsent) if reused => Err(None),
-                    Err(Failed::Unsent) => Err(Some(Trouble::Unsent)),
-                    Err(Failed::Broken(_)) => Err(Some(Trouble::Unknown)),
+                    Err(Failed::Unsent) => Err((Event::Broken, reused)),
+                    Err(Failed::Broken(_)) => Err((Event::Broken, false)),
+                    Err(Failed::Foreign) => Err((Event::Foreign, false)),
                 }
             };
             let ended = tokio::select! {
                 biased;
                 ended = exchange => ended,
-                () = stalled(&progress, whole_within, &waiting) => Err(Some(Trouble::Unknown)),
-                () = tokio::time::sleep_until(until) => {
-                    Err(Some(if sent.whole() { Trouble::TimedOut } else { Trouble::Unsent }))
-                }
+                () = stalled(&progress, whole_within, &waiting) => Err((Event::Noise, false)),
+                () = tokio::time::sleep_until(until) => Err((Event::Silence, false)),
             };
             match ended {
                 Ok((reply, kept)) => {
@@ -208,8 +208,21 @@
                     }
                     return Ok(reply);
                 }
-                Err(None) => {}
-                Err(Some(trouble)) => return Err(trouble),
+                // Nothing is read or written on it any more.
+                Err((event, again)) => {
+                    let stage = sent.stage();
+                    drop(connection);
+                    if event == Event::Foreign {
+                        // What else the server says on connections that it had before may be as wrong.
+                        self.forget(addr);
+                    }
+                    match send::fate(stage, event, false) {
+                        Fate::NotRun if again => {}
+                        Fate::NotRun => return Err(Trouble::Unsent),
+                        _ if event == Event::Silence => return Err(Trouble::TimedOut),
+                        _ => return Err(Trouble::Unknown),
+                    }
+                }
             }
         }
     }
@@ -237,18 +250,9 @@
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return None;
     }
-    let length = head.headers.contains_key(header::CONTENT_LENGTH);
-    let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
-    // After any other coding only a close would be the end.
-    let codings = head.headers.get_all(header::TRANSFER_ENCODING);
-    if !codings.iter().all(|coding| coding.as_bytes().trim_ascii().eq_ignore_ascii_case(b"chunked")) {
-        return None;
-    }
     let bodiless =
         method == Method::HEAD || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    // With both, the two sides may not mean the same end; with neither, only a close would be the end, and
-    // an early one looks the same.
-    if (length == chunked && !bodiless) || body.size_hint().lower() > LARGEST as u64 {
+    if !(bodiless || tells_its_end(&head.headers)) || body.size_hint().lower() > LARGEST as u64 {
         return None;
     }
     let body = read_body(body, room, waiting).await?;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -226,10 +226,7 @@
         match fetched {
             Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, "miss")),
             Fetched::Other(reply) => {
-                let mut headers = passed_on(&reply.headers);
-                if let Some(id) = whole.head.headers.get(TRY_ID) {
-                    headers.insert(TRY_ID, id.clone());
-                }
+                let headers = passed_on(&reply.headers);
                 let reply = Reply { status: reply.status, headers, body: reply.body.clone() };
                 Ok(Read { reply, said: "pass", copy: None })
             }
@@ -452,7 +449,7 @@
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
-        let answer = match self.0.read(&whole).await {
+        let mut answer = match self.0.read(&whole).await {
             Ok(Read { reply, said, copy }) => {
                 let mut answer = Response::new(Full::new(reply.body));
                 *answer.status_mut() = reply.status;
@@ -468,6 +465,11 @@
                 answer
             }
         };
+        // By it the edge knows which request this answers.
+        match whole.head.headers.get(TRY_ID) {
+            Some(id) => answer.headers_mut().insert(TRY_ID, id.clone()),
+            None => answer.headers_mut().remove(TRY_ID),
+        };
         self.0.counters.answer.add(began.elapsed());
         answer
     }
--- a/http/src/connection.rs
+++ b/http/src/connection.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
+use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Request, Response};
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, JoinHandle};
@@ -48,6 +49,8 @@
     Unsent,
     /// It was written whole and may have run.
     Broken(hyper::Error),
+    /// The same, and what came is the answer to another request.
+    Foreign,
 }
 
 impl Connection {
@@ -67,16 +70,31 @@
         Some(Connection { addr, progress, opened_in, sender, driver })
     }
 
-    /// Sends a request and waits for the head of its answer.
+    /// Sends a request and waits for the head of its answer. `id` is the header that an answer repeats, where the
+    /// servers do that: the order on the connection does not tell a surplus answer that comes late from the one that is
+    /// due.
     pub async fn send(
         &mut self,
         mut request: Request<Full<Bytes>>,
+        id: Option<&HeaderName>,
         sent: &Sent,
     ) -> Result<Response<Incoming>, Failed> {
+        let own = id.and_then(|id| Some((id, request.headers().get(id)?.clone())));
         sent.begin(&self.progress);
         self.progress.watch(&mut request);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                let is_own = match &own {
+                    Some((id, own)) => response.headers().get_all(*id).iter().eq([own]),
+                    // Only its place on the connection says so.
+                    None => self.progress.in_turn(),
+                };
+                match is_own {
+                    true => Ok(response),
+                    false if sent.whole() => Err(Failed::Foreign),
+                    false => Err(Failed::Unsent),
+                }
+            }
             Err(e) if sent.whole() => Err(Failed::Broken(e.into_error())),
             Err(_) => Err(Failed::Unsent),
         }
@@ -92,9 +110,24 @@
         self.sender.is_closed()
     }
 
-    /// Whether it can carry another request, its last answer having been read whole.
+    /// Whether it can carry another request, its last answer having been read whole and not before its turn.
     pub async fn is_free(&mut self) -> bool {
-        matches!(tokio::time::timeout(SETTLE, self.sender.ready()).await, Ok(Ok(())))
+        self.progress.in_turn()
+            && matches!(tokio::time::timeout(SETTLE, self.sender.ready()).await, Ok(Ok(())))
+    }
+}
+
+/// Whether an answer's head tells where its body ends. With two lengths the two sides may not mean the same end; with none,
+/// or a coding other than `chunked`, only a close would be the end, and an early one looks the same.
+pub fn tells_its_end(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(header::TRANSFER_ENCODING);
+    let mut codings = codings.iter().map(|coding| coding.as_bytes().trim_ascii());
+    match codings.next() {
+        None => headers.contains_key(header::CONTENT_LENGTH),
+        Some(coding) => {
+            let alone = codings.next().is_none() && !headers.contains_key(header::CONTENT_LENGTH);
+            alone && coding.eq_ignore_ascii_case(b"chunked")
+        }
     }
 }
 
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -4,7 +4,8 @@
 #![forbid(unsafe_code)]
 
 mod connection;
+pub mod send;
 mod socket;
 
-pub use connection::{unreadable, Connection, Failed};
+pub use connection::{tells_its_end, unreadable, Connection, Failed};
 pub use socket::{OpenSocket, Progress, Sent, Socket};
--- /dev/null
+++ b/http/src/send.rs
@@ -0,0 +1,142 @@
+//! What may follow a send, by how far it has come and what has happened: the one place that decides it, for the proxies
+//! and for the balancer node.
+//!
+//! A request that is short of its last byte has not run, whatever comes: nothing more of it is written once anything
+//! has come, and its connection is closed. From the last byte on only the server's own word, under the request's id, says
+//! that it has not run.
+
+use std::fmt;
+
+/// How far a send has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Stage {
+    /// No connection yet.
+    Unconnected,
+    /// A connection, and nothing written on it.
+    Untouched,
+    /// Some of the request is written, and not its last byte.
+    Partly,
+    /// All of it is written.
+    Whole,
+    /// An interim answer (1xx) has come.
+    Informed,
+    /// The head of an answer has come, and not all of its body.
+    Answering,
+}
+
+impl Stage {
+    pub const ALL: [Stage; 6] = [
+        Stage::Unconnected,
+        Stage::Untouched,
+        Stage::Partly,
+        Stage::Whole,
+        Stage::Informed,
+        Stage::Answering,
+    ];
+
+    /// The server has the last byte, or may have it.
+    pub fn is_sent(self) -> bool {
+        self >= Stage::Whole
+    }
+}
+
+/// What happens to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Event {
+    /// The connection is refused or does not come up in time, or the server is to get nothing more.
+    NoConnection,
+    /// Reset or closed by the other side.
+    Broken,
+    /// The time that it had has passed.
+    Silence,
+    /// What came is no answer, or not one whose end can be told.
+    Noise,
+    /// An answer that does not name this request.
+    Foreign,
+    /// A whole answer with the word that the request has not run.
+    NotRun,
+    /// A whole answer whose status promises that, without the word: 408, 429, 503.
+    Unproven,
+    /// A whole answer that is a failure.
+    Failure,
+    /// Any other whole answer.
+    Success,
+    /// The client has gone.
+    Abandoned,
+    /// This process is told to stop.
+    Stopping,
+}
+
+impl Event {
+    pub const ALL: [Event; 11] = [
+        Event::NoConnection,
+        Event::Broken,
+        Event::Silence,
+        Event::Noise,
+        Event::Foreign,
+        Event::NotRun,
+        Event::Unproven,
+        Event::Failure,
+        Event::Success,
+        Event::Abandoned,
+        Event::Stopping,
+    ];
+}
+
+/// What is known of a request then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Fate {
+    /// The send goes on as if nothing had happened.
+    Waits,
+    /// It has not run there and never will: it may go to another server, or be refused with a promise.
+    NotRun,
+    /// It may have run: it goes out again only if it may run twice, and its client is promised nothing.
+    Unknown,
+    /// The server has answered for it. Where that is a failure, what may run twice may go out again.
+    Answered,
+    /// Nobody waits for it.
+    Dropped,
+}
+
+impl Fate {
+    /// Whether the same request may be sent to another server after this.
+    pub fn may_go_out_again(self, repeatable: bool, failure: bool) -> bool {
+        match self {
+            Fate::NotRun => true,
+            Fate::Unknown => repeatable,
+            Fate::Answered => repeatable && failure,
+            Fate::Waits | Fate::Dropped => false,
+        }
+    }
+}
+
+impl fmt::Display for Fate {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Fate::Waits => "waits",
+            Fate::NotRun => "not run",
+            Fate::Unknown => "unknown",
+            Fate::Answered => "answered",
+            Fate::Dropped => "dropped",
+        })
+    }
+}
+
+/// What is known of a request to which something happens. `repeatable` matters only where a status promises what the
+/// server does not say: of a request that may run twice it is passed on.
+pub fn fate(stage: Stage, event: Event, repeatable: bool) -> Fate {
+    match event {
+        Event::Stopping => Fate::Waits,
+        Event::Abandoned => Fate::Dropped,
+        Event::NoConnection | Event::Broken | Event::Silence | Event::Noise | Event::Foreign => {
+            if stage.is_sent() {
+                Fate::Unknown
+            } else {
+                Fate::NotRun
+            }
+        }
+        Event::NotRun => Fate::NotRun,
+        Event::Unproven if !repeatable => Fate::Unknown,
+        Event::Unproven | Event::Failure | Event::Success => Fate::Answered,
+    }
+}
--- a/http/src/socket.rs
+++ b/http/src/socket.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Notify;
 use tokio::time::Sleep;
 
+use crate::send::Stage;
+
 /// How far the request last begun on a connection has been written.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Written {
@@ -36,6 +38,8 @@
     informed: Arc<AtomicBool>,
     /// The end of the next request is held back for so long.
     wary: Cell<Option<Duration>>,
+    /// Something has come before the request was written whole, which it will not be any more.
+    early: Cell<bool>,
 }
 
 impl Progress {
@@ -45,9 +49,15 @@
             read: Notify::new(),
             informed: Arc::default(),
             wary: Cell::new(None),
+            early: Cell::new(false),
         }
     }
 
+    /// Whether the request last begun was written whole before anything came.
+    pub fn in_turn(&self) -> bool {
+        self.written.get() == Written::Whole && !self.early.get()
+    }
+
     /// Ends when an answer has begun and has then had so long to come whole. What a server does after its
     /// first byte is no longer work on the request: half a head or a body shorter than its length would
     /// otherwise cost the request all the time that it has.
@@ -88,7 +98,19 @@
     }
 
     pub fn whole(&self) -> bool {
-        self.0.borrow().as_ref().is_some_and(|progress| progress.written.get() == Written::Whole)
+        self.stage().is_sent()
+    }
+
+    /// How far it has come, as far as its socket can tell.
+    pub fn stage(&self) -> Stage {
+        let progress = self.0.borrow();
+        let Some(progress) = progress.as_ref() else { return Stage::Unconnected };
+        match progress.written.get() {
+            Written::Nothing => Stage::Untouched,
+            Written::Partly => Stage::Partly,
+            Written::Whole if progress.informed.load(Ordering::Relaxed) => Stage::Informed,
+            Written::Whole => Stage::Whole,
+        }
     }
 }
 
@@ -110,29 +132,35 @@
     }
 
     /// Fails where anything has come before the first byte of a request is written. It would be read as the
-    /// answer to that request, be it a second copy of the last answer, noise or the server's close. Asks the
-    /// kernel, as bytes may lie there that the reactor has not told of yet.
+    /// answer to that request, be it a second copy of the last answer, noise or the server's close. What has come
+    /// before the last byte ends the writing: see `may_write`. Asks the kernel, as bytes may lie there that the reactor has
+    /// not told of yet.
     fn check_silent(&self) -> std::io::Result<()> {
-        if self.progress.written.get() != Written::Nothing && self.held.is_none() {
-            return Ok(());
-        }
         let socket = SockRef::from(self.stream.inner());
         match socket.peek(&mut [MaybeUninit::uninit()]) {
             Err(e) if e.kind() == ErrorKind::WouldBlock => Ok(()),
             Err(e) => Err(e),
-            Ok(_) => Err(std::io::Error::new(ErrorKind::InvalidData, "something came unasked")),
+            Ok(_) if self.progress.written.get() == Written::Nothing => {
+                Err(std::io::Error::new(ErrorKind::InvalidData, "something came unasked"))
+            }
+            Ok(_) => {
+                self.progress.early.set(true);
+                Ok(())
+            }
         }
     }
 
-    /// How many of the bytes at hand may be written now, the first `whole` of which are all that there is.
+    /// How many of the bytes at hand may be written now, the first `whole` of which are all that there is. None any
+    /// more once something has come early: what is read meanwhile is still to be told, and wakes who waits here.
     fn may_write(&mut self, cx: &mut Context<'_>, whole: usize) -> Poll<std::io::Result<usize>> {
         if let Some(held) = &mut self.held {
             std::task::ready!(held.as_mut().poll(cx));
-            self.check_silent()?;
             self.held = None;
-            return Poll::Ready(Ok(whole));
         }
         self.check_silent()?;
+        if self.progress.early.get() {
+            return Poll::Pending;
+        }
         match self.progress.wary.take() {
             Some(pause) if whole > 1 => {
                 self.held = Some(Box::pin(tokio::time::sleep(pause)));
@@ -158,6 +186,9 @@
     ) -> Poll<std::io::Result<()>> {
         let result = Pin::new(&mut self.stream).poll_read(cx, buf);
         if matches!(result, Poll::Ready(Ok(()))) {
+            if self.progress.written.get() != Written::Whole {
+                self.progress.early.set(true);
+            }
             self.progress.read.notify_one();
         }
         result
--- /dev/null
+++ b/http/tests/send.rs
@@ -0,0 +1,78 @@
+//! Every stage of a send with everything that may happen to it.
+
+use glenfall_http::send::{fate, Event, Fate, Stage};
+use glenfall_http::tells_its_end;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+
+const WORDS: [(Event, [&str; 6]); 11] = [
+    // Unconnected, untouched, partly, whole, informed, answering; to what may run once only.
+    (Event::NoConnection, ["not run", "not run", "not run", "unknown", "unknown", "unknown"]),
+    (Event::Broken, ["not run", "not run", "not run", "unknown", "unknown", "unknown"]),
+    (Event::Silence, ["not run", "not run", "not run", "unknown", "unknown", "unknown"]),
+    (Event::Noise, ["not run", "not run", "not run", "unknown", "unknown", "unknown"]),
+    (Event::Foreign, ["not run", "not run", "not run", "unknown", "unknown", "unknown"]),
+    (Event::NotRun, ["not run"; 6]),
+    (Event::Unproven, ["unknown"; 6]),
+    (Event::Failure, ["answered"; 6]),
+    (Event::Success, ["answered"; 6]),
+    (Event::Abandoned, ["dropped"; 6]),
+    (Event::Stopping, ["waits"; 6]),
+];
+
+#[test]
+fn what_follows_is_as_the_table_of_the_docs_says() {
+    assert_eq!(WORDS.map(|(event, _)| event), Event::ALL);
+    let page = include_str!("../../docs/hardening.md");
+    for (event, words) in WORDS {
+        assert_eq!(Stage::ALL.map(|stage| fate(stage, event, false).to_string()), words, "{event:?}");
+        let row = format!("| `{event:?}` | {} |", words.join(" | "));
+        assert!(page.contains(&row), "docs/hardening.md has no row {row}");
+    }
+}
+
+#[test]
+fn what_may_have_run_is_never_sent_again_nor_promised_not_to_have() {
+    for stage in Stage::ALL {
+        for event in Event::ALL {
+            for failure in [false, true] {
+                let (once, twice) = (fate(stage, event, false), fate(stage, event, true));
+                let may = once.may_go_out_again(false, failure);
+                // Only what never had its last byte, and what the server itself says.
+                assert!(!may || !stage.is_sent() || event == Event::NotRun, "{stage:?} {event:?}");
+                assert_eq!(
+                    may,
+                    once == Fate::NotRun,
+                    "what may go out again may be refused, and nothing else"
+                );
+                // To be allowed to run twice opens ways, and closes none.
+                assert!(twice.may_go_out_again(true, failure) || !may, "{stage:?} {event:?}");
+                // Nothing is settled by the wish to stop, and nothing is sent for nobody.
+                assert_eq!(once == Fate::Waits, event == Event::Stopping);
+                assert!(event != Event::Abandoned || !twice.may_go_out_again(true, failure));
+            }
+        }
+    }
+}
+
+#[test]
+fn the_end_of_a_body_is_told_in_one_way_and_not_by_a_close() {
+    for (lines, told) in [
+        (&["content-length: 5"][..], true),
+        (&["transfer-encoding: Chunked "], true),
+        (&[], false),
+        (&["transfer-encoding: gzip"], false),
+        (&["transfer-encoding: gzip, chunked"], false),
+        (&["transfer-encoding: chunked", "transfer-encoding: gzip"], false),
+        (&["transfer-encoding: chunked", "content-length: 5"], false),
+    ] {
+        let parts = lines.iter().map(|line| line.split_once(": ").expect("a header"));
+        let headers = parts.map(|(name, value)| {
+            (HeaderName::from_static(name), HeaderValue::from_str(value).expect("a value"))
+        });
+        let mut all = HeaderMap::new();
+        for (name, value) in headers {
+            all.append(name, value);
+        }
+        assert_eq!(tells_its_end(&all), told, "{lines:?}");
+    }
+}
--- a/lab/src/origin.rs
+++ b/lab/src/origin.rs
@@ -193,9 +193,7 @@
             Answer::new(Full::new(body(path, version, class.bytes)))
         };
         let headers = answer.headers_mut();
-        for (name, value) in
-            [("etag", tag.as_str()), ("x-glenfall-seal", self.id.as_str()), ("x-glenfall-try-id", id)]
-        {
+        for (name, value) in [("etag", tag.as_str()), ("x-glenfall-seal", self.id.as_str())] {
             if let Ok(value) = HeaderValue::from_str(value) {
                 headers.insert(name, value);
             }
@@ -224,7 +222,11 @@
 
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
-        self.0.work(&whole).await
+        let mut answer = self.0.work(&whole).await;
+        if let Some(id) = whole.head.headers.get(TRY_ID) {
+            answer.headers_mut().insert(TRY_ID, id.clone());
+        }
+        answer
     }
 
     fn limits(&self) -> ReqLimits {
--- a/node/src/reply.rs
+++ b/node/src/reply.rs
@@ -1,6 +1,7 @@
 //! What the answer of a server means: read whole, or found spoilt.
 
 use bytes::Bytes;
+use glenfall_http::tells_its_end;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -41,11 +42,8 @@
     let Some(status) = status_of(head.status, &head.headers) else {
         return Ended::without_reply(Status::Spoilt);
     };
-    // With both, server and node may not mean the same end; with neither, only a close would be the end. A
-    // length beyond any answer is not waited for.
-    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
-        != head.headers.contains_key(header::TRANSFER_ENCODING);
-    if !framed || body.size_hint().lower() > LONGEST_BODY as u64 {
+    // A length beyond any answer is not waited for.
+    if !tells_its_end(&head.headers) || body.size_hint().lower() > LONGEST_BODY as u64 {
         return Ended::without_reply(Status::Spoilt);
     }
     let body = match Limited::new(body, LONGEST_BODY).collect().await {
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -242,12 +242,13 @@
             let request = payload.request(connection.addr, wait.saturating_sub(started.elapsed()));
             let progress = Rc::clone(&connection.progress);
             let answer = async {
-                match connection.send(request, sent).await {
+                match connection.send(request, None, sent).await {
                     Ok(response) => Some(reply::read(response).await),
                     // It had been closed, or something came on it unasked: the server has not failed, and
                     // has seen no request.
                     Err(Failed::Unsent) if reused => None,
                     Err(Failed::Unsent) => Some(Ended::without_reply(Status::Unreachable)),
+                    Err(Failed::Foreign) => Some(Ended::without_reply(Status::Spoilt)),
                     Err(Failed::Broken(e)) => Some(Ended::without_reply(reply::broken(Some(&e)))),
                 }
             };
@@ -277,7 +278,7 @@
             let mut request = Request::new(Full::default());
             *request.uri_mut() = Uri::from_static("/health/live");
             request.headers_mut().insert(header::HOST, host_value(connection.addr));
-            let response = connection.send(request, &Sent::default()).await;
+            let response = connection.send(request, None, &Sent::default()).await;
             match response.map(|response| response.status()) {
                 Ok(StatusCode::OK) => Ok(Status::Success),
                 Ok(_) => Ok(Status::Error),
