--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,8 @@
     waiting: AtomicUsize,
     held: Mutex<bool>,
     released: Condvar,
+    /// Ends connections in place of answers.
+    breaks: AtomicBool,
 }
 
 impl Server {
@@ -47,6 +49,9 @@
             }
             drop(held);
             self.waiting.fetch_sub(1, Ordering::Relaxed);
+            if self.breaks.load(Ordering::Relaxed) {
+                return;
+            }
             // No two servers say the same.
             let port = stream.local_addr().unwrap().port();
             let body = format!("run {run} at {port}");
@@ -397,3 +402,28 @@
     let (status, head, body) = heard.expect("an answer");
     assert_eq!((status, body.as_str()), (200, "first last"), "{head}");
 }
+
+#[test]
+fn an_edge_that_leaves_sends_nothing_again_that_may_have_run() {
+    let (mut path, servers) = Path::start();
+    servers.iter().for_each(|server| server.hold(true));
+    let before = runs(&servers);
+    let [edge, ready] = path.system.edge_addrs();
+    std::thread::scope(|scope| {
+        let line = "POST /w/broken";
+        let asked = scope.spawn(move || request(edge, line, "Host: h\r\nX-Glenfall-Try-Id: ad\r\n", ""));
+        await_that("the request is at a server", || runs(&servers) == before + 1);
+        path.system.signal(EDGE, "edge", "-TERM");
+        await_that("it is not ready any more", || {
+            request(ready, "GET /api/ready", "Host: e\r\n", "").is_some_and(|heard| heard.0 == 503)
+        });
+        servers.iter().for_each(|server| {
+            server.breaks.store(true, Ordering::Relaxed);
+            server.hold(false);
+        });
+        let (status, head, _) = asked.join().unwrap().expect("a whole answer");
+        assert!(status == 502 && head.contains("connection: close"), "no promise: {head}");
+    });
+    await_that("it ends", || path.system.ended(EDGE, "edge").is_some());
+    assert_eq!(runs(&servers), before + 1, "it went to one server");
+}
