A refusal is proved down the chain, as a read is

The head answered 412, 400 and a repeated 200 out of its own record: frozen, or cut off one way, it could name an old version as current after a newer view had gone on. Such findings now go down the chain (Message::Confirm, which replaces ReadDown): each member passes them on where no promise has fenced the view, and the tail answers. Reads can be asked for by what is known already, so that the document is sent only where it is newer.

A refusal costs one way down the chain more.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -212,7 +212,7 @@
                     "no clear answer: versions up to {up_to} may have been taken, too long ago to tell"
                 ),
             ),
-            Outcome::Document(_) | Outcome::Unavailable => {
+            Outcome::Document(_) | Outcome::Unchanged | Outcome::Unavailable => {
                 wrong(StatusCode::SERVICE_UNAVAILABLE, "no clear answer: the same call may be made again")
             }
         }
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -180,6 +180,8 @@
     Change { builds_on: u64, change: Change },
     /// The newest committed document.
     Read,
+    /// The same, where its change has a higher number than this one.
+    ReadNewer { than: u64 },
 }
 
 /// What an operator asks of the voters.
@@ -231,6 +233,8 @@
         up_to: u64,
     },
     Document(Arc<Record>),
+    /// Nothing newer than what the caller knows is committed.
+    Unchanged,
     /// No clear answer: try again elsewhere.
     Unavailable,
 }
@@ -289,6 +293,15 @@
     pub committed: u64,
 }
 
+/// What is said of the newest version, and so has to be proved first: see [`Message::Confirm`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claim {
+    /// The tail answers with what is committed, if its change has a higher number than the one named.
+    Committed { than: Option<u64> },
+    /// What the head found of a change that it doesn't begin with.
+    Found(Outcome),
+}
+
 /// What core nodes say to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -335,10 +348,14 @@
         call: u64,
         what: Call,
     },
-    ReadDown {
+    /// Quorum contact for an answer (Raft's ReadIndex): it goes down the chain after the call has begun, each member
+    /// passes it on where no promise has fenced the view, and the tail answers. The chain holds a majority, and so does
+    /// whoever promised a newer view: they meet in a member that had not promised yet when it passed this on.
+    Confirm {
         view: u64,
         origin: NodeId,
         call: u64,
+        claim: Claim,
     },
     Answer {
         call: u64,
@@ -377,7 +394,16 @@
             Message::Update { view, entry } => number(view) && number(&entry.seq),
             Message::Acked { view, seq } => number(view) && number(seq),
             Message::Committed { record: r } => record(r),
-            Message::ReadDown { view, .. } => number(view),
+            Message::Confirm { view, claim, .. } => {
+                let found = matches!(
+                    claim,
+                    Claim::Committed { .. }
+                        | Claim::Found(Outcome::Done { .. } | Outcome::Conflict { .. } | Outcome::Invalid(_))
+                        | Claim::Found(Outcome::Forgotten { .. })
+                );
+                number(view) && found
+            }
+            Message::Answer { outcome: Outcome::Document(r), .. } => record(r),
             Message::Forward { .. } | Message::Answer { .. } => true,
         }
     }
@@ -1055,13 +1081,20 @@
             }
             Message::Committed { record } => self.publish(record),
             Message::Forward { call, what } => self.head_takes(from, call, what),
-            Message::ReadDown { view, origin, call } => self.read_down(view, origin, call),
+            Message::Confirm { view, origin, call, claim } => self.confirm(view, origin, call, claim),
             Message::Answer { call, outcome } => {
                 // A head that could not tell leaves the call to the next view, or to its end.
                 if outcome == Outcome::Unavailable {
                     return;
                 }
                 if self.waiting.remove(&call).is_some() {
+                    match &outcome {
+                        // A node that the word of it has not reached yet knows it from now on.
+                        Outcome::Document(record) if record.seq > self.committed.seq => {
+                            self.publish(Arc::clone(record));
+                        }
+                        _ => {}
+                    }
                     self.out.push(Output::Answer(call, outcome));
                 }
             }
@@ -1280,7 +1313,10 @@
     fn head_takes(&mut self, origin: NodeId, call: u64, what: Call) {
         let Some(number) = self.is_head() else { return };
         match what {
-            Call::Read => self.read_down(number, origin, call),
+            Call::Read => self.confirm(number, origin, call, Claim::Committed { than: None }),
+            Call::ReadNewer { than } => {
+                self.confirm(number, origin, call, Claim::Committed { than: Some(than) });
+            }
             Call::Change { builds_on, change } => {
                 if self.queue.len() < MOST_CALLS {
                     self.queue.push_back((origin, call, builds_on, change));
@@ -1290,21 +1326,32 @@
         }
     }
 
-    fn read_down(&mut self, number: u64, origin: NodeId, call: u64) {
+    /// Passes a claim on, or answers at the tail. It overtakes no change: one that was acknowledged before the call
+    /// began was committed at the tail, and one that has entered since is no part of what the head found.
+    fn confirm(&mut self, number: u64, origin: NodeId, call: u64, claim: Claim) {
         self.shown_to_stand(number);
         let Some(view) = self.member_of(number) else { return };
-        match view.after(self.me) {
-            Some(next) => self.send(next, Message::ReadDown { view: number, origin, call }),
-            None => {
-                let outcome = Outcome::Document(Arc::clone(&self.committed));
-                self.send(origin, Message::Answer { call, outcome });
+        let outcome = match (view.after(self.me), claim) {
+            (Some(next), claim) => {
+                return self.send(next, Message::Confirm { view: number, origin, call, claim });
             }
-        }
+            (None, Claim::Found(outcome)) => outcome,
+            (None, Claim::Committed { than: Some(seq) }) if self.committed.seq <= seq => Outcome::Unchanged,
+            // Whoever asks only hands the document on.
+            (None, Claim::Committed { than: Some(_) }) => {
+                Outcome::Document(Arc::new(self.committed.without_table()))
+            }
+            (None, Claim::Committed { than: None }) => Outcome::Document(Arc::clone(&self.committed)),
+        };
+        self.send(origin, Message::Answer { call, outcome });
     }
 
     /// The head begins with the next change, one at a time: what it builds on is then committed.
     fn take_next(&mut self) {
-        while self.is_head().is_some() && self.pending.is_none() && self.outlives_losses() {
+        while let Some(number) = self.is_head() {
+            if self.pending.is_some() || !self.outlives_losses() {
+                break;
+            }
             let Some((origin, call, builds_on, change)) = self.queue.pop_front() else { return };
             let current = Arc::clone(&self.durable.record);
             let outcome = match current.decide(builds_on, &change) {
@@ -1319,7 +1366,8 @@
                 Decision::Stale { current } => Outcome::Conflict { current },
                 Decision::Invalid(invalid) => Outcome::Invalid(invalid),
             };
-            self.send(origin, Message::Answer { call, outcome });
+            // A refusal tells of the newest version as well, and a newer view may have gone on from here.
+            self.confirm(number, origin, call, Claim::Found(outcome));
         }
         if self.is_head().is_none() {
             // Whoever sent them sends them to the next head.
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 
 use glenfall_plane::chain::{
-    Beat, Call, Chain, Durable, Members, Message, NodeId, Outcome, Output, Record, Refused, Seat, Start, View,
+    Beat, Call, Chain, Claim, Durable, Members, Message, NodeId, Outcome, Output, Record, Refused, Seat,
+    Start, View,
 };
 use glenfall_plane::config::Change;
 use glenfall_plane::orders::{Entry, OrderKey, TakenOrder, TakenOrders};
@@ -235,7 +236,15 @@
         8 => Message::Acked { view: number(rng), seq: number(rng) },
         9 => Message::Committed { record: record(rng) },
         10 => Message::Forward { call: number(rng), what: change(rng) },
-        11 => Message::ReadDown { view: number(rng), origin: node(1), call: number(rng) },
+        11 => {
+            let claim = match rng.random_range(0..4) {
+                0 => Claim::Committed { than: None },
+                1 => Claim::Committed { than: Some(number(rng)) },
+                2 => Claim::Found(Outcome::Conflict { current: number(rng) }),
+                _ => Claim::Found(Outcome::Unchanged),
+            };
+            Message::Confirm { view: number(rng), origin: node(1), call: number(rng), claim }
+        }
         _ => Message::Answer { call: number(rng), outcome: Outcome::Conflict { current: number(rng) } },
     }
 }
@@ -320,7 +329,8 @@
         chain
     };
     let mut chain = begins();
-    let read = Message::ReadDown { view: view.number, origin: node(2), call: 9 };
+    let claim = Claim::Committed { than: None };
+    let read = Message::Confirm { view: view.number, origin: node(2), call: 9, claim };
     let answer = Message::Answer { call: 9, outcome: Outcome::Document(record(6)) };
     assert!(said(&mut chain, 2, 2, read).contains(&Output::Send(node(2), answer)), "not what was before");
 
