What a session is told first is proved the newest; one that does not follow is ended

A control node greeted sessions with what it had committed itself: cut off and not aware of it, standing by, or just started, that may be an old configuration, for agents and for a shield that starts beside it. A session now begins once a read down the chain that began after its opening has come back (ReadIndex); one read serves all that opened before it began. While no view stands the session waits: agents for 1.5 s, then they try another node, the shield beside for as long as it takes.

A session that had not applied a purge in time was taken off the list but its connection stayed: the agent took itself for in touch and was told nothing more, of configurations neither. The connection ends with it now.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -3,6 +3,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashSet;
+use std::future::ready;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -88,7 +89,9 @@
             news.push(News::InTouch(known.in_touch));
             (Vec::new(), news)
         };
-        self.proxies.serve(frames, Outbox::start(write), greet, || self.changed.notify_one()).await;
+        self.proxies
+            .serve(frames, Outbox::start(write), ready(true), greet, || self.changed.notify_one())
+            .await;
     }
 
     fn hello(&self) -> Up {
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -54,6 +54,9 @@
 /// A node that has not reached a majority for so long turns agents away. Shorter, and each mend of the chain
 /// would; longer, and agents hear of a configuration too late.
 const CUT_OFF: Duration = Duration::from_millis(700);
+/// An agent waits so long for what it is told to be proved the newest: the first view after the loss of all control
+/// nodes takes 0.2 to 0.7 s, a mend of the chain 1.2 s. Then it had better try another node.
+const OPENING: Duration = Duration::from_millis(1500);
 /// Connections of servers and operators held at most.
 const MOST_CALLERS: usize = 512;
 /// Bytes of documents under way: some of the largest that are taken.
@@ -87,6 +90,11 @@
     stop: watch::Sender<bool>,
     /// When this node was last seen to reach a majority.
     reached: Cell<Instant>,
+    /// How often this node was to be made sure of the newest configuration; up to which of these it is; and the word
+    /// that there are more.
+    asked_newest: Cell<u64>,
+    newest_known: watch::Sender<u64>,
+    newest_wanted: Notify,
     /// Number of the view last told of in the log; 0 where none stands.
     told_view: Cell<u64>,
 }
@@ -139,6 +147,9 @@
         fleet_changed: Notify::new(),
         stop: watch::Sender::new(false),
         reached: Cell::new(Instant::now()),
+        asked_newest: Cell::new(0),
+        newest_known: watch::Sender::new(0),
+        newest_wanted: Notify::new(),
         told_view: Cell::new(0),
         boot: Rc::clone(&boot),
     });
@@ -160,6 +171,7 @@
     });
     spawn_local(Rc::clone(&control).tick());
     spawn_local(Rc::clone(&control).push_fleet());
+    spawn_local(Rc::clone(&control).follow_newest());
     let terms = serve::Terms {
         listen,
         most: MOST_CALLERS,
@@ -218,6 +230,11 @@
                     return;
                 }
                 let greet = || self.greeting();
+                // What is handed out is the newest, proved after the opening. An agent goes on to another node where
+                // that takes long; the shield beside has none.
+                let ready = async {
+                    beside && self.knows_newest().await || timeout(OPENING, self.knows_newest()).await.is_ok()
+                };
                 let changed = || self.members_changed();
                 // The shield beside stays, whatever this node reaches: it knows no other.
                 let kept = async {
@@ -226,7 +243,7 @@
                     }
                 };
                 tokio::select! {
-                    () = self.sessions.serve(frames, Outbox::start(write), greet, changed) => {}
+                    () = self.sessions.serve(frames, Outbox::start(write), ready, greet, changed) => {}
                     () = kept => tracing::warn!("session ended: this node does not reach a majority"),
                 }
             }
@@ -345,6 +362,31 @@
         told.await.unwrap_or(Outcome::Unavailable)
     }
 
+    /// Ends once this node knows the newest configuration as of now.
+    async fn knows_newest(&self) -> bool {
+        let turn = self.asked_newest.get() + 1;
+        self.asked_newest.set(turn);
+        self.newest_wanted.notify_one();
+        self.newest_known.subscribe().wait_for(|known| *known >= turn).await.is_ok()
+    }
+
+    /// Quorum reads for whoever waits in [`Control::knows_newest`]: one at a time, for all who asked before it began.
+    async fn follow_newest(self: Rc<Self>) {
+        loop {
+            self.newest_wanted.notified().await;
+            let turn = self.asked_newest.get();
+            loop {
+                let than = self.chain.borrow().committed().seq;
+                match self.call(Call::ReadNewer { than }).await {
+                    Outcome::Document(_) | Outcome::Unchanged => break,
+                    // No view stands, or too many calls wait.
+                    _ => sleep(TICK).await,
+                }
+            }
+            self.newest_known.send_replace(turn);
+        }
+    }
+
     /// Out of touch with the majority for long enough to turn agents away: they may reach nodes that are not,
     /// and what is acknowledged there does not come here.
     fn cut_off(&self) -> bool {
--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -3,10 +3,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 
 use glenfall_plane::messages::{Down, Member, News, Up};
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
 use crate::link::{Frames, Outbox, PING};
@@ -16,6 +19,8 @@
 
 struct Session {
     outbox: Outbox<Down>,
+    /// Ends the session where it is taken off the list.
+    _stands: oneshot::Sender<Infallible>,
     node: String,
     member: Option<Member>,
     sent: u64,
@@ -40,24 +45,52 @@
 }
 
 impl Sessions {
-    /// Serves one session until it is lost. `greet` is what the other side has to know first; `changed` is
-    /// called whenever members come, change or go.
+    /// Serves one session until it is lost. `greet` is what the other side has to know first, once `ready` tells that
+    /// it may be told; `changed` is called whenever members come, change or go.
     pub async fn serve(
         &self,
         mut frames: Frames,
         outbox: Outbox<Down>,
+        ready: impl Future<Output = bool>,
         greet: impl FnOnce() -> (Vec<Down>, Vec<News>),
         changed: impl Fn(),
     ) {
-        let Ok(Up::Hello { node, member }) = frames.next_in_time().await else { return };
+        let Ok(Up::Hello { mut node, mut member }) = frames.next_in_time().await else { return };
+        let mut ping = interval(PING);
+        ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut ready = pin!(ready);
+        loop {
+            tokio::select! {
+                ready = &mut ready => if ready { break } else { return },
+                up = frames.next_in_time() => match up {
+                    Ok(Up::Hello { node: now, member: its }) => (node, member) = (now, its),
+                    Ok(_) => {}
+                    Err(_) => return,
+                },
+                _ = ping.tick() => {
+                    if !outbox.send(Down::Ping) {
+                        return;
+                    }
+                }
+                () = outbox.closed() => return,
+            }
+        }
         if self.all.borrow().len() >= MOST {
             tracing::warn!(%node, "session turned away: too many");
             return;
         }
         let id = self.next.replace(self.next.get() + 1);
         let (first, news) = greet();
-        let mut session =
-            Session { outbox: outbox.clone(), node, member, sent: 0, applied: 0, report: Vec::new() };
+        let (stands, mut ended) = oneshot::channel();
+        let mut session = Session {
+            outbox: outbox.clone(),
+            _stands: stands,
+            node,
+            member,
+            sent: 0,
+            applied: 0,
+            report: Vec::new(),
+        };
         let greeted =
             first.into_iter().all(|down| outbox.send(down)) && news.into_iter().all(|n| session.push(n));
         if !greeted {
@@ -67,8 +100,6 @@
         self.all.borrow_mut().insert(id, session);
         let _guard = Guard { sessions: self, id, changed: &changed };
         changed();
-        let mut ping = interval(PING);
-        ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 up = frames.next_in_time() => {
@@ -81,6 +112,8 @@
                     }
                 }
                 () = outbox.closed() => return,
+                // Off the list it would be told nothing more, and still take itself for in touch.
+                _ = &mut ended => return,
             }
         }
     }
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -230,6 +230,11 @@
         SocketAddrV4::new(machine(n), self.base + 3)
     }
 
+    /// Where sessions open at a core machine: agents, and the shield beside.
+    pub fn session_addrs(&self, n: u8) -> [SocketAddrV4; 2] {
+        [0, 2].map(|offset| SocketAddrV4::new(machine(n), self.base + offset))
+    }
+
     pub fn control(&self, n: u8) -> String {
         self.control_addr(n).to_string()
     }
