Drains, goodbyes and purges need an answer of each of a majority to the very call

A peer that was lost while it was asked counted as told, and whoever this node did not reach was not told at all, though it may reach others and keep its sessions: a cut of one link of three left a node in touch that had not heard of a drain. Now each peer that is up must have answered the call itself, they must be a majority with this node by what every one of them knows of the voters, and each passes the question on to those that it reaches and the asker does not (beats tell whom it hears, at once when a link is lost). A repeated drain and goodbye, and the refusals of core add and remove, wait for a quorum read; a late call that says draining is answered as the last word of that server is; /api/ready of a control node says 503 while it is cut off. A node forgets that a peer has told it its purges when the link is lost, and vouches again once a majority has.

glenfall/tests/contact.rs: calls at a node whose majority has just been frozen all get 503 (before: 412, 400, 200 and 409 out of its own memory); a stand-in for a control node that one of two reaches, and one that breaks off when asked. Losses: a drain or purge at the moment at which a peer is lost is answered 503 and must be said again.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -14,12 +14,14 @@
 use hyper::{Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 use super::backup::Backup;
 use super::Control;
 use crate::serve::{Answer, Handler, Whole};
 
+/// How long it may take to prove what is the newest; callers move on after a second.
+const NEWEST: Duration = Duration::from_millis(900);
 /// How long a change of the voters is waited for.
 const SEATED: Duration = Duration::from_millis(3200);
 /// Longest reason that is told, in bytes: an answer of more than 4 KiB is none to a server, and in JSON a byte may
@@ -67,6 +69,7 @@
             ("GET", "/api/core") => answer(StatusCode::OK, self.core()),
             ("POST", "/api/core") => self.seat(&whole.body).await,
             ("GET", "/api/status") => answer(StatusCode::OK, self.status()),
+            ("GET", "/api/ready") if self.0.cut_off() => out_of_touch(),
             ("GET", "/api/ready") => answer(StatusCode::OK, json!({})),
             (method, path) => match (method, path.strip_prefix("/api/servers/")) {
                 ("PUT", Some(id)) => self.beat(id, &whole.body).await,
@@ -166,6 +169,10 @@
             Ok(_) => return wrong(StatusCode::BAD_REQUEST, "add or remove expected, with an address"),
         };
         let control = &self.0;
+        // What is refused is judged by the newest set of voters, as far as a majority knows it.
+        if timeout(NEWEST, control.knows_newest()).await.is_err() {
+            return wrong(StatusCode::SERVICE_UNAVAILABLE, Refused::NoView);
+        }
         let asked = {
             let now = control.now();
             control.chain.borrow_mut().ask_voters(now, seat)
@@ -239,7 +246,7 @@
             }
             Ok(_) => return wrong(StatusCode::BAD_REQUEST, "hostname and urlPath, or label, expected"),
         };
-        if self.0.chain.borrow().in_majority() && self.0.purge(purge).await {
+        if self.0.in_majority() && self.0.purge(purge).await {
             answer(StatusCode::OK, json!({}))
         } else {
             out_of_touch()
@@ -254,7 +261,7 @@
         let Some(entry) = Entry::of(id, beat) else {
             return wrong(StatusCode::BAD_REQUEST, "names of 1 to 128 bytes expected");
         };
-        if !self.0.chain.borrow().in_majority() {
+        if !self.0.in_majority() {
             return out_of_touch();
         }
         match self.0.heard(entry).await {
@@ -265,7 +272,7 @@
     }
 
     async fn goodbye(&self, id: &str) -> Answer {
-        if !self.0.chain.borrow().in_majority() {
+        if !self.0.in_majority() {
             return out_of_touch();
         }
         if self.0.said_goodbye(id).await {
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -90,6 +90,7 @@
     stop: watch::Sender<bool>,
     /// When this node was last seen to reach a majority.
     reached: Cell<Instant>,
+    cut_off: watch::Sender<bool>,
     /// How often this node was to be made sure of the newest configuration; up to which of these it is; and the word
     /// that there are more.
     asked_newest: Cell<u64>,
@@ -147,6 +148,7 @@
         fleet_changed: Notify::new(),
         stop: watch::Sender::new(false),
         reached: Cell::new(Instant::now()),
+        cut_off: watch::Sender::new(false),
         asked_newest: Cell::new(0),
         newest_known: watch::Sender::new(0),
         newest_wanted: Notify::new(),
@@ -237,10 +239,10 @@
                 };
                 let changed = || self.members_changed();
                 // The shield beside stays, whatever this node reaches: it knows no other.
+                let mut cut_off = self.cut_off.subscribe();
                 let kept = async {
-                    while beside || !self.cut_off() {
-                        sleep(EXPIRE).await;
-                    }
+                    // It can't fail while this node is here.
+                    let _ = cut_off.wait_for(|cut_off| *cut_off && !beside).await;
                 };
                 tokio::select! {
                     () = self.sessions.serve(frames, Outbox::start(write), ready, greet, changed) => {}
@@ -278,10 +280,11 @@
             let now = self.now();
             let outputs = self.chain.borrow_mut().tick(now);
             self.carry_out(outputs);
+            // Seen here also where no session asks.
+            self.cut_off();
             if expire.elapsed() >= EXPIRE {
                 expire = Instant::now();
-                // Seen here also where no session asks.
-                if self.cut_off() {
+                if *self.cut_off.borrow() {
                     self.know_seeds();
                 }
                 self.vouch();
@@ -387,14 +390,21 @@
         }
     }
 
+    /// Whether a majority of the voters was heard within the last second. What binds others needs more: an answer of
+    /// each of a majority to the very call.
+    fn in_majority(&self) -> bool {
+        self.chain.borrow_mut().reaches_majority(self.now())
+    }
+
     /// Out of touch with the majority for long enough to turn agents away: they may reach nodes that are not,
     /// and what is acknowledged there does not come here.
     fn cut_off(&self) -> bool {
-        let within = self.chain.borrow().in_majority();
-        if within {
+        if self.in_majority() {
             self.reached.set(Instant::now());
         }
-        self.reached.get().elapsed() >= CUT_OFF
+        let cut_off = self.reached.get().elapsed() >= CUT_OFF;
+        self.cut_off.send_if_modified(|known| std::mem::replace(known, cut_off) != cut_off);
+        cut_off
     }
 
     // ---- Fleet ----
@@ -447,9 +457,14 @@
     /// this one may be gone the moment after. `None` where one of them did not say so in time.
     async fn heard(&self, entry: Entry) -> Option<Heard> {
         let heard = self.registry.borrow_mut().hear(self.now(), 0, entry.clone());
+        // What it said last: this call may be an old one.
+        let known =
+            self.registry.borrow().entry(&entry.id).filter(|e| e.status != EntryStatus::Ready).cloned();
+        if let Some(known) = known.filter(|_| entry.status != EntryStatus::Ready) {
+            return self.spread(&known).await.then_some(heard);
+        }
         match heard {
             Heard::Late | Heard::Full => {}
-            _ if entry.status != EntryStatus::Ready => return self.spread(&entry).await.then_some(heard),
             Heard::Changed => {
                 self.peers.tell(&Peer::Servers(vec![(entry, 0)]));
                 self.fleet_changed.notify_one();
@@ -464,22 +479,30 @@
         let gone = self.registry.borrow_mut().leave(self.now(), id);
         match gone {
             Some(entry) => self.spread(&entry).await,
-            None => true,
+            None => false,
         }
     }
 
+    /// Has all peers that are there, and by them whoever is there for them alone, take something in. True once each has
+    /// said so in answer to this very call, and they are a majority with this node: whoever is not among them, and has
+    /// sessions, hears from none of a majority, and turns its sessions away or hears of it when it does again.
+    async fn told_all(&self, question: impl Fn(u64) -> Peer, most: Duration) -> bool {
+        let up = self.peers.up();
+        self.peers.ask(&up, question, most).await && self.chain.borrow().is_quorum(&up)
+    }
+
     /// Tells all control nodes, and proxies, that a server leaves.
     async fn spread(&self, entry: &Entry) -> bool {
         if self.registry.borrow().is_spread(&entry.id) {
             self.peers.tell(&Peer::Servers(vec![(entry.clone(), 0)]));
-            return true;
+            // It holds for good, and is confirmed by a node in touch alone.
+            return timeout(DRAIN, self.knows_newest()).await.is_ok();
         }
         self.push_fleet_now();
-        let peers = self.peers.ask(|id| Peer::Urgent { id, entry: entry.clone() }, DRAIN);
+        let peers = self.told_all(|id| Peer::Urgent { id, entry: entry.clone(), pass_on: true }, DRAIN);
         // Proxies that are slow still apply it in time: what is on its way to them is not lost while they are there,
         // and whoever is not turns to another node.
         let (told, _applied) = tokio::join!(peers, self.sessions.applied(DRAIN));
-        let told = told && self.chain.borrow().in_majority();
         if told {
             self.registry.borrow_mut().spread(&entry.id, entry.status);
         } else {
@@ -492,13 +515,12 @@
 
     /// Tells sessions once nothing that was purged can have been missed here.
     fn vouch(&self) {
-        if self.vouches.get() {
-            return;
-        }
         let told = self.told_purges.borrow();
         let me = self.boot.bind_ip;
-        if self.chain.borrow().members().majority(|node| *node == me || told.contains(node)) {
-            self.vouches.set(true);
+        let vouches = self.chain.borrow().members().majority(|node| *node == me || told.contains(node));
+        // Sessions that were told so keep to it until they are turned away: a mend of the chain costs no copies.
+        let before = self.vouches.replace(vouches);
+        if vouches && !before {
             self.sessions.push(&News::InTouch(true));
         }
     }
@@ -509,7 +531,8 @@
         let number = self.next_purge.replace(self.next_purge.get() + 1);
         let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
         let written = self.take_purges(vec![stamped.clone()]);
-        let peers = self.peers.ask(|id| Peer::Purges { id, purges: vec![stamped.clone()] }, PURGE);
+        let purges = vec![stamped];
+        let peers = self.told_all(|id| Peer::Purges { id, purges: purges.clone(), pass_on: true }, PURGE);
         let written = async {
             if let Some(written) = written {
                 let _ = timeout(WRITTEN, written).await;
@@ -519,7 +542,7 @@
         if !applied {
             self.sessions.drop_behind();
         }
-        peers && self.chain.borrow().in_majority()
+        peers
     }
 
     /// Takes purges, and passes on those that are new; what this gives ends once they are on disk.
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -39,7 +39,7 @@
     me: Ipv4Addr,
     life: u64,
     links: RefCell<BTreeMap<Ipv4Addr, Link>>,
-    /// What was asked of whom: those who have not answered yet.
+    /// What was asked of whom: those who have not answered yet. What one of them was lost over is not here any more.
     asked: RefCell<BTreeMap<u64, BTreeSet<Ipv4Addr>>>,
     next: Cell<u64>,
     answered: Notify,
@@ -82,25 +82,25 @@
         }
     }
 
-    /// Asks all peers that are there and waits until each has answered or is lost. False where that took too
-    /// long.
-    pub async fn ask(&self, question: impl Fn(u64) -> Peer, most: Duration) -> bool {
+    /// Asks these peers and waits until each has answered this very call. False where one was lost, or took too long.
+    pub async fn ask(&self, whom: &[Ipv4Addr], question: impl Fn(u64) -> Peer, most: Duration) -> bool {
         let id = self.next.replace(self.next.get() + 1);
-        let up = self.up();
-        self.asked.borrow_mut().insert(id, up.iter().copied().collect());
-        for ip in up {
-            self.send(ip, question(id));
+        self.asked.borrow_mut().insert(id, whom.iter().copied().collect());
+        for ip in whom {
+            self.send(*ip, question(id));
         }
         let done = async {
             loop {
                 let answered = self.answered.notified();
-                if self.asked.borrow().get(&id).is_none_or(BTreeSet::is_empty) {
-                    return;
+                match self.asked.borrow().get(&id) {
+                    Some(left) if left.is_empty() => return true,
+                    Some(_) => {}
+                    None => return false,
                 }
                 answered.await;
             }
         };
-        let all = timeout(most, done).await.is_ok();
+        let all = timeout(most, done).await.unwrap_or(false);
         self.asked.borrow_mut().remove(&id);
         all
     }
@@ -238,7 +238,7 @@
     let peers = &control.peers;
     peers.send(ip, Peer::Sessions(Members::whole(&control.told_members.borrow())));
     peers.send(ip, Peer::Servers(control.registry.borrow().all(now)));
-    peers.send(ip, Peer::Purges { id: 0, purges: control.purges.borrow().all(now) });
+    peers.send(ip, Peer::Purges { id: 0, purges: control.purges.borrow().all(now), pass_on: false });
     control.sessions.tell(&glenfall_plane::messages::Down::Controls(peers.all()));
     let outputs = control.chain.borrow_mut().peer_up(now, ip);
     control.carry_out(outputs);
@@ -257,10 +257,12 @@
         (link.up, link.lost) = (false, Some(Instant::now()));
     }
     tracing::warn!(peer = %ip, "peer lost");
-    for left in control.peers.asked.borrow_mut().values_mut() {
-        left.remove(&ip);
-    }
+    // It may have sessions, and has not said that they know.
+    control.peers.asked.borrow_mut().retain(|_, left| !left.contains(&ip));
     control.peers.answered.notify_waiters();
+    // What is purged until it is back it has to tell of then.
+    control.told_purges.borrow_mut().remove(&ip);
+    control.vouch();
     let outputs = {
         let now = control.now();
         control.chain.borrow_mut().peer_down(now, ip)
@@ -296,22 +298,24 @@
                 control.fleet_changed.notify_one();
             }
         }
-        Peer::Urgent { id, entry } => {
-            let heard = control.registry.borrow_mut().hear(now, 0, entry);
+        Peer::Urgent { id, entry, pass_on } => {
+            let heard = control.registry.borrow_mut().hear(now, 0, entry.clone());
             if heard == glenfall_plane::registry::Heard::Changed {
                 control.push_fleet_now();
             }
-            confirm(control, from, id, DRAIN * 3 / 4, false);
+            let on = move |id| Peer::Urgent { id, entry: entry.clone(), pass_on: false };
+            confirm(control, (from, id), DRAIN * 3 / 4, false, pass_on.then_some(on));
         }
-        Peer::Purges { id, purges } => {
+        Peer::Purges { id, purges, pass_on } => {
             // Whoever asked waits for its own disk only.
-            drop(control.take_purges(purges));
+            drop(control.take_purges(purges.clone()));
             if id == 0 {
                 control.told_purges.borrow_mut().insert(from);
                 control.vouch();
             } else {
                 // A little less than the peer waits, so that its answer still comes in time.
-                confirm(control, from, id, PURGE * 4 / 5, true);
+                let on = move |id| Peer::Purges { id, purges: purges.clone(), pass_on: false };
+                confirm(control, (from, id), PURGE * 4 / 5, true, pass_on.then_some(on));
             }
         }
         Peer::Done { id } => control.peers.answer(from, id),
@@ -319,14 +323,43 @@
     }
 }
 
-/// Tells a peer once all sessions here have applied what they were sent, or have had so long to. Those who have not
-/// are let go of where what they hold must not be used any more.
-fn confirm(control: &Rc<Control>, to: Ipv4Addr, id: u64, most: Duration, strict: bool) {
+/// Tells a peer once all sessions here have applied what they were sent, or have had so long to, and those that this
+/// node reaches and the peer does not know it as well. Sessions that have not are let go of where what they hold must not
+/// be used any more.
+fn confirm(
+    control: &Rc<Control>,
+    (to, asked): (Ipv4Addr, u64),
+    most: Duration,
+    strict: bool,
+    on: Option<impl Fn(u64) -> Peer + 'static>,
+) {
     let control = Rc::clone(control);
+    // By what the peer heard when it asked: it tells those itself that come up later.
+    let beyond = beyond(&control, to);
     spawn_local(async move {
-        if !control.sessions.applied(most).await && strict {
-            control.sessions.drop_behind();
+        // A little less for what has been passed on, so that its answer still comes in time.
+        let applied = async {
+            let most = if on.is_some() { most } else { most * 3 / 4 };
+            if !control.sessions.applied(most).await && strict {
+                control.sessions.drop_behind();
+            }
+        };
+        let told = async {
+            match &on {
+                Some(on) if !beyond.is_empty() => control.peers.ask(&beyond, on, most).await,
+                _ => true,
+            }
+        };
+        let ((), told) = tokio::join!(applied, told);
+        if told {
+            control.peers.send(to, Peer::Done { id: asked });
         }
-        control.peers.send(to, Peer::Done { id });
     });
 }
+
+/// Who is up here and not at a peer, as far as is known.
+fn beyond(control: &Control, peer: Ipv4Addr) -> Vec<Ipv4Addr> {
+    let chain = control.chain.borrow();
+    let heard = chain.heard_by(peer);
+    control.peers.up().into_iter().filter(|ip| *ip != peer && !heard.contains(ip)).collect()
+}
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -179,6 +179,7 @@
         }
     }
 
+    /// Ends a process at once.
     pub fn kill(&mut self, n: u8, role: &str) {
         let child = self.child(n, role);
         child.kill().unwrap();
--- a/glenfall/tests/contact.rs
+++ b/glenfall/tests/contact.rs
@@ -3,53 +3,76 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddrV4, TcpStream};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use common::{await_that, request, System, PATIENCE};
-use glenfall_plane::messages::{Down, News, Open, Up};
+use glenfall_plane::messages::{Down, News, Open, Peer, Up};
 
-/// An agent that says that it is there, and applies nothing.
-struct Agent {
+fn frame(message: &impl serde::Serialize) -> Vec<u8> {
+    let body = postcard::to_stdvec(message).unwrap();
+    [&(body.len() as u32).to_le_bytes()[..], &body].concat()
+}
+
+/// One end of a link: it says `alive` at every look, and hears what comes within a moment.
+struct End {
     stream: TcpStream,
     buffer: Vec<u8>,
-    heard: Vec<News>,
     ended: bool,
 }
 
-fn frame(message: &impl serde::Serialize) -> Vec<u8> {
-    let body = postcard::to_stdvec(message).unwrap();
-    [&(body.len() as u32).to_le_bytes()[..], &body].concat()
+impl End {
+    fn of(stream: TcpStream) -> End {
+        stream.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+        End { stream, buffer: Vec::new(), ended: false }
+    }
+
+    fn fill(&mut self) {
+        let mut bytes = [0; 64 << 10];
+        match self.stream.read(&mut bytes) {
+            Ok(0) => self.ended = true,
+            Ok(count) => self.buffer.extend(&bytes[..count]),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => self.ended = true,
+        }
+    }
+
+    fn next<T: serde::de::DeserializeOwned>(&mut self) -> Option<T> {
+        let length = u32::from_le_bytes(*self.buffer.first_chunk::<4>()?) as usize;
+        let message = postcard::from_bytes(self.buffer.get(4..4 + length)?).unwrap();
+        self.buffer.drain(..4 + length);
+        Some(message)
+    }
+
+    fn hear<T: serde::de::DeserializeOwned>(&mut self, alive: &impl serde::Serialize) -> Vec<T> {
+        self.ended |= self.stream.write_all(&frame(alive)).is_err();
+        self.fill();
+        std::iter::from_fn(|| self.next()).collect()
+    }
+}
+
+/// An agent that says that it is there, and applies nothing.
+struct Agent {
+    end: End,
+    heard: Vec<News>,
 }
 
 impl Agent {
     fn open(addr: SocketAddrV4) -> Agent {
         let mut stream = TcpStream::connect(addr).unwrap();
-        stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
         stream.write_all(&frame(&Open::Session)).unwrap();
         stream.write_all(&frame(&Up::Hello { node: "a".into(), member: None })).unwrap();
-        Agent { stream, buffer: Vec::new(), heard: Vec::new(), ended: false }
+        Agent { end: End::of(stream), heard: Vec::new() }
     }
 
-    /// Hears what comes within a tenth of a second.
     fn hear(&mut self) {
-        let mut bytes = [0; 64 << 10];
-        let said = self.stream.write_all(&frame(&Up::Ping));
-        match self.stream.read(&mut bytes) {
-            _ if said.is_err() => self.ended = true,
-            Ok(0) => self.ended = true,
-            Ok(count) => self.buffer.extend(&bytes[..count]),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
-            Err(_) => self.ended = true,
-        }
-        while let Some(length) = self.buffer.first_chunk::<4>().map(|four| u32::from_le_bytes(*four) as usize)
-        {
-            let Some(body) = self.buffer.get(4..4 + length) else { return };
-            if let Down::Push { news, .. } = postcard::from_bytes(body).unwrap() {
+        for down in self.end.hear(&Up::Ping) {
+            if let Down::Push { news, .. } = down {
                 self.heard.push(news);
             }
-            self.buffer.drain(..4 + length);
         }
     }
 
@@ -88,13 +111,13 @@
     // The node still takes itself for one of a majority.
     let (mut agent, mut shield) = (Agent::open(agents), Agent::open(beside));
     let began = Instant::now();
-    while !agent.ended {
+    while !agent.end.ended {
         assert!(began.elapsed() < PATIENCE, "the agent is kept");
         agent.hear();
         shield.hear();
     }
     assert_eq!((&agent.heard, &shield.heard), (&vec![], &vec![]));
-    assert!(!shield.ended, "the shield beside knows no other node");
+    assert!(!shield.end.ended, "the shield beside knows no other node");
     both(&mut core, "-CONT");
     await_that("the shield is told once it is proved", || {
         shield.hear();
@@ -102,6 +125,42 @@
     });
 }
 
+#[test]
+fn nothing_is_refused_confirmed_or_read_out_without_a_majority() {
+    let mut core = core();
+    let addr = core.control_addr(1);
+    let stale = r#"{"rev": 4, "backends": [{"name": "s"}]}"#;
+    let same = r#"{"rev": 5, "backends": [{"name": "s"}]}"#;
+    let body = |status: &str| {
+        format!(
+            r#"{{"backend":"s","addr":"127.0.0.1:9","zone":"z","capacity":1,"status":"{status}","callSeq":2}}"#
+        )
+    };
+    let (drains, seat) = (body("draining"), r#"{"add": "127.0.8.2"}"#);
+    let calls: [(&str, &str, &str); 8] = [
+        ("PUT /api/config", "If-Match: 4\r\n", stale),
+        ("PUT /api/config", "If-Match: 5\r\n", stale),
+        ("PUT /api/config", "If-Match: 0\r\n", same),
+        ("GET /api/config", "", ""),
+        ("PUT /api/servers/i-1", "", &drains),
+        ("DELETE /api/servers/i-2", "", ""),
+        ("POST /api/purge", "", r#"{"label": "l"}"#),
+        ("POST /api/core", "", seat),
+    ];
+    let ask = |(line, headers, body): (&str, &str, &str)| {
+        request(addr, line, &format!("Host: c\r\n{headers}"), body).map_or(0, |heard| heard.0)
+    };
+    assert_eq!(calls.map(ask), [412, 400, 200, 200, 200, 200, 200, 409]);
+    both(&mut core, "-STOP");
+    let told = std::thread::scope(|scope| {
+        calls.map(|call| scope.spawn(move || ask(call))).map(|asked| asked.join().unwrap())
+    });
+    assert_eq!(told, [503; 8]);
+    both(&mut core, "-CONT");
+    core.await_chain(&[1, 2, 3], 3);
+    await_that("all goes on", || calls.map(ask) == [412, 400, 200, 200, 200, 200, 200, 409]);
+}
+
 #[test]
 fn a_session_that_does_not_apply_a_purge_is_ended_and_not_left_without_news() {
     let core = core();
@@ -114,7 +173,106 @@
     assert_eq!(purge().map(|heard| heard.0), Some(200));
     await_that("the session ends", || {
         agent.hear();
-        agent.ended
+        agent.end.ended
     });
     assert_eq!(core.agents_at(1), Some(0));
 }
+
+/// What a control node that was asked that a server leaves does.
+#[derive(Clone, Copy, PartialEq)]
+enum Asked {
+    Answers,
+    Silent,
+    Breaks,
+}
+
+/// A control node in the place of the second, which only these nodes reach and are reached by, until it is stopped.
+/// Tells how often it was asked.
+fn stand_in(core: &System, reached: &[u8], asked: Asked, stopped: &AtomicBool) -> usize {
+    let ip = |n: u8| *core.control_addr(n).ip();
+    let listener = TcpListener::bind(core.session_addrs(2)[0]).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let call = |n: &u8| {
+        let mut stream = TcpStream::connect(core.session_addrs(*n)[0]).unwrap();
+        stream.write_all(&frame(&Open::Peer { ip: ip(2), life: 1, others: Vec::new() })).unwrap();
+        (ip(*n), End::of(stream))
+    };
+    let mut speaks: BTreeMap<Ipv4Addr, End> = reached.iter().map(call).collect();
+    let mut hears: Vec<(Option<Ipv4Addr>, End)> = Vec::new();
+    let mut times = 0;
+    while !stopped.load(Ordering::SeqCst) {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            hears.push((None, End::of(stream)));
+        }
+        for end in speaks.values_mut() {
+            let _: Vec<Peer> = end.hear(&Peer::Alive);
+        }
+        for (from, end) in &mut hears {
+            let Some(from) = from else {
+                end.fill();
+                if let Some(Open::Peer { ip, .. }) = end.next() {
+                    *from = Some(ip);
+                }
+                continue;
+            };
+            let Some(back) = speaks.get_mut(from) else {
+                end.ended = true;
+                continue;
+            };
+            for message in end.hear(&Peer::Alive) {
+                let Peer::Urgent { id, .. } = message else { continue };
+                times += 1;
+                if asked == Asked::Answers {
+                    back.stream.write_all(&frame(&Peer::Done { id })).unwrap();
+                }
+            }
+        }
+        hears.retain(|(_, end)| !end.ended);
+        if asked == Asked::Breaks && times > 0 {
+            (speaks, hears) = (BTreeMap::new(), Vec::new());
+        }
+    }
+    times
+}
+
+/// A server says at the first node that it drains, while a stand-in is there; what it is answered.
+fn drains(core: &System, reached: &[u8], asked: Asked) -> (Option<u16>, usize) {
+    let stopped = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let stand_in = scope.spawn(|| stand_in(core, reached, asked, &stopped));
+        await_that("the stand-in is there", || {
+            let up = |n: &u8| {
+                core.status(*n).is_some_and(|status| {
+                    status["peers"].as_array().is_some_and(|peers| peers.iter().any(|p| p == "127.0.8.2"))
+                })
+            };
+            (1..=3).filter(|n| *n != 2).all(|n| up(&n) == reached.contains(&n))
+        });
+        let body =
+            r#"{"backend":"s","addr":"127.0.0.1:9","zone":"z","capacity":1,"status":"draining","callSeq":1}"#;
+        let heard = request(core.control_addr(1), "PUT /api/servers/i-1", "Host: c\r\n", body);
+        stopped.store(true, Ordering::SeqCst);
+        (heard.map(|heard| heard.0), stand_in.join().unwrap())
+    })
+}
+
+#[test]
+fn a_drain_is_told_by_others_to_whom_this_node_does_not_reach() {
+    let mut core = core();
+    core.kill(2, "control");
+    core.await_chain(&[1, 3], 2);
+    // Cut off from the first, but not from the third: its sessions are in touch.
+    assert_eq!(drains(&core, &[3], Asked::Silent).0, Some(503));
+    let (told, times) = drains(&core, &[3], Asked::Answers);
+    assert!(told == Some(200) && times > 0, "{told:?}, asked {times} times");
+}
+
+#[test]
+fn a_node_that_is_lost_before_it_answers_has_not_said_that_it_knows() {
+    let mut core = core();
+    core.kill(2, "control");
+    core.await_chain(&[1, 3], 2);
+    let (told, times) = drains(&core, &[1, 3], Asked::Breaks);
+    assert!(told == Some(503) && times > 0, "{told:?}, asked {times} times");
+}
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -581,6 +581,26 @@
         self.members().majority(|node| *node == self.me || self.hears(*node))
     }
 
+    /// The same by now: timers may be behind where the process was frozen.
+    pub fn reaches_majority(&mut self, now: Millis) -> bool {
+        self.now = now;
+        self.in_majority()
+    }
+
+    /// Whether this node and those that have answered it hold a majority, also by what each of them knows of the voters:
+    /// this node may have been replaced meanwhile.
+    pub fn is_quorum(&self, answered: &[NodeId]) -> bool {
+        let holds = |members: &Members| members.majority(|node| *node == self.me || answered.contains(node));
+        let told = answered.iter().filter_map(|node| self.peers.get(node)).map(|peer| &peer.beat.members);
+        holds(self.members()) && told.filter(|members| !members.voters.is_empty()).all(holds)
+    }
+
+    /// Whom a peer hears, by what it said last. All of them are up at it, and it says so before anything that it says
+    /// after it has lost one.
+    pub fn heard_by(&self, peer: NodeId) -> &[NodeId] {
+        self.peers.get(&peer).map_or(&[], |peer| &peer.beat.hears)
+    }
+
     // ---- Inputs ----
 
     pub fn tick(&mut self, now: Millis) -> Vec<Output> {
@@ -635,6 +655,8 @@
                 self.proposal = None;
             }
         }
+        // The others reach it in this node's place from now on.
+        self.send_beats();
         self.consider();
         self.finish()
     }
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -118,15 +118,18 @@
     Sessions(fleet::Members),
     /// What servers have told; `age_ms` since the sender heard of each.
     Servers(Vec<(Entry, u64)>),
-    /// The same, and the sender waits for the word that it is pushed on.
+    /// The same, and the sender waits for the word that it is pushed on; with `pass_on` also to those that the receiver
+    /// reaches and the sender does not.
     Urgent {
         id: u64,
         entry: Entry,
+        pass_on: bool,
     },
     /// Purges, each with its number at its origin. The sender waits where `id` is above 0.
     Purges {
         id: u64,
         purges: Vec<Stamped>,
+        pass_on: bool,
     },
     /// What `Urgent` or `Purges` asked for is done at the sender and its sessions.
     Done {
