The test of copies waits for shields that are ready, not only listed

It went on once control listed three shields, ready or not; reads then went straight to the servers, and nothing was kept.

--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -102,10 +102,16 @@
             path.ask("GET /r/first").is_some_and(|heard| heard.0 == 200)
                 && path.ask("POST /w/first").is_some_and(|heard| heard.0 == 200)
         });
-        await_that("all shields are in the array", || {
-            let shields = |n| path.system.status(n)?["shields"].as_array().map(Vec::len);
-            (1..EDGE).all(|n| shields(n) == Some(3))
+        await_that("all shields are ready", || {
+            let ready = |n| {
+                let status = path.system.status(n)?;
+                let shields = status["shields"].as_array()?.iter();
+                Some(shields.filter(|shield| shield["ready"] == true).count())
+            };
+            (1..EDGE).all(|n| ready(n) == Some(3))
         });
+        // Their being ready comes to the edge a moment later.
+        await_that("reads go by a shield", || path.body("GET /r/by") == path.body("GET /r/by"));
         (path, servers.map(|(server, _)| server))
     }
 
