Lists are told at the opening of a session, and the configuration once it is proved

A read that does not come back is asked again after 0.15 s: it may have come to a head that did not know yet that its view stands. The test looks for the configuration alone now, as that is what is held back.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -90,7 +90,7 @@
             (Vec::new(), news)
         };
         self.proxies
-            .serve(frames, Outbox::start(write), ready(true), greet, || self.changed.notify_one())
+            .serve(frames, Outbox::start(write), greet, ready(Some(Vec::new())), || self.changed.notify_one())
             .await;
     }
 
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -54,6 +54,9 @@
 /// A node that has not reached a majority for so long turns agents away. Shorter, and each mend of the chain
 /// would; longer, and agents hear of a configuration too late.
 const CUT_OFF: Duration = Duration::from_millis(700);
+/// A quorum read that has not come back by then is asked again: longer than a way down a chain. Each ends by itself, so
+/// that six at most wait at a time.
+const READ_AGAIN: Duration = Duration::from_millis(150);
 /// An agent waits so long for what it is told to be proved the newest: the first view after the loss of all control
 /// nodes takes 0.2 to 0.7 s, a mend of the chain 1.2 s. Then it had better try another node.
 const OPENING: Duration = Duration::from_millis(1500);
@@ -232,10 +235,13 @@
                     return;
                 }
                 let greet = || self.greeting();
-                // What is handed out is the newest, proved after the opening. An agent goes on to another node where
-                // that takes long; the shield beside has none.
-                let ready = async {
-                    beside && self.knows_newest().await || timeout(OPENING, self.knows_newest()).await.is_ok()
+                // The configuration handed out is the newest, proved after the opening. An agent goes on to another
+                // node where that takes long; the shield beside has none.
+                let proved = async {
+                    let most = if beside { Duration::MAX } else { OPENING };
+                    timeout(most, self.knows_newest()).await.ok()?;
+                    let record = Arc::clone(self.chain.borrow().committed());
+                    Some((record.rev > 0).then(|| config_news(&record)).into_iter().collect())
                 };
                 let changed = || self.members_changed();
                 // The shield beside stays, whatever this node reaches: it knows no other.
@@ -245,7 +251,7 @@
                     let _ = cut_off.wait_for(|cut_off| *cut_off && !beside).await;
                 };
                 tokio::select! {
-                    () = self.sessions.serve(frames, Outbox::start(write), ready, greet, changed) => {}
+                    () = self.sessions.serve(frames, Outbox::start(write), greet, proved, changed) => {}
                     () = kept => tracing::warn!("session ended: this node does not reach a majority"),
                 }
             }
@@ -261,11 +267,6 @@
 
     fn greeting(&self) -> (Vec<Down>, Vec<News>) {
         let mut news = vec![News::Purges(self.purges.borrow().missed(self.now()))];
-        let chain = self.chain.borrow();
-        let record = chain.committed();
-        if record.rev > 0 {
-            news.push(config_news(record));
-        }
         news.push(News::Fleet(self.fleet.borrow().whole()));
         news.push(News::InTouch(self.vouches.get()));
         (vec![Down::Controls(self.peers.all())], news)
@@ -373,20 +374,25 @@
         self.newest_known.subscribe().wait_for(|known| *known >= turn).await.is_ok()
     }
 
-    /// Quorum reads for whoever waits in [`Control::knows_newest`]: one at a time, for all who asked before it began.
+    /// Quorum reads for whoever waits in [`Control::knows_newest`]: one for all who asked before it began, and another
+    /// where it does not come back soon.
     async fn follow_newest(self: Rc<Self>) {
+        let mut known = self.newest_known.subscribe();
         loop {
             self.newest_wanted.notified().await;
             let turn = self.asked_newest.get();
-            loop {
-                let than = self.chain.borrow().committed().seq;
-                match self.call(Call::ReadNewer { than }).await {
-                    Outcome::Document(_) | Outcome::Unchanged => break,
-                    // No view stands, or too many calls wait.
-                    _ => sleep(TICK).await,
-                }
+            while *known.borrow() < turn {
+                spawn_local(Rc::clone(&self).read_newest(turn));
+                // Silent while no view stands, and where the read came to a head that did not know yet that its view does.
+                let _ = timeout(READ_AGAIN, known.wait_for(|known| *known >= turn)).await;
             }
-            self.newest_known.send_replace(turn);
+        }
+    }
+
+    async fn read_newest(self: Rc<Self>, turn: u64) {
+        let than = self.chain.borrow().committed().seq;
+        if let Outcome::Document(_) | Outcome::Unchanged = self.call(Call::ReadNewer { than }).await {
+            self.newest_known.send_if_modified(|known| std::mem::replace(known, turn.max(*known)) < turn);
         }
     }
 
--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -23,6 +23,8 @@
     _stands: oneshot::Sender<Infallible>,
     node: String,
     member: Option<Member>,
+    /// What it is told of configurations is the newest.
+    proved: bool,
     sent: u64,
     applied: u64,
     report: Vec<(String, u64)>,
@@ -45,36 +47,18 @@
 }
 
 impl Sessions {
-    /// Serves one session until it is lost. `greet` is what the other side has to know first, once `ready` tells that
-    /// it may be told; `changed` is called whenever members come, change or go.
+    /// Serves one session until it is lost. `greet` is what the other side has to know first. It is told of
+    /// configurations once `proved` has ended, beginning with what that gives; where it gives nothing, the session ends.
+    /// `changed` is called whenever members come, change or go.
     pub async fn serve(
         &self,
         mut frames: Frames,
         outbox: Outbox<Down>,
-        ready: impl Future<Output = bool>,
         greet: impl FnOnce() -> (Vec<Down>, Vec<News>),
+        proved: impl Future<Output = Option<Vec<News>>>,
         changed: impl Fn(),
     ) {
-        let Ok(Up::Hello { mut node, mut member }) = frames.next_in_time().await else { return };
-        let mut ping = interval(PING);
-        ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut ready = pin!(ready);
-        loop {
-            tokio::select! {
-                ready = &mut ready => if ready { break } else { return },
-                up = frames.next_in_time() => match up {
-                    Ok(Up::Hello { node: now, member: its }) => (node, member) = (now, its),
-                    Ok(_) => {}
-                    Err(_) => return,
-                },
-                _ = ping.tick() => {
-                    if !outbox.send(Down::Ping) {
-                        return;
-                    }
-                }
-                () = outbox.closed() => return,
-            }
-        }
+        let Ok(Up::Hello { node, member }) = frames.next_in_time().await else { return };
         if self.all.borrow().len() >= MOST {
             tracing::warn!(%node, "session turned away: too many");
             return;
@@ -87,6 +71,7 @@
             _stands: stands,
             node,
             member,
+            proved: false,
             sent: 0,
             applied: 0,
             report: Vec::new(),
@@ -100,8 +85,23 @@
         self.all.borrow_mut().insert(id, session);
         let _guard = Guard { sessions: self, id, changed: &changed };
         changed();
+        let mut ping = interval(PING);
+        ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut proved = pin!(proved);
+        let mut waits = true;
         loop {
             tokio::select! {
+                news = &mut proved, if waits => {
+                    waits = false;
+                    let Some(news) = news else { return };
+                    if let Some(session) = self.all.borrow_mut().get_mut(&id) {
+                        session.proved = true;
+                        for news in news {
+                            // A session that can't be written to ends by itself.
+                            let _ = session.push(news);
+                        }
+                    }
+                }
                 up = frames.next_in_time() => {
                     let Ok(up) = up else { return };
                     self.hear(id, up, &changed);
@@ -140,7 +140,9 @@
     pub fn push(&self, news: &News) {
         // A session that can't be written to ends by itself.
         for session in self.all.borrow_mut().values_mut() {
-            session.push(news.clone());
+            if session.proved || !matches!(news, News::Config { .. }) {
+                session.push(news.clone());
+            }
         }
     }
 
