--- a/plane/tests/contact.rs
+++ b/plane/tests/contact.rs
@@ -75,7 +75,7 @@
     fn new(seed: u64) -> Self {
         let voters = if seed.is_multiple_of(3) { 5 } else { 3 };
         let seeds: Vec<NodeId> = (0..voters).map(node).collect();
-        let terms = Terms { losses: voters / 2, eligible: true };
+        let terms = Terms { losses: voters / 2, eligible: true, ..Terms::default() };
         let chain = |n| match n {
             n if n < voters => Chain::new(node(n), terms, Start::Fresh(seeds.clone())),
             // One that stands by.
@@ -331,7 +331,7 @@
                 }
                 self.asked.retain(|(at, _), _| *at != hit);
                 let start = self.machines[hit].disk.clone().map_or(Start::Wiped, Start::Kept);
-                let terms = Terms { losses: (self.nodes() - 1) / 2, eligible: true };
+                let terms = Terms { losses: (self.nodes() - 1) / 2, eligible: true, ..Terms::default() };
                 self.machines[hit].chain = Some(Chain::new(node(hit), terms, start));
             }
         }
--- a/plane/tests/orders.rs
+++ b/plane/tests/orders.rs
@@ -306,7 +306,7 @@
     }
 
     fn start(&mut self, n: usize, start: Start) {
-        let terms = Terms { losses: 1, eligible: true };
+        let terms = Terms { losses: 1, eligible: true, ..Terms::default() };
         self.chains[n] = Some(Chain::new(node(n), terms, start));
         for other in self.running().into_iter().filter(|other| *other != n) {
             self.links.insert((n, other), VecDeque::new());
--- a/plane/tests/rejoin.rs
+++ b/plane/tests/rejoin.rs
@@ -82,7 +82,7 @@
     let old = Members::of(vec![node(1), node(2), node(3)]);
     let kept =
         Durable { members: old.clone(), votes: true, promised: 1, accepted: 1, record: Default::default() };
-    let terms = Terms { losses: 1, eligible: true };
+    let terms = Terms { losses: 1, eligible: true, ..Terms::default() };
     let mut back = Chain::new(node(1), terms, Start::Kept(kept));
     back.peer_up(0, node(2));
     let mut says = |members: Members| {
