--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -1087,6 +1087,10 @@
             }
             Message::Nack { promised } => {
                 self.highest = self.highest.max(promised);
+                let fenced = |i: &Installed| i.view.number < promised && i.view.chain.contains(&from);
+                if self.installed.as_ref().is_some_and(fenced) {
+                    self.break_view();
+                }
                 if self.proposal.as_ref().is_some_and(|p| p.number < promised) {
                     self.proposal = None;
                 }
@@ -1351,6 +1355,12 @@
     /// Passes a claim on, or answers at the tail. It overtakes no change: one that was acknowledged before the call
     /// began was committed at the tail, and one that has entered since is no part of what the head found.
     fn confirm(&mut self, number: u64, origin: NodeId, call: u64, claim: Claim) {
+        let views = self.installed.iter().map(|i| &i.view).chain(&self.known);
+        let head = views.filter(|view| view.number == number).find_map(View::head);
+        if let Some(head) = head.filter(|_| self.durable.promised > number) {
+            // Where the newer view came to nothing, the head would wait for ever.
+            return self.send(head, Message::Nack { promised: self.durable.promised });
+        }
         self.shown_to_stand(number);
         let Some(view) = self.member_of(number) else { return };
         let outcome = match (view.after(self.me), claim) {
