--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -3,10 +3,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 
 use glenfall_plane::messages::{Down, Member, News, Up};
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
 use crate::link::{Frames, Outbox, PING};
@@ -16,8 +19,12 @@
 
 struct Session {
     outbox: Outbox<Down>,
+    /// Ends the session where it is taken off the list.
+    _stands: oneshot::Sender<Infallible>,
     node: String,
     member: Option<Member>,
+    /// What it is told of configurations is the newest.
+    proved: bool,
     sent: u64,
     applied: u64,
     report: Vec<(String, u64)>,
@@ -40,13 +47,15 @@
 }
 
 impl Sessions {
-    /// Serves one session until it is lost. `greet` is what the other side has to know first; `changed` is
-    /// called whenever members come, change or go.
+    /// Serves one session until it is lost. `greet` is what the other side has to know first. It is told of
+    /// configurations once `proved` has ended, beginning with what that gives; where it gives nothing, the session ends.
+    /// `changed` is called whenever members come, change or go.
     pub async fn serve(
         &self,
         mut frames: Frames,
         outbox: Outbox<Down>,
         greet: impl FnOnce() -> (Vec<Down>, Vec<News>),
+        proved: impl Future<Output = Option<Vec<News>>>,
         changed: impl Fn(),
     ) {
         let Ok(Up::Hello { node, member }) = frames.next_in_time().await else { return };
@@ -56,8 +65,17 @@
         }
         let id = self.next.replace(self.next.get() + 1);
         let (first, news) = greet();
-        let mut session =
-            Session { outbox: outbox.clone(), node, member, sent: 0, applied: 0, report: Vec::new() };
+        let (stands, mut ended) = oneshot::channel();
+        let mut session = Session {
+            outbox: outbox.clone(),
+            _stands: stands,
+            node,
+            member,
+            proved: false,
+            sent: 0,
+            applied: 0,
+            report: Vec::new(),
+        };
         let greeted =
             first.into_iter().all(|down| outbox.send(down)) && news.into_iter().all(|n| session.push(n));
         if !greeted {
@@ -69,8 +87,21 @@
         changed();
         let mut ping = interval(PING);
         ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut proved = pin!(proved);
+        let mut waits = true;
         loop {
             tokio::select! {
+                news = &mut proved, if waits => {
+                    waits = false;
+                    let Some(news) = news else { return };
+                    if let Some(session) = self.all.borrow_mut().get_mut(&id) {
+                        session.proved = true;
+                        for news in news {
+                            // A session that can't be written to ends by itself.
+                            let _ = session.push(news);
+                        }
+                    }
+                }
                 up = frames.next_in_time() => {
                     let Ok(up) = up else { return };
                     self.hear(id, up, &changed);
@@ -81,6 +112,8 @@
                     }
                 }
                 () = outbox.closed() => return,
+                // Off the list it would be told nothing more, and still take itself for in touch.
+                _ = &mut ended => return,
             }
         }
     }
@@ -107,7 +140,9 @@
     pub fn push(&self, news: &News) {
         // A session that can't be written to ends by itself.
         for session in self.all.borrow_mut().values_mut() {
-            session.push(news.clone());
+            if session.proved || !matches!(news, News::Config { .. }) {
+                session.push(news.clone());
+            }
         }
     }
 
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -179,6 +179,7 @@
         }
     }
 
+    /// Ends a process at once.
     pub fn kill(&mut self, n: u8, role: &str) {
         let child = self.child(n, role);
         child.kill().unwrap();
@@ -230,6 +231,11 @@
         SocketAddrV4::new(machine(n), self.base + 3)
     }
 
+    /// Where sessions open at a core machine: agents, and the shield beside.
+    pub fn session_addrs(&self, n: u8) -> [SocketAddrV4; 2] {
+        [0, 2].map(|offset| SocketAddrV4::new(machine(n), self.base + offset))
+    }
+
     pub fn control(&self, n: u8) -> String {
         self.control_addr(n).to_string()
     }
--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -181,6 +181,8 @@
     Change { builds_on: u64, change: Change },
     /// The newest committed document.
     Read,
+    /// The same, where its change has a higher number than this one.
+    ReadNewer { than: u64 },
 }
 
 /// What an operator asks of the voters.
@@ -232,6 +234,8 @@
         up_to: u64,
     },
     Document(Arc<Record>),
+    /// Nothing newer than what the caller knows is committed.
+    Unchanged,
     /// No clear answer: try again elsewhere.
     Unavailable,
 }
@@ -290,6 +294,15 @@
     pub committed: u64,
 }
 
+/// What is said of the newest version, and so has to be proved first: see [`Message::Confirm`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Claim {
+    /// The tail answers with what is committed, if its change has a higher number than the one named.
+    Committed { than: Option<u64> },
+    /// What the head found of a change that it doesn't begin with.
+    Found(Outcome),
+}
+
 /// What core nodes say to each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -336,10 +349,14 @@
         call: CallId,
         what: Call,
     },
-    ReadDown {
+    /// Quorum contact for an answer (Raft's ReadIndex): it goes down the chain after the call has begun, each member
+    /// passes it on where no promise has fenced the view, and the tail answers. The chain holds a majority, and so does
+    /// whoever promised a newer view: they meet in a member that had not promised yet when it passed this on.
+    Confirm {
         view: u64,
         origin: NodeId,
         call: CallId,
+        claim: Claim,
     },
     Answer {
         call: CallId,
@@ -384,7 +401,16 @@
             Message::Update { view, entry } => number(view) && number(&entry.seq),
             Message::Acked { view, seq } => number(view) && number(seq),
             Message::Committed { record: r } => record(r),
-            Message::ReadDown { view, .. } => number(view),
+            Message::Confirm { view, claim, .. } => {
+                let found = matches!(
+                    claim,
+                    Claim::Committed { .. }
+                        | Claim::Found(Outcome::Done { .. } | Outcome::Conflict { .. } | Outcome::Invalid(_))
+                        | Claim::Found(Outcome::Forgotten { .. })
+                );
+                number(view) && found
+            }
+            Message::Answer { outcome: Outcome::Document(r), .. } => record(r),
             Message::Forward { .. } | Message::Answer { .. } => true,
         }
     }
@@ -571,6 +597,26 @@
         self.members().majority(|node| *node == self.me || self.hears(*node))
     }
 
+    /// The same by now: timers may be behind where the process was frozen.
+    pub fn reaches_majority(&mut self, now: Millis) -> bool {
+        self.now = now;
+        self.in_majority()
+    }
+
+    /// Whether this node and those that have answered it hold a majority, also by what each of them knows of the voters:
+    /// this node may have been replaced meanwhile.
+    pub fn is_quorum(&self, answered: &[NodeId]) -> bool {
+        let holds = |members: &Members| members.majority(|node| *node == self.me || answered.contains(node));
+        let told = answered.iter().filter_map(|node| self.peers.get(node)).map(|peer| &peer.beat.members);
+        holds(self.members()) && told.filter(|members| !members.voters.is_empty()).all(holds)
+    }
+
+    /// Whom a peer hears, by what it said last. All of them are up at it, and it says so before anything that it says
+    /// after it has lost one.
+    pub fn heard_by(&self, peer: NodeId) -> &[NodeId] {
+        self.peers.get(&peer).map_or(&[], |peer| &peer.beat.hears)
+    }
+
     // ---- Inputs ----
 
     pub fn tick(&mut self, now: Millis) -> Vec<Output> {
@@ -625,6 +671,8 @@
                 self.proposal = None;
             }
         }
+        // The others reach it in this node's place from now on.
+        self.send_beats();
         self.consider();
         self.finish()
     }
@@ -1056,6 +1104,10 @@
             }
             Message::Nack { promised } => {
                 self.highest = self.highest.max(promised);
+                let fenced = |i: &Installed| i.view.number < promised && i.view.chain.contains(&from);
+                if self.installed.as_ref().is_some_and(fenced) {
+                    self.break_view();
+                }
                 if self.proposal.as_ref().is_some_and(|p| p.number < promised) {
                     self.proposal = None;
                 }
@@ -1072,7 +1124,7 @@
             }
             Message::Committed { record } => self.publish(record),
             Message::Forward { call, what } => self.head_takes(from, call, what),
-            Message::ReadDown { view, origin, call } => self.read_down(view, origin, call),
+            Message::Confirm { view, origin, call, claim } => self.confirm(view, origin, call, claim),
             Message::Answer { call, outcome } => {
                 // A head that could not tell leaves the call to the next view, or to its end.
                 if outcome == Outcome::Unavailable {
@@ -1080,6 +1132,13 @@
                 }
                 // The last process here may have asked under the same number.
                 if call.life == self.life && self.waiting.remove(&call.number).is_some() {
+                    match &outcome {
+                        // A node that the word of it has not reached yet knows it from now on.
+                        Outcome::Document(record) if record.seq > self.committed.seq => {
+                            self.publish(Arc::clone(record));
+                        }
+                        _ => {}
+                    }
                     self.out.push(Output::Answer(call.number, outcome));
                 }
             }
@@ -1298,7 +1357,10 @@
     fn head_takes(&mut self, origin: NodeId, call: CallId, what: Call) {
         let Some(number) = self.is_head() else { return };
         match what {
-            Call::Read => self.read_down(number, origin, call),
+            Call::Read => self.confirm(number, origin, call, Claim::Committed { than: None }),
+            Call::ReadNewer { than } => {
+                self.confirm(number, origin, call, Claim::Committed { than: Some(than) });
+            }
             Call::Change { builds_on, change } => {
                 if self.queue.len() < MOST_CALLS {
                     self.queue.push_back((origin, call, builds_on, change));
@@ -1308,21 +1370,38 @@
         }
     }
 
-    fn read_down(&mut self, number: u64, origin: NodeId, call: CallId) {
+    /// Passes a claim on, or answers at the tail. It overtakes no change: one that was acknowledged before the call
+    /// began was committed at the tail, and one that has entered since is no part of what the head found.
+    fn confirm(&mut self, number: u64, origin: NodeId, call: CallId, claim: Claim) {
+        let views = self.installed.iter().map(|i| &i.view).chain(&self.known);
+        let head = views.filter(|view| view.number == number).find_map(View::head);
+        if let Some(head) = head.filter(|_| self.durable.promised > number) {
+            // Where the newer view came to nothing, the head would wait for ever.
+            return self.send(head, Message::Nack { promised: self.durable.promised });
+        }
         self.shown_to_stand(number);
         let Some(view) = self.member_of(number) else { return };
-        match view.after(self.me) {
-            Some(next) => self.send(next, Message::ReadDown { view: number, origin, call }),
-            None => {
-                let outcome = Outcome::Document(Arc::clone(&self.committed));
-                self.send(origin, Message::Answer { call, outcome });
+        let outcome = match (view.after(self.me), claim) {
+            (Some(next), claim) => {
+                return self.send(next, Message::Confirm { view: number, origin, call, claim });
             }
-        }
+            (None, Claim::Found(outcome)) => outcome,
+            (None, Claim::Committed { than: Some(seq) }) if self.committed.seq <= seq => Outcome::Unchanged,
+            // Whoever asks only hands the document on.
+            (None, Claim::Committed { than: Some(_) }) => {
+                Outcome::Document(Arc::new(self.committed.without_table()))
+            }
+            (None, Claim::Committed { than: None }) => Outcome::Document(Arc::clone(&self.committed)),
+        };
+        self.send(origin, Message::Answer { call, outcome });
     }
 
     /// The head begins with the next change, one at a time: what it builds on is then committed.
     fn take_next(&mut self) {
-        while self.is_head().is_some() && self.pending.is_none() && self.outlives_losses() {
+        while let Some(number) = self.is_head() {
+            if self.pending.is_some() || !self.outlives_losses() {
+                break;
+            }
             let Some((origin, call, builds_on, change)) = self.queue.pop_front() else { return };
             let current = Arc::clone(&self.durable.record);
             let outcome = match current.decide(builds_on, &change) {
@@ -1337,7 +1416,8 @@
                 Decision::Stale { current } => Outcome::Conflict { current },
                 Decision::Invalid(invalid) => Outcome::Invalid(invalid),
             };
-            self.send(origin, Message::Answer { call, outcome });
+            // A refusal tells of the newest version as well, and a newer view may have gone on from here.
+            self.confirm(number, origin, call, Claim::Found(outcome));
         }
         if self.is_head().is_none() {
             // Whoever sent them sends them to the next head.
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -126,15 +126,18 @@
     Sessions(fleet::Members),
     /// What servers have told; `age_ms` since the sender heard of each.
     Servers(Vec<(Entry, u64)>),
-    /// The same, and the sender waits for the word that it is pushed on.
+    /// The same, and the sender waits for the word that it is pushed on; with `pass_on` also to those that the receiver
+    /// reaches and the sender does not.
     Urgent {
         id: CallId,
         entry: Entry,
+        pass_on: bool,
     },
     /// Purges, each with its number at its origin. The sender waits where there is an id.
     Purges {
         id: Option<CallId>,
         purges: Vec<Stamped>,
+        pass_on: bool,
     },
     /// What `Urgent` or `Purges` asked for is done at the sender and its sessions.
     Done {
--- a/plane/tests/calls.rs
+++ b/plane/tests/calls.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use glenfall_plane::chain::{
-    Call, Chain, Durable, Members, Message, Outcome, Output, Record, Start, Terms, View,
+    Call, Chain, Claim, Durable, Members, Message, Outcome, Output, Record, Start, Terms, View,
 };
 use glenfall_plane::messages::CallId;
 
@@ -71,12 +71,13 @@
     let call = CallId { life: 5, number: 9 };
     let named = |outputs: Vec<Output>| {
         outputs.into_iter().find_map(|output| match output {
-            Output::Send(_, Message::ReadDown { call, .. } | Message::Answer { call, .. }) => Some(call),
+            Output::Send(_, Message::Confirm { call, .. } | Message::Answer { call, .. }) => Some(call),
             _ => None,
         })
     };
     let head = member(1, 1).message(20, node(2), Message::Forward { call, what: Call::Read });
-    let down = Message::ReadDown { view: 1 << 32, origin: node(1), call };
+    let down =
+        Message::Confirm { view: 1 << 32, origin: node(1), call, claim: Claim::Committed { than: None } };
     let tail = member(2, 1).message(20, node(1), down);
     assert_eq!((named(head), named(tail)), (Some(call), Some(call)));
 }
