--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -75,6 +75,8 @@
     FreshAfterWipe,
 }
 
+/// A machine counts as lost for so long after it is back.
+const SYNC: Millis = 4000;
 /// How long a lying disk keeps what it said it had written.
 const LIES: Millis = 500;
 
@@ -137,6 +139,8 @@
     kept_back: VecDeque<(Millis, Durable)>,
     /// Its disk was lost once: without state it is no node that starts for the first time.
     pub wiped: bool,
+    /// When that was last.
+    wiped_at: Option<Millis>,
     /// Gone for good: it is not switched on again, until an empty machine takes its place.
     pub gone: bool,
     /// Nothing is done before then.
@@ -235,6 +239,7 @@
             waiting: None,
             kept_back: VecDeque::new(),
             wiped: n > size.voters(),
+            wiped_at: None,
             gone: false,
             frozen_until: 0,
             frozen_since: 0,
@@ -565,6 +570,7 @@
 
     /// Power goes: what is not on disk is lost. The disk may go with it. Others hear nothing of it.
     pub fn power_off(&mut self, n: u8, wipe: bool) {
+        let now = self.now;
         for other in self.others(n) {
             let told = self.silence(n, other);
             match n < other {
@@ -576,7 +582,7 @@
         let machine = self.machine(n);
         machine.kept_back.clear();
         if wipe {
-            (machine.disk, machine.wiped) = (None, true);
+            (machine.disk, machine.wiped, machine.wiped_at) = (None, true, Some(now));
         }
     }
 
@@ -691,16 +697,34 @@
     }
 
     /// Machines whose disks may be lost now: as many as the voters outlive, less those that are without a vote
-    /// already, as no view that stands has taken them in since. Voters are those of the newest view that stood, and of
-    /// the newest that is on any disk. At first they are the seeds alone.
+    /// already, as no view that stands has taken them in since, and those that stood by and lost theirs lately. Voters are those of the newest view that stood, and of
+    /// the newest that is on any disk or on its way to one. At first they are the seeds alone.
     pub fn disks_to_lose(&self) -> usize {
-        let newest = self.machines.iter().filter_map(|m| m.disk.as_ref()).max_by_key(|disk| disk.accepted);
-        let members = [Some(&self.stood.1), newest.map(|disk| &disk.members)].into_iter().flatten();
+        let mut newest = (0, None);
+        let mut see = |number: u64, members| {
+            if number >= newest.0 {
+                newest = (number, Some(members));
+            }
+        };
+        for machine in &self.machines {
+            let writing = machine.writing.as_ref().map(|(_, _, state)| state);
+            let waiting = machine.waiting.as_ref().map(|(_, state)| state);
+            for state in [machine.disk.as_ref(), writing, waiting].into_iter().flatten() {
+                see(state.accepted, state.members.clone());
+            }
+        }
+        for (_, _, message) in self.ways.iter().flat_map(|way| &way.messages) {
+            if let Message::Install { view, .. } = message {
+                see(view.number, view.members.clone());
+            }
+        }
+        let members = [Some(&self.stood.1), newest.1.as_ref()].into_iter().flatten();
         let sets = members.flat_map(|m| [&m.voters, &m.before]).filter(|set| !set.is_empty());
         let left = sets.map(|set| {
             let lost = self.machines.iter().zip(1..).filter(|(m, n)| {
                 let without = m.gone || m.disk.as_ref().is_none_or(|disk| !disk.votes);
-                set.contains(&node(*n)) && without
+                let lately = m.wiped_at.is_some_and(|at| self.now < at + SYNC);
+                (set.contains(&node(*n)) && without) || (!set.contains(&node(*n)) && lately)
             });
             ((set.len() - 1) / 2).min(usize::from(self.size.losses)).saturating_sub(lost.count())
         });
