One that was let go of, and believes in an old view, keeps nobody from mending the chain

A node whose view was broken waited for any peer that gave a view without it as standing, also one older than the newest known. Only a view as new as the newest known is waited for. The test fails without that.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -908,11 +908,12 @@
             self.break_view();
             return self.consider();
         }
-        // Who is not in a chain that stands waits to be taken in by those who are.
+        // Who is not in a chain that stands waits to be taken in by those who are. One that was let go of may still take
+        // an old view for standing.
+        let known = self.known.as_ref().map_or(0, |view| view.number);
+        let without = |view: &View| view.number >= known && !view.chain.contains(&self.me);
         let others_stand = member.is_none()
-            && self.peers.iter().any(|(id, p)| {
-                self.hears(*id) && p.beat.view.as_ref().is_some_and(|view| !view.chain.contains(&self.me))
-            });
+            && self.peers.iter().any(|(id, p)| self.hears(*id) && p.beat.view.as_ref().is_some_and(without));
         let needed = changing || member.is_none_or(|chain| *chain != target);
         // Who is not in the chain that stands proposes nothing, nor does anybody else what only this node was asked for.
         let proposes = |node: &NodeId| {
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -384,3 +384,36 @@
         "a majority was counted with a promise that may be forgotten"
     );
 }
+
+#[test]
+fn one_that_was_let_go_of_and_takes_an_old_view_for_standing_keeps_nobody_from_mending_the_chain() {
+    let members = Members::of(seeds());
+    let disk = Durable { members: members.clone(), votes: true, promised: 1, accepted: 1, record: record(6) };
+    let mut chain = Chain::new(node(1), SMALL.terms(), Start::Kept(disk));
+    let view = View { number: 5 << 32, chain: seeds(), members: members.clone() };
+    // 4 had the place of 1 in an older view, and has heard of nothing since.
+    let old = View { number: 3 << 32, chain: [2, 3, 4].map(node).to_vec(), ..view.clone() };
+    let beats = |chain: &mut Chain, now| {
+        for (peer, view) in [(2, &view), (3, &view), (4, &old)] {
+            let hears = (1..=4).filter(|n| *n != peer).map(node).collect();
+            let beat = Beat { members: members.clone(), view: Some(view.clone()), hears, ..Beat::default() };
+            said(chain, now, peer, Message::Beat(beat));
+        }
+    };
+    for peer in 2..=4 {
+        chain.peer_up(0, node(peer));
+    }
+    said(&mut chain, 10, 2, Message::Install { view: view.clone(), record: record(6) });
+    said(&mut chain, 20, 2, Message::Stands { view: view.clone() });
+    beats(&mut chain, 30);
+    // A link is lost for a moment: the others may not have noticed, or see all whole again.
+    chain.peer_down(50, node(2));
+    chain.peer_up(60, node(2));
+    let mut proposes = false;
+    for now in (60..2000).step_by(20) {
+        beats(&mut chain, now);
+        let outputs = chain.tick(now);
+        proposes |= outputs.iter().any(|o| matches!(o, Output::Send(_, Message::Prepare { .. })));
+    }
+    assert!(proposes, "its view is broken for good");
+}
