Simulation: what a cut held up comes when troubles end

A one-way cut that ended with the troubles still kept what waited on the link to its first end, 5 s later at most (). Troubles that end, end.

--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -754,6 +754,8 @@
         }
         for way in &mut self.ways {
             way.mute.end = way.mute.end.min(now);
+            // What was held up comes now, in order.
+            way.messages.iter_mut().for_each(|(at, ..)| *at = (*at).min(now + 200));
         }
         for n in self.nodes() {
             self.machine(n).gone = false;
