--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -143,6 +143,10 @@
     wiped_at: Option<Millis>,
     /// Gone for good: it is not switched on again, until an empty machine takes its place.
     pub gone: bool,
+    /// When it was removed; when it was first switched on; until when it was in any trouble.
+    removed_at: Millis,
+    first_on: Option<Millis>,
+    troubled_until: Millis,
     /// Nothing is done before then.
     pub frozen_until: Millis,
     frozen_since: Millis,
@@ -241,6 +245,9 @@
             wiped: n > size.voters(),
             wiped_at: None,
             gone: false,
+            removed_at: 0,
+            first_on: (n <= size.voters()).then_some(0),
+            troubled_until: 0,
             frozen_until: 0,
             frozen_since: 0,
             stalled_until: 0,
@@ -410,6 +417,8 @@
     /// Two machines hear nothing of each other for so long.
     pub fn cut(&mut self, a: u8, b: u8, lasts: Millis) {
         let until = self.now + lasts;
+        self.trouble(a, until);
+        self.trouble(b, until);
         self.link(a, b).cut_until = until;
         let told = [self.silence(a, b), self.silence(b, a)];
         // Where it ends before anybody has noticed, packets that were lost come again.
@@ -427,9 +436,16 @@
         }
     }
 
+    fn trouble(&mut self, n: u8, until: Millis) {
+        let machine = self.machine(n);
+        machine.troubled_until = machine.troubled_until.max(until);
+    }
+
     /// Nothing of one machine comes to another for so long; the other direction works.
     pub fn mute(&mut self, from: u8, to: u8, lasts: Millis) {
         let now = self.now;
+        self.trouble(from, now + lasts);
+        self.trouble(to, now + lasts);
         let way = self.way(from, to);
         way.mute = now..(now + lasts).max(way.mute.end);
         let (end, mut before) = (way.mute.end, 0);
@@ -442,6 +458,7 @@
     /// The process does nothing for so long.
     pub fn freeze(&mut self, n: u8, lasts: Millis) {
         let now = self.now;
+        self.trouble(n, now + lasts);
         let machine = self.machine(n);
         if machine.frozen_until <= now {
             machine.frozen_since = now;
@@ -529,6 +546,7 @@
     /// No write that is under way, or begins in this time, is done before its end.
     pub fn stall(&mut self, n: u8, lasts: Millis) {
         let until = self.now + lasts;
+        self.trouble(n, until);
         let machine = self.machine(n);
         machine.stalled_until = until;
         if let Some((at, ..)) = &mut machine.writing {
@@ -601,6 +619,8 @@
         };
         machine.chain = Some(Chain::new(node(n), terms, start));
         machine.frozen_until = 0;
+        machine.first_on.get_or_insert(now);
+        machine.troubled_until = machine.troubled_until.max(now);
         // It knows nothing of the links of its last life, and says so to who still speaks there.
         for notice in self.notices.iter_mut().filter(|notice| notice.of == n) {
             notice.at = notice.at.min(now + 2 * TOLD);
@@ -731,6 +751,27 @@
         left.min().unwrap_or(0)
     }
 
+    /// A machine goes for good, with its disk.
+    pub fn remove(&mut self, n: u8) {
+        let now = self.now;
+        self.power_off(n, true);
+        let machine = self.machine(n);
+        (machine.gone, machine.removed_at) = (true, now);
+    }
+
+    /// Machines that may be lost now as the users' pages count them, whatever the voters are: one is lost while it is in
+    /// trouble and for [`SYNC`] after that, and one that was removed until its successor has had that time.
+    pub fn machines_to_lose(&self) -> usize {
+        let is_new = |m: &&Machine, since| m.first_on.is_some_and(|on| on >= since && self.now >= on + SYNC);
+        let lost = self.machines.iter().filter(|m| match (m.gone, &m.chain) {
+            (true, _) => !self.machines.iter().any(|other| is_new(&other, m.removed_at)),
+            // One that was never there is no loss.
+            (false, None) => m.first_on.is_some(),
+            (false, Some(_)) => m.troubled_until > 0 && self.now < m.troubled_until + SYNC,
+        });
+        usize::from(self.size.losses).saturating_sub(lost.count())
+    }
+
     /// All voters are in one chain, and there are as many of them as there should be.
     pub fn in_one_view(&self) -> bool {
         let running = || self.machines.iter().filter_map(|m| m.chain.as_ref());
--- a/sim/src/schedule.rs
+++ b/sim/src/schedule.rs
@@ -9,7 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::{node, Content, Fault, Size, Violation, World, TICK};
+use crate::{node, Content, Fault, Size, Violation, World, SYNC, TICK};
 
 /// How long the mended system has to take one more change and to be in one chain, and how long it is watched at least.
 const MENDED: Millis = 8_000;
@@ -19,6 +19,8 @@
 /// How long troubles go on in a long schedule, and at most in a short one.
 const LONG: Millis = 20_000;
 const SHORT: std::ops::Range<Millis> = 4_000..9_000;
+/// Of sixteen seeds this one is a loss right after a repair, where a machine stands by.
+const REPAIR: u64 = 4;
 
 /// What happens. Machines go by their numbers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,6 +70,11 @@
     Wipe {
         nodes: Vec<u8>,
     },
+    /// The same, of as many as may be lost as the users' pages count: a machine that was removed counts no more once its
+    /// successor has had its time.
+    WipeAgain {
+        nodes: Vec<u8>,
+    },
     /// As one wipe, but the machine does not come back.
     Lose {
         node: u8,
@@ -126,6 +133,7 @@
             | Action::PowerOff { nodes }
             | Action::PowerOn { nodes }
             | Action::Wipe { nodes }
+            | Action::WipeAgain { nodes }
             | Action::Freeze { nodes, .. } => nodes.clone(),
             Action::Lose { node } | Action::Stall { node, .. } => vec![*node],
             Action::Cut { pairs: ends, .. } | Action::Mute { ways: ends, .. } => {
@@ -409,6 +417,23 @@
         self.troubles(from + lasts / 3, until, 800..3000);
     }
 
+    /// A machine is lost for good, its successor starts, and as soon as that has had its time as many disks are lost as
+    /// may be, at times while the others lose power.
+    fn repair(&mut self, from: Millis) -> Millis {
+        let (lost, successor) = (self.rng.random_range(1..=self.size.voters()), self.size.nodes());
+        self.add(from, Action::Lose { node: lost });
+        let starts = from + self.rng.random_range(0..1500);
+        self.events.retain(|event| event.action != Action::PowerOn { nodes: vec![successor] });
+        self.add(starts, Action::PowerOn { nodes: vec![successor] });
+        let second = starts + SYNC + TICK + self.rng.random_range(0..300);
+        let nodes = (0..2 * self.size.losses).map(|_| self.any()).collect();
+        self.add(second, Action::WipeAgain { nodes });
+        if self.rng.random_ratio(3, 10) {
+            self.off(second, self.all());
+        }
+        second + 1500
+    }
+
     fn finish(mut self, seed: u64, troubles: Millis, watched: Millis) -> Schedule {
         self.events.sort_by_key(|event| event.at);
         Schedule { seed, size: self.size, fault: None, troubles, watched, events: self.events }
@@ -436,12 +461,15 @@
         let (losses, spare) = sizes[(seed % sizes.len() as u64) as usize];
         let mut drawing = Drawing::new(seed, Size { losses, spare });
         let (from, until) = (drawing.rng.random_range(300..1200), drawing.rng.random_range(SHORT));
+        let repair = seed % 16 == REPAIR && spare > 0;
+        let until = if repair { drawing.repair(from + 1000) } else { until };
         let mut at = 200;
         while at < until {
             drawing.operate(at);
             at += drawing.rng.random_range(50..500);
         }
         match drawing.rng.random_range(0..8) {
+            _ if repair => {}
             0..=3 => drawing.troubles(from, until, 50..1600),
             4..=6 => drawing.aimed(from, until),
             _ => drawing.long_cut(from, until),
@@ -549,10 +577,17 @@
                     }
                 }
             }
+            Action::WipeAgain { nodes } => {
+                for n in nodes {
+                    if self.machines_to_lose() > 0 && self.chain(*n).is_some() {
+                        self.power_off(*n, true);
+                        self.power_on(*n);
+                    }
+                }
+            }
             Action::Lose { node } => {
                 if self.disks_to_lose() > 0 {
-                    self.power_off(*node, true);
-                    self.machine(*node).gone = true;
+                    self.remove(*node);
                 }
             }
             Action::Cut { pairs, lasts } => pairs.iter().for_each(|(a, b)| self.cut(*a, *b, *lasts)),
--- a/sim/src/shrink.rs
+++ b/sim/src/shrink.rs
@@ -97,6 +97,7 @@
         Action::PowerOff { nodes } => without_one(&nodes).map(|nodes| Action::PowerOff { nodes }).collect(),
         Action::PowerOn { nodes } => without_one(&nodes).map(|nodes| Action::PowerOn { nodes }).collect(),
         Action::Wipe { nodes } => without_one(&nodes).map(|nodes| Action::Wipe { nodes }).collect(),
+        Action::WipeAgain { nodes } => without_one(&nodes).map(|nodes| Action::WipeAgain { nodes }).collect(),
         Action::Cut { pairs, lasts } => {
             let fewer = without_one(&pairs).map(|pairs| Action::Cut { pairs, lasts });
             fewer.chain(shorter(lasts).map(|lasts| Action::Cut { pairs: pairs.clone(), lasts })).collect()
