A lost voter without a successor leaves where there are more voters than needed

An operator who adds the successor of a lost voter, before it takes the free seat by itself, makes four voters of three; with one of them gone, one more lost disk leaves two of four, which is no majority. Where voters are more than the losses ask for, one that would give its seat up, and has no successor, leaves.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -850,10 +850,24 @@
         wish.sort_by_key(|voter| std::cmp::Reverse(self.away(*voter)));
         let left = |voter: &NodeId| self.peers.get(voter).is_some_and(|peer| peer.left);
         let gives_up = |voter: &NodeId| left(voter) || self.away(*voter) >= self.terms.replaced_after();
-        for voter in wish.iter_mut().filter(|voter| gives_up(voter)) {
-            *voter = standing_by.next().unwrap_or(*voter);
-        }
         let wanted = (2 * self.terms.losses + 1).min(MOST_VOTERS);
+        let mut beyond = wish.len().saturating_sub(wanted);
+        wish = wish
+            .into_iter()
+            .filter_map(|voter| {
+                if !gives_up(&voter) {
+                    return Some(voter);
+                }
+                let instead = standing_by.next();
+                // Where an operator's word has made more voters than the losses ask for, one that is lost and has no
+                // successor would only count against a majority.
+                if instead.is_none() && beyond > 0 {
+                    beyond -= 1;
+                    return None;
+                }
+                instead.or(Some(voter))
+            })
+            .collect();
         let missing = wanted.saturating_sub(wish.len());
         wish.extend(standing_by.take(missing));
         wish.sort();
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -180,6 +180,26 @@
     assert!(world.done > done, "changes go through");
 }
 
+#[test]
+fn a_lost_voter_leaves_where_an_operator_has_made_more_voters_than_are_needed_and_nobody_stands_by() {
+    let mut world = World::new(6, Size { losses: 1, spare: 1 });
+    let until = |world: &mut World, end| {
+        while world.now < end {
+            step(world);
+        }
+    };
+    until(&mut world, 1500);
+    world.remove(3);
+    world.power_on(4);
+    until(&mut world, 2900);
+    // The successor is added, in place of taking the seat that is free.
+    world.ask_voters(1, Seat::Add(node(4)));
+    await_voters(&mut world, 1, &[1, 2, 3, 4]);
+    // As soon as the lost one counts no more, another disk may be lost.
+    until(&mut world, 5500);
+    await_voters(&mut world, 1, &[1, 2, 4]);
+}
+
 /// Any message, with numbers and lists that may be far out.
 fn nonsense(rng: &mut ChaCha8Rng) -> Message {
     let number = |rng: &mut ChaCha8Rng| match rng.random_range(0..5) {
