A proposer asks those who count by what a voter had accepted

A voter alone knew of the view in which both sets of a change of members count; the others proposed to the old set only, and a majority of the new one could not be had without a machine that they left out (: one voter cut off, three disks lost and the others killed at once, of seven that are to outlive three). Who counts by what a voter had accepted that promised is asked from the next proposal on, until a view stands.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -475,6 +475,8 @@
     highest: u64,
     peers: BTreeMap<NodeId, Peer>,
     proposal: Option<Proposal>,
+    /// Who counts by what a voter had accepted that promised last: it may name others than this node knows of.
+    counted: Option<Members>,
     need_since: Option<Millis>,
     /// Who else proposes, and until when it is let.
     hold: Option<(NodeId, Millis)>,
@@ -513,6 +515,7 @@
             committed: Arc::default(),
             peers: BTreeMap::new(),
             proposal: None,
+            counted: None,
             need_since: None,
             hold: None,
             last_beat: None,
@@ -910,8 +913,12 @@
             let taken_in = |i: &Installed| i.view.chain.contains(node) && self.now < i.since + LEARNER;
             self.installed.as_ref().is_some_and(taken_in)
         };
+        let counts = |node: &NodeId| self.counted.as_ref().is_some_and(|counted| counted.contains(*node));
         target.retain(|node| {
-            members.contains(*node) || learns(node) || wish.as_ref().is_some_and(|wish| wish.contains(node))
+            members.contains(*node)
+                || counts(node)
+                || learns(node)
+                || wish.as_ref().is_some_and(|wish| wish.contains(node))
         });
         let votes = |node: &NodeId| target.contains(node) && !self.wiped_node(*node);
         let able = members.majority(votes) && self.durable.votes;
@@ -1002,7 +1009,8 @@
         }
         let newest = p.promises.values().flatten().max_by_key(|a| (a.number, a.record.seq));
         let Some(Accepted { number, members: counted, record }) = newest else { return };
-        // Who counts is what the newest of them had accepted, whatever the proposer knew.
+        // Who counts is what the newest of them had accepted, whatever the proposer knew, and who has to be asked next.
+        self.counted = Some(counted.clone());
         if !counted.majority(|node| p.promises.get(node).is_some_and(Option::is_some)) {
             return;
         }
@@ -1168,6 +1176,7 @@
 
     fn stands(&mut self, view: View) {
         self.hold = None;
+        self.counted = None;
         for node in &view.chain {
             if let Some(peer) = self.peers.get_mut(node) {
                 (peer.shunned_for, peer.shunned_until) = (0, 0);
