A trial in the lab: hollow nodes share themselves out over all control nodes

Three seeds hold all sessions (1 to 899 a node at 2,200 nodes and 15 control nodes), as an agent stays where it first got through.

--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -77,6 +77,9 @@
     /// Nodes that start again a second, while there are any
     #[arg(long, default_value_t = 2.0, value_parser = rate)]
     restarts: f64,
+    /// Nodes share themselves out over all control nodes: a trial of what agents don't do yet
+    #[arg(long)]
+    spread: bool,
 }
 
 fn rate(text: &str) -> Result<f64, String> {
@@ -242,7 +245,8 @@
 
     let before = run.sample();
     let (link_before, began) = (run.link_bytes().await, Instant::now());
-    let threads = Threads::start(&nodes::Control { seeds, port, zones: 3 }, &run.seen, nodes);
+    let threads =
+        Threads::start(&nodes::Control { seeds, port, zones: 3, spread: plan.spread }, &run.seen, nodes);
     let started = async {
         let in_touch = load::until(UP, || run.in_touch()).await;
         load::until(UP, || run.know_all()).await;
@@ -257,6 +261,10 @@
     };
     let told = started.await;
     phases.push(run.phase("start", &before, link_before, told).await);
+    if plan.spread {
+        sleep(nodes::MOVES * 2).await;
+        load::until(UP, || run.know_all()).await;
+    }
     let (sessions_most, sessions_least) = run.spread().await;
 
     let idle = async {
--- a/lab/src/hollow/nodes.rs
+++ b/lab/src/hollow/nodes.rs
@@ -1,7 +1,7 @@
 //! Hollow nodes: what an agent and its edge are to control, and nothing else. Each has a real session, takes what it is
 //! pushed, says what it has applied, and turns to another control node when its own is lost. Many to a thread.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
@@ -11,7 +11,7 @@
 
 use glenfall::link::{self, Outbox};
 use glenfall::sessions;
-use glenfall_plane::fleet::Numbered;
+use glenfall_plane::fleet::{edge_mark, Numbered};
 use glenfall_plane::messages::{Aged, Down, Member, News, Open, Proxy, Purge, Up};
 use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, LocalSet};
@@ -23,6 +23,8 @@
 const REPORT: Duration = Duration::from_secs(5);
 /// Counters of an edge and its agent, about so many.
 const COUNTERS: usize = 40;
+/// Nodes that share themselves out move within this time.
+pub const MOVES: Duration = Duration::from_secs(5);
 /// A node that is started again is away for so long.
 const AWAY: Duration = Duration::from_millis(300);
 /// What labels of purges begin with; a number follows.
@@ -95,6 +97,8 @@
     pub seeds: Vec<Ipv4Addr>,
     pub port: u16,
     pub zones: u8,
+    /// Nodes share themselves out over all control nodes that they have heard of: a trial of what agents don't do yet.
+    pub spread: bool,
 }
 
 /// Nodes of one thread: those whose numbers are `first`, `first + step` and so on below `all`. Ends when `restarts` does;
@@ -144,6 +148,7 @@
     taken: RefCell<HashSet<usize>>,
     changed: Notify,
     restart: Notify,
+    moved: Cell<bool>,
 }
 
 impl Node {
@@ -157,6 +162,7 @@
             taken: RefCell::default(),
             changed: Notify::new(),
             restart: Notify::new(),
+            moved: Cell::new(false),
         }
     }
 
@@ -167,6 +173,7 @@
                 () = self.restart.notified() => {
                     self.count_lost();
                     self.known.take();
+                    self.moved.set(false);
                     sleep(AWAY).await;
                 }
             }
@@ -176,7 +183,10 @@
     /// Calls control nodes in the order in which an agent does.
     async fn follow_control(&self) {
         let mut pause = PAUSE;
-        let mut turn = self.name.bytes().map(usize::from).sum::<usize>();
+        let mut turn = match self.control.spread {
+            true => 0,
+            false => self.name.bytes().map(usize::from).sum::<usize>(),
+        };
         loop {
             let controls = self.controls();
             let mut met = false;
@@ -196,12 +206,13 @@
                 let take = async |down| self.take(down);
                 let frames = link::Frames::new(read);
                 tokio::select! {
+                    () = self.moves(addr) => {}
                     () = sessions::follow(frames, outbox.clone(), || self.hello(), &self.changed, take) => {}
                     () = reports => {}
                 }
                 self.seen.lost.fetch_add(1, Ordering::Relaxed);
                 self.count_lost();
-                turn = turn + step + 1;
+                turn = if self.control.spread { 0 } else { turn + step + 1 };
                 break;
             }
             pause = if met { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
@@ -218,9 +229,27 @@
                 addrs.push(addr);
             }
         }
+        if self.control.spread {
+            // By the highest of what names make together: each node has an order of its own.
+            addrs.sort_by_key(|addr| edge_mark(&format!("{}{}", self.name, addr.ip())));
+        }
         addrs
     }
 
+    /// Ends once this node should be elsewhere, at a moment of its own.
+    async fn moves(&self, here: SocketAddrV4) {
+        // Once: whoever would go back to a node that is gone again and again brings no session to rest.
+        if !self.control.spread || self.moved.get() {
+            return std::future::pending().await;
+        }
+        while self.known.borrow().controls.is_empty() || self.controls().first() == Some(&here) {
+            sleep(LONGEST_PAUSE).await;
+        }
+        let part = (edge_mark(&self.name) >> 11) as f64 / (1u64 << 53) as f64;
+        sleep(MOVES.mul_f64(part)).await;
+        self.moved.set(true);
+    }
+
     fn hello(&self) -> Up {
         let known = self.known.borrow();
         let member = Member {
