A slow session takes nobody along, and a push is never left out of a session that stands

And a push that found a session's queue full was left out: the session stood, and with the next push seemed to have applied both, so that a purge could be acknowledged without it. Now only sessions end that have not applied what was waited for, and one whose queue is full ends with the push. A wait looks at each session once, not at each word of any other. Both old variants fail the new tests (only_who_has_not_applied..., whoever_would_miss...).

--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -44,6 +44,8 @@
     all: RefCell<BTreeMap<u64, Session>>,
     next: Cell<u64>,
     applied: Notify,
+    /// What was waited for in vain, by session.
+    overdue: RefCell<BTreeMap<u64, u64>>,
 }
 
 impl Sessions {
@@ -96,9 +98,8 @@
                     let Some(news) = news else { return };
                     if let Some(session) = self.all.borrow_mut().get_mut(&id) {
                         session.proved = true;
-                        for news in news {
-                            // A session that can't be written to ends by itself.
-                            let _ = session.push(news);
+                        if !news.into_iter().all(|news| session.push(news)) {
+                            return;
                         }
                     }
                 }
@@ -138,12 +139,10 @@
 
     /// Pushes a change to all.
     pub fn push(&self, news: &News) {
-        // A session that can't be written to ends by itself.
-        for session in self.all.borrow_mut().values_mut() {
-            if session.proved || !matches!(news, News::Config { .. }) {
-                session.push(news.clone());
-            }
-        }
+        // A session whose queue is full would miss this, and with the next one seem to have applied it: it ends here, and
+        // begins anew with all.
+        let told = |session: &Session| session.proved || !matches!(news, News::Config { .. });
+        self.all.borrow_mut().retain(|_, session| !told(session) || session.push(news.clone()));
     }
 
     pub fn tell(&self, down: &Down) {
@@ -155,31 +154,40 @@
     /// Waits until every session that stands has applied what it was sent so far; false where that takes
     /// longer than `most`.
     pub async fn applied(&self, most: Duration) -> bool {
-        let due: Vec<(u64, u64)> = self.all.borrow().iter().map(|(id, s)| (*id, s.sent)).collect();
-        let done = || {
-            let all = self.all.borrow();
-            due.iter().all(|(id, sent)| all.get(id).is_none_or(|s| s.applied >= *sent))
-        };
+        let mut due: Vec<(u64, u64)> = self.all.borrow().iter().map(|(id, s)| (*id, s.sent)).collect();
         let wait = async {
             loop {
                 let applied = self.applied.notified();
-                if done() {
+                // What is done stays done, so that each session is looked at once and not at each word of any other.
+                let all = self.all.borrow();
+                while due.pop_if(|(id, sent)| all.get(id).is_none_or(|s| s.applied >= *sent)).is_some() {}
+                drop(all);
+                if due.is_empty() {
                     return;
                 }
                 applied.await;
             }
         };
-        timeout(most, wait).await.is_ok()
+        let all = timeout(most, wait).await.is_ok();
+        let mut overdue = self.overdue.borrow_mut();
+        for (id, sent) in due {
+            let number = overdue.entry(id).or_default();
+            *number = sent.max(*number);
+        }
+        all
     }
 
-    /// Ends the sessions that have not applied what they were sent: what they hold can't be vouched for.
+    /// Ends the sessions that have not applied what was waited for in vain: what they hold can't be vouched for. What
+    /// they were sent meanwhile is on its way, and says nothing against them.
     pub fn drop_behind(&self) {
-        self.all.borrow_mut().retain(|_, session| {
-            if session.applied < session.sent {
-                tracing::warn!(node = %session.node, "session ended: it does not apply what it is sent");
+        let mut all = self.all.borrow_mut();
+        for (id, number) in self.overdue.take() {
+            if all.get(&id).is_some_and(|session| session.applied < number) {
+                if let Some(session) = all.remove(&id) {
+                    tracing::warn!(node = %session.node, "session ended: it does not apply what it is sent");
+                }
             }
-            session.applied >= session.sent
-        });
+        }
     }
 
     pub fn members(&self) -> Vec<Member> {
@@ -218,6 +226,7 @@
         if let Some(session) = self.sessions.all.borrow_mut().remove(&self.id) {
             tracing::info!(node = %session.node, "session ends");
         }
+        self.sessions.overdue.borrow_mut().remove(&self.id);
         self.sessions.applied.notify_waiters();
         (self.changed)();
     }
--- /dev/null
+++ b/glenfall/tests/sessions.rs
@@ -0,0 +1,120 @@
+//! Sessions over real sockets: who is behind is let go of, and nobody else.
+
+use std::future::ready;
+use std::rc::Rc;
+use std::time::Duration;
+
+use glenfall::link::{self, Frames, Outbox};
+use glenfall::sessions::Sessions;
+use glenfall_plane::messages::{Down, News, Open, Up};
+use tokio::net::TcpListener;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::{sleep, timeout};
+
+/// Conditions are waited for so long, also on a busy machine.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Something that is waited for in vain.
+const VAIN: Duration = Duration::from_millis(50);
+
+/// A follower that says hello, and takes and acknowledges nothing by itself.
+async fn follower(sessions: &Rc<Sessions>, node: &str) -> (Frames, Outbox<Up>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let std::net::SocketAddr::V4(addr) = listener.local_addr().unwrap() else { unreachable!() };
+    let serving = Rc::clone(sessions);
+    spawn_local(async move {
+        let (stream, _) = listener.accept().await.unwrap();
+        let (read, write) = stream.into_split();
+        let mut frames = Frames::new(read);
+        frames.next::<Open>().await.unwrap();
+        let greet = || (Vec::new(), Vec::new());
+        serving.serve(frames, Outbox::start(write), greet, ready(Some(Vec::new())), || {}).await;
+    });
+    let (read, write) = link::open(addr, &Open::Session).await.unwrap();
+    let outbox = Outbox::start(write);
+    let standing = sessions.seen().len();
+    assert!(outbox.send(Up::Hello { node: node.into(), member: None }));
+    until(|| sessions.seen().len() > standing).await;
+    (Frames::new(read), outbox)
+}
+
+async fn until(holds: impl Fn() -> bool) {
+    let held = async {
+        while !holds() {
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    timeout(PATIENCE, held).await.expect("it holds in time");
+}
+
+fn names(sessions: &Sessions) -> Vec<String> {
+    sessions.seen().into_iter().map(|seen| seen.node).collect()
+}
+
+fn local<T>(work: impl std::future::Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, work)
+}
+
+#[test]
+fn only_who_has_not_applied_what_was_waited_for_is_let_go_of() {
+    local(async {
+        let sessions = Rc::new(Sessions::default());
+        let (_behind, _silent) = follower(&sessions, "behind").await;
+        let (_frames, says) = follower(&sessions, "well").await;
+        sessions.push(&News::InTouch(true));
+        assert!(says.send(Up::Applied(1)));
+        until(|| sessions.seen().iter().any(|seen| seen.applied == 1)).await;
+        assert!(!sessions.applied(VAIN).await);
+        // On its way to both when the one that is behind is let go of.
+        sessions.push(&News::InTouch(true));
+        sessions.drop_behind();
+        assert_eq!(names(&sessions), ["well"]);
+        assert!(says.send(Up::Applied(2)));
+        assert!(sessions.applied(PATIENCE).await);
+        sessions.drop_behind();
+        assert_eq!(names(&sessions), ["well"]);
+    });
+}
+
+#[test]
+fn a_wait_ends_once_all_have_applied_in_whatever_order() {
+    local(async {
+        let sessions = Rc::new(Sessions::default());
+        let mut followers = Vec::new();
+        for number in 0..5 {
+            followers.push(follower(&sessions, &number.to_string()).await);
+        }
+        sessions.push(&News::InTouch(true));
+        for (at, done) in [(4, false), (1, false), (0, false), (3, false), (2, true)] {
+            assert!(followers[at].1.send(Up::Applied(1)));
+            until(|| sessions.seen()[at].applied == 1).await;
+            assert_eq!(sessions.applied(VAIN).await, done, "after {at}");
+        }
+    });
+}
+
+#[test]
+fn whoever_would_miss_a_push_is_let_go_of_and_told_nothing_after_it() {
+    local(async {
+        let sessions = Rc::new(Sessions::default());
+        let (mut frames, says) = follower(&sessions, "slow").await;
+        // More than the queue of a link holds, before any of it is written.
+        let most = 1500;
+        for _ in 0..most {
+            sessions.push(&News::InTouch(true));
+        }
+        assert!(sessions.seen().is_empty(), "it has missed a push and still stands");
+        let mut last = 0;
+        let ended = async {
+            while let Ok(down) = frames.next::<Down>().await {
+                if let Down::Push { number, .. } = down {
+                    assert_eq!(number, last + 1, "a push was left out before it");
+                    last = number;
+                }
+                assert!(says.send(Up::Ping));
+            }
+        };
+        timeout(PATIENCE, ended).await.expect("the session ends");
+        assert!(last < most);
+    });
+}
