--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -159,9 +159,7 @@
             loop {
                 let applied = self.applied.notified();
                 // What is done stays done, so that each session is looked at once and not at each word of any other.
-                let all = self.all.borrow();
-                while due.pop_if(|(id, sent)| all.get(id).is_none_or(|s| s.applied >= *sent)).is_some() {}
-                drop(all);
+                self.let_go_of_done(&mut due);
                 if due.is_empty() {
                     return;
                 }
@@ -177,6 +175,12 @@
         all
     }
 
+    /// Takes off the end of a list of sessions, each with what it was sent, those that have applied it or are gone.
+    fn let_go_of_done(&self, due: &mut Vec<(u64, u64)>) {
+        let all = self.all.borrow();
+        while due.pop_if(|(id, sent)| all.get(id).is_none_or(|s| s.applied >= *sent)).is_some() {}
+    }
+
     /// Ends the sessions that have not applied what was waited for in vain: what they hold can't be vouched for. What
     /// they were sent meanwhile is on its way, and says nothing against them.
     pub fn drop_behind(&self) {
