A view that stands is let answer before the next is proposed

Cause: all who waited for a view to stand had been in need of one since before, and proposed the next at once, up to three side by side.

Change: what is needed counts anew from the moment a view stands.

--- a/plane/src/chain.rs
+++ b/plane/src/chain.rs
@@ -1267,6 +1267,9 @@
         let first = self.installed.as_mut().filter(|i| i.view == view && !i.stands && !fenced);
         if let Some(installed) = first {
             (installed.stands, installed.since) = (true, self.now);
+            // What is needed now is needed of this view: else all who waited for it to stand would propose the next one
+            // at once, before it has answered anything.
+            self.need_since = None;
             if !self.durable.votes {
                 // What it may have forgotten is known to a majority that has accepted this view, or lies below it.
                 self.durable.votes = true;
