Exhaustive check: after a lost link the first node's view comes due, at every moment

With time standing still a view was proposed after a lost link only because of a need left over from before, which no longer counts once a view stands. Time passes with the loss now, long enough for one proposer.

--- a/plane/tests/exhaustive.rs
+++ b/plane/tests/exhaustive.rs
@@ -24,6 +24,8 @@
 const MENDED: Millis = 6000;
 /// Longer than any node waits for its turn to propose.
 const DUE: Millis = 500;
+/// Longer than the first waits that may propose, and shorter than the next.
+const FIRST_DUE: Millis = 100;
 
 fn node(n: usize) -> NodeId {
     Ipv4Addr::new(10, 0, 0, n as u8 + 1)
@@ -49,7 +51,7 @@
     Sync(usize),
     /// An operator asks a node for a change upon version 0.
     Ask(usize),
-    /// A link is lost, with what is on it, and up again at once.
+    /// A link is lost, with what is on it, and up again at once; then the first node's view comes due.
     Break(usize, usize),
     /// Time in which a view comes due to be proposed.
     Pass,
@@ -249,19 +251,24 @@
             }
             Event::Break(a, b) => {
                 self.breaks -= 1;
-                self.break_link(a, b)
+                self.break_link(a, b)?;
+                self.pass(FIRST_DUE)
             }
             Event::Pass => {
                 self.passes -= 1;
-                self.now += self.due;
-                for n in 0..self.nodes() {
-                    self.with(n, |chain, now| chain.tick(now))?;
-                }
-                self.beats()
+                self.pass(self.due)
             }
         }
     }
 
+    fn pass(&mut self, due: Millis) -> Result<(), String> {
+        self.now += due;
+        for n in 0..self.nodes() {
+            self.with(n, |chain, now| chain.tick(now))?;
+        }
+        self.beats()
+    }
+
     fn break_link(&mut self, a: usize, b: usize) -> Result<(), String> {
         for (n, other) in [(a, b), (b, a)] {
             self.links.remove(&(n, other));
