Simulation: a refusal is true, and an order that was taken is never refused

A conflict that answers an order upon version v is a violation where v was the newest version from before the call until its answer, or where it names a version older than one that was acknowledged before the call; so is a refusal of an order that was taken, and the taking of one that was refused.

--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -101,6 +101,14 @@
     AcknowledgedUncommitted { rev: u64 },
     #[error("version {rev} was taken, which is no configuration")]
     InvalidTaken { rev: u64 },
+    #[error("the order of version {rev} was taken, and refused when it was sent again")]
+    TakenRefused { rev: u64 },
+    #[error("the order of version {rev} was refused, and taken after that")]
+    RefusedThenTaken { rev: u64 },
+    #[error("an order upon version {builds_on} was refused, while that was the newest")]
+    FalseRefusal { builds_on: u64 },
+    #[error("a refusal named version {current} after version {acknowledged} was acknowledged")]
+    OldRefusal { current: u64, acknowledged: u64 },
     #[error("a refusal named version {current}, which was not in force by then")]
     UncommittedRefusal { current: u64 },
     #[error("a read gave version {read} after version {acknowledged} was acknowledged")]
--- a/sim/src/operators.rs
+++ b/sim/src/operators.rs
@@ -42,8 +42,9 @@
     life: u64,
     /// The order's number; `None` for a read.
     order: Option<u64>,
-    /// The newest version that was acknowledged when it began.
+    /// The newest version that was acknowledged when it began, and the newest that was committed.
     acknowledged: u64,
+    committed: u64,
 }
 
 #[derive(Default)]
@@ -56,6 +57,8 @@
     /// Acknowledged orders, by the version that they build on.
     acknowledged: BTreeMap<u64, u64>,
     newest_acknowledged: u64,
+    /// The newest version that was committed.
+    newest_committed: u64,
     /// The newest version that operators were told of: also one that was in force without an answer.
     told: u64,
 }
@@ -89,12 +92,14 @@
         }
         let before = self.committed.range(..seq).next_back().map(|(seq, (rev, _))| (*seq, *rev));
         self.committed.insert(seq, (rev, order));
+        self.operators.newest_committed = self.operators.newest_committed.max(rev);
         let below = before.is_none_or(|(_, before)| before < rev);
         self.require(below, || Violation::NotAbove { seq, rev });
         let taken = order.and_then(|order| self.operators.orders.get_mut(order as usize));
         if let Some(taken) = taken {
             taken.committed = true;
-            let (invalid, builds_on) = (taken.invalid, taken.builds_on);
+            let (refused, invalid, builds_on) = (taken.refused, taken.invalid, taken.builds_on);
+            self.require(!refused, || Violation::RefusedThenTaken { rev });
             let upon =
                 if seq == 1 { Some(0) } else { before.filter(|(b, _)| b + 1 == seq).map(|(_, rev)| rev) };
             self.require(upon.is_none_or(|upon| upon == builds_on), || Violation::BuiltOnOther {
@@ -113,8 +118,8 @@
         let life = self.machine(n).life;
         let ops = &mut self.operators;
         ops.next_call += 1;
-        let (call, acknowledged) = (ops.next_call, ops.newest_acknowledged);
-        ops.asked.insert(call, Asked { at: n, life, order, acknowledged });
+        let (call, acknowledged, committed) = (ops.next_call, ops.newest_acknowledged, ops.newest_committed);
+        ops.asked.insert(call, Asked { at: n, life, order, acknowledged, committed });
         self.with(n, |chain, now| chain.call(now, call, what));
         Some(call)
     }
@@ -246,7 +251,7 @@
             }
             (Some(order), Outcome::Done { rev }) => self.order_done(order, *rev),
             (Some(order), Outcome::Conflict { current }) => {
-                self.order_conflicts(*current);
+                self.order_conflicts(&asked, order, *current);
                 self.refuse(order);
             }
             (Some(order), Outcome::Invalid(_)) => self.refuse(order),
@@ -296,10 +301,19 @@
         self.refusals += 1;
         let refused = &mut self.operators.orders[order as usize];
         refused.refused = true;
+        let (rev, committed) = (refused.rev, refused.committed);
+        self.require(!committed, || Violation::TakenRefused { rev });
         self.close(order);
     }
 
-    fn order_conflicts(&mut self, current: u64) {
+    /// A conflict is a statement on the newest version: it must have been true at a moment of the call.
+    fn order_conflicts(&mut self, asked: &Asked, order: u64, current: u64) {
+        let (builds_on, newest) =
+            (self.operators.orders[order as usize].builds_on, self.operators.newest_committed);
+        let always = asked.committed == builds_on && newest == builds_on;
+        self.require(!always, || Violation::FalseRefusal { builds_on });
+        let acknowledged = asked.acknowledged;
+        self.require(current >= acknowledged, || Violation::OldRefusal { current, acknowledged });
         let known = current == 0 || self.committed.values().any(|(rev, _)| *rev == current);
         self.require(known, || Violation::UncommittedRefusal { current });
         self.operators.told = self.operators.told.max(current);
