--- a/scripts/own-days.sh
+++ b/scripts/own-days.sh
@@ -83,7 +83,7 @@
 entries() {
     local entry kind fields
     while IFS= read -r -d ';' entry; do
-        read -r kind fields <<<"$entry" || true
+        read -r kind fields <<<"$entry"
         [ -n "$kind" ] && grep -qx "$kind" <<<"$known" || continue
         fields=$(sed -E 's/ ([a-z_]+=)/, \1/g; s/=/ = /g' <<<"$fields")
         printf '  { kind = "%s", %s },\n' "$kind" "$fields"
