--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -1,12 +1,13 @@
 //! The way to the servers of a service: which one, how often, and what its answer means.
 
+mod attempts;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall_http::send::{self, Event, Fate, Stage};
 use glenfall_plane::budget::Budget;
 use glenfall_plane::ceiling::{patience, Ceiling, Holder};
 use glenfall_plane::fleet::Fleet;
@@ -14,22 +15,20 @@
 use glenfall_plane::Millis;
 use http_body_util::Full;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
+use hyper::{Method, Request, Uri};
 use tokio::time::{sleep_until, Instant};
 
+use self::attempts::Attempts;
 use crate::boot::Boot;
 use crate::counter::Counter;
 use crate::limit::Limits;
-use crate::origins::{End, Origins};
+use crate::origins::{Chosen, Origins};
 use crate::pool::{Pool, Reply, Trouble, Trust, ANSWER_TIME};
+use crate::send_budget::{Allowance, SendReport};
 use crate::serve::DEADLINE;
 
 const WANT_SERVER: HeaderName = HeaderName::from_static("x-glenfall-want-server");
-const NOT_RUN: HeaderName = HeaderName::from_static("x-glenfall-not-run");
 
-/// Servers that may be found unreachable for one request: nothing was sent to them, so that they don't count
-/// as tries, but each costs the time of a connect.
-const UNREACHABLE: usize = 4;
 /// When to come back to a service whose servers are full: about when one of their requests ends.
 const FULL: Duration = Duration::from_millis(100);
 /// When to come back to one that has no server, or is above its ceiling.
@@ -193,114 +192,81 @@
     /// Sends a request to one server of its service, and to others where that can do no harm; to none where the
     /// service has enough to do.
     pub async fn send(&self, job: Job<'_>) -> Outcome {
+        let allowance = Allowance::all(job.tries);
+        self.send_within(job, allowance).await.0
+    }
+
+    /// The same with a part of the request's sends, and how many of them were used.
+    pub async fn send_within(&self, job: Job<'_>, allowance: Allowance) -> (Outcome, SendReport) {
         if !self.pool.room.is_free() {
             self.no_room.add();
-            return Outcome::NotRun(FULL);
+            return (Outcome::NotRun(FULL), SendReport::default());
         }
         let Some(mut admitted) = self.limits.admit(job.service, job.rank, job.aim) else {
             self.limited.add();
-            return Outcome::NotRun(FULL);
+            return (Outcome::NotRun(FULL), SendReport::default());
         };
-        let outcome = self.send_admitted(job).await;
+        let (outcome, report) = self.send_admitted(job, allowance).await;
         match &outcome {
             Outcome::Answered(_) => admitted.answered(),
             Outcome::NotRun(FULL) | Outcome::TimedOut => admitted.crowded(),
             Outcome::NotRun(_) | Outcome::Unknown => {}
         }
-        outcome
+        (outcome, report)
     }
 
-    async fn send_admitted(&self, mut job: Job<'_>) -> Outcome {
-        let (mut tried, mut sends, mut unreachable) = (Vec::new(), 0, 0);
-        let mut turn = false;
-        let mut fallback = Outcome::NotRun(NONE);
-        while sends < job.tries.max(1) && unreachable < UNREACHABLE {
-            // What did not reach a server before is still to be had under the ceiling.
-            if !(turn || self.under_ceiling(&job, sends == 0).await) {
+    async fn send_admitted(&self, mut job: Job<'_>, allowance: Allowance) -> (Outcome, SendReport) {
+        let mut attempts = Attempts::new(allowance.sends, job.repeatable);
+        while attempts.sends.may_begin() {
+            let Some(server) = self.next_server(&job, &mut attempts).await else {
+                attempts.sends.settle();
                 break;
-            }
-            turn = true;
-            let warm = |addr| self.pool.is_warm(addr);
-            let Some(server) = self.origins.choose(Instant::now(), job.service, &tried, warm) else { break };
-            tried.push(server.id.clone());
-            if Instant::now() >= job.until || (job.again || sends > 0) && !self.may_repeat(job.service) {
-                break;
-            }
-            let began = Instant::now();
-            let more = job.repeatable && sends + 1 < job.tries;
-            // A dark server must leave time for another; one that may run only once has all the time.
-            let until = if more { began + (job.until - began) / 2 } else { job.until };
+            };
             let Ok(want) = HeaderValue::from_str(&server.id) else { continue };
             job.headers.insert(WANT_SERVER, want);
-            let request = || {
-                let mut request = Request::new(Full::new(job.body.clone()));
-                *request.method_mut() = job.method.clone();
-                *request.uri_mut() = job.uri.clone();
-                *request.headers_mut() = job.headers.clone();
-                let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
-                request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
-                request
-            };
+            let another = attempts.sends.another_may_follow() || job.repeatable && allowance.held_back > 0;
             let in_flight = self.origins.begin(&server.id);
-            let still = || self.origins.takes(&server.id);
-            let whole_within = more.then_some(ANSWER_TIME);
-            let addr = server.addr.into();
-            let ended =
-                self.pool.exchange_within(whole_within, addr, request, until, Trust::Wary, still).await;
-            turn = matches!(ended, Err(Trouble::Unsent));
-            let event = match &ended {
-                Ok(reply) => event(reply),
-                Err(Trouble::Unsent) => {
-                    in_flight.ended(End::Failed);
-                    unreachable += 1;
-                    continue;
-                }
-                Err(Trouble::Unknown) => Event::Broken,
-                Err(Trouble::TimedOut) => Event::Silence,
-            };
-            sends += 1;
-            let fate = send::fate(Stage::Answering, event, job.repeatable);
-            let failure = ended.as_ref().is_ok_and(|reply| reply.status.is_server_error());
-            in_flight.ended(match (&ended, event) {
-                (Err(_), _) | (_, Event::Noise) => End::Failed,
-                (Ok(reply), Event::NotRun) if reply.status == StatusCode::MISDIRECTED_REQUEST => End::Failed,
-                (_, Event::NotRun) => End::TurnedAway,
-                _ if failure => End::Erred,
-                _ => End::Answered,
-            });
-            let mut go_on = fate.may_go_out_again(job.repeatable, failure);
-            match (fate, ended) {
-                (Fate::NotRun, ended) => {
-                    // Another server of the service would say the same of its ceiling, and count it.
-                    let ceiling = ended.is_ok_and(|reply| reply.status == StatusCode::TOO_MANY_REQUESTS);
-                    go_on = !ceiling;
-                    if !matches!(fallback, Outcome::Answered(_)) {
-                        fallback = Outcome::NotRun(if ceiling { NONE } else { FULL });
-                    }
-                }
-                (_, Ok(reply)) if fate == Fate::Answered => fallback = Outcome::Answered(reply),
-                _ => fallback = if event == Event::Silence { Outcome::TimedOut } else { Outcome::Unknown },
-            }
-            if !go_on {
-                break;
-            }
+            let ended = self.exchange(&job, &server, another).await;
+            in_flight.ended(attempts.ended(ended));
         }
-        fallback
+        let report = SendReport { used: attempts.sends.used(), short: attempts.sends.is_short() };
+        (attempts.fallback, report)
+    }
+
+    /// The server that a request goes to next, once the ceiling, the deadline and the retry budget allow it.
+    async fn next_server(&self, job: &Job<'_>, attempts: &mut Attempts) -> Option<Chosen> {
+        let sends = attempts.sends.used();
+        if !attempts.under_ceiling && !self.under_ceiling(job, sends == 0).await {
+            return None;
+        }
+        attempts.under_ceiling = true;
+        let warm = |addr| self.pool.is_warm(addr);
+        let server = self.origins.choose(Instant::now(), job.service, &attempts.tried, warm)?;
+        attempts.tried.push(server.id.clone());
+        if Instant::now() >= job.until {
+            return None;
+        }
+        let is_retry = job.again || sends > 0;
+        (!is_retry || self.may_repeat(job.service)).then_some(server)
     }
-}
 
-/// What a whole answer of a server says.
-fn event(reply: &Reply) -> Event {
-    let status = reply.status;
-    let failure = status.is_client_error() || status.is_server_error();
-    let said = reply.headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
-    match status.as_u16() {
-        _ if said && failure => Event::NotRun,
-        // One that says that it has not run and what came of it.
-        _ if said => Event::Noise,
-        408 | 429 | 503 => Event::Unproven,
-        _ if status.is_server_error() => Event::Failure,
-        _ => Event::Success,
+    /// Sends a request to a server. Where another may be asked after it, this one must leave time for that; one that
+    /// may run only once has all the time.
+    async fn exchange(&self, job: &Job<'_>, server: &Chosen, another: bool) -> Result<Reply, Trouble> {
+        let began = Instant::now();
+        let until = if another { began + (job.until - began) / 2 } else { job.until };
+        let request = || {
+            let mut request = Request::new(Full::new(job.body.clone()));
+            *request.method_mut() = job.method.clone();
+            *request.uri_mut() = job.uri.clone();
+            *request.headers_mut() = job.headers.clone();
+            let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
+            request
+        };
+        let still = || self.origins.takes(&server.id);
+        let whole_within = another.then_some(ANSWER_TIME);
+        self.pool.exchange_within(whole_within, server.addr.into(), request, until, Trust::Wary, still).await
     }
 }
 
--- a/http/src/send.rs
+++ b/http/src/send.rs
@@ -140,3 +140,62 @@
         Event::Unproven | Event::Failure | Event::Success => Fate::Answered,
     }
 }
+
+/// Servers that may be found unreachable for one request: nothing was sent to them, so that they don't count
+/// as sends, but each costs the time of a connect.
+const MOST_UNREACHABLE: u32 = 4;
+
+/// The sends of one request, one server after another: a state machine over [`fate`].
+#[derive(Clone, Debug)]
+pub struct Sends {
+    allowed: u32,
+    repeatable: bool,
+    used: u32,
+    unreachable: u32,
+    /// The last send was the last, whatever is left.
+    settled: bool,
+}
+
+impl Sends {
+    /// Of a request that may go to as many servers.
+    pub fn new(allowed: u32, repeatable: bool) -> Self {
+        Sends { allowed, repeatable, used: 0, unreachable: 0, settled: false }
+    }
+
+    /// Servers that it has been sent to.
+    pub fn used(&self) -> u32 {
+        self.used
+    }
+
+    /// Whether it may be sent to another server now.
+    pub fn may_begin(&self) -> bool {
+        !self.settled && self.used < self.allowed && self.unreachable < MOST_UNREACHABLE
+    }
+
+    /// Whether another send may follow the one that begins now, whatever comes of it: this one must leave time for it.
+    pub fn another_may_follow(&self) -> bool {
+        self.repeatable && self.used + 1 < self.allowed
+    }
+
+    /// Whether it would go to another server if more were allowed.
+    pub fn is_short(&self) -> bool {
+        !self.settled && self.used > 0 && self.used == self.allowed
+    }
+
+    /// Takes the end of a send; `failure` where the server has answered with an error of its own.
+    pub fn ended(&mut self, stage: Stage, event: Event, failure: bool) -> Fate {
+        let fate = fate(stage, event, self.repeatable);
+        if event == Event::NoConnection {
+            self.unreachable += 1;
+        } else {
+            self.used += 1;
+        }
+        self.settled = !fate.may_go_out_again(self.repeatable, failure);
+        fate
+    }
+
+    /// No other server is to be asked.
+    pub fn settle(&mut self) {
+        self.settled = true;
+    }
+}
