A try's send budget travels with its reads from edge to shield and back

Each shield that an edge asked sent with all of them, a fetch went on while the next shield began another, and the edge sent with all of them once more.

Change: `X-Glenfall-Sends` carries the allowance to a shield and the report back. One send is held back while more than one is left. A silent shield is waited for beside the next one. With none left a shield answers from a copy or a fetch under way. Joined fetches are singleflight flights, which use none of the joining try's sends. `ask_shields` is cut into edge/read.rs, `Shield::fetch` into shield/fetch.rs.

--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -1,41 +1,37 @@
 //! The edge: takes clients' requests, decides, and forwards: reads to the shield that RJ-CH names, all else
 //! straight to a server.
 
+mod read;
+
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
 use http_body_util::Full;
-use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
-use mallowpaddle::{Key, ServerId, Shields};
+use hyper::header::{self, HeaderMap};
+use hyper::{Method, Response, StatusCode};
+use mallowpaddle::{ServerId, Shields};
 use tokio::time::Instant;
 
+use self::read::Read;
 use crate::boot::Boot;
 use crate::cache::{Cache, Copy, ObjectKey};
 use crate::counter::Counter;
 use crate::direct::{Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
-use crate::pool::{Pool, Reply, Trust};
+use crate::pool::{Pool, Reply};
 use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
-use crate::shield::{object_draw, object_hash, AGAIN, BEHIND, REV, SHIELD};
+use crate::shield::object_draw;
 
 /// What a request has spent on its way here since the client's clock started, and what its answer needs back.
 const TRANSIT: Duration = Duration::from_millis(12);
-/// Shields that one read may go to.
-const MOST_SHIELDS: usize = 3;
-/// A shield that has not answered after this part of the time that is left, and this much at least, may be dark:
-/// the next one is asked. Half of the time was too much: what waited for a frozen shield came late.
-const DARK_PART: u32 = 4;
-const DARK: Duration = Duration::from_millis(200);
 /// Part of the machine's memory for copies of its own, of objects whose home lies in another zone: the bytes
 /// between zones are what they save. More would cost more memory than the rarer objects are worth.
 pub const COPIES: f64 = 0.06;
@@ -96,15 +92,6 @@
     }
 }
 
-/// What came of asking the shields.
-enum Asked {
-    Answered(Answer),
-    /// None answers, and the servers are to be asked; one that was tried may have done so.
-    Nobody {
-        tried: bool,
-    },
-}
-
 impl Edge {
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
         Rc::new(Edge {
@@ -144,41 +131,44 @@
             self.counters.no_route.add();
             return plain(StatusCode::NOT_FOUND, "no such route");
         };
-        let stated = whole.head.headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
-        let wait =
-            Duration::from_millis(stated.map_or(route.deadline_ms, |ms: u64| ms.min(route.deadline_ms)));
-        let until = Instant::now() + wait.saturating_sub(TRANSIT);
-        let mut headers = passed_on(&whole.head.headers);
-        let read = route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
-        let mut again = false;
-        if read {
-            self.counters.reads.add();
-            match self.ask_shields(&config, route, &whole, &headers, until).await {
-                Asked::Answered(answer) => return answer,
-                Asked::Nobody { tried } => again = tried,
-            }
-        }
-        let draw =
-            if read { object_draw(whole.host(), whole.path_and_query()) } else { self.direct.origins.draw() };
+        let until = deadline(route, &whole);
+        let is_read =
+            route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
+        let draw = match is_read {
+            true => object_draw(whole.host(), whole.path_and_query()),
+            false => self.direct.origins.draw(),
+        };
         let Some(service) = route.service(draw) else {
             return refused(StatusCode::SERVICE_UNAVAILABLE, "no service", UNREADY);
         };
-        if read {
-            // No shield answers. Ranges are the server's to cut.
-            self.counters.bypassed.add();
-            self.hold();
+        let headers = passed_on(&whole.head.headers);
+        if is_read {
+            self.counters.reads.add();
+            let (config, whole, headers) = (&config, &whole, &headers);
+            return self.read(Read { config, route, service, whole, headers, until }).await;
         }
+        self.direct.count(service);
+        let job = Job { until, ..self.job(&config, route, service, &whole, headers) };
+        let outcome = self.direct.send(job).await;
+        self.answer_of(outcome, route, &whole.head.method)
+    }
+
+    /// A client's request as it goes to servers.
+    fn job<'a>(
+        &self,
+        config: &Config,
+        route: &Route,
+        service: &'a str,
+        whole: &'a Whole,
+        headers: HeaderMap,
+    ) -> Job<'a> {
         // A method that writes is not repeated, whatever the route says of its reads.
         let repeatable = match route.kind {
             Kind::Mutating => false,
             Kind::Idempotent => true,
             Kind::Cacheable => whole.head.method == Method::GET || whole.head.method == Method::HEAD,
         };
-        headers.remove(SHIELD);
-        if !again {
-            self.direct.count(service);
-        }
-        let job = Job {
+        Job {
             service,
             method: &whole.head.method,
             uri: &whole.head.uri,
@@ -186,112 +176,12 @@
             body: whole.body.clone(),
             repeatable,
             tries: route.tries,
-            again,
-            until,
+            again: false,
+            until: Instant::now(),
             aim: route.aim(),
             rank: config.rank(route),
             per_s: config.backend(service).and_then(|backend| backend.rate_per_s),
-        };
-        let outcome = self.direct.send(job).await;
-        self.told(outcome, route, &whole.head.method)
-    }
-
-    /// Asks the shields for an object.
-    async fn ask_shields(
-        &self,
-        config: &Arc<Config>,
-        route: &Route,
-        whole: &Whole,
-        headers: &HeaderMap,
-        until: Instant,
-    ) -> Asked {
-        let (host, path) = (whole.host(), whole.path_and_query());
-        let key = Key(object_hash(host, path));
-        let Some(service) = route.service(object_draw(host, path)) else {
-            return Asked::Nobody { tried: false };
-        };
-        let object = ObjectKey { service: service.into(), host: host.into(), path: path.into() };
-        let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
-        let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
-        if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
-            self.counters.own_copies.add();
-            return Asked::Answered(passed_back(copy.answer(headers), &Method::GET));
-        }
-        // What is not fresh any more is asked for again, whole; it comes only if it has changed.
-        let mut headers = headers.clone();
-        if let Some(etag) = own.as_ref().and_then(|own| own.headers.get(header::ETAG)) {
-            headers.remove(header::RANGE);
-            headers.remove(header::IF_RANGE);
-            headers.insert(header::IF_NONE_MATCH, etag.clone());
         }
-        if !self.direct.pool.room.is_free() {
-            self.counters.refused.add();
-            return Asked::Answered(refused(StatusCode::SERVICE_UNAVAILABLE, "no room", UNREADY));
-        }
-        let asked_whole = !headers.contains_key(header::RANGE);
-        let mut tried: Vec<ServerId> = Vec::new();
-        // One that was tried may have asked a server.
-        let mut again = false;
-        while tried.len() < MOST_SHIELDS {
-            let Some(shield) = self.shields.borrow_mut().choose(self.now(), key, &tried).cloned() else {
-                break;
-            };
-            let Ok(addr) = shield.0.parse() else { break };
-            let began = Instant::now();
-            let more = tried.len() + 1 < MOST_SHIELDS.min(self.shields.borrow().count());
-            // A dark shield must leave time for another.
-            let left = until.saturating_duration_since(began);
-            let attempt = if more { began + (left / DARK_PART).max(DARK).min(left) } else { until };
-            let request = || {
-                let mut request = Request::new(Full::new(Bytes::new()));
-                *request.uri_mut() = whole.head.uri.clone();
-                *request.headers_mut() = headers.clone();
-                let left = attempt.saturating_duration_since(Instant::now()).as_millis() as u64;
-                request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
-                request.headers_mut().insert(REV, HeaderValue::from(config.rev));
-                if again {
-                    request.headers_mut().insert(AGAIN, HeaderValue::from_static("1"));
-                }
-                request
-            };
-            let sent = self.now();
-            let ended = {
-                let _counted = InFlight::at(&self.shields, &shield);
-                self.direct.pool.exchange(addr, request, attempt, Trust::Ours, || true).await
-            };
-            let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
-            let behind = reply.as_ref().is_some_and(|reply| reply.headers.get(SHIELD) == Some(&BEHIND));
-            let reply = reply.filter(|_| !behind);
-            self.shields.borrow_mut().heard(self.now(), &shield, sent, reply.is_none());
-            if let Some(reply) = reply {
-                if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &own) {
-                    self.counters.refreshed.add();
-                    if let Some(born) = Copy::handed_on(&reply, began) {
-                        own.born.set(born);
-                    }
-                    return Asked::Answered(passed_back(own.answer(&whole.head.headers), &Method::GET));
-                }
-                if asked_whole && !self.near.borrow().contains(&shield) {
-                    self.keep(&object, &reply, began);
-                }
-                if own.is_some() && reply.status == StatusCode::OK {
-                    // The range that was taken off the request.
-                    if let Some(copy) = Copy::of(&reply, began) {
-                        let answer = copy.answer(&whole.head.headers);
-                        return Asked::Answered(passed_back(answer, &Method::GET));
-                    }
-                }
-                return Asked::Answered(passed_back(reply, &Method::GET));
-            }
-            self.counters.shield_failed.add();
-            again |= !behind;
-            tried.push(shield);
-            if Instant::now() >= until && again {
-                self.counters.timed_out.add();
-                return Asked::Answered(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
-            }
-        }
-        Asked::Nobody { tried: again }
     }
 
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
@@ -312,7 +202,8 @@
         }
     }
 
-    fn told(&self, outcome: Outcome, route: &Route, method: &Method) -> Answer {
+    /// What a client gets of what came of its request at servers.
+    fn answer_of(&self, outcome: Outcome, route: &Route, method: &Method) -> Answer {
         match outcome {
             Outcome::Answered(reply) => passed_back(reply, method),
             Outcome::NotRun(after) => {
@@ -332,6 +223,14 @@
     }
 }
 
+/// When a request must be answered: the one deadline of all that it waits for, from when it has been read. It is the
+/// client's or the route's, whichever is earlier.
+fn deadline(route: &Route, whole: &Whole) -> Instant {
+    let stated = whole.head.headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
+    let wait = stated.map_or(route.deadline_ms, |ms: u64| ms.min(route.deadline_ms));
+    Instant::now() + Duration::from_millis(wait).saturating_sub(TRANSIT)
+}
+
 /// A server's answer as the client gets it.
 fn passed_back(reply: Reply, method: &Method) -> Answer {
     let mut headers = passed_on(&reply.headers);
@@ -455,6 +354,8 @@
 mod tests {
     use super::*;
     use crate::room::Room;
+    use bytes::Bytes;
+    use hyper::header::HeaderValue;
 
     const SETTINGS: &str = "node = \"e\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
                             seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n";
--- /dev/null
+++ b/glenfall/src/edge/read.rs
@@ -0,0 +1,363 @@
+//! Reads at an edge: from its own copies, by the shields, and from the servers where no shield answers.
+
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenfall_plane::config::{Config, Route};
+use http_body_util::Full;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Method, Request, StatusCode};
+use mallowpaddle::{Key, Seconds, ServerId};
+use tokio::time::{timeout_at, Instant};
+
+use super::{passed_back, Edge, UNREADY};
+use crate::cache::{Copy, ObjectKey};
+use crate::direct::Outcome;
+use crate::pool::{Reply, Trouble, Trust};
+use crate::read_plan::{AskEnd, Next, ReadPlan, Verdict};
+use crate::send_budget::{Allowance, SendReport, SENDS};
+use crate::serve::{plain, refused, Answer, Whole, DEADLINE};
+use crate::shield::{object_hash, AGAIN, BEHIND, OWN, REV, SHIELD};
+
+/// A shield that has not answered after this part of the time that is left, and this much at least, may be dark:
+/// the next one is asked. Half of the time was too much: what waited for a frozen shield came late.
+const SILENCE_PART: u32 = 4;
+const SHORTEST_SILENCE: Duration = Duration::from_millis(200);
+
+/// A read of an object.
+pub(super) struct Read<'a> {
+    pub config: &'a Arc<Config>,
+    pub route: &'a Route,
+    pub service: &'a str,
+    pub whole: &'a Whole,
+    /// The client's headers, as they go on.
+    pub headers: &'a HeaderMap,
+    pub until: Instant,
+}
+
+impl Read<'_> {
+    fn object(&self) -> ObjectKey {
+        ObjectKey {
+            service: self.service.into(),
+            host: self.whole.host().into(),
+            path: self.whole.path_and_query().into(),
+        }
+    }
+}
+
+impl Edge {
+    /// Answers a read of an object.
+    pub(super) async fn read(&self, read: Read<'_>) -> Answer {
+        let object = read.object();
+        let max_age = Duration::from_secs_f64(read.route.max_age_s.clamp(0.0, 1e6));
+        let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
+        if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
+            self.counters.own_copies.add();
+            return passed_back(copy.answer(read.headers), &Method::GET);
+        }
+        if !self.direct.pool.room.is_free() {
+            self.counters.refused.add();
+            return refused(StatusCode::SERVICE_UNAVAILABLE, "no room", UNREADY);
+        }
+        // What is not fresh any more is asked for again, whole; it comes only if it has changed.
+        let mut headers = read.headers.clone();
+        if let Some(etag) = own.as_ref().and_then(|own| own.headers.get(header::ETAG)) {
+            headers.remove(header::RANGE);
+            headers.remove(header::IF_RANGE);
+            headers.insert(header::IF_NONE_MATCH, etag.clone());
+        }
+        Reading {
+            edge: self,
+            read: &read,
+            object,
+            own,
+            headers: Rc::new(headers),
+            plan: ReadPlan::new(read.route.tries),
+            unresponsive: Vec::new(),
+            asks: Vec::new(),
+            silent_at: None,
+            fallback: None,
+        }
+        .run()
+        .await
+    }
+}
+
+/// What a shield made of being asked.
+struct ShieldEnd {
+    shield: ServerId,
+    asked: Instant,
+    asked_s: Seconds,
+    ended: Result<Reply, Trouble>,
+}
+
+/// The end of an ask.
+enum Ended {
+    Shield(ShieldEnd),
+    Servers(Outcome, SendReport),
+}
+
+/// An ask under way, by its number in the plan.
+struct Ask<'a> {
+    number: usize,
+    ending: Pin<Box<dyn Future<Output = Ended> + 'a>>,
+}
+
+/// A read under way.
+struct Reading<'a> {
+    edge: &'a Edge,
+    read: &'a Read<'a>,
+    object: ObjectKey,
+    /// The edge's own copy, which is not fresh any more.
+    own: Option<Rc<Copy>>,
+    /// As they go to shields.
+    headers: Rc<HeaderMap>,
+    plan: ReadPlan,
+    /// Shields that gave no answer to this read, or none so far.
+    unresponsive: Vec<ServerId>,
+    asks: Vec<Ask<'a>>,
+    /// The shield asked last, and when it counts as silent.
+    silent_at: Option<(ServerId, Seconds, Instant)>,
+    /// The client's answer, if no better one comes.
+    fallback: Option<Answer>,
+}
+
+impl<'a> Reading<'a> {
+    async fn run(mut self) -> Answer {
+        loop {
+            if Instant::now() >= self.read.until && self.plan.may_be_counted() {
+                return self.time_is_up();
+            }
+            match self.plan.next(self.shields_left()) {
+                next @ Next::AskShield { allowance } => match self.choose_shield() {
+                    Some(shield) => {
+                        let number = self.plan.asked(next);
+                        self.ask_shield(number, shield, allowance);
+                    }
+                    None => self.plan.no_shield(),
+                },
+                next @ Next::AskServers { allowance } => {
+                    let again = self.plan.may_be_counted();
+                    let number = self.plan.asked(next);
+                    self.ask_servers(number, allowance, again);
+                }
+                Next::Wait => {
+                    if let Some(answer) = self.wait().await {
+                        return answer;
+                    }
+                }
+                Next::GiveUp => {
+                    let no_answer = || plain(StatusCode::BAD_GATEWAY, "no answer");
+                    return self.fallback.unwrap_or_else(no_answer);
+                }
+            }
+        }
+    }
+
+    fn time_is_up(self) -> Answer {
+        self.edge.counters.timed_out.add();
+        self.fallback.unwrap_or_else(|| plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
+    }
+
+    /// Shields that may still answer, beside those found unresponsive.
+    fn shields_left(&self) -> usize {
+        self.edge.shields.borrow().count().saturating_sub(self.unresponsive.len())
+    }
+
+    /// The shield that RJ-CH names among those that have not been found unresponsive.
+    fn choose_shield(&self) -> Option<ServerId> {
+        let key = Key(object_hash(self.read.whole.host(), self.read.whole.path_and_query()));
+        let mut shields = self.edge.shields.borrow_mut();
+        shields.choose(self.edge.now(), key, &self.unresponsive).cloned()
+    }
+
+    fn ask_shield(&mut self, number: usize, shield: ServerId, allowance: Allowance) {
+        let (edge, read) = (self.edge, self.read);
+        let (asked, asked_s) = (Instant::now(), edge.now());
+        let shields_beside = self.shields_left().saturating_sub(1);
+        if self.plan.has_way_beside(shields_beside) {
+            let left = read.until.saturating_duration_since(asked);
+            let silence = (left / SILENCE_PART).max(SHORTEST_SILENCE).min(left);
+            self.silent_at = Some((shield.clone(), asked_s, asked + silence));
+        }
+        let again = self.plan.may_be_counted();
+        let headers = Rc::clone(&self.headers);
+        let ending = Box::pin(async move {
+            let ended = edge.ask_shield(read, &shield, &headers, allowance, again).await;
+            Ended::Shield(ShieldEnd { shield, asked, asked_s, ended })
+        });
+        self.asks.push(Ask { number, ending });
+    }
+
+    fn ask_servers(&mut self, number: usize, allowance: Allowance, again: bool) {
+        let (edge, read) = (self.edge, self.read);
+        edge.counters.bypassed.add();
+        edge.hold();
+        if !again {
+            edge.direct.count(read.service);
+        }
+        let ending = Box::pin(async move {
+            // Ranges are the server's to cut.
+            let job = edge.job(read.config, read.route, read.service, read.whole, read.headers.clone());
+            let job = crate::direct::Job { again, until: read.until, ..job };
+            let (outcome, report) = edge.direct.send_within(job, allowance).await;
+            Ended::Servers(outcome, report)
+        });
+        self.asks.push(Ask { number, ending });
+    }
+
+    /// Waits for the end of an ask, or until the shield asked last counts as silent.
+    async fn wait(&mut self) -> Option<Answer> {
+        let ended = match &self.silent_at {
+            None => Some(next_ended(&mut self.asks).await),
+            Some((_, _, at)) => timeout_at(*at, next_ended(&mut self.asks)).await.ok(),
+        };
+        match ended {
+            Some((number, Ended::Shield(end))) => self.shield_ended(number, end),
+            Some((number, Ended::Servers(outcome, report))) => self.servers_ended(number, outcome, report),
+            None => {
+                self.shield_is_silent();
+                None
+            }
+        }
+    }
+
+    fn shield_is_silent(&mut self) {
+        self.plan.silent();
+        if let Some((shield, asked_s, _)) = self.silent_at.take() {
+            self.edge.shields.borrow_mut().heard(self.edge.now(), &shield, asked_s, true);
+            self.edge.counters.shield_failed.add();
+            self.unresponsive.push(shield);
+        }
+    }
+
+    /// Takes the end of an ask at a shield; the client's answer, where it is one.
+    fn shield_ended(&mut self, number: usize, end: ShieldEnd) -> Option<Answer> {
+        let ShieldEnd { shield, asked, asked_s, ended } = end;
+        if self.silent_at.as_ref().is_some_and(|(silent, ..)| *silent == shield) {
+            self.silent_at = None;
+        }
+        let reached = !matches!(ended, Err(Trouble::Unsent));
+        let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
+        let behind = reply.as_ref().is_some_and(|reply| reply.headers.get(SHIELD) == Some(&BEHIND));
+        let reply = reply.filter(|_| !behind);
+        let is_late = self.unresponsive.contains(&shield);
+        let mut shields = self.edge.shields.borrow_mut();
+        if reply.is_some() || !is_late {
+            shields.heard(self.edge.now(), &shield, asked_s, reply.is_none());
+        }
+        drop(shields);
+        let Some(reply) = reply else {
+            let end = if behind || !reached { AskEnd::NotAsked } else { AskEnd::Lost };
+            self.plan.ended(number, end);
+            if !is_late {
+                self.edge.counters.shield_failed.add();
+                self.unresponsive.push(shield);
+            }
+            return None;
+        };
+        let report = SendReport::of_answer(&reply.headers).unwrap_or_default();
+        let verdict = self.plan.ended(number, AskEnd::Answered(report));
+        let is_refusal =
+            reply.status == StatusCode::SERVICE_UNAVAILABLE && reply.headers.get(SHIELD) == Some(&OWN);
+        let answer = self.answer_of(reply, &shield, asked);
+        match verdict {
+            // What a server has said is more than that no other can be asked.
+            Verdict::Final if is_refusal => Some(self.fallback.take().unwrap_or(answer)),
+            Verdict::Final => Some(answer),
+            Verdict::TryOn => self.keep_fallback(answer, report),
+        }
+    }
+
+    fn servers_ended(&mut self, number: usize, outcome: Outcome, report: SendReport) -> Option<Answer> {
+        let verdict = self.plan.ended(number, AskEnd::Answered(report));
+        let is_refusal = matches!(outcome, Outcome::NotRun(_));
+        let answer = self.edge.answer_of(outcome, self.read.route, &Method::GET);
+        match verdict {
+            // A silent shield may still answer.
+            Verdict::Final if is_refusal && !self.asks.is_empty() => self.keep_fallback(answer, report),
+            Verdict::Final if is_refusal => Some(self.fallback.take().unwrap_or(answer)),
+            Verdict::Final => Some(answer),
+            Verdict::TryOn => self.keep_fallback(answer, report),
+        }
+    }
+
+    /// Keeps an answer for the case that no better one comes: what a server has said is better than what it has not.
+    fn keep_fallback(&mut self, answer: Answer, report: SendReport) -> Option<Answer> {
+        if report.used > 0 || self.fallback.is_none() {
+            self.fallback = Some(answer);
+        }
+        None
+    }
+
+    /// What the client gets of a shield's answer.
+    fn answer_of(&self, reply: Reply, shield: &ServerId, asked: Instant) -> Answer {
+        let client_headers = &self.read.whole.head.headers;
+        if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &self.own) {
+            self.edge.counters.refreshed.add();
+            if let Some(born) = Copy::handed_on(&reply, asked) {
+                own.born.set(born);
+            }
+            return passed_back(own.answer(client_headers), &Method::GET);
+        }
+        let is_whole = !self.headers.contains_key(header::RANGE);
+        if is_whole && !self.edge.near.borrow().contains(shield) {
+            self.edge.keep(&self.object, &reply, asked);
+        }
+        if self.own.is_some() && reply.status == StatusCode::OK {
+            // The range that was taken off the request.
+            if let Some(copy) = Copy::of(&reply, asked) {
+                return passed_back(copy.answer(client_headers), &Method::GET);
+            }
+        }
+        passed_back(reply, &Method::GET)
+    }
+}
+
+impl Edge {
+    /// Asks one shield for an object.
+    async fn ask_shield(
+        &self,
+        read: &Read<'_>,
+        shield: &ServerId,
+        headers: &HeaderMap,
+        allowance: Allowance,
+        again: bool,
+    ) -> Result<Reply, Trouble> {
+        let addr = shield.0.parse().map_err(|_| Trouble::Unsent)?;
+        let request = || {
+            let mut request = Request::new(Full::new(Bytes::new()));
+            *request.uri_mut() = read.whole.head.uri.clone();
+            *request.headers_mut() = headers.clone();
+            let left = read.until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
+            request.headers_mut().insert(REV, HeaderValue::from(read.config.rev));
+            request.headers_mut().insert(SENDS, allowance.encode());
+            if again {
+                request.headers_mut().insert(AGAIN, HeaderValue::from_static("1"));
+            }
+            request
+        };
+        let _in_flight = super::InFlight::at(&self.shields, shield);
+        self.direct.pool.exchange(addr, request, read.until, Trust::Ours, || true).await
+    }
+}
+
+/// The next of some asks that ends.
+async fn next_ended(asks: &mut Vec<Ask<'_>>) -> (usize, Ended) {
+    poll_fn(|cx| {
+        for at in 0..asks.len() {
+            if let Poll::Ready(ended) = asks[at].ending.as_mut().poll(cx) {
+                let ask = asks.swap_remove(at);
+                return Poll::Ready((ask.number, ended));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -1,37 +1,40 @@
 //! The shield: answers edges' reads from its copies, joins concurrent misses, and fetches from the servers.
 
+mod fetch;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
 use http_body_util::Full;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Response, StatusCode, Uri};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Response, StatusCode};
 use mallowpaddle::mix;
-use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{timeout_at, Instant};
 
+use self::fetch::{FetchDone, FetchEnd, FetchRequest, Fetched, Flight, TooManyFetches};
 use crate::boot::Boot;
 use crate::cache::{Cache, Copy, ObjectKey};
 use crate::counter::Counter;
-use crate::direct::{Direct, Job, Outcome, NONE};
+use crate::direct::{Direct, NONE};
 use crate::feed::{Feed, Follower};
 use crate::kept::{Kept, Row};
 use crate::latency::Latency;
 use crate::pool::{Pool, Reply};
+use crate::send_budget::{Allowance, SendReport, SENDS};
 use crate::serve::{passed_on, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
 
 /// The version that an edge decided under; the shield never answers by an older one.
 pub const REV: HeaderName = HeaderName::from_static("x-glenfall-rev");
-/// Another shield was asked before, which may have asked a server.
+/// A shield was asked before, which may have counted the request or asked a server: what is sent now draws on the retry
+/// budget.
 pub const AGAIN: HeaderName = HeaderName::from_static("x-glenfall-again");
 /// How old a copy is, in milliseconds.
 pub const AGE_MS: HeaderName = HeaderName::from_static("x-glenfall-age-ms");
@@ -40,25 +43,14 @@
 
 /// What a shield says that does not have the edge's version yet, and has asked no server: another one may have it.
 pub const BEHIND: HeaderValue = HeaderValue::from_static("behind");
+/// What a shield says of an answer of its own, that no server gave.
+pub const OWN: HeaderValue = HeaderValue::from_static("own");
 /// A version is waited for so long. Pushes to machines of a region are milliseconds apart, between regions a way; one that
 /// takes longer may not come, as control beside is cut off.
 const PUSH: Duration = Duration::from_millis(100);
 
 /// Part of the machine's memory for copies: the rest is for what is under way, and for control beside it.
 pub const COPIES: f64 = 0.4;
-/// Fetches under way at most; what misses beyond is told to come back.
-const MOST_FETCHES: usize = 1024;
-
-/// What came of a fetch, for all who wait for it.
-#[derive(Clone)]
-enum Fetched {
-    Copy(Rc<Copy>),
-    Other(Rc<Reply>),
-    Refused(Duration),
-    Unknown,
-    TimedOut,
-}
-
 /// What a read comes to.
 struct Read {
     reply: Reply,
@@ -73,18 +65,6 @@
     }
 }
 
-/// No more can be fetched now.
-struct NoRoom;
-
-/// A fetch under way.
-struct Fetch {
-    done: watch::Receiver<Option<Fetched>>,
-    /// Labels purged since it began: what it brings may be older.
-    purged: Rc<RefCell<Vec<String>>>,
-    /// Its object was purged since.
-    stale: Rc<Cell<bool>>,
-}
-
 #[derive(Default)]
 struct Counters {
     hits: Counter,
@@ -105,9 +85,10 @@
     kept: Option<Kept>,
     /// What lay on disk at the start, until control has told of all purges that came meanwhile.
     found: RefCell<Option<Cache>>,
-    fetching: RefCell<HashMap<ObjectKey, Fetch>>,
-    /// Fetches that are no longer joined, as a purge has come since: their number.
-    under_way: Cell<usize>,
+    /// Fetches that reads may join, by what they fetch.
+    flights: RefCell<HashMap<ObjectKey, Flight>>,
+    /// All fetches under way, also those that are not joined any more as a purge has come since.
+    fetches: Cell<usize>,
     read_from_disk: Cell<bool>,
     purged_early: RefCell<Vec<Aged>>,
     /// Control has told of all purges that came before this process began.
@@ -129,8 +110,8 @@
             cache: RefCell::new(Cache::new(most)),
             kept,
             found: RefCell::new(found.is_some().then(|| Cache::new(most))),
-            fetching: RefCell::default(),
-            under_way: Cell::new(0),
+            flights: RefCell::default(),
+            fetches: Cell::new(0),
             read_from_disk: Cell::new(false),
             purged_early: RefCell::default(),
             told_all: Cell::new(false),
@@ -180,50 +161,73 @@
         }
     }
 
-    async fn read(self: &Rc<Self>, whole: &Whole) -> Result<Read, Answer> {
+    /// Answers a read, and says what it used of its try's sends.
+    async fn read(self: &Rc<Self>, whole: &Whole) -> (Result<Read, Answer>, SendReport) {
         let number = |name| whole.head.headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
         let until = Instant::now() + Duration::from_millis(number(DEADLINE).unwrap_or(1000).min(60_000));
-        let unready = || refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", Duration::from_millis(200));
-        let rev = number(REV).unwrap_or(0);
-        if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
-            let mut answer = unready();
-            answer.headers_mut().insert(SHIELD, BEHIND);
-            return Err(answer);
-        }
-        let config = self.feed.config().ok_or_else(unready)?;
-        let path = whole.path_and_query();
-        let route = config.route(whole.host(), whole.head.uri.path());
-        let Some(route) = route.filter(|_| whole.head.method == Method::GET) else {
-            return Err(plain_404());
+        let nothing_sent = SendReport::default();
+        let config = match self.configuration(number(REV).unwrap_or(0), until).await {
+            Ok(config) => config,
+            Err(answer) => return (Err(answer), nothing_sent),
         };
-        let service = route.service(object_draw(whole.host(), path)).ok_or_else(plain_404)?;
+        let Some((route, key)) = object_of(&config, whole) else { return (Err(plain_404()), nothing_sent) };
         if !whole.head.headers.contains_key(AGAIN) {
-            self.direct.count(service);
+            self.direct.count(&key.service);
         }
-        let key = ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() };
         let old = self.cache.borrow_mut().get(&key);
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.hits.add();
-            return Ok(Read::of(copy, &whole.head.headers, "hit"));
+            return (Ok(Read::of(copy, &whole.head.headers, "hit")), nothing_sent);
         }
-        let joined = self.fetching.borrow().get(&key).map(|fetch| fetch.done.clone());
-        let mut done = match joined {
-            Some(done) => {
-                self.counters.joined.add();
-                done
-            }
-            None => {
-                let fetch = self.fetch(&config, route, key, &whole.head.headers, whole.head.uri.clone(), old);
-                fetch.map_err(|NoRoom| self.refuse(NONE))?
-            }
-        };
-        let fetched = match timeout_at(until, done.wait_for(|fetched| fetched.is_some())).await {
-            Ok(Ok(fetched)) => fetched.clone().unwrap_or(Fetched::Unknown),
-            Ok(Err(_)) => Fetched::Unknown,
-            Err(_) => Fetched::TimedOut,
+        let allowance = Allowance::of_request(&whole.head.headers, route.tries);
+        let joined = self.flights.borrow().get(&key).map(|flight| flight.done.clone());
+        if let Some(done) = joined {
+            self.counters.joined.add();
+            let (answer, report) = self.await_fetch(done, until, allowance, whole).await;
+            // Servers know the fetch by the id of the try that began it.
+            return (answer, SendReport { used: 0, ..report });
+        }
+        if allowance.sends == 0 {
+            let answer = crate::serve::plain(StatusCode::GATEWAY_TIMEOUT, "no copy, and no send left");
+            return (Err(answer), SendReport { used: 0, short: true });
+        }
+        let fetch = FetchRequest::new(&config, route, key, &whole.head, old, allowance);
+        match self.begin_fetch(fetch) {
+            Ok(done) => self.await_fetch(done, until, allowance, whole).await,
+            Err(TooManyFetches) => (Err(self.refuse(NONE)), nothing_sent),
+        }
+    }
+
+    /// The configuration, once it is as new as the edge's; an answer that says so where it does not come.
+    async fn configuration(&self, rev: u64, until: Instant) -> Result<Arc<Config>, Answer> {
+        let unready = || refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", Duration::from_millis(200));
+        if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
+            let mut answer = unready();
+            answer.headers_mut().insert(SHIELD, BEHIND);
+            return Err(answer);
+        }
+        self.feed.config().ok_or_else(unready)
+    }
+
+    /// Waits for a fetch until the read's deadline, which may be earlier than the fetch's.
+    async fn await_fetch(
+        &self,
+        mut done: FetchDone,
+        until: Instant,
+        allowance: Allowance,
+        whole: &Whole,
+    ) -> (Result<Read, Answer>, SendReport) {
+        // It goes on, and may use all that it was allowed.
+        let goes_on = SendReport { used: allowance.sends, short: false };
+        let end = match timeout_at(until, done.wait_for(|end| end.is_some())).await {
+            Ok(Ok(end)) => end.clone(),
+            Ok(Err(_)) => None,
+            Err(_) => Some(FetchEnd { fetched: Fetched::TimedOut, report: goes_on }),
         };
-        match fetched {
+        let FetchEnd { fetched, report } =
+            end.unwrap_or(FetchEnd { fetched: Fetched::Unknown, report: goes_on });
+        let answer = match fetched {
             Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, "miss")),
             Fetched::Other(reply) => {
                 let headers = passed_on(&reply.headers);
@@ -233,7 +237,8 @@
             Fetched::Refused(after) => Err(self.refuse(after)),
             Fetched::Unknown => Err(crate::serve::plain(StatusCode::BAD_GATEWAY, "no answer")),
             Fetched::TimedOut => Err(crate::serve::plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
-        }
+        };
+        (answer, report)
     }
 
     fn refuse(&self, after: Duration) -> Answer {
@@ -241,80 +246,6 @@
         refused(StatusCode::SERVICE_UNAVAILABLE, "service full", after)
     }
 
-    /// Begins to fetch an object; all who ask for it meanwhile wait for the same answer.
-    fn fetch(
-        self: &Rc<Self>,
-        config: &Arc<Config>,
-        route: &Route,
-        key: ObjectKey,
-        request: &HeaderMap,
-        uri: Uri,
-        old: Option<Rc<Copy>>,
-    ) -> Result<watch::Receiver<Option<Fetched>>, NoRoom> {
-        if self.under_way.get() >= MOST_FETCHES {
-            return Err(NoRoom);
-        }
-        self.counters.misses.add();
-        let (tell, done) = watch::channel(None);
-        let (purged, stale) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Cell::new(false)));
-        let fetch = Fetch { done: done.clone(), purged: Rc::clone(&purged), stale: Rc::clone(&stale) };
-        let mark = Rc::clone(&stale);
-        self.fetching.borrow_mut().insert(key.clone(), fetch);
-        self.under_way.set(self.under_way.get() + 1);
-        let again = request.contains_key(AGAIN);
-        let mut headers = passed_on(request);
-        for name in [header::RANGE, header::IF_RANGE, header::IF_NONE_MATCH, header::IF_MODIFIED_SINCE] {
-            headers.remove(name);
-        }
-        if let Some(etag) = old.as_ref().and_then(|old| old.headers.get(header::ETAG)) {
-            headers.insert(header::IF_NONE_MATCH, etag.clone());
-        }
-        let (tries, wait) = (route.tries, Duration::from_millis(route.deadline_ms));
-        let (aim, rank) = (route.aim(), config.rank(route));
-        let per_s = config.backend(&key.service).and_then(|backend| backend.rate_per_s);
-        let shield = Rc::clone(self);
-        spawn_local(async move {
-            let sent = Instant::now();
-            let job = Job {
-                service: &key.service,
-                method: &Method::GET,
-                uri: &uri,
-                headers,
-                body: Bytes::new(),
-                repeatable: true,
-                tries,
-                again,
-                until: sent + wait,
-                aim,
-                rank,
-                per_s,
-            };
-            let before = old.clone();
-            let fetched = match shield.direct.send(job).await {
-                Outcome::Answered(reply) => shield.take(&key, reply, sent, old),
-                Outcome::NotRun(after) => Fetched::Refused(after),
-                Outcome::Unknown => Fetched::Unknown,
-                Outcome::TimedOut => Fetched::TimedOut,
-            };
-            shield.counters.fetch.add(sent.elapsed());
-            shield.under_way.set(shield.under_way.get() - 1);
-            // It may have been taken off by a purge, and another begun under the same name.
-            let mut fetching = shield.fetching.borrow_mut();
-            if fetching.get(&key).is_some_and(|fetch| Rc::ptr_eq(&fetch.stale, &mark)) {
-                fetching.remove(&key);
-            }
-            if let Fetched::Copy(copy) = &fetched {
-                let refreshed = before.is_some_and(|before| Rc::ptr_eq(&before, copy));
-                let purged = purged.borrow().iter().any(|label| copy.labelled(label));
-                if !mark.get() && !purged {
-                    shield.keep(key, copy, refreshed);
-                }
-            }
-            tell.send_replace(Some(fetched));
-        });
-        Ok(done)
-    }
-
     /// Keeps a copy in memory and on disk.
     fn keep(&self, key: ObjectKey, copy: &Rc<Copy>, refreshed: bool) {
         if let Some(kept) = &self.kept {
@@ -329,19 +260,15 @@
             kept.remove(&gone);
         }
     }
+}
 
-    fn take(&self, key: &ObjectKey, reply: Reply, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
-        if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status, old) {
-            tracing::debug!(path = %key.path, "copy still good");
-            self.counters.refreshed.add();
-            old.born.set(sent);
-            return Fetched::Copy(old);
-        }
-        match Copy::of(&reply, sent) {
-            Some(copy) => Fetched::Copy(Rc::new(copy)),
-            None => Fetched::Other(Rc::new(reply)),
-        }
-    }
+/// The route of a read and the name of its object; `None` where no route takes it.
+fn object_of<'a>(config: &'a Config, whole: &Whole) -> Option<(&'a Route, ObjectKey)> {
+    let path = whole.path_and_query();
+    let route = config.route(whole.host(), whole.head.uri.path());
+    let route = route.filter(|_| whole.head.method == Method::GET)?;
+    let service = route.service(object_draw(whole.host(), path))?;
+    Some((route, ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() }))
 }
 
 fn plain_404() -> Answer {
@@ -378,7 +305,7 @@
 
     fn purge(&self, purges: &[Aged]) {
         let mut cache = self.cache.borrow_mut();
-        let mut fetching = self.fetching.borrow_mut();
+        let mut flights = self.flights.borrow_mut();
         for purge in purges {
             let mut gone = cache.purge(purge);
             if let Some(found) = self.found.borrow_mut().as_mut() {
@@ -393,20 +320,20 @@
             match &purge.purge {
                 // Nobody joins a fetch that began before; it is told apart when it ends.
                 Purge::Label(label) => {
-                    for fetch in fetching.values() {
-                        fetch.purged.borrow_mut().push(label.clone());
-                    }
+                    flights.values().for_each(|flight| flight.purge_label(label));
                 }
                 Purge::Object { hostname, path } => {
-                    fetching.retain(|key, fetch| {
+                    flights.retain(|key, flight| {
                         let named = key.at(hostname, path);
-                        fetch.stale.set(fetch.stale.get() || named);
+                        if named {
+                            flight.purge_object();
+                        }
                         !named
                     });
                 }
                 Purge::Everything => {
-                    fetching.values().for_each(|fetch| fetch.stale.set(true));
-                    fetching.clear();
+                    flights.values().for_each(Flight::purge_object);
+                    flights.clear();
                 }
             }
         }
@@ -449,7 +376,8 @@
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
-        let mut answer = match self.0.read(&whole).await {
+        let (answer, report) = self.0.read(&whole).await;
+        let mut answer = match answer {
             Ok(Read { reply, said, copy }) => {
                 let mut answer = Response::new(Full::new(reply.body));
                 *answer.status_mut() = reply.status;
@@ -461,10 +389,13 @@
                 answer
             }
             Err(mut answer) => {
-                answer.headers_mut().entry(SHIELD).or_insert(HeaderValue::from_static("own"));
+                answer.headers_mut().entry(SHIELD).or_insert(OWN);
                 answer
             }
         };
+        if report != SendReport::default() {
+            answer.headers_mut().insert(SENDS, report.encode());
+        }
         // By it the edge knows which request this answers.
         match whole.head.headers.get(TRY_ID) {
             Some(id) => answer.headers_mut().insert(TRY_ID, id.clone()),
