Chain: a folder of one job a file, proposals as a state machine

plane/src/chain.rs held views, quorums, replication, reads, calls and membership in 1,454 lines; tend_proposal alone had 71. A proposal is an enum (gathering promises, installing) whose transitions are methods; tuples became named structs, numbers named constants; the largest file has 327 lines.

The replicated record and its decisions moved to record.rs, shared ids to ids.rs, so that chain and orders, and chain and messages, no longer name each other.

Renamed: Members JointConfig, Durable HardState, Terms ChainSettings, Beat Heartbeat, Seat VoterChange, Refused VoterChangeError, ask_voters request_voter_change, in_life with_incarnation, Message::Beat Heartbeat, Message::Stands StartView. The old names of types and methods are exported for the while; variants are renamed in all uses. Order of variants, and so the wire format, as before.

Tests of plane and sim pass.

--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -9,9 +9,11 @@
 pub mod chain;
 pub mod config;
 pub mod fleet;
+pub mod ids;
 pub mod messages;
 pub mod orders;
 pub mod purges;
+pub mod record;
 pub mod registry;
 pub mod subset;
 
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -13,6 +13,8 @@
 use crate::fleet;
 use crate::registry::Entry;
 
+pub use crate::ids::CallId;
+
 /// Longest frame: a configuration of many hundred routes, and room.
 pub const LONGEST_FRAME: usize = 4 << 20;
 
@@ -110,14 +112,6 @@
     Ping,
 }
 
-/// Names a question or a call among all that a machine's processes have ever sent. What comes in answer to one of an
-/// earlier life must not pass for the answer to one of this: numbers begin anew in each.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct CallId {
-    pub life: u64,
-    pub number: u64,
-}
-
 /// Between control nodes, each on the connection that it opened; the other side only says that it is there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Peer {
--- a/plane/src/orders.rs
+++ b/plane/src/orders.rs
@@ -11,8 +11,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::chain::Record;
-use crate::config::{Change, Invalid};
+use crate::config::Change;
 
 /// Orders that are known again, at most. A day has hundreds, 3,200 in two years' time: more than a day of those. A
 /// version takes ten bytes at most and a key 32, so that the table is below 176 KB, less than the document of 700 routes
@@ -156,7 +155,7 @@
         self.forgotten_up_to = self.forgotten_up_to.max(rev);
     }
 
-    fn push(&mut self, order: TakenOrder) {
+    pub(crate) fn push(&mut self, order: TakenOrder) {
         self.open.push(order);
         if self.len() > MOST_TAKEN {
             let oldest = self.full.remove(0);
@@ -167,7 +166,7 @@
         }
     }
 
-    fn find(&self, key: OrderKey) -> Option<TakenOrder> {
+    pub(crate) fn find(&self, key: OrderKey) -> Option<TakenOrder> {
         self.iter().find(|order| order.key == key).copied()
     }
 }
@@ -193,61 +192,3 @@
     pub document: Vec<u8>,
     pub order: TakenOrder,
 }
-
-/// What an order is to a record.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Decision {
-    /// It builds on the current version, and is the next entry.
-    New(Entry),
-    /// It was taken, however many others were since.
-    Taken {
-        rev: u64,
-    },
-    /// It may have been taken so long ago that the table can't tell: neither confirmed nor refused.
-    Forgotten {
-        up_to: u64,
-    },
-    /// It was not taken, and another version is current.
-    Stale {
-        current: u64,
-    },
-    Invalid(Invalid),
-}
-
-impl Record {
-    /// Judges an order by what the record holds, and by nothing else.
-    pub fn decide(&self, builds_on: u64, change: &Change) -> Decision {
-        let key = OrderKey::of(builds_on, change);
-        if let Some(order) = self.taken.find(key) {
-            return Decision::Taken { rev: order.rev };
-        }
-        // An order makes a version above the one that it builds on: one that doesn't was never taken.
-        let up_to = self.taken.forgotten_up_to();
-        if change.rev().is_some_and(|rev| builds_on < rev && rev <= up_to) {
-            return Decision::Forgotten { up_to };
-        }
-        if builds_on != self.rev {
-            return Decision::Stale { current: self.rev };
-        }
-        match change.apply(&self.document, self.rev) {
-            Err(invalid) => Decision::Invalid(invalid),
-            Ok((rev, document)) => {
-                Decision::New(Entry { seq: self.seq + 1, document, order: TakenOrder { rev, key } })
-            }
-        }
-    }
-
-    /// The record with one more entry.
-    pub fn after(&self, entry: &Entry) -> Record {
-        let mut taken = self.taken.clone();
-        taken.push(entry.order);
-        Record { seq: entry.seq, rev: entry.order.rev, document: entry.document.clone(), taken }
-    }
-
-    /// The same document without the table, for those who only hand it on. Nothing wrong follows from it where it is
-    /// taken for the whole: of what it does not hold it says that it can't tell.
-    pub fn without_table(&self) -> Record {
-        let taken = TakenOrders::forgotten(self.rev.max(self.taken.forgotten_up_to()));
-        Record { seq: self.seq, rev: self.rev, document: self.document.clone(), taken }
-    }
-}
--- a/plane/tests/calls.rs
+++ b/plane/tests/calls.rs
@@ -26,14 +26,14 @@
     let other = node(3 - n);
     chain.peer_up(0, other);
     let mut due = chain.message(1, other, Message::Install { view: view.clone(), record: record() });
-    due.extend(chain.message(2, other, Message::Stands { view: view.clone() }));
+    due.extend(chain.message(2, other, Message::StartView { view: view.clone() }));
     for number in due.iter().filter_map(|output| match output {
         Output::Persist(number, _) => Some(*number),
         _ => None,
     }) {
         chain.synced(3, number);
     }
-    chain.message(4, other, Message::Stands { view });
+    chain.message(4, other, Message::StartView { view });
     chain
 }
 
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -230,7 +230,7 @@
         Call::Change { builds_on: number(rng), change: Change::Put(bytes) }
     };
     match rng.random_range(0..13) {
-        0 => Message::Beat(Beat {
+        0 => Message::Heartbeat(Beat {
             members: members(rng),
             eligible: rng.random(),
             promised: number(rng),
@@ -249,7 +249,7 @@
         3 => Message::Nack { promised: number(rng) },
         4 => Message::Install { view: view(rng), record: record(rng) },
         5 => Message::Installed { view: number(rng) },
-        6 => Message::Stands { view: view(rng) },
+        6 => Message::StartView { view: view(rng) },
         7 => {
             let order = TakenOrder { rev: number(rng), key: OrderKey([2; 32]) };
             let entry = Entry { seq: number(rng), document: record(rng).document.clone(), order };
@@ -370,7 +370,7 @@
     let update = Message::Update { view: 4 << 32, entry: Arc::new(entry) };
     let passed = said(&mut chain, 3, 1, update);
     assert!(passed.contains(&Output::Publish(record(6))), "{passed:?}");
-    let told = said(&mut chain, 4, 2, Message::Stands { view: View { number: 4 << 32, ..middle } });
+    let told = said(&mut chain, 4, 2, Message::StartView { view: View { number: 4 << 32, ..middle } });
     let publishes_next = |output: &Output| matches!(output, Output::Publish(record) if record.seq == 7);
     assert!(!told.iter().any(publishes_next), "{told:?}");
 }
@@ -380,7 +380,7 @@
     let mut chain = Chain::new(node(1), SMALL.terms(), Start::Fresh(seeds()));
     let beat = |hears: [u8; 2], wiped| {
         let hears = hears.map(node).to_vec();
-        Message::Beat(Beat { members: Members::of(seeds()), hears, wiped, ..Beat::default() })
+        Message::Heartbeat(Beat { members: Members::of(seeds()), hears, wiped, ..Beat::default() })
     };
     for peer in 2..=3 {
         chain.peer_up(0, node(peer));
@@ -430,14 +430,14 @@
         for (peer, view) in [(2, &view), (3, &view), (4, &old)] {
             let hears = (1..=4).filter(|n| *n != peer).map(node).collect();
             let beat = Beat { members: members.clone(), view: Some(view.clone()), hears, ..Beat::default() };
-            said(chain, now, peer, Message::Beat(beat));
+            said(chain, now, peer, Message::Heartbeat(beat));
         }
     };
     for peer in 2..=4 {
         chain.peer_up(0, node(peer));
     }
     said(&mut chain, 10, 2, Message::Install { view: view.clone(), record: record(6) });
-    said(&mut chain, 20, 2, Message::Stands { view: view.clone() });
+    said(&mut chain, 20, 2, Message::StartView { view: view.clone() });
     beats(&mut chain, 30);
     // A link is lost for a moment: the others may not have noticed, or see all whole again.
     chain.peer_down(50, node(2));
--- a/plane/tests/exhaustive.rs
+++ b/plane/tests/exhaustive.rs
@@ -197,8 +197,9 @@
 
     /// Beats that come next on their links arrive: they tell who is there, in any order the same.
     fn beats(&mut self) -> Result<(), String> {
-        let is_beat =
-            |(_, link): &(&(usize, usize), &Link)| matches!(link.messages.front(), Some(Message::Beat(_)));
+        let is_beat = |(_, link): &(&(usize, usize), &Link)| {
+            matches!(link.messages.front(), Some(Message::Heartbeat(_)))
+        };
         while let Some((from, to)) = self.links.iter().find(is_beat).map(|(ends, _)| *ends) {
             self.play(Event::Deliver(from, to))?;
         }
--- a/plane/tests/orders.rs
+++ b/plane/tests/orders.rs
@@ -10,9 +10,8 @@
 };
 use glenfall_plane::config::{Change, Invalid, LARGEST};
 use glenfall_plane::messages::LONGEST_FRAME;
-use glenfall_plane::orders::{
-    Decision, Entry, OrderKey, TakenOrder, TakenOrders, Unsound, CHUNK, MOST_TAKEN,
-};
+use glenfall_plane::orders::{Entry, OrderKey, TakenOrder, TakenOrders, Unsound, CHUNK, MOST_TAKEN};
+use glenfall_plane::record::Decision;
 use glenfall_plane::Millis;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
--- a/plane/tests/rejoin.rs
+++ b/plane/tests/rejoin.rs
@@ -87,7 +87,7 @@
     back.peer_up(0, node(2));
     let mut says = |members: Members| {
         let beat = Beat { members, hears: vec![node(1)], ..Beat::default() };
-        back.message(10, node(2), Message::Beat(beat));
+        back.message(10, node(2), Message::Heartbeat(beat));
         back.is_quorum(&[node(2)])
     };
     assert!(says(old));
