Tests of forwarding, copies and clients live in glenfall/tests/unit

What had been reached inside is part of the interface: an edge's copies and remembered purges, the ceiling's turn, the number of labels, the constants of the limits, and a server at a listener that is open already.

--- a/glenfall/src/cache.rs
+++ b/glenfall/src/cache.rs
@@ -20,7 +20,7 @@
 const TAGS: HeaderName = HeaderName::from_static("x-glenfall-tags");
 const SEAL: HeaderName = HeaderName::from_static("x-glenfall-seal");
 /// What a copy costs beside its body: headers, names, places in the tables.
-const OVERHEAD: usize = 1024;
+pub const OVERHEAD: usize = 1024;
 /// A copy is taken for older than a purge unless it is younger by more than this: what an age took on its way counts
 /// for none of them.
 const ORDER: Duration = Duration::from_secs(1);
@@ -242,125 +242,23 @@
         named
     }
 
-    pub(crate) fn len(&self) -> usize {
+    /// Copies that it holds.
+    pub fn len(&self) -> usize {
         self.copies.len()
     }
 
-    pub fn bytes(&self) -> usize {
-        self.bytes
+    /// Whether it holds none.
+    pub fn is_empty(&self) -> bool {
+        self.copies.is_empty()
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
 
-    fn reply(body: &str, tags: &'static str) -> Reply {
-        let mut headers = HeaderMap::new();
-        headers.insert(SEAL, HeaderValue::from_static("s"));
-        headers.insert(TAGS, HeaderValue::from_static(tags));
-        headers.insert(header::ETAG, HeaderValue::from_static("\"e\""));
-        Reply { status: StatusCode::OK, headers, body: Bytes::from(body.to_owned()) }
+    /// Labels that some copy has.
+    pub fn labels(&self) -> usize {
+        self.labels.len()
     }
 
-    fn copy(body: &str, tags: &'static str) -> Rc<Copy> {
-        Rc::new(Copy::of(&reply(body, tags), Instant::now()).expect("kept"))
-    }
-
-    fn key(path: &str) -> ObjectKey {
-        ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
-    }
-
-    fn now(purge: Purge) -> Aged {
-        Aged { purge, age_ms: 0 }
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_purge_told_late_spares_what_was_asked_for_since() {
-        let told = |age_s: u64| Aged { purge: Purge::Everything, age_ms: age_s * 1000 };
-        tokio::time::advance(Duration::from_secs(100)).await;
-        let mut cache = Cache::new(1 << 20);
-        cache.insert(key("/old"), copy("body", ""));
-        tokio::time::advance(Duration::from_secs(20)).await;
-        cache.insert(key("/new"), copy("body", ""));
-        tokio::time::advance(Duration::from_secs(5)).await;
-        assert_eq!(cache.purge(&told(30)), [], "taken before both");
-        assert_eq!(cache.purge(&told(10)), [key("/old")]);
-        assert_eq!(cache.purge(&told(6)), [key("/new")], "so close that it may have been before");
-    }
-
-    #[test]
-    fn purges_end_what_they_name_and_nothing_else() {
-        let mut cache = Cache::new(1 << 20);
-        for (path, tags) in [("/a", "x y"), ("/a?q", "y"), ("/ab", "x"), ("/c", "z")] {
-            cache.insert(key(path), copy("body", tags));
-        }
-        cache.purge(&now(Purge::Label("y".into())));
-        assert_eq!((cache.get(&key("/a")).is_none(), cache.len()), (true, 2));
-        cache.insert(key("/a"), copy("new", "x"));
-        cache.insert(key("/a?q"), copy("new", ""));
-        cache.purge(&now(Purge::Object { hostname: "H".into(), path: "/a".into() }));
-        assert_eq!(cache.len(), 2);
-        assert!(cache.get(&key("/ab")).is_some());
-        // A copy that replaced another is found by its own labels only.
-        cache.insert(key("/ab"), copy("newer", "w"));
-        cache.purge(&now(Purge::Label("x".into())));
-        assert!(cache.get(&key("/ab")).is_some());
-        cache.purge(&now(Purge::Label("w".into())));
-        assert_eq!(cache.len(), 1);
-        cache.purge(&now(Purge::Everything));
-        assert_eq!((cache.len(), cache.bytes(), cache.labels.len()), (0, 0, 0));
-    }
-
-    #[test]
-    fn the_least_recently_used_make_room() {
-        let mut cache = Cache::new(10 * (OVERHEAD + 4));
-        for n in 0..20 {
-            cache.insert(key(&format!("/{n}")), copy("body", "t"));
-            cache.get(&key("/0"));
-        }
-        assert_eq!((cache.len(), cache.get(&key("/0")).is_some()), (10, true));
-        assert!(cache.get(&key("/10")).is_none());
-        cache.insert(key("/huge"), copy(&"x".repeat(5000), ""));
-        assert!(cache.get(&key("/huge")).is_none());
-    }
-
-    #[test]
-    fn ranges_and_conditions_are_answered_from_the_whole() {
-        let copy = copy("0123456789", "");
-        let asked = |name: HeaderName, value: &'static str| {
-            let mut request = HeaderMap::new();
-            request.insert(name, HeaderValue::from_static(value));
-            let reply = copy.answer(&request);
-            let range = reply.headers.get(header::CONTENT_RANGE).map(|v| v.to_str().unwrap().to_owned());
-            (reply.status.as_u16(), String::from_utf8(reply.body.to_vec()).unwrap(), range)
-        };
-        let part = |status, body: &str, range: &str| (status, body.to_owned(), Some(range.to_owned()));
-        assert_eq!(asked(header::RANGE, "bytes=2-4"), part(206, "234", "bytes 2-4/10"));
-        assert_eq!(asked(header::RANGE, "bytes=8-"), part(206, "89", "bytes 8-9/10"));
-        assert_eq!(asked(header::RANGE, "bytes=10-"), part(416, "", "bytes */10"));
-        for whole in ["bytes=-3", "bytes=4-2", "bytes=0-1,3-4", "lines=1-2"] {
-            assert_eq!(asked(header::RANGE, whole).0, 200, "{whole}");
-        }
-        assert_eq!(asked(header::IF_NONE_MATCH, "\"e\"").0, 304);
-        assert_eq!(asked(header::IF_NONE_MATCH, "\"f\"").0, 200);
-    }
-
-    #[test]
-    fn only_whole_sealed_answers_are_kept() {
-        let kept = |spoil: fn(&mut Reply)| {
-            let mut reply = reply("body", "");
-            spoil(&mut reply);
-            Copy::of(&reply, Instant::now()).is_some()
-        };
-        assert!(kept(|_| {}));
-        assert!(!kept(|r| r.status = StatusCode::INTERNAL_SERVER_ERROR));
-        assert!(!kept(|r| drop(r.headers.remove(SEAL))));
-        assert!(!kept(|r| drop(
-            r.headers.insert(header::CONTENT_ENCODING, HeaderValue::from_static("gzip"))
-        )));
-        assert!(!kept(|r| drop(
-            r.headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("No-Store"))
-        )));
+    /// What all copies cost.
+    pub fn bytes(&self) -> usize {
+        self.bytes
     }
 }
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -41,9 +41,9 @@
 pub const COPIES: f64 = 0.06;
 /// For so long after a purge nothing that it names is kept: a shield may hear of it later than this edge, and
 /// an answer from before it may be under way.
-const PURGED: Duration = Duration::from_secs(3);
+pub const PURGED: Duration = Duration::from_secs(3);
 /// Purges remembered for that.
-const MOST_PURGED: usize = 1024;
+pub const MOST_PURGED: usize = 1024;
 /// When to come back to a node that is not ready yet.
 const UNREADY: Duration = Duration::from_millis(300);
 
@@ -63,6 +63,7 @@
     write: Latency,
 }
 
+/// An edge: the requests that it forwards, and its own copies.
 pub struct Edge {
     feed: Rc<Feed>,
     direct: Direct,
@@ -295,7 +296,7 @@
     }
 
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
-    fn keep(&self, object: &ObjectKey, reply: &Reply, asked: Instant) {
+    pub fn keep(&self, object: &ObjectKey, reply: &Reply, asked: Instant) {
         let Some(born) = Copy::handed_on(reply, asked) else { return };
         let Some(copy) = Copy::of(reply, born).filter(|_| self.in_touch.get()) else { return };
         let mut purged = self.purged.borrow_mut();
@@ -312,6 +313,16 @@
         }
     }
 
+    /// A copy that this edge holds itself.
+    pub fn copy(&self, object: &ObjectKey) -> Option<Rc<Copy>> {
+        self.copies.borrow_mut().get(object)
+    }
+
+    /// Purges of late that bar what they name.
+    pub fn remembered_purges(&self) -> usize {
+        self.purged.borrow().len()
+    }
+
     fn told(&self, outcome: Outcome, route: &Route, method: &Method) -> Answer {
         match outcome {
             Outcome::Answered(reply) => passed_back(reply, method),
@@ -450,74 +461,3 @@
         false
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::room::Room;
-
-    const SETTINGS: &str = "node = \"e\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
-                            seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n";
-
-    fn edge() -> Rc<Edge> {
-        let boot = Rc::new(Boot::parse(SETTINGS).unwrap());
-        let feed = Feed::new(Rc::clone(&boot), Proxy::Edge);
-        Edge::new(&boot, feed, Pool::new(8, Room::new(1 << 20)))
-    }
-
-    fn object(path: &str) -> ObjectKey {
-        ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
-    }
-
-    fn from_shield(tags: &'static str) -> Reply {
-        let mut headers = HeaderMap::new();
-        for (name, value) in
-            [("x-glenfall-seal", "s"), ("x-glenfall-tags", tags), ("x-glenfall-age-ms", "1500")]
-        {
-            headers.insert(name, HeaderValue::from_static(value));
-        }
-        Reply { status: StatusCode::OK, headers, body: Bytes::from_static(b"body") }
-    }
-
-    fn kept(edge: &Edge, path: &str) -> bool {
-        edge.copies.borrow_mut().get(&object(path)).is_some()
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_purge_ends_copies_and_bars_what_it_names_for_a_while() {
-        tokio::time::advance(Duration::from_secs(10)).await;
-        let edge = edge();
-        edge.in_touch(true);
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        edge.keep(&object("/b"), &from_shield("u"), Instant::now());
-        let age = edge.copies.borrow_mut().get(&object("/a")).map(|copy| copy.age());
-        assert_eq!(age, Some(Duration::from_millis(1500)));
-        let now = |purge| Aged { purge, age_ms: 0 };
-        let one = Purge::Object { hostname: "h".into(), path: "/c".into() };
-        edge.purge(&[now(Purge::Label("t".into())), now(one)]);
-        assert!(!kept(&edge, "/a") && kept(&edge, "/b"));
-        // A shield that has not heard yet hands out the old copies.
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        edge.keep(&object("/c"), &from_shield("u"), Instant::now());
-        assert!(!kept(&edge, "/a") && !kept(&edge, "/c"));
-        tokio::time::advance(PURGED).await;
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        assert!(kept(&edge, "/a"));
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn out_of_touch_nothing_is_kept_and_a_stream_of_purges_is_bounded() {
-        tokio::time::advance(Duration::from_secs(10)).await;
-        let edge = edge();
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        assert!(!kept(&edge, "/a"));
-        edge.in_touch(true);
-        let purges: Vec<Purge> = (0..2 * MOST_PURGED).map(|n| Purge::Label(n.to_string())).collect();
-        for purge in purges {
-            edge.purge(&[Aged { purge, age_ms: 0 }]);
-        }
-        assert!(edge.purged.borrow().len() <= MOST_PURGED);
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        assert!(!kept(&edge, "/a"), "more were purged than are remembered");
-    }
-}
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -224,7 +224,7 @@
         self.known.borrow().get(id).is_some_and(|k| k.server.ready)
     }
 
-    #[cfg(test)]
+    /// Requests at all servers together.
     pub fn in_flight(&self) -> u32 {
         self.known.borrow().values().map(|k| k.in_flight).sum()
     }
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -24,7 +24,7 @@
 /// as a reset.
 const EARLY: Duration = Duration::from_millis(1500);
 /// How long servers keep idle connections where they don't say.
-const KEPT: Duration = Duration::from_secs(6);
+pub const KEPT: Duration = Duration::from_secs(6);
 /// Longest head of an answer.
 const LONGEST_HEAD: usize = 32 << 10;
 /// Largest body of an answer that is held in memory.
@@ -33,7 +33,7 @@
 /// waited for: silence alone is no end of an answer.
 pub const ANSWER_TIME: Duration = Duration::from_secs(1);
 /// No server forgets a connection that was in use as short a time ago as this.
-const SURE: Duration = Duration::from_millis(100);
+pub const SURE: Duration = Duration::from_millis(100);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -291,7 +291,7 @@
 }
 
 /// How long a connection may be kept idle after an answer.
-fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+pub fn kept_for(headers: &HeaderMap) -> Option<Duration> {
     let words = |name| headers.get_all(name).iter().filter_map(|value| value.to_str().ok());
     let mut closes = words(header::CONNECTION).flat_map(|value| value.split(','));
     if closes.any(|word| word.trim().eq_ignore_ascii_case("close")) {
@@ -306,163 +306,3 @@
         stated.map_or(KEPT, |seconds: u64| Duration::from_secs(seconds.min(3600)).saturating_sub(EARLY));
     (!kept.is_zero()).then_some(kept)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use hyper::Uri;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::task::{spawn_local, LocalSet};
-
-    const FIRST: &str = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
-
-    /// A server that says one text to the first request that it ever gets, and then, unasked, another one; to each
-    /// later request it answers `later`.
-    async fn server(answer: &'static str, unasked: &'static str) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let addr = listener.local_addr().expect("its address");
-        spawn_local(async move {
-            let mut first = true;
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let said = std::mem::replace(&mut first, false).then_some((answer, unasked));
-                spawn_local(async move {
-                    let mut said = said;
-                    let mut heard = Vec::new();
-                    while stream.read_buf(&mut heard).await.is_ok_and(|n| n > 0) {
-                        if !heard.ends_with(b"\r\n\r\n") {
-                            continue;
-                        }
-                        heard.clear();
-                        let (answer, unasked) =
-                            said.take().unwrap_or(("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nlater", ""));
-                        let _ = stream.write_all(answer.as_bytes()).await;
-                        if !unasked.is_empty() {
-                            sleep(Duration::from_millis(50)).await;
-                            let _ = stream.write_all(unasked.as_bytes()).await;
-                        }
-                    }
-                });
-            }
-        });
-        addr
-    }
-
-    /// What two requests get, one after the other.
-    async fn two(answer: &'static str, unasked: &'static str, trust: Trust) -> [Result<String, Trouble>; 2] {
-        let (pool, addr) = (Pool::new(8, Room::new(1 << 20)), server(answer, unasked).await);
-        let mut got = Vec::new();
-        for _ in 0..2 {
-            let request = || {
-                let mut request = Request::new(Full::new(Bytes::new()));
-                *request.uri_mut() = Uri::from_static("/x");
-                request
-            };
-            let ended =
-                pool.exchange(addr, request, Instant::now() + Duration::from_secs(20), trust, || true).await;
-            got.push(ended.map(|reply| String::from_utf8_lossy(&reply.body).into_owned()));
-            sleep(Duration::from_millis(150)).await;
-        }
-        got.try_into().expect("two")
-    }
-
-    #[test]
-    fn an_answer_is_read_as_the_next_one_only_where_it_came_in_answer() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        LocalSet::new().block_on(&runtime, async {
-            let ok = |text: &str| Ok(text.to_owned());
-            let twice = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst\
-                         HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmore";
-            let informed =
-                "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
-            let longer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst and more than that";
-            let shorter = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nfirst";
-            let neither = "HTTP/1.1 200 OK\r\n\r\nfirst";
-            for (case, answer, unasked, got) in [
-                ("well", FIRST, "", [ok("first"), ok("later")]),
-                ("a second answer at once", twice, "", [ok("first"), ok("later")]),
-                ("a second answer late", FIRST, FIRST, [ok("first"), ok("later")]),
-                ("noise late", FIRST, "noise", [ok("first"), ok("later")]),
-                ("a 1xx before", informed, "", [ok("first"), ok("later")]),
-                ("a 1xx late", FIRST, "HTTP/1.1 100 Continue\r\n\r\n", [ok("first"), ok("later")]),
-                ("longer than it says", longer, "", [ok("first"), ok("later")]),
-                ("shorter than it says", shorter, "", [Err(Trouble::Unknown), ok("later")]),
-                ("no length", neither, "", [Err(Trouble::Unknown), ok("later")]),
-            ] {
-                for trust in [Trust::Ours, Trust::Wary] {
-                    assert_eq!(two(answer, unasked, trust).await, got, "{case}, {trust:?}");
-                }
-            }
-        });
-    }
-
-    /// A server that forgets connections without a word: what comes after its first answer is reset, once a few bytes
-    /// of it are there. Counts the requests that reached it whole.
-    async fn forgetful(whole: Rc<Cell<u32>>) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let addr = listener.local_addr().expect("its address");
-        spawn_local(async move {
-            while let Ok((mut stream, _)) = listener.accept().await {
-                let whole = Rc::clone(&whole);
-                spawn_local(async move {
-                    let mut heard = Vec::new();
-                    while !heard.ends_with(b"\r\n\r\nbody") {
-                        if stream.read_buf(&mut heard).await.is_ok_and(|n| n == 0) {
-                            return;
-                        }
-                    }
-                    whole.set(whole.get() + 1);
-                    let _ = stream.write_all(FIRST.as_bytes()).await;
-                    let mut more = [0; 4096];
-                    let read = stream.read(&mut more).await.unwrap_or(0);
-                    whole.set(whole.get() + u32::from(more[..read].ends_with(b"body")));
-                    // Without waiting for what is still to come.
-                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
-                });
-            }
-        });
-        addr
-    }
-
-    #[test]
-    fn a_request_on_a_forgotten_connection_goes_out_again_only_where_it_was_not_sent_whole() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        LocalSet::new().block_on(&runtime, async {
-            for (trust, got) in [
-                // The reset comes before the last byte goes.
-                (Trust::Wary, Ok("first".to_owned())),
-                // Sent whole at once, it may have run.
-                (Trust::Ours, Err(Trouble::Unknown)),
-            ] {
-                let whole = Rc::new(Cell::new(0));
-                let (pool, addr) = (Pool::new(8, Room::new(1 << 20)), forgetful(Rc::clone(&whole)).await);
-                let request = || {
-                    let mut request = Request::new(Full::new(Bytes::from_static(b"body")));
-                    *request.method_mut() = Method::POST;
-                    *request.uri_mut() = Uri::from_static("/x");
-                    request
-                };
-                let until = || Instant::now() + Duration::from_secs(20);
-                assert!(pool.exchange(addr, request, until(), trust, || true).await.is_ok());
-                assert!(pool.is_warm(addr));
-                sleep(SURE).await;
-                let second = pool.exchange(addr, request, until(), trust, || true).await;
-                let second = second.map(|reply| String::from_utf8_lossy(&reply.body).into_owned());
-                assert_eq!((second, whole.get()), (got, 2), "{trust:?}");
-            }
-        });
-    }
-
-    #[test]
-    fn a_connection_is_kept_for_less_than_the_server_says() {
-        let kept = |name: &'static str, value: &'static str| {
-            let mut headers = HeaderMap::new();
-            headers.insert(name, value.parse().unwrap());
-            kept_for(&headers)
-        };
-        assert_eq!(kept("keep-alive", "timeout=5, max=100"), Some(Duration::from_millis(3500)));
-        assert_eq!(kept("keep-alive", "timeout=1"), None);
-        assert_eq!(kept("connection", "Close"), None);
-        assert_eq!(kept("server", "x"), Some(KEPT));
-    }
-}
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -177,6 +177,17 @@
     stopping: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(terms.listen).await?;
+    serve_at(listener, terms, handler, stopping).await;
+    Ok(())
+}
+
+/// The same, at a listener that is open already.
+pub async fn serve_at<H: Handler>(
+    listener: TcpListener,
+    terms: Terms,
+    handler: Rc<H>,
+    stopping: watch::Receiver<bool>,
+) {
     let clients = Rc::new(Clients {
         open: Cell::new(0),
         most: terms.most,
@@ -198,7 +209,6 @@
         }
     };
     let _ = timeout(terms.grace.saturating_sub(terms.still_accepting), none_left).await;
-    Ok(())
 }
 
 pub async fn signalled(mut stopping: watch::Receiver<bool>) {
@@ -382,123 +392,3 @@
         buffer.extend_from_slice(&data);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::task::LocalSet;
-
-    /// Tells how long the bodies are.
-    struct Lengths;
-
-    impl Handler for Lengths {
-        async fn answer(&self, whole: Whole) -> Answer {
-            let mut answer = plain(StatusCode::OK, "");
-            answer.headers_mut().insert("x-length", HeaderValue::from(whole.body.len()));
-            answer
-        }
-
-        fn limits(&self) -> ReqLimits {
-            ReqLimits {
-                max_header_bytes: 8 << 10,
-                max_body_bytes: 4000,
-                header_timeout_ms: 150,
-                idle_timeout_ms: 900,
-            }
-        }
-
-        fn leaving(&self) -> bool {
-            false
-        }
-    }
-
-    /// What a client that says these pieces, pausing for a while after each, hears in all; and when it ends.
-    async fn heard(pieces: &[(&str, u64)]) -> (String, Duration) {
-        heard_beside(0, pieces).await
-    }
-
-    /// The same, where other bodies take so many of 5000 bytes.
-    async fn heard_beside(others: usize, pieces: &[(&str, u64)]) -> (String, Duration) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-        let addr = listener.local_addr().expect("its address");
-        let (_stop, stopping) = watch::channel(false);
-        spawn_local(async move {
-            let (stream, _) = listener.accept().await.expect("the client");
-            let clients = Clients {
-                open: Cell::new(1),
-                most: 1,
-                bodies: Cell::new(others),
-                most_bodies: 5000,
-                closed: Notify::new(),
-            };
-            connection(stream, Rc::new(Lengths), Client(Rc::new(clients)), stopping).await;
-        });
-        let mut stream = TcpStream::connect(addr).await.expect("a connection");
-        let mut ends = stream.split();
-        let say = async {
-            for (piece, pause) in pieces {
-                // The other side may have ended it by then.
-                let _ = ends.1.write_all(piece.as_bytes()).await;
-                sleep(Duration::from_millis(*pause)).await;
-            }
-            std::future::pending::<()>().await;
-        };
-        let began = Instant::now();
-        let mut text = String::new();
-        tokio::select! {
-            () = say => {}
-            read = ends.0.read_to_string(&mut text) => { read.expect("an end in order"); }
-        }
-        (text, began.elapsed())
-    }
-
-    #[test]
-    fn a_head_has_one_limit_and_idling_another() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, async {
-            let whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
-            let ms = Duration::from_millis;
-            let (text, took) = heard(&[("GET / HT", 0)]).await;
-            assert!(text.starts_with("HTTP/1.1 408 ") && took >= ms(150), "{text} after {took:?}");
-            // Bytes that trickle in give no more time.
-            let (text, _) = heard(&[("GET / H", 60), ("T", 60), ("T", 60), ("P", 60), ("/1", 600)]).await;
-            assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
-            // Idle for longer than a head may take.
-            let (text, took) = heard(&[("", 300), (whole, 300), (whole, 0)]).await;
-            assert_eq!(text.matches("HTTP/1.1 200 ").count(), 2, "{text}");
-            assert!(!text.contains("408") && took >= ms(600 + 900), "{text} after {took:?}");
-        });
-    }
-
-    #[test]
-    fn bodies_are_read_whole_within_their_limits() {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, async {
-            let post = |header: &str, body: &str| {
-                format!("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{header}\r\n\r\n{body}")
-            };
-            let chunk = |length: usize| format!("{length:x}\r\n{}\r\n", "b".repeat(length));
-            let chunks = "Transfer-Encoding: chunked";
-            for (case, first, rest, told) in [
-                ("whole", post("Content-Length: 5", "hello"), String::new(), "x-length: 5\r\n"),
-                ("in pieces", post("Content-Length: 4000", "a"), "a".repeat(3999), "x-length: 4000\r\n"),
-                ("one more", post("Content-Length: 4001", ""), String::new(), "HTTP/1.1 413 "),
-                ("in chunks", post(chunks, &chunk(900)), chunk(3100) + "0\r\n\r\n", "x-length: 4000\r\n"),
-                ("one too many", post(chunks, &chunk(1000)), chunk(3001) + "0\r\n\r\n", "HTTP/1.1 413 "),
-                ("no chunk", post(chunks, &chunk(10)), "what\r\n".into(), "HTTP/1.1 400 "),
-                ("never whole", post("Content-Length: 9", "eight"), String::new(), "HTTP/1.1 408 "),
-            ] {
-                let (text, _) = heard(&[(&first, 50), (&rest, 0)]).await;
-                assert!(text.contains(told), "{case}: {text}");
-            }
-            let (text, _) =
-                heard_beside(3000, &[(&post("Content-Length: 2000", &"a".repeat(2000)), 0)]).await;
-            assert!(text.contains("x-length: 2000"), "{text}");
-            for full in [post("Content-Length: 2001", "a"), post(chunks, &chunk(2001))] {
-                let (text, _) = heard_beside(3000, &[(&full, 0)]).await;
-                assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("retry-after: 0.200"), "{text}");
-            }
-        });
-    }
-}
--- /dev/null
+++ b/glenfall/tests/unit/support.rs
@@ -0,0 +1,65 @@
+//! What several of these tests need: a runtime, stand-in servers, and small records of the system.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::net::SocketAddrV4;
+
+use glenfall::boot::Boot;
+use glenfall::cache::ObjectKey;
+use glenfall_plane::messages::Server;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Runs a test with tasks of its own, in real time.
+pub fn run_local<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// A listener on a free port, and its address.
+pub async fn listener() -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    match listener.local_addr().expect("its address") {
+        SocketAddr::V4(address) => (listener, address),
+        SocketAddr::V6(address) => panic!("{address} is not what was bound"),
+    }
+}
+
+/// A stand-in server: every connection is given to `connection`, in a task of its own.
+pub async fn stand_in<F>(mut connection: impl FnMut(TcpStream) -> F + 'static) -> SocketAddrV4
+where
+    F: Future<Output = ()> + 'static,
+{
+    let (listener, address) = listener().await;
+    spawn_local(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            spawn_local(connection(stream));
+        }
+    });
+    address
+}
+
+/// Settings of a node, with more lines at their end.
+pub fn settings(more: &str) -> Boot {
+    let text = "node = \"n\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
+                seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n";
+    Boot::parse(&format!("{text}{more}")).expect("settings")
+}
+
+/// A server of the service `s`, ready and warm.
+pub fn server(id: &str, port: u16) -> Server {
+    Server {
+        id: id.into(),
+        backend: "s".into(),
+        addr: SocketAddrV4::new([127, 0, 0, 1].into(), port),
+        zone: "z".into(),
+        capacity: 2,
+        ready: true,
+        warmup_left_ms: 0,
+    }
+}
+
+/// An object of the service `s`.
+pub fn object(path: &str) -> ObjectKey {
+    ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
+}
