Tests of state, settings and choice of servers live in glenfall/tests/unit

Cause: ten more files of glenfall held their tests inline; most named and removed folders of their own, each in its own way. Change: the 27 tests of agent, backup, boot, declare, kept, latency, ops, origins, purge_log and store go to glenfall/tests/unit, a file of the same name each, under their own names. Folders remove themselves (support.rs). - agent: RelayedFleet has what a proxy is told of the fleet; that a new control node takes nobody off is shown by what the proxy goes by, not by a function within. - kept: the writer of copies has a type of its own with short steps, which a caller may run itself; ages on disk are moved from where they were written. - store: files of the layouts before are written by the test byte for byte as the old program did; a spoilt table of orders is shown by a start that sets the file aside and can write again, where before only the read had to fail.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -31,15 +31,21 @@
 #[derive(Default)]
 struct Known {
     config: Option<(u64, Arc<Vec<u8>>)>,
-    /// What the control node of this session has told.
-    told: Numbered,
-    /// What the proxy goes by: nothing yet, or that and what is known from others.
-    fleet: Option<Numbered>,
+    fleet: RelayedFleet,
     controls: Vec<Ipv4Addr>,
     /// Control has told all that was missed.
     in_touch: bool,
 }
 
+/// The fleet on its way from control to the proxy.
+#[derive(Default)]
+pub struct RelayedFleet {
+    /// What the control node of this session has told.
+    told: Numbered,
+    /// What the proxy goes by: nothing yet, or that and what is known from others.
+    relayed: Option<Numbered>,
+}
+
 struct Agent {
     boot: Rc<Boot>,
     known: RefCell<Known>,
@@ -47,6 +53,7 @@
     changed: Notify,
 }
 
+/// Runs the agent for as long as the process runs.
 pub async fn run(boot: Rc<Boot>) -> std::io::Result<()> {
     let listener = TcpListener::bind(boot.feed()).await?;
     let agent = Rc::new(Agent {
@@ -85,7 +92,7 @@
             // What was purged while the proxy was away is not known one by one.
             let mut news = vec![News::Purges(vec![Aged { purge: Purge::Everything, age_ms: 0 }])];
             news.extend(known.config.clone().map(|(rev, document)| News::Config { rev, document }));
-            news.extend(known.fleet.as_ref().map(|fleet| News::Fleet(fleet.whole())));
+            news.extend(known.fleet.whole().map(News::Fleet));
             news.push(News::InTouch(known.in_touch));
             (Vec::new(), news)
         };
@@ -175,7 +182,7 @@
                 known.config = Some((rev, Arc::clone(&document)));
                 News::Config { rev, document }
             }
-            News::Fleet(told) => match self.known.borrow_mut().take_fleet(told) {
+            News::Fleet(told) => match self.known.borrow_mut().fleet.take(told) {
                 Ok(Some(told)) => News::Fleet(told),
                 Ok(None) => return true,
                 Err(gap) => {
@@ -198,12 +205,17 @@
     }
 }
 
-impl Known {
+impl RelayedFleet {
+    /// All that the proxy goes by, for one that knows nothing.
+    pub fn whole(&self) -> Option<Told> {
+        self.relayed.as_ref().map(Numbered::whole)
+    }
+
     /// Takes what control tells of the fleet; gives what the proxy has to be told of it.
-    fn take_fleet(&mut self, told: Told) -> Result<Option<Told>, Gap> {
+    pub fn take(&mut self, told: Told) -> Result<Option<Told>, Gap> {
         self.told.take(told)?;
-        let first = self.fleet.is_none();
-        let fleet = self.fleet.get_or_insert_default();
+        let first = self.relayed.is_none();
+        let fleet = self.relayed.get_or_insert_default();
         let next = merged(fleet.fleet(), self.told.fleet().clone());
         let told = fleet.become_next(next);
         Ok(if first { Some(fleet.whole()) } else { told })
@@ -223,63 +235,3 @@
     }
     fleet
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use glenfall_plane::messages::Server;
-
-    fn server(id: &str, port: u16, ready: bool) -> Server {
-        Server {
-            id: id.into(),
-            backend: "s".into(),
-            addr: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
-            zone: "z".into(),
-            capacity: 1,
-            ready,
-            warmup_left_ms: 0,
-        }
-    }
-
-    fn fleet(complete: bool, servers: Vec<Server>) -> Fleet {
-        Fleet { complete, servers, shields: Vec::new(), edges: vec![1], cores: 1 }
-    }
-
-    #[test]
-    fn a_control_node_that_has_just_started_takes_nobody_off() {
-        let known = fleet(true, vec![server("a", 1, true), server("b", 2, true), server("c", 3, true)]);
-        // `b` drains, and a new server has the address of `c`.
-        let new = fleet(false, vec![server("b", 2, false), server("d", 3, true)]);
-        let merged_ids = |new| {
-            let servers = merged(&known, new).servers;
-            servers.into_iter().map(|server| (server.id, server.ready)).collect::<Vec<_>>()
-        };
-        let told = |id: &str, ready| (id.to_owned(), ready);
-        assert_eq!(merged_ids(new.clone()), [told("a", true), told("b", false), told("d", true)]);
-        assert_eq!(merged_ids(Fleet { complete: true, ..new }), [told("b", false), told("d", true)]);
-    }
-    #[test]
-    fn the_proxy_is_told_all_once_and_then_what_changes() {
-        let mut control = Numbered::default();
-        let mut known = Known::default();
-        let mut proxy = Numbered::default();
-        control.become_next(fleet(true, vec![server("a", 1, true), server("b", 2, true)]));
-        let first = known.take_fleet(control.whole()).unwrap().expect("all of it");
-        assert!(matches!(first, Told::Whole { .. }));
-        proxy.take(first).unwrap();
-        let told =
-            control.become_next(fleet(true, vec![server("b", 2, false), server("c", 3, true)])).unwrap();
-        proxy.take(known.take_fleet(told).unwrap().expect("a change")).unwrap();
-        assert_eq!(proxy.fleet(), control.fleet());
-        // Another control node, which has just started and counts from the beginning, tells nothing new.
-        let mut other = Numbered::default();
-        other.become_next(fleet(false, vec![server("c", 3, true)]));
-        let told = known.take_fleet(other.whole()).unwrap().expect("it is not complete");
-        proxy.take(told).unwrap();
-        let ids: Vec<_> = proxy.fleet().servers.iter().map(|server| &server.id[..]).collect();
-        assert_eq!((ids, proxy.fleet().complete), (vec!["b", "c"], false));
-        // What builds on what the first one told is turned away.
-        let late = control.become_next(fleet(true, Vec::new())).unwrap();
-        assert!(known.take_fleet(late).is_err());
-    }
-}
--- a/glenfall/src/control/purge_log.rs
+++ b/glenfall/src/control/purge_log.rs
@@ -17,7 +17,7 @@
 /// Bytes of its pages; purges are small.
 const PAGE: usize = 4 << 10;
 /// The time of day may be off by so much, in milliseconds.
-const CLOCK_OFF: i64 = 2000;
+pub const CLOCK_OFF: i64 = 2000;
 /// Purges in the log at most: one more than are remembered, so that whoever reads them knows that there were others.
 const MOST_KEPT: i64 = MOST as i64 + 1;
 /// Pause after the disk refused something.
@@ -28,6 +28,7 @@
 /// Purges to be written, and who waits until they are.
 type Write = (Vec<Stamped>, oneshot::Sender<()>);
 
+/// The way to the thread that writes.
 pub struct PurgeLog(mpsc::SyncSender<Write>);
 
 fn open(path: &Path) -> rusqlite::Result<Connection> {
@@ -118,38 +119,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use glenfall_plane::messages::Purge;
-
-    fn stamped(number: u64, age_ms: u64) -> Stamped {
-        let purge = Purge::Label(format!("l{number}"));
-        Stamped { origin: [10, 0, 0, 1].into(), life: 7, number, age_ms, purge }
-    }
-
-    #[test]
-    fn what_was_written_is_found_for_as_long_as_it_is_remembered() {
-        let folder = std::env::temp_dir().join(format!("glenfall-purges-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        let (log, found) = PurgeLog::open(&folder).unwrap();
-        assert_eq!(found, []);
-        log.write(vec![stamped(1, 0), stamped(2, REMEMBERED - 60_000)]).blocking_recv().unwrap();
-        log.write(vec![stamped(3, REMEMBERED + 1), stamped(4, 0)]).blocking_recv().unwrap();
-        let numbers =
-            |found: &[Stamped]| found.iter().map(|s| (s.number, s.purge.clone())).collect::<Vec<_>>();
-        let label = |n: u64| (n, Purge::Label(format!("l{n}")));
-        drop(log);
-        // The thread lets go of the file when it has seen that nobody writes any more.
-        let found = loop {
-            let (_log, found) = PurgeLog::open(&folder).unwrap();
-            if !found.is_empty() {
-                break found;
-            }
-        };
-        assert_eq!(numbers(&found), [label(1), label(2), label(4)]);
-        assert!(found[1].age_ms + CLOCK_OFF as u64 >= REMEMBERED - 60_000);
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-}
--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -73,6 +73,7 @@
     Damaged(String),
 }
 
+/// An open store; nothing else can use its file.
 pub struct Store {
     db: Connection,
     /// Chunks of taken orders that have a row.
@@ -161,6 +162,17 @@
         Ok(whole.commit()?)
     }
 
+    /// The state as the file has it.
+    pub fn read(&self) -> Result<Option<Durable>, StoreError> {
+        read_whole(&self.db)
+    }
+
+    /// Rows written and deleted since it was opened.
+    pub fn rows_changed(&self) -> u64 {
+        self.db.total_changes()
+    }
+
+    /// Writes a state in place of the one before, both its rows and those of the orders, or none.
     pub fn save(&self, state: &Durable) -> Result<(), StoreError> {
         // Undone where it is dropped before its end.
         let whole = self.db.unchecked_transaction()?;
@@ -359,211 +371,3 @@
     })?;
     Ok(sender)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use glenfall_plane::orders::{OrderKey, CHUNK, MOST_TAKEN};
-
-    fn folder(name: &str) -> PathBuf {
-        let folder = std::env::temp_dir().join(format!("glenfall-store-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        folder
-    }
-
-    fn state(promised: u64, size: usize) -> Durable {
-        let document = (0..size).map(|n| (n * 7 % 251) as u8).collect();
-        let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
-        // One chunk that is full, and three orders more.
-        let orders: Vec<TakenOrder> = (1..=CHUNK as u64 + 3).map(order).collect();
-        let taken = TakenOrders::listed(0, &orders).unwrap();
-        let record = Record { seq: 67, rev: 67, document, taken };
-        let members = Members::of(vec![[10, 0, 0, 1].into()]);
-        Durable { members, votes: true, promised, accepted: 16, record: Arc::new(record) }
-    }
-
-    #[test]
-    fn each_layout_before_is_taken_over_once_and_its_prints_confirm_and_refuse_nothing() {
-        let folder = folder("before");
-        let whole = state(64, 100);
-        let mut expected = whole.clone();
-        let taken = TakenOrders::forgotten(67);
-        expected.record = Arc::new(Record { taken, ..(*whole.record).clone() });
-        for before in [FIXED, PRINTS] {
-            let _ = std::fs::remove_dir_all(&folder);
-            {
-                let (store, _) = Store::open(&folder).unwrap();
-                store.db.execute_batch("DROP TABLE taken").unwrap();
-                let Durable { members, votes, promised, accepted, record } = whole.clone();
-                let record = PrintsRecord {
-                    seq: record.seq,
-                    rev: record.rev,
-                    document: record.document.clone(),
-                    prints: vec![(7, 1), (9, 2)],
-                };
-                let bytes = if before == FIXED {
-                    let voters = members.voters;
-                    postcard::to_stdvec(&WithFixedVoters { voters, promised, accepted, record }).unwrap()
-                } else {
-                    let old = WithPrints { members, votes, promised, accepted, record };
-                    postcard::to_stdvec(&old).unwrap()
-                };
-                let crc = i64::from(crc32fast::hash(&bytes));
-                store
-                    .db
-                    .execute("INSERT INTO chain (id, state, crc) VALUES (?1, ?2, ?3)", (STATE, bytes, crc))
-                    .unwrap();
-                store.db.pragma_update(None, "user_version", before).unwrap();
-            }
-            for _ in 0..2 {
-                assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(expected.clone()), "{before}");
-                let now = layout(&Connection::open(path_in(&folder)).unwrap()).unwrap();
-                assert_eq!(now, LAYOUT, "{before}");
-            }
-        }
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-
-    #[test]
-    fn what_was_written_last_is_read_back() {
-        let folder = folder("back");
-        let (store, found) = Store::open(&folder).unwrap();
-        assert_eq!(found, Found::Nothing);
-        let (tell, mut synced) = tokio::sync::mpsc::unbounded_channel();
-        let writes = start(store, tell).unwrap();
-        for number in 1..=5 {
-            writes.send((number, state(number * 16, 2))).unwrap();
-        }
-        while synced.blocking_recv() != Some(5) {}
-        assert!(verify(&folder).is_err(), "in use");
-        drop(writes);
-        assert_eq!(synced.blocking_recv(), None);
-        assert_eq!(verify(&folder).unwrap(), Some(state(80, 2)));
-        assert_eq!(Store::open(&folder).unwrap().1, Found::Kept(state(80, 2)));
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-
-    #[test]
-    fn taken_orders_are_written_once_and_those_that_leave_the_table_leave_the_file() {
-        let folder = folder("taken");
-        let (store, _) = Store::open(&folder).unwrap();
-        let order = |rev: u64| TakenOrder { rev, key: OrderKey([rev as u8; 32]) };
-        let with = |orders: std::ops::RangeInclusive<u64>| {
-            let (orders, forgotten): (Vec<_>, u64) =
-                (orders.clone().map(order).collect(), orders.start() - 1);
-            let (rev, taken) =
-                (orders[orders.len() - 1].rev, TakenOrders::listed(forgotten, &orders).unwrap());
-            let record = Record { seq: rev, rev, document: b"{}".to_vec(), taken };
-            Durable { record: Arc::new(record), ..state(16, 0) }
-        };
-        let written =
-            || store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
-        let (most, chunk) = (MOST_TAKEN as u64, CHUNK as u64);
-        // The table grows, is full, lets go of its oldest chunk, and begins anew as a restored one does. Rows that are
-        // written or deleted, that of the state included.
-        let cases = [
-            (1..=chunk - 1, 1),
-            (1..=chunk, 2),
-            (1..=chunk + 1, 1),
-            (1..=most, most / chunk),
-            (chunk + 1..=most + 1, 2),
-            (chunk + 1..=most + 2, 1),
-            (7..=9, most / chunk),
-            (1..=chunk, 2),
-        ];
-        for (orders, rows) in cases {
-            let (whole, before) = (with(orders.clone()), written());
-            store.save(&whole).unwrap();
-            assert_eq!(written() - before, rows, "{orders:?}");
-            assert_eq!(read_whole(&store.db).unwrap(), Some(whole), "{orders:?}");
-        }
-        for spoil in
-            ["DELETE FROM taken", "UPDATE taken SET orders = x'00'", "INSERT INTO taken VALUES (-1, x'')"]
-        {
-            store.db.execute_batch("BEGIN").unwrap();
-            store.db.execute(spoil, []).unwrap();
-            assert!(read_whole(&store.db).is_err_and(|e| e.is_damage()), "{spoil}");
-            store.db.execute_batch("ROLLBACK").unwrap();
-        }
-        drop(store);
-        // What has a row is known after a start as well.
-        let (store, found) = Store::open(&folder).unwrap();
-        assert_eq!(found, Found::Kept(with(1..=chunk)));
-        let before = store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
-        store.save(&with(1..=chunk + 1)).unwrap();
-        let after = store.db.query_row("SELECT total_changes()", [], |row| row.get::<_, u64>(0)).unwrap();
-        assert_eq!(after - before, 1);
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-
-    /// Opens a folder whose file holds these bytes. What is found is the state or that it is damaged; then the
-    /// file can be written again, and a start after that knows that something was lost.
-    fn open_spoilt(folder: &Path, bytes: &[u8], whole: &Durable, case: &str) -> bool {
-        let _ = std::fs::remove_dir_all(folder);
-        std::fs::create_dir_all(folder).unwrap();
-        std::fs::write(path_in(folder), bytes).unwrap();
-        let (store, found) = Store::open(folder).unwrap_or_else(|e| panic!("{case}: {e}"));
-        match found {
-            Found::Kept(state) => {
-                assert_eq!(&state, whole, "{case}: read as if it were whole");
-                false
-            }
-            Found::Nothing => {
-                assert!(bytes.is_empty(), "{case}: as if nothing had been there");
-                false
-            }
-            Found::Damaged(why) => {
-                assert!(!why.contains('\n'), "{case}: {why}");
-                drop(store);
-                let (store, found) = Store::open(folder).unwrap();
-                assert!(matches!(found, Found::Damaged(_)), "{case}: forgotten by the next start");
-                store.save(whole).unwrap();
-                drop(store);
-                assert_eq!(Store::open(folder).unwrap().1, Found::Kept(whole.clone()), "{case}");
-                true
-            }
-        }
-    }
-
-    #[test]
-    fn cut_torn_and_flipped_files_are_found_out_and_set_aside() {
-        let folder = folder("spoilt");
-        let whole = state(64, 9000);
-        {
-            let (store, _) = Store::open(&folder).unwrap();
-            store.save(&state(16, 5000)).unwrap();
-            store.save(&whole).unwrap();
-        }
-        let bytes = std::fs::read(path_in(&folder)).unwrap();
-        const PAGE: usize = 4096;
-        let pages = bytes.len() / PAGE;
-        assert!(pages >= 4 && bytes.len().is_multiple_of(PAGE), "{} bytes", bytes.len());
-        let (mut found, mut all) = (0, 0);
-        let mut spoil = |bytes: &[u8], case: &str| {
-            all += 1;
-            found += u32::from(open_spoilt(&folder, bytes, &whole, case));
-        };
-        for page in 0..pages {
-            let at = page * PAGE;
-            for cut in [at.saturating_sub(1), at, at + 1, at + PAGE / 2] {
-                spoil(&bytes[..cut], &format!("cut at {cut}"));
-            }
-            // A page that was never written, and one of which half was.
-            for (from, what) in [(0, "missing"), (PAGE / 2, "torn")] {
-                let mut torn = bytes.clone();
-                torn[at + from..at + PAGE].fill(0);
-                spoil(&torn, &format!("page {page} {what}"));
-            }
-            let places = (0..16).chain((16..PAGE).step_by(401)).chain([PAGE - 1]);
-            for offset in places {
-                for bit in [0, 3, 7] {
-                    let mut flipped = bytes.clone();
-                    flipped[at + offset] ^= 1 << bit;
-                    spoil(&flipped, &format!("page {page}, byte {offset}, bit {bit} flipped"));
-                }
-            }
-        }
-        assert!(found * 2 > all, "{found} of {all} found; the others lie where nothing is read");
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-}
--- a/glenfall/src/kept.rs
+++ b/glenfall/src/kept.rs
@@ -20,11 +20,12 @@
 use crate::cache::ObjectKey;
 use crate::disk::{self, now_ms};
 
-const FILE: &str = "copies.sqlite";
+/// The file's name in its folder.
+pub const FILE: &str = "copies.sqlite";
 /// Changes within this time are written as one, with one sync.
 const GATHER: Duration = Duration::from_millis(300);
 /// Bytes of copies that wait to be written; what comes beyond is kept in memory only.
-const MOST_WAITING: usize = 8 << 20;
+pub const MOST_WAITING: usize = 8 << 20;
 /// Pages of the file, and of the log before it, in bytes: a copy takes few of them.
 const PAGE: usize = 16 << 10;
 /// The log goes into the file when it has so many pages, and is cut back to that where it was longer.
@@ -69,6 +70,22 @@
     Remove(Vec<String>),
 }
 
+impl Change {
+    fn rows(&self) -> usize {
+        match self {
+            Change::Put { .. } | Change::Born { .. } => 1,
+            Change::Remove(ids) => ids.len(),
+        }
+    }
+
+    fn body_bytes(&self) -> usize {
+        match self {
+            Change::Put { body, .. } => body.len(),
+            Change::Born { .. } | Change::Remove(_) => 0,
+        }
+    }
+}
+
 /// The way to the thread that writes.
 pub struct Kept {
     changes: mpsc::Sender<Change>,
@@ -93,6 +110,13 @@
 impl Kept {
     /// Opens the copies in a folder; what is there comes through the receiver.
     pub fn open(folder: &Path, disk_mb: u64) -> std::io::Result<(Kept, oneshot::Receiver<Vec<Row>>)> {
+        let (kept, mut writer, found) = Kept::prepare(folder, disk_mb);
+        std::thread::Builder::new().name("copies".into()).spawn(move || writer.run())?;
+        Ok((kept, found))
+    }
+
+    /// The same, for a caller that runs the writer itself.
+    pub fn prepare(folder: &Path, disk_mb: u64) -> (Kept, Writer, oneshot::Receiver<Vec<Row>>) {
         let (changes, queue) = mpsc::channel();
         let (tell, found) = oneshot::channel();
         let waiting = Arc::new(AtomicUsize::new(0));
@@ -100,13 +124,11 @@
             path: folder.join(FILE),
             most_pages: (disk_mb as f64 * PART_OF_DISK * f64::from(1 << 20)) as usize / PAGE,
         };
-        let counted = Arc::clone(&waiting);
-        std::thread::Builder::new()
-            .name("copies".into())
-            .spawn(move || write_all(&file, &queue, &counted, tell))?;
-        Ok((Kept { changes, waiting }, found))
+        let writer = Writer { file, queue, waiting: Arc::clone(&waiting), tell: Some(tell) };
+        (Kept { changes, waiting }, writer, found)
     }
 
+    /// Writes a copy, in place of what lay there under its name.
     pub fn put(
         &self,
         key: &ObjectKey,
@@ -137,6 +159,7 @@
         self.send(Change::Born { id: id(key), born: born(age) });
     }
 
+    /// Removes copies that are there.
     pub fn remove(&self, keys: &[ObjectKey]) {
         for some in keys.chunks(MOST_AT_ONCE) {
             self.send(Change::Remove(some.iter().map(id).collect()));
@@ -195,7 +218,7 @@
 
 /// How long ago the file was written last, by the time of day and by the steady clock. `None` where it was too long ago,
 /// or nothing can be told: the time of day was set back.
-fn since_written(by_day: i64, by_steady: i64) -> Option<Duration> {
+pub fn since_written(by_day: i64, by_steady: i64) -> Option<Duration> {
     let off = CLOCK_OFF.as_millis() as i64;
     let agree = by_steady >= 0 && (by_day - by_steady).abs() <= off;
     let since = if agree { by_steady } else { by_day + off };
@@ -274,168 +297,71 @@
     transaction.commit()
 }
 
-fn write_all(
-    file: &File,
-    queue: &mpsc::Receiver<Change>,
-    waiting: &AtomicUsize,
-    tell: oneshot::Sender<Vec<Row>>,
-) {
-    let mut db = file.open_anew();
-    let found = db.as_ref().map(read_all);
-    if let Some(Err(error)) = &found {
-        tracing::warn!(%error, "copies on disk can't be read; they are thrown away");
-        db = None;
-        disk::throw_away(&file.path);
-    }
-    // Nobody may wait for them any more.
-    let _ = tell.send(found.and_then(Result::ok).unwrap_or_default());
-    let mut behind = false;
-    while let Ok(first) = queue.recv() {
-        if !behind {
-            std::thread::sleep(GATHER);
-        }
-        let (mut changes, mut rows) = (Vec::new(), 0);
-        for change in std::iter::once(first).chain(std::iter::from_fn(|| queue.try_recv().ok())) {
-            rows += if let Change::Remove(ids) = &change { ids.len() } else { 1 };
-            changes.push(change);
-            if rows >= MOST_AT_ONCE {
-                break;
-            }
-        }
-        behind = rows >= MOST_AT_ONCE;
-        db = db.or_else(|| file.open_anew());
-        let written = db.as_mut().map(|db| write(db, &changes));
-        let bytes =
-            changes.iter().map(|c| if let Change::Put { body, .. } = c { body.len() } else { 0 }).sum();
-        waiting.fetch_sub(bytes, Ordering::Relaxed);
-        if let Some(Err(error)) = written {
-            // Full, or the disk refuses: what should have gone may still lie there, so that all of it goes.
-            tracing::warn!(%error, "copies not written to disk; those there are thrown away");
-            db = None;
-            disk::throw_away(&file.path);
-            std::thread::sleep(AGAIN);
-        }
-    }
+/// The side that reads and writes the file.
+pub struct Writer {
+    file: File,
+    queue: mpsc::Receiver<Change>,
+    waiting: Arc<AtomicUsize>,
+    tell: Option<oneshot::Sender<Vec<Row>>>,
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn folder(name: &str) -> PathBuf {
-        let folder = std::env::temp_dir().join(format!("glenfall-kept-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        folder
+impl Writer {
+    /// Bytes of copies that wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
     }
 
-    fn key(path: &str) -> ObjectKey {
-        ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
-    }
-
-    /// What is found in a folder, by path: body and label.
-    fn found(folder: &Path) -> Vec<(String, usize, String)> {
-        let (_kept, found) = Kept::open(folder, 64).unwrap();
-        let rows = found.blocking_recv().unwrap();
-        let mut found: Vec<_> =
-            rows.iter().map(|row| (row.key.path.to_string(), row.body.len(), row.labels.join(" "))).collect();
-        found.sort();
-        found
-    }
-
-    /// Does something with the copies of a folder, and ends once it is written.
-    fn with(folder: &Path, work: impl FnOnce(&Kept)) {
-        let file = File { path: folder.join(FILE), most_pages: 4096 };
-        let (changes, queue) = mpsc::channel();
-        let waiting = Arc::new(AtomicUsize::new(0));
-        let (tell, _found) = oneshot::channel();
-        let kept = Kept { changes, waiting: Arc::clone(&waiting) };
-        work(&kept);
-        drop(kept);
-        write_all(&file, &queue, &waiting, tell);
-        assert_eq!(waiting.load(Ordering::Relaxed), 0);
-    }
-
-    fn put(kept: &Kept, path: &str, size: usize, age_s: u64) {
-        let mut headers = HeaderMap::new();
-        headers.insert("etag", HeaderValue::from_static("\"e\""));
-        let body = Bytes::from(vec![7; size]);
-        kept.put(&key(path), &headers, &["t".into()], &body, Duration::from_secs(age_s));
-    }
-
-    #[test]
-    fn what_was_put_is_found_and_what_was_removed_is_not() {
-        let folder = folder("found");
-        with(&folder, |kept| {
-            for path in ["/a", "/b", "/c"] {
-                put(kept, path, 100_000, 1);
+    /// Tells what is there, then writes until nobody can put or remove any more.
+    pub fn run(&mut self) {
+        let mut db = self.read();
+        let mut behind = false;
+        while let Ok(first) = self.queue.recv() {
+            if !behind {
+                std::thread::sleep(GATHER);
             }
-            put(kept, "/b", 5, 9);
-            kept.remove(&[key("/c"), key("/never")]);
-        });
-        assert_eq!(found(&folder), [("/a".into(), 100_000, "t".into()), ("/b".into(), 5, "t".into())]);
-        with(&folder, |kept| kept.remove(&[key("/a")]));
-        assert_eq!(found(&folder), [("/b".into(), 5, "t".into())]);
-        let (_kept, rows) = Kept::open(&folder, 64).unwrap();
-        let rows = rows.blocking_recv().unwrap();
-        assert!(rows[0].age >= Duration::from_secs(9), "{:?}", rows[0].age);
-        assert_eq!(rows[0].headers["etag"], "\"e\"");
-        std::fs::remove_dir_all(&folder).unwrap();
-    }
-
-    #[test]
-    fn the_time_of_day_counts_only_where_the_steady_clock_tells_nothing() {
-        let told = |day, steady| since_written(day, steady).map(|since| since.as_millis());
-        assert_eq!(told(5_000, 5_010), Some(5_010), "the same boot");
-        assert_eq!(told(5_000, -900_000), Some(8_000), "another boot");
-        assert_eq!(told(5_000, 70_000), Some(8_000), "another boot, which has run for longer");
-        assert_eq!(told(-1_000, 4_000), None, "set back, by more than it may be off");
-        assert_eq!(told(-2_000, 500), Some(500));
-        assert_eq!(told(-9_000, -900_000), None);
-    }
-
-    #[test]
-    fn more_than_may_wait_is_not_written_and_what_was_there_goes() {
-        let folder = folder("waiting");
-        with(&folder, |kept| put(kept, "/a", 5, 0));
-        with(&folder, |kept| {
-            put(kept, "/big", MOST_WAITING, 0);
-            put(kept, "/a", 6, 0);
-        });
-        assert_eq!(found(&folder), [("/big".into(), MOST_WAITING, "t".into())]);
-        std::fs::remove_dir_all(&folder).unwrap();
+            let changes = self.gather(first);
+            behind = rows(&changes) >= MOST_AT_ONCE;
+            db = db.or_else(|| self.file.open_anew());
+            let written = db.as_mut().map(|db| write(db, &changes));
+            self.waiting.fetch_sub(changes.iter().map(Change::body_bytes).sum(), Ordering::Relaxed);
+            if let Some(Err(error)) = written {
+                // Full, or the disk refuses: what should have gone may still lie there, so that all of it goes.
+                tracing::warn!(%error, "copies not written to disk; those there are thrown away");
+                db = None;
+                disk::throw_away(&self.file.path);
+                std::thread::sleep(AGAIN);
+            }
+        }
     }
 
-    #[test]
-    fn a_spoilt_file_is_thrown_away_and_a_spoilt_row_left_out() {
-        let folder = folder("spoilt");
-        with(&folder, |kept| (0..20).for_each(|n| put(kept, &format!("/{n}"), 3000, 0)));
-        assert_eq!(found(&folder).len(), 20);
-        {
-            let db = Connection::open(folder.join(FILE)).unwrap();
-            db.execute("UPDATE copies SET body = x'00' WHERE id LIKE '%/7'", []).unwrap();
+    /// Opens the file and tells what is there.
+    fn read(&mut self) -> Option<Connection> {
+        let mut db = self.file.open_anew();
+        let found = db.as_ref().map(read_all);
+        if let Some(Err(error)) = &found {
+            tracing::warn!(%error, "copies on disk can't be read; they are thrown away");
+            db = None;
+            disk::throw_away(&self.file.path);
+        }
+        if let Some(tell) = self.tell.take() {
+            // Nobody may wait for them any more.
+            let _ = tell.send(found.and_then(Result::ok).unwrap_or_default());
         }
-        assert_eq!(found(&folder).len(), 19);
-        let mut bytes = std::fs::read(folder.join(FILE)).unwrap();
-        bytes[..4096].fill(0x55);
-        std::fs::write(folder.join(FILE), bytes).unwrap();
-        assert_eq!(found(&folder), []);
-        with(&folder, |kept| put(kept, "/new", 5, 0));
-        assert_eq!(found(&folder), [("/new".into(), 5, "t".into())]);
-        std::fs::remove_dir_all(&folder).unwrap();
+        db
     }
 
-    #[test]
-    fn what_lay_there_for_longer_than_purges_are_remembered_is_not_used() {
-        let folder = folder("old");
-        with(&folder, |kept| put(kept, "/a", 5, 0));
-        for (ago, left) in [(90_000, 1), (101_000, 0), (-60_000, 0)] {
-            let set = "UPDATE written SET at = ?1, steady = ?2";
-            let db = Connection::open(folder.join(FILE)).unwrap();
-            db.execute(set, [now_ms() - ago, steady_ms() - ago]).unwrap();
-            db.execute("UPDATE copies SET born = ?1", [steady_ms() - ago - 1000]).unwrap();
-            drop(db);
-            assert_eq!(found(&folder).len(), left, "written {ago} ms ago");
+    /// Changes that are written as one.
+    fn gather(&self, first: Change) -> Vec<Change> {
+        let mut changes = vec![first];
+        while rows(&changes) < MOST_AT_ONCE {
+            let Ok(next) = self.queue.try_recv() else { break };
+            changes.push(next);
         }
-        std::fs::remove_dir_all(&folder).unwrap();
+        changes
     }
 }
+
+/// Rows that changes touch.
+fn rows(changes: &[Change]) -> usize {
+    changes.iter().map(Change::rows).sum()
+}
--- a/glenfall/src/latency.rs
+++ b/glenfall/src/latency.rs
@@ -7,9 +7,9 @@
 use tokio::time::Instant;
 
 /// How long one histogram is filled; what is told covers it and the one before.
-const TURN: Duration = Duration::from_secs(60);
+pub const TURN: Duration = Duration::from_secs(60);
 /// In microseconds; beyond it nothing is waited for.
-const LONGEST: u64 = 120_000_000;
+pub const LONGEST: u64 = 120_000_000;
 /// Two figures that hold are enough to see by, in some 10 KB.
 const FIGURES: u8 = 2;
 const TOLD: [(&str, f64); 4] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("max", 1.0)];
@@ -35,6 +35,7 @@
 }
 
 impl Latency {
+    /// Counts work that took so long.
     pub fn add(&self, took: Duration) {
         if let Some(filled) = self.filled.borrow_mut().as_mut() {
             filled.now.saturating_record((took.as_micros() as u64).clamp(1, LONGEST));
@@ -58,32 +59,3 @@
         told
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[tokio::test(start_paused = true)]
-    async fn quantiles_hold_and_old_ones_go() {
-        let latency = Latency::default();
-        let told = |what: &str| {
-            let all = latency.report("read");
-            all.into_iter().find(|(name, _)| name == what).map(|(_, value)| value)
-        };
-        for ms in 1..=100 {
-            latency.add(Duration::from_millis(ms));
-        }
-        latency.add(Duration::MAX);
-        assert_eq!(told("read_count"), Some(101));
-        let p50 = told("read_p50_us").unwrap_or(0);
-        assert!(p50.abs_diff(51_000) <= 510, "{p50}");
-        assert!(told("read_max_us") >= Some(LONGEST), "what is longer counts as the longest");
-        tokio::time::advance(TURN).await;
-        assert_eq!(told("read_count"), Some(101), "the minute before is told still");
-        latency.add(Duration::from_millis(1));
-        tokio::time::advance(TURN).await;
-        assert_eq!(told("read_count"), Some(1));
-        tokio::time::advance(TURN).await;
-        assert_eq!(told("read_count"), Some(0));
-    }
-}
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -3,19 +3,19 @@
 
 #![forbid(unsafe_code)]
 
-mod agent;
+pub mod agent;
 pub mod boot;
 pub mod cache;
 pub mod control;
 mod counter;
-mod declare;
+pub mod declare;
 mod demo;
 pub mod direct;
 mod disk;
 pub mod edge;
 pub mod feed;
 pub mod kept;
-mod latency;
+pub mod latency;
 pub mod limit;
 pub mod link;
 pub mod local;
--- /dev/null
+++ b/glenfall/tests/unit/agent.rs
@@ -0,0 +1,58 @@
+//! The fleet on its way from control to the proxy.
+
+use glenfall::agent::RelayedFleet;
+use glenfall_plane::fleet::{Fleet, Numbered, Told};
+use glenfall_plane::messages::Server;
+
+use crate::support;
+
+fn server(id: &str, port: u16, ready: bool) -> Server {
+    Server { ready, ..support::server(id, port) }
+}
+
+fn fleet(complete: bool, servers: Vec<Server>) -> Fleet {
+    Fleet { complete, servers, shields: Vec::new(), edges: vec![1], cores: 1 }
+}
+
+#[test]
+fn a_control_node_that_has_just_started_takes_nobody_off() {
+    let known = fleet(true, vec![server("a", 1, true), server("b", 2, true), server("c", 3, true)]);
+    // `b` drains, and a new server has the address of `c`.
+    let new = fleet(false, vec![server("b", 2, false), server("d", 3, true)]);
+    let merged_ids = |new| {
+        let (mut relayed, mut proxy) = (RelayedFleet::default(), Numbered::default());
+        for fleet in [known.clone(), new] {
+            let told = relayed.take(Told::Whole { number: 1, fleet }).unwrap().expect("a change");
+            proxy.take(told).unwrap();
+        }
+        let servers = proxy.fleet().servers.iter();
+        servers.map(|server| (server.id.clone(), server.ready)).collect::<Vec<_>>()
+    };
+    let told = |id: &str, ready| (id.to_owned(), ready);
+    assert_eq!(merged_ids(new.clone()), [told("a", true), told("b", false), told("d", true)]);
+    assert_eq!(merged_ids(Fleet { complete: true, ..new }), [told("b", false), told("d", true)]);
+}
+
+#[test]
+fn the_proxy_is_told_all_once_and_then_what_changes() {
+    let mut control = Numbered::default();
+    let mut relayed = RelayedFleet::default();
+    let mut proxy = Numbered::default();
+    control.become_next(fleet(true, vec![server("a", 1, true), server("b", 2, true)]));
+    let first = relayed.take(control.whole()).unwrap().expect("all of it");
+    assert!(matches!(first, Told::Whole { .. }));
+    proxy.take(first).unwrap();
+    let told = control.become_next(fleet(true, vec![server("b", 2, false), server("c", 3, true)])).unwrap();
+    proxy.take(relayed.take(told).unwrap().expect("a change")).unwrap();
+    assert_eq!(proxy.fleet(), control.fleet());
+    // Another control node, which has just started and counts from the beginning, tells nothing new.
+    let mut other = Numbered::default();
+    other.become_next(fleet(false, vec![server("c", 3, true)]));
+    let told = relayed.take(other.whole()).unwrap().expect("it is not complete");
+    proxy.take(told).unwrap();
+    let ids: Vec<_> = proxy.fleet().servers.iter().map(|server| &server.id[..]).collect();
+    assert_eq!((ids, proxy.fleet().complete), (vec!["b", "c"], false));
+    // What builds on what the first one told is turned away.
+    let late = control.become_next(fleet(true, Vec::new())).unwrap();
+    assert!(relayed.take(late).is_err());
+}
--- /dev/null
+++ b/glenfall/tests/unit/backup.rs
@@ -0,0 +1,71 @@
+//! Backups of the chain's state.
+
+use glenfall::control::backup::{Backup, BackupError};
+use glenfall_plane::chain::{Members, Record};
+use glenfall_plane::orders::{OrderKey, TakenOrder, TakenOrders};
+
+fn backup() -> Backup {
+    let order = |(rev, byte)| TakenOrder { rev, key: OrderKey([byte; 32]) };
+    let taken = TakenOrders::listed(5, &[(7, 0x1a), (9, 0x2b)].map(order)).unwrap();
+    let record =
+        Record { seq: 4, rev: 9, document: b"{\"rev\": 9, \"paths\": [], \"backends\": []}".to_vec(), taken };
+    Backup::of(&[[10, 0, 0, 1].into(), [10, 0, 0, 2].into()], 48, &record)
+}
+
+#[test]
+fn what_was_exported_is_read_and_nothing_else() {
+    let text = serde_json::to_string_pretty(&backup()).unwrap();
+    assert_eq!(Backup::read(text.as_bytes()).unwrap(), backup());
+    let told = |text: &str| Backup::read(text.as_bytes()).map(|_| ()).map_err(|e| e.to_string());
+    for (from, to, why) in [
+        ("\"seq\": 4", "\"seq\": 5", "checksum"),
+        ("10.0.0.1", "10.0.0.3", "checksum"),
+        ("\\\"paths\\\": []", "\\\"paths\\\": [ ]", "checksum"),
+        ("2b2b", "2b2c", "checksum"),
+        ("forgottenUpTo\": 5", "forgottenUpTo\": 4", "checksum"),
+        ("state-2", "state-3", "format"),
+        ("state-2", "state-1", "not a backup"),
+        ("\"rev\": 9,", "\"rev\": true,", "not a backup"),
+    ] {
+        assert!(text.contains(from), "{from}");
+        let e = told(&text.replacen(from, to, 1)).expect_err(from);
+        assert!(e.contains(why) && !e.contains('\n'), "{from}: {e}");
+    }
+    for cut in 0..text.len() {
+        assert!(told(&text[..cut]).is_err(), "cut at {cut}");
+    }
+}
+
+#[test]
+fn it_becomes_the_state_of_each_voter() {
+    let state = backup().state(vec![[10, 0, 0, 9].into()], 0).unwrap();
+    assert_eq!((state.promised, state.accepted, state.record.rev), (48, 48, 9));
+    assert_eq!(state.members, Members::of(vec![[10, 0, 0, 9].into()]));
+    assert!(state.votes);
+}
+
+#[test]
+fn of_what_was_taken_since_the_export_no_version_is_taken_again() {
+    for (acknowledged, up_to) in [(0, 5), (5, 5), (12, 12)] {
+        let state = backup().state(vec![[10, 0, 0, 9].into()], acknowledged).unwrap();
+        assert_eq!((state.record.taken.forgotten_up_to(), state.record.taken.len()), (up_to, 2));
+    }
+}
+
+/// As version 0.3.0 of the program wrote it.
+const BEFORE: &str = r#"{"format": "glenfall-state-1", "voters": ["10.0.0.1", "10.0.0.2"], "view": 48, "seq": 4,
+    "rev": 9, "document": "{\"rev\": 9, \"paths\": [], \"backends\": []}", "taken": [[7, 1], [9, 2]], "crc": CRC}"#;
+
+#[test]
+fn the_format_before_is_read_and_its_prints_confirm_and_refuse_nothing() {
+    let numbers = [48u64, 4, 9, 7, 1, 9, 2].map(u64::to_le_bytes).concat();
+    let text = [&numbers[..], &[10, 0, 0, 1, 10, 0, 0, 2]].concat();
+    let document = b"{\"rev\": 9, \"paths\": [], \"backends\": []}";
+    let crc = crc32fast::hash(&[&text[..], document].concat());
+    let before = BEFORE.replace("CRC", &crc.to_string());
+    let state = Backup::read(before.as_bytes()).unwrap().state(vec![[10, 0, 0, 9].into()], 0).unwrap();
+    assert_eq!((state.record.seq, state.record.rev), (4, 9));
+    assert_eq!(state.record.taken, TakenOrders::forgotten(9));
+    let spoilt = before.replace("[9, 2]", "[9, 3]");
+    assert!(matches!(Backup::read(spoilt.as_bytes()), Err(BackupError::Checksum)));
+}
--- /dev/null
+++ b/glenfall/tests/unit/declare.rs
@@ -0,0 +1,67 @@
+//! The configuration as files.
+
+use glenfall::declare::{write, DeclareError, Declared};
+
+use crate::support::Folder;
+
+fn folder(name: &str) -> Folder {
+    let folder = Folder::new(&format!("declare-{name}"));
+    std::fs::create_dir_all(folder.join("routes")).unwrap();
+    std::fs::create_dir_all(folder.join("services")).unwrap();
+    folder
+}
+
+const DOCUMENT: &str = r#"{"rev": 7, "later": 1,
+    "paths": [{"name": "r-a", "hostname": "one.example", "pathPrefix": "/a/", "type": "cacheable",
+               "deadlineMs": 900, "prio": 2, "tries": 2, "maxAgeS": 40.0, "later": 1,
+               "split": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}]},
+              {"name": "r-b", "hostname": "one.example", "pathPrefix": "/b/", "type": "mutating",
+               "deadlineMs": 900, "backend": "t"}],
+    "backends": [{"name": "s", "ratePerS": 850.0}, {"name": "t", "useTls": false}],
+    "reqLimits": {"maxBodyBytes": 1000}}"#;
+
+#[test]
+fn what_is_written_from_a_document_is_read_as_the_same() {
+    let folder = folder("round");
+    let left_out = write(DOCUMENT.as_bytes(), &folder).unwrap();
+    assert_eq!(left_out.len(), 1, "{left_out:?}");
+    assert!(write(DOCUMENT.as_bytes(), &folder).is_err(), "files are not written over");
+    let declared = Declared::read(&folder).unwrap();
+    assert_eq!(declared.counts(), [2, 2]);
+    let differences = declared.differences(DOCUMENT.as_bytes()).unwrap();
+    let told: Vec<String> = differences.iter().map(ToString::to_string).collect();
+    assert_eq!(told, ["~ paths r-a\n    later: 1 -> null"], "what can't be kept is told");
+    assert!(declared.differences(&declared.document(9)).unwrap().is_empty());
+
+    std::fs::remove_file(folder.join("routes/r-b.toml")).unwrap();
+    std::fs::write(folder.join("services/u.toml"), "maxConns = 9").unwrap();
+    std::fs::write(folder.join("services/s.toml"), "ratePerS = 850").unwrap();
+    std::fs::write(folder.join("limits.toml"), "maxBodyBytes = 2000").unwrap();
+    let declared = Declared::read(&folder).unwrap();
+    let differences = declared.differences(DOCUMENT.as_bytes()).unwrap();
+    let told: Vec<String> = differences.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        told[1..],
+        ["- paths r-b", "+ backends u", "~ reqLimits \n    maxBodyBytes: 1000 -> 2000"].map(str::to_owned)
+    );
+    assert_eq!(declared.differences(b"").unwrap().len(), 5);
+}
+
+#[test]
+fn slips_are_told_with_their_file() {
+    let route = "hostname = \"h\"\npathPrefix = \"/a/\"\ndeadlineMs = 900\nbackend = \"s\"\n";
+    for (case, file, text, told) in [
+        ("field", "routes/a.toml", "hostnam = \"h\"", "routes/a.toml: no such field: hostnam"),
+        ("toml", "routes/a.toml", "hostname = \"h\"\nprio = ", "routes/a.toml: line 2: "),
+        ("name", "services/s.toml", "name = \"t\"", "services/s.toml: name: "),
+        ("service", "routes/a.toml", route, "no backend is named \"s\""),
+        ("field missing", "routes/a.toml", "hostname = \"h\"", "missing field"),
+    ] {
+        let folder = folder("slips");
+        std::fs::write(folder.join(file), text).unwrap();
+        let why = Declared::read(&folder).expect_err(case).to_string();
+        assert!(why.contains(told) && !why.contains('\n'), "{case}: {why}");
+    }
+    let outside = DOCUMENT.replace("r-a", "../r-a");
+    assert!(matches!(write(outside.as_bytes(), &folder("outside")), Err(DeclareError::Name(_))));
+}
--- a/glenfall/tests/unit/support.rs
+++ b/glenfall/tests/unit/support.rs
@@ -1,8 +1,9 @@
 //! What several of these tests need: a runtime, stand-in servers, and small records of the system.
 
 use std::future::Future;
-use std::net::SocketAddr;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::ops::Deref;
+use std::path::{Path, PathBuf};
 
 use glenfall::boot::Boot;
 use glenfall::cache::ObjectKey;
@@ -39,6 +40,31 @@
     address
 }
 
+/// A folder that is not there yet, and is removed when this is dropped.
+pub struct Folder(PathBuf);
+
+impl Folder {
+    pub fn new(name: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("glenfall-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        Folder(folder)
+    }
+}
+
+impl Deref for Folder {
+    type Target = Path;
+
+    fn deref(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
 /// Settings of a node, with more lines at their end.
 pub fn settings(more: &str) -> Boot {
     let text = "node = \"n\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
