Simulation: one module for each job, with the field's names

Change: cluster, network, disk, machine, faults, losses, world, violation, operators, action, schedule, generator, rng. Network and Disk are types of their own; the network knows nothing of chains. Renamed: cut/mute/cut_off are partition/partition_one_way/isolate, freeze is pause, stall is stall_disk, lose_link is reset_link, drawn is generate, Nonsense is InvalidSchedule, Played is Coverage.

Each Violation stands as it was, with its check: WentBack in world.rs (carry_out); TwoCommitted, NotAbove, BuiltOnOther, InvalidTaken, RefusedThenTaken in operators.rs (commits); TwoAcknowledged, TwoUnderOneNumber, OtherAcknowledged, AcknowledgedUncommitted (order_done); TakenRefused (refuse); FalseRefusal, OldRefusal, UncommittedRefusal (order_conflicts); OldRead, UncommittedRead (answered); FewVoters, SilentRefusal (ask_voters), all in operators.rs; Stuck, Apart, Panic in schedule.rs.

Tests of the simulation, chain.rs and members.rs pass.

--- a/lab/src/schedules.rs
+++ b/lab/src/schedules.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use glenfall_sim::{shrunk, Broken, Played, Schedule};
+use glenfall_sim::{shrunk, Broken, Coverage, Schedule};
 
 use crate::Failure;
 
@@ -64,8 +64,8 @@
     }
 }
 
-fn told(sum: &Played) -> String {
-    let Played { changes, reads, refusals, repeats, views, member_changes, seats } = sum;
+fn told(sum: &Coverage) -> String {
+    let Coverage { changes, reads, refusals, repeats, views, member_changes, seats } = sum;
     format!(
         "{changes} changes acknowledged, {reads} reads, {refusals} refusals, {repeats} orders sent again, {views} views, \
          {member_changes} changes of who counts, {seats} asked for by operators"
@@ -89,18 +89,18 @@
     let threads =
         wanted.threads.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, Into::into));
     let (next, ended) = (AtomicU64::new(0), AtomicBool::new(false));
-    let (sum, failed) = (Mutex::new(Played::default()), Mutex::new(Vec::<(u64, Broken)>::new()));
+    let (sum, failed) = (Mutex::new(Coverage::default()), Mutex::new(Vec::<(u64, Broken)>::new()));
     let began = Instant::now();
     std::thread::scope(|scope| {
         let work = || {
-            let mut own = Played::default();
+            let mut own = Coverage::default();
             loop {
                 let n = next.fetch_add(1, Ordering::Relaxed);
                 if n >= wanted.count {
                     break;
                 }
                 let seed = wanted.first.wrapping_add(n);
-                match Schedule::drawn(seed).play() {
+                match Schedule::generate(seed).play() {
                     Ok(played) => own += played,
                     Err(broken) => {
                         println!("seed {seed} failed at {} ms: {}", broken.at, broken.violation);
@@ -154,7 +154,7 @@
 }
 
 fn cut_down(seed: u64, out: &Path) -> Result<(), Failure> {
-    let whole = Schedule::drawn(seed);
+    let whole = Schedule::generate(seed);
     let Some((short, tries)) = shrunk(&whole) else { return Ok(()) };
     let Err(broken) = short.play() else { return Ok(()) };
     std::fs::create_dir_all(out)?;
--- a/plane/tests/chain.rs
+++ b/plane/tests/chain.rs
@@ -68,7 +68,7 @@
             world.operate();
         }
     }
-    assert!(world.done > 0);
+    assert!(world.counts.changes > 0);
     assert!(world.in_one_view());
 }
 
@@ -90,14 +90,14 @@
 #[test]
 fn a_core_that_waited_long_for_its_voters_takes_changes_once_they_are_there() {
     let mut world = World::new(4, Size { losses: 2, spare: 0 });
-    world.cut_off(5, 10_000);
+    world.isolate(5, 10_000);
     while world.now < 10_000 {
         step(&mut world);
         if world.now.is_multiple_of(50) {
             world.operate();
         }
     }
-    assert_eq!(world.done, 0, "four voters can't outlive two losses");
+    assert_eq!(world.counts.changes, 0, "four voters can't outlive two losses");
     while world.now < 14_000 {
         step(&mut world);
         if world.now.is_multiple_of(250) {
@@ -105,7 +105,7 @@
         }
     }
     assert!(world.in_one_view());
-    assert!(world.done > 5, "{} changes went through", world.done);
+    assert!(world.counts.changes > 5, "{} changes went through", world.counts.changes);
 }
 
 /// Lets time pass until a node's view has these voters and no others.
@@ -172,14 +172,14 @@
     }
     let refused = Refused::NobodyStandsBy { left: 2, needed: 3, losses: 1 };
     assert_eq!(ask(&mut world, 1, Seat::Remove(node(5))), Err(refused));
-    let done = world.done;
+    let done = world.counts.changes;
     for _ in 0..100 {
         step(&mut world);
         if world.now.is_multiple_of(250) {
             world.operate();
         }
     }
-    assert!(world.done > done, "changes go through");
+    assert!(world.counts.changes > done, "changes go through");
 }
 
 #[test]
@@ -288,7 +288,11 @@
             world.operate();
         }
     }
-    assert!(ignored > 1000 && world.done > 20, "{ignored} ignored, {} changes", world.done);
+    assert!(
+        ignored > 1000 && world.counts.changes > 20,
+        "{ignored} ignored, {} changes",
+        world.counts.changes
+    );
     assert!(world.in_one_view());
 }
 
--- a/plane/tests/exhaustive.rs
+++ b/plane/tests/exhaustive.rs
@@ -4,7 +4,7 @@
 //! and no other change. Where `chain.rs` plays long random schedules, this visits all short ones.
 //!
 //! Among five voters it visits every order of a few events from each moment of a change of members on, with all power
-//! and any two disks lost at each state: two events in CI, `EXHAUSTIVE_DEPTH=3` in about a minute.
+//! and any two disks lost at each state: two events in CI; `EXHAUSTIVE_DEPTH=3` takes some minutes, on as many threads as `EXHAUSTIVE_THREADS` says.
 
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -556,6 +556,12 @@
     Ok(())
 }
 
+/// `EXHAUSTIVE_THREADS`, or as many as there are processors, eight at most.
+fn threads() -> usize {
+    let wanted = std::env::var("EXHAUSTIVE_THREADS").ok().and_then(|n| n.parse().ok());
+    wanted.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, |n| n.get()).min(8))
+}
+
 /// Visits what can follow on each moment of a change of members.
 fn visited_around(what: &str, world: World) -> Known {
     let depth = std::env::var("EXHAUSTIVE_DEPTH").ok().and_then(|n| n.parse().ok()).unwrap_or(DEPTH);
@@ -564,7 +570,7 @@
     let next = std::sync::atomic::AtomicUsize::new(0);
     let broken = Mutex::new(Vec::new());
     std::thread::scope(|scope| {
-        for _ in 0..std::thread::available_parallelism().map_or(1, |n| n.get()).min(8) {
+        for _ in 0..threads() {
             scope.spawn(|| loop {
                 let at = next.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
                 let Some(moment) = moments.get(at) else { return };
--- a/plane/tests/members.rs
+++ b/plane/tests/members.rs
@@ -73,7 +73,7 @@
     fn new(seed: u64, size: Size, terms: Terms, slow: Millis) -> Self {
         let mut world = World::under(seed, size, terms);
         for machine in &mut world.machines {
-            machine.sync_takes = (slow / 2 + 1, slow.max(2) + 1);
+            machine.disk.sync_takes = (slow / 2 + 1, slow.max(2) + 1);
         }
         Play {
             seed,
@@ -92,7 +92,7 @@
 
     fn runs(&self, n: u8) -> bool {
         let machine = &self.world.machines[usize::from(n) - 1];
-        machine.chain.is_some() && machine.frozen_until <= self.world.now
+        machine.chain.is_some() && machine.paused_until <= self.world.now
     }
 
     fn members_at(&self, n: u8) -> Option<Members> {
@@ -146,7 +146,7 @@
             Loss::Silent { .. } => self.world.power_off(n, wipe),
             Loss::Removed { .. } => self.world.power_off(n, true),
             Loss::Leaves { .. } => self.world.with(n, Chain::leave),
-            Loss::Frozen { .. } | Loss::Back { .. } => self.world.freeze(n, 2 * PLAYED),
+            Loss::Frozen { .. } | Loss::Back { .. } => self.world.pause(n, 2 * PLAYED),
         }
         if matches!(loss, Loss::Removed { .. }) {
             self.removed.insert(n, None);
@@ -177,7 +177,7 @@
                     true
                 }
                 Loss::Frozen { until } if now >= *until => {
-                    self.world.freeze(n, 0);
+                    self.world.pause(n, 0);
                     true
                 }
                 Loss::Removed { successor, starts } if now >= *starts => {
@@ -236,7 +236,7 @@
     /// Those that run and have a vote are a majority of whoever counts by the newest view that any of them accepted.
     fn check_majority(&self) {
         let running: Vec<u8> = self.world.nodes().filter(|n| self.runs(*n)).collect();
-        let disk = |n: &u8| self.world.machines[usize::from(*n) - 1].disk.as_ref();
+        let disk = |n: &u8| self.world.machines[usize::from(*n) - 1].disk.durable.as_ref();
         let newest = running.iter().filter_map(disk).max_by_key(|disk| disk.accepted);
         let Some(newest) = newest else { return };
         let votes = |id: &NodeId| {
@@ -333,7 +333,7 @@
                 );
             }
         }
-        self.told.changes = self.world.done;
+        self.told.changes = self.world.counts.changes;
         self.told
     }
 }
@@ -414,7 +414,7 @@
             world.power_on(1);
             // One that is whole hears it later than the others do.
             let late = size.voters();
-            world.cut(1, late, 400);
+            world.partition(1, late, 400);
             while world.now < 20_000 {
                 world.step().expect("no property is broken");
                 for n in 2..=size.voters() {
--- a/sim/src/operators.rs
+++ b/sim/src/operators.rs
@@ -3,18 +3,19 @@
 
 use std::collections::BTreeMap;
 
-use glenfall_plane::chain::{Call, Outcome, Record};
+use glenfall_plane::chain::{Call, Outcome, Record, Seat};
 use glenfall_plane::config::Change;
 use glenfall_plane::Millis;
 use rand::Rng;
 
-use crate::{Violation, World};
+use crate::violation::Violation;
+use crate::world::World;
 
 /// An operator moves on to another node after a second without an answer, and after a failure with a pause that grows.
 const PATIENCE: Millis = 1000;
 const PAUSE: Millis = 100;
 /// So often is an order sent; after that its operator leaves it.
-const TRIES: u32 = 8;
+const ATTEMPTS: u32 = 8;
 /// Orders that are under way at once.
 const UNDER_WAY: usize = 8;
 
@@ -29,7 +30,7 @@
     lost: u32,
     /// When it is sent next; `None` once it was answered, or is left.
     next: Option<Millis>,
-    tries: u32,
+    attempts: u32,
     /// The node that it went to last.
     at: u8,
     committed: bool,
@@ -37,9 +38,9 @@
 }
 
 /// A call that an operator waits for.
-struct Asked {
+struct PendingCall {
     at: u8,
-    life: u64,
+    incarnation: u64,
     /// The order's number; `None` for a read.
     order: Option<u64>,
     /// The newest version that was acknowledged when it began, and the newest that was committed.
@@ -50,7 +51,7 @@
 #[derive(Default)]
 pub(crate) struct Operators {
     orders: Vec<Order>,
-    asked: BTreeMap<u64, Asked>,
+    asked: BTreeMap<u64, PendingCall>,
     next_call: u64,
     /// What each call was answered.
     outcomes: BTreeMap<u64, Outcome>,
@@ -59,8 +60,8 @@
     newest_acknowledged: u64,
     /// The newest version that was committed.
     newest_committed: u64,
-    /// The newest version that operators were told of: also one that was in force without an answer.
-    told: u64,
+    /// The newest version that operators heard of: also one that was in force without an answer.
+    heard: u64,
 }
 
 /// The order that a document is made by.
@@ -112,14 +113,14 @@
 
     /// A call at a node; `None` where nobody listens there.
     fn ask(&mut self, n: u8, what: Call, order: Option<u64>) -> Option<u64> {
-        if self.chain(n).is_none() || self.frozen(n) {
+        if self.chain(n).is_none() || self.is_paused(n) {
             return None;
         }
-        let life = self.machine(n).life;
+        let incarnation = self.machine(n).incarnation;
         let ops = &mut self.operators;
         ops.next_call += 1;
         let (call, acknowledged, committed) = (ops.next_call, ops.newest_acknowledged, ops.newest_committed);
-        ops.asked.insert(call, Asked { at: n, life, order, acknowledged, committed });
+        ops.asked.insert(call, PendingCall { at: n, incarnation, order, acknowledged, committed });
         self.with(n, |chain, now| chain.call(now, call, what));
         Some(call)
     }
@@ -142,7 +143,7 @@
             invalid: false,
             lost: 0,
             next: None,
-            tries: 0,
+            attempts: 0,
             at,
             committed: false,
             refused: false,
@@ -160,7 +161,7 @@
     /// The next order's number, the newest version that operators know, and a document of a version above it.
     fn next_document(&self, raise: u64) -> (u64, u64, String) {
         let order = self.operators.orders.len();
-        let builds_on = self.operators.newest_acknowledged.max(self.operators.told);
+        let builds_on = self.operators.newest_acknowledged.max(self.operators.heard);
         let rev = builds_on + raise;
         (builds_on, rev, format!("{{\"rev\":{rev},\"order\":{order}}}"))
     }
@@ -173,7 +174,7 @@
     }
 
     /// The same, but sent until there is a clear answer; of the answers so many are lost on their way.
-    pub fn insist(&mut self, n: u8, raise: u64, content: Content, lost: u32) {
+    pub fn order_until_answered(&mut self, n: u8, raise: u64, content: Content, lost: u32) {
         let under_way = self.operators.orders.iter().filter(|order| order.next.is_some());
         if under_way.count() >= UNDER_WAY {
             return;
@@ -191,43 +192,43 @@
         let now = self.now;
         let noted = &mut self.operators.orders[order as usize];
         (noted.invalid, noted.lost, noted.next) = (content == Content::Invalid, lost, Some(now));
-        self.try_order(order);
+        self.attempt_order(order);
     }
 
     /// An order that was not refused is sent again as it was, counted back from the newest.
-    pub fn again(&mut self, n: u8, back: usize) {
+    pub fn resend(&mut self, n: u8, back: usize) {
         let orders = &self.operators.orders;
         let Some(order) = orders.len().checked_sub(1 + back).filter(|order| !orders[*order].refused) else {
             return;
         };
-        self.repeats += 1;
+        self.counts.repeats += 1;
         self.send_order(n, order as u64);
     }
 
     /// Sends orders again that had no clear answer for too long.
-    pub(crate) fn tend_orders(&mut self) {
+    pub(crate) fn retry_orders(&mut self) {
         let due = |order: &Order, now| order.next.is_some_and(|next| next <= now);
         for order in 0..self.operators.orders.len() {
             if due(&self.operators.orders[order], self.now) {
-                self.try_order(order as u64);
+                self.attempt_order(order as u64);
             }
         }
     }
 
-    fn try_order(&mut self, order: u64) {
+    fn attempt_order(&mut self, order: u64) {
         let (now, nodes) = (self.now, self.size.nodes());
         let tried = &mut self.operators.orders[order as usize];
-        if tried.tries >= TRIES {
+        if tried.attempts >= ATTEMPTS {
             tried.next = None;
             return;
         }
-        if tried.tries > 0 {
+        if tried.attempts > 0 {
             tried.at = tried.at % nodes + 1;
-            self.repeats += 1;
+            self.counts.repeats += 1;
         }
-        tried.tries += 1;
+        tried.attempts += 1;
         // Nobody listens there: known at once.
-        let (at, pause) = (tried.at, PAUSE << tried.tries.min(3));
+        let (at, pause) = (tried.at, PAUSE << tried.attempts.min(3));
         tried.next = Some(now + PATIENCE);
         if self.send_order(at, order).is_none() {
             self.operators.orders[order as usize].next = Some(now + pause);
@@ -238,7 +239,7 @@
         let Some(asked) = self.operators.asked.remove(&call) else { return };
         // A process that ended has no more calls.
         assert!(
-            asked.at == n && asked.life == self.machine(n).life,
+            asked.at == n && asked.incarnation == self.machine(n).incarnation,
             "an answer comes where the call went in"
         );
         match (asked.order, &outcome) {
@@ -247,7 +248,7 @@
                 self.require(read >= acknowledged, || Violation::OldRead { read, acknowledged });
                 let known = self.committed.get(&record.seq).is_some_and(|(rev, _)| *rev == read);
                 self.require(known || record.seq == 0, || Violation::UncommittedRead { read });
-                self.reads += 1;
+                self.counts.reads += 1;
             }
             (Some(order), Outcome::Done { rev }) => self.order_done(order, *rev),
             (Some(order), Outcome::Conflict { current }) => {
@@ -258,7 +259,7 @@
             (Some(order), _) => {
                 let now = self.now;
                 let open = &mut self.operators.orders[order as usize];
-                let pause = PAUSE << open.tries.min(3);
+                let pause = PAUSE << open.attempts.min(3);
                 open.next = open.next.map(|_| now + pause);
             }
             (None, _) => {}
@@ -291,14 +292,14 @@
         }
         self.require(committed, || Violation::AcknowledgedUncommitted { rev: ordered });
         self.operators.newest_acknowledged = self.operators.newest_acknowledged.max(ordered);
-        self.done += 1;
+        self.counts.changes += 1;
         self.close(order);
-        let armed = std::mem::take(&mut self.armed);
-        self.later.extend(armed.into_iter().map(|action| (self.now, action)));
+        let actions = std::mem::take(&mut self.on_acknowledged);
+        self.pending_actions.extend(actions.into_iter().map(|action| (self.now, action)));
     }
 
     fn refuse(&mut self, order: u64) {
-        self.refusals += 1;
+        self.counts.refusals += 1;
         let refused = &mut self.operators.orders[order as usize];
         refused.refused = true;
         let (rev, committed) = (refused.rev, refused.committed);
@@ -307,7 +308,7 @@
     }
 
     /// A conflict is a statement on the newest version: it must have been true at a moment of the call.
-    fn order_conflicts(&mut self, asked: &Asked, order: u64, current: u64) {
+    fn order_conflicts(&mut self, asked: &PendingCall, order: u64, current: u64) {
         let (builds_on, newest) =
             (self.operators.orders[order as usize].builds_on, self.operators.newest_committed);
         let always = asked.committed == builds_on && newest == builds_on;
@@ -316,13 +317,33 @@
         self.require(current >= acknowledged, || Violation::OldRefusal { current, acknowledged });
         let known = current == 0 || self.committed.values().any(|(rev, _)| *rev == current);
         self.require(known, || Violation::UncommittedRefusal { current });
-        self.operators.told = self.operators.told.max(current);
+        self.operators.heard = self.operators.heard.max(current);
+    }
+
+    /// An operator asks a node for other voters.
+    pub fn ask_voters(&mut self, n: u8, seat: Seat) {
+        let (now, losses) = (self.now, usize::from(self.size.losses));
+        if self.is_paused(n) {
+            return;
+        }
+        let Some(chain) = &mut self.machine(n).chain else { return };
+        let before = chain.members().voters.len();
+        match chain.ask_voters(now, seat) {
+            Ok(voters) => {
+                let (voters, needed) = (voters.len(), (2 * losses + 1).min(before));
+                self.require(voters >= needed, || Violation::FewVoters { voters, needed });
+                self.counts.seats += 1;
+            }
+            Err(refused) => {
+                self.require(!refused.to_string().is_empty(), || Violation::SilentRefusal);
+            }
+        }
     }
 
     /// An operator changes what it knows to be in force; sometimes two do at once. Another one reads.
     pub fn operate(&mut self) {
         let (builds_on, nodes) =
-            (self.operators.newest_acknowledged.max(self.operators.told), self.size.nodes());
+            (self.operators.newest_acknowledged.max(self.operators.heard), self.size.nodes());
         for _ in 0..self.rng.random_range(1..=2) {
             let (n, rev) = (self.rng.random_range(1..=nodes), builds_on + self.rng.random_range(1..9));
             let order = self.operators.orders.len();
--- a/sim/src/shrink.rs
+++ b/sim/src/shrink.rs
@@ -1,25 +1,25 @@
-//! Cuts a failing schedule down to a short one in which the same property is broken.
+//! Cuts a failing schedule down to a short one in which the same invariant is broken.
 
 use glenfall_plane::Millis;
 
 use crate::{Action, Event, Schedule, Violation, TICK};
 
 /// Schedules that are tried at most.
-const TRIES: usize = 5000;
+const ATTEMPTS: usize = 5000;
 
 struct Shrinking {
     shortest: Schedule,
     violation: Violation,
-    tries: usize,
+    attempts: usize,
 }
 
 impl Shrinking {
-    /// Takes a shorter schedule if it breaks the same property.
+    /// Takes a shorter schedule if it breaks the same invariant.
     fn take(&mut self, shorter: Schedule) -> bool {
-        if self.tries == 0 || shorter == self.shortest {
+        if self.attempts == 0 || shorter == self.shortest {
             return false;
         }
-        self.tries -= 1;
+        self.attempts -= 1;
         match shorter.play() {
             Err(broken) if broken.violation.is_like(&self.violation) => {
                 self.shortest = shorter;
@@ -64,7 +64,7 @@
         }
     }
 
-    /// Troubles end with the last event, or soon after it.
+    /// Faults end with the last event, or soon after it.
     fn shorten(&mut self) {
         let last = self.shortest.events.last().map_or(0, |event| event.at);
         for after in [0, 500, 1500, 4000] {
@@ -97,33 +97,42 @@
         Action::PowerOff { nodes } => without_one(&nodes).map(|nodes| Action::PowerOff { nodes }).collect(),
         Action::PowerOn { nodes } => without_one(&nodes).map(|nodes| Action::PowerOn { nodes }).collect(),
         Action::Wipe { nodes } => without_one(&nodes).map(|nodes| Action::Wipe { nodes }).collect(),
-        Action::WipeAgain { nodes } => without_one(&nodes).map(|nodes| Action::WipeAgain { nodes }).collect(),
-        Action::Cut { pairs, lasts } => {
-            let fewer = without_one(&pairs).map(|pairs| Action::Cut { pairs, lasts });
-            fewer.chain(shorter(lasts).map(|lasts| Action::Cut { pairs: pairs.clone(), lasts })).collect()
+        Action::WipeAfterRepair { nodes } => {
+            without_one(&nodes).map(|nodes| Action::WipeAfterRepair { nodes }).collect()
         }
-        Action::Mute { ways, lasts } => {
-            let fewer = without_one(&ways).map(|ways| Action::Mute { ways, lasts });
-            fewer.chain(shorter(lasts).map(|lasts| Action::Mute { ways: ways.clone(), lasts })).collect()
+        Action::Partition { pairs, lasts } => {
+            let fewer = without_one(&pairs).map(|pairs| Action::Partition { pairs, lasts });
+            fewer
+                .chain(shorter(lasts).map(|lasts| Action::Partition { pairs: pairs.clone(), lasts }))
+                .collect()
         }
-        Action::Freeze { nodes, lasts } => {
-            let fewer = without_one(&nodes).map(|nodes| Action::Freeze { nodes, lasts });
-            fewer.chain(shorter(lasts).map(|lasts| Action::Freeze { nodes: nodes.clone(), lasts })).collect()
+        Action::PartitionOneWay { channels, lasts } => {
+            let fewer = without_one(&channels).map(|channels| Action::PartitionOneWay { channels, lasts });
+            fewer
+                .chain(
+                    shorter(lasts).map(|lasts| Action::PartitionOneWay { channels: channels.clone(), lasts }),
+                )
+                .collect()
         }
-        Action::Stall { node, lasts } => {
-            shorter(lasts).map(|lasts| Action::Stall { node, lasts }).into_iter().collect()
+        Action::Pause { nodes, lasts } => {
+            let fewer = without_one(&nodes).map(|nodes| Action::Pause { nodes, lasts });
+            fewer.chain(shorter(lasts).map(|lasts| Action::Pause { nodes: nodes.clone(), lasts })).collect()
+        }
+        Action::StallDisk { node, lasts } => {
+            shorter(lasts).map(|lasts| Action::StallDisk { node, lasts }).into_iter().collect()
         }
         Action::Change { at, raise, .. } => vec![Action::ChangeOnce { at, raise }],
-        Action::Acknowledged { then } => vec![*then],
+        Action::OnAcknowledged { then } => vec![*then],
         _ => Vec::new(),
     }
 }
 
-/// A short schedule that breaks the same property, and how many were tried for it; `None` where this one holds.
+/// A short schedule that breaks the same invariant, and how many were tried for it; `None` where this one holds.
 pub fn shrunk(schedule: &Schedule) -> Option<(Schedule, usize)> {
     let broken = schedule.play().err()?;
     // What comes after the moment can be left out, if it was not found at the end.
-    let mut shrinking = Shrinking { shortest: schedule.clone(), violation: broken.violation, tries: TRIES };
+    let mut shrinking =
+        Shrinking { shortest: schedule.clone(), violation: broken.violation, attempts: ATTEMPTS };
     if broken.at < schedule.troubles {
         let events = schedule.events.iter().filter(|event| event.at <= broken.at).cloned().collect();
         shrinking.take(Schedule { troubles: broken.at, events, ..schedule.clone() });
@@ -134,7 +143,7 @@
         shrinking.simplify();
         shrinking.shorten();
         if shrinking.shortest == before {
-            return Some((before, TRIES - shrinking.tries));
+            return Some((before, ATTEMPTS - shrinking.attempts));
         }
     }
 }
--- a/sim/tests/schedules.rs
+++ b/sim/tests/schedules.rs
@@ -1,15 +1,15 @@
 //! Some thousands of schedules, of all kinds; and machines that do wrong on purpose, which must be found.
 //! `SCHEDULES=n cargo test -p glenfall-sim` plays more; a failing seed replays with `glenfall-lab schedules`.
 
-use glenfall_sim::{shrunk, Action, Event, Fault, Nonsense, Played, Schedule, Violation};
+use glenfall_sim::{shrunk, Action, Coverage, Event, Fault, InvalidSchedule, Schedule, Violation};
 
 /// Plays in as many threads as there are; gives what they brought about, and the seeds that failed.
-fn play(seeds: std::ops::Range<u64>, fault: Option<Fault>) -> (Played, Vec<(u64, Violation)>) {
+fn play(seeds: std::ops::Range<u64>, fault: Option<Fault>) -> (Coverage, Vec<(u64, Violation)>) {
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
     let part = |first: u64| {
-        let mut sum = (Played::default(), Vec::new());
+        let mut sum = (Coverage::default(), Vec::new());
         for seed in (seeds.start + first..seeds.end).step_by(threads as usize) {
-            match (Schedule { fault, ..Schedule::drawn(seed) }).play() {
+            match (Schedule { fault, ..Schedule::generate(seed) }).play() {
                 Ok(played) => sum.0 += played,
                 Err(broken) => sum.1.push((seed, broken.violation)),
             }
@@ -19,7 +19,7 @@
     std::thread::scope(|scope| {
         let parts: Vec<_> = (0..threads).map(|first| scope.spawn(move || part(first))).collect();
         parts.into_iter().map(|part| part.join().expect("a part ends")).fold(
-            (Played::default(), Vec::new()),
+            (Coverage::default(), Vec::new()),
             |mut sum, (played, failed)| {
                 sum.0 += played;
                 sum.1.extend(failed);
@@ -43,7 +43,7 @@
 #[test]
 fn a_schedule_replays_exactly_and_so_does_a_part_of_it() {
     for seed in 0..40 {
-        let schedule = Schedule::drawn(seed);
+        let schedule = Schedule::generate(seed);
         assert_eq!(schedule.play(), schedule.play(), "seed {seed}");
         let events: Vec<Event> = schedule.events.iter().skip(1).step_by(2).cloned().collect();
         let part = Schedule { events, ..schedule };
@@ -56,20 +56,20 @@
 #[test]
 fn a_file_that_asks_for_what_is_not_there_is_turned_away() {
     let spoilt = |spoil: fn(&mut Schedule)| {
-        let mut schedule = Schedule::drawn(1);
+        let mut schedule = Schedule::generate(1);
         spoil(&mut schedule);
         schedule.check()
     };
-    assert_eq!(spoilt(|s| s.size.losses = 0), Err(Nonsense::Size));
-    assert_eq!(spoilt(|s| s.troubles = u64::MAX), Err(Nonsense::Time));
-    assert_eq!(spoilt(|s| s.events[0] = at(3, Action::Read { at: 0 })), Err(Nonsense::Machine(3)));
+    assert_eq!(spoilt(|s| s.size.losses = 0), Err(InvalidSchedule::Size));
+    assert_eq!(spoilt(|s| s.troubles = u64::MAX), Err(InvalidSchedule::Time));
+    assert_eq!(spoilt(|s| s.events[0] = at(3, Action::Read { at: 0 })), Err(InvalidSchedule::Machine(3)));
     let lose = |s: &mut Schedule| {
-        s.events[0] = at(3, Action::Acknowledged { then: Box::new(Action::Lose { node: 99 }) });
+        s.events[0] = at(3, Action::OnAcknowledged { then: Box::new(Action::Lose { node: 99 }) });
     };
-    assert_eq!(spoilt(lose), Err(Nonsense::Machine(3)));
-    let forever = |s: &mut Schedule| s.events[0] = at(3, Action::Freeze { nodes: vec![1], lasts: u64::MAX });
-    assert_eq!(spoilt(forever), Err(Nonsense::Figure(3)));
-    assert!(matches!(spoilt(|s| s.events.reverse()), Err(Nonsense::Order(_))));
+    assert_eq!(spoilt(lose), Err(InvalidSchedule::Machine(3)));
+    let forever = |s: &mut Schedule| s.events[0] = at(3, Action::Pause { nodes: vec![1], lasts: u64::MAX });
+    assert_eq!(spoilt(forever), Err(InvalidSchedule::Figure(3)));
+    assert!(matches!(spoilt(|s| s.events.reverse()), Err(InvalidSchedule::Order(_))));
 }
 
 fn at(at: u64, action: Action) -> Event {
@@ -80,7 +80,7 @@
 fn found(fault: Fault) -> (Schedule, Violation) {
     let (_, failed) = play(0..200, Some(fault));
     let seed = failed.iter().map(|(seed, _)| *seed).min().expect("some seed fails");
-    let schedule = Schedule { fault: Some(fault), ..Schedule::drawn(seed) };
+    let schedule = Schedule { fault: Some(fault), ..Schedule::generate(seed) };
     let broken = schedule.play().expect_err("it fails again");
     let (short, tries) = shrunk(&schedule).expect("it fails");
     let violation = short.play().expect_err("the short one fails").violation;
@@ -99,7 +99,8 @@
 fn a_disk_that_lies_about_its_syncs_is_found_and_the_schedule_cut_down_to_a_few_events() {
     let (short, _) = found(Fault::LyingDisk);
     assert!(short.events.len() <= 8, "{:?}", short.events);
-    let power = |event: &Event| matches!(event.action, Action::PowerOff { .. } | Action::Acknowledged { .. });
+    let power =
+        |event: &Event| matches!(event.action, Action::PowerOff { .. } | Action::OnAcknowledged { .. });
     assert!(short.events.iter().any(power), "{:?}", short.events);
 }
 
@@ -109,7 +110,7 @@
     assert!(short.events.len() <= 12, "{:?}", short.events);
     let lost = |action: &Action| matches!(action, Action::Wipe { .. } | Action::Lose { .. });
     let loses = |event: &Event| match &event.action {
-        Action::Acknowledged { then } => lost(then),
+        Action::OnAcknowledged { then } => lost(then),
         action => lost(action),
     };
     assert!(short.events.iter().any(loses), "{:?}", short.events);
