Tests of budgets, documents, fleets and the registry live in plane/tests/unit

Cause: seven files of the control state held their tests inline. Change: the 25 tests of budget, ceiling, config, fleet, purges, registry and subset go to plane/tests/unit, a file of the same name each, under their own names with all their assertions.

--- /dev/null
+++ b/plane/tests/unit/config.rs
@@ -0,0 +1,95 @@
+//! Configuration documents.
+
+use glenfall_plane::config::{Change, Config, Invalid};
+use serde_json::Value;
+
+fn document() -> Value {
+    serde_json::json!({
+        "rev": 5, "extra": {"kept": 1.50},
+        "paths": [
+            {"name": "a", "hostname": "One.example", "pathPrefix": "/a/", "type": "cacheable",
+             "deadlineMs": 900, "targetMs": 80, "prio": 2, "backend": "s", "tries": 2, "maxAgeS": 4.5},
+            {"name": "ab", "hostname": "one.example", "pathPrefix": "/a/b/", "type": "mutating",
+             "deadlineMs": 900, "split": [{"backend": "s", "weight": 90}, {"backend": "t", "weight": 10}]},
+        ],
+        "backends": [{"name": "s", "ratePerS": 85.0}, {"name": "t"}],
+        "reqLimits": {"maxBodyBytes": 10},
+    })
+}
+
+fn read(document: &Value) -> Result<Config, Invalid> {
+    Config::read(document.to_string().as_bytes())
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let config = read(&document()).unwrap();
+    let route = |host: &str, path: &str| config.route(host, path).map(|route| route.name.as_str());
+    assert_eq!(route("one.example", "/a/x"), Some("a"));
+    assert_eq!(route("ONE.example:8080", "/a/b/x/y"), Some("ab"));
+    assert_eq!(route("one.example", "/a/b"), Some("a"));
+    assert_eq!(route("one.example", "/a"), None);
+    assert_eq!(route("two.example", "/a/x"), None);
+    assert_eq!(route("one.example", "*"), None);
+    let ranks = [0, 1].map(|n| config.rank(&config.paths[n]));
+    assert_eq!(ranks, [1.0, 0.0]);
+    assert_eq!((config.req_limits.max_body_bytes, config.req_limits.header_timeout_ms), (10, 3000));
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    let config = read(&document()).unwrap();
+    let route = config.route("one.example", "/a/b/").unwrap();
+    let drawn = (0..1000).filter(|n| route.service(f64::from(*n) / 1000.0) == Some("t")).count();
+    assert_eq!(drawn, 100);
+    assert_eq!(route.service(1.0), Some("t"));
+}
+
+#[test]
+fn each_kind_of_invalid_document_is_told() {
+    type Case = (&'static str, fn(&mut Value), &'static str);
+    let cases: [Case; 8] = [
+        ("unknown service", |d| d["paths"][0]["backend"] = "x".into(), "no backend is named \"x\""),
+        ("same place", |d| d["paths"][1]["pathPrefix"] = "/a/".into(), "same hostname and pathPrefix"),
+        (
+            "no weight",
+            |d| d["paths"][1]["split"] = serde_json::json!([{"backend": "s", "weight": 0}]),
+            "sum to 0",
+        ),
+        ("no time", |d| d["paths"][0]["deadlineMs"] = 0.into(), "deadlineMs above 0"),
+        ("no slash", |d| d["paths"][0]["pathPrefix"] = "/a".into(), "a slash"),
+        ("two names", |d| d["paths"][1]["name"] = "a".into(), "named twice"),
+        ("no target", |d| d["paths"][0]["backend"] = Value::Null, "exactly one"),
+        ("no rev", |d| d["rev"] = Value::Null, "not a configuration"),
+    ];
+    for (case, spoil, told) in cases {
+        let mut document = document();
+        spoil(&mut document);
+        let why = read(&document).expect_err(case).to_string();
+        assert!(why.contains(told), "{case}: {why}");
+    }
+    let whole = document().to_string();
+    assert!(matches!(Config::read(&whole.as_bytes()[..whole.len() - 9]), Err(Invalid::Unreadable(_))));
+}
+
+#[test]
+fn a_patch_replaces_adds_and_removes_by_name_and_keeps_the_rest() {
+    let patch = serde_json::json!({
+        "rev": 8,
+        "upsert": {
+            "paths": [{"name": "c", "hostname": "one.example", "pathPrefix": "/c/", "deadlineMs": 1, "backend": "u"}],
+            "backends": [{"name": "s", "ratePerS": 9.0}, {"name": "u"}],
+        },
+        "remove": {"paths": ["a", "nobody"]},
+    });
+    let current = document().to_string().into_bytes();
+    let change = Change::Patch(patch.to_string().into_bytes());
+    let (rev, made) = change.apply(&current, 5).unwrap();
+    let made_value: Value = serde_json::from_slice(&made).unwrap();
+    assert_eq!((rev, &made_value["extra"]["kept"]), (8, &Value::from(1.5)));
+    let config = Config::read(&made).unwrap();
+    let names: Vec<_> = config.paths.iter().map(|route| route.name.as_str()).collect();
+    assert_eq!(names, ["ab", "c"]);
+    assert_eq!(config.backend("s").unwrap().rate_per_s, Some(9.0));
+    assert_eq!(change.apply(&current, 8), Err(Invalid::OldVersion { current: 8, got: 8 }));
+}
--- /dev/null
+++ b/plane/tests/unit/subset.rs
@@ -0,0 +1,84 @@
+//! Subsets of servers, one for each edge.
+
+use std::collections::BTreeMap;
+
+use glenfall_plane::fleet::edge_mark;
+use glenfall_plane::subset::{size, subsets, HOLDERS};
+
+fn edges(count: usize) -> Vec<u64> {
+    (0..count).map(|n| edge_mark(&format!("edge-{n}"))).collect()
+}
+
+fn names(count: usize) -> Vec<String> {
+    (0..count).map(|n| format!("i-{n}")).collect()
+}
+
+fn subsets_of(edges: &[u64], names: &[String]) -> BTreeMap<u64, Vec<String>> {
+    let servers: Vec<(&str, u32)> = names.iter().map(|name| (name.as_str(), 2)).collect();
+    let named = |subset: Vec<usize>| subset.into_iter().map(|at| names[at].clone()).collect();
+    subsets(edges, &servers).into_iter().map(|(edge, subset)| (edge, named(subset))).collect()
+}
+
+fn holders(subsets: &BTreeMap<u64, Vec<String>>, name: &str) -> usize {
+    subsets.values().filter(|subset| subset.iter().any(|server| server == name)).count()
+}
+
+#[test]
+fn every_server_is_in_about_equally_many_subsets_and_every_edge_has_a_whole_one() {
+    for (edge_count, server_count) in [(90, 49), (62, 25), (900, 510), (10, 100), (1000, 10), (7, 6)] {
+        let names = names(server_count);
+        let subsets = subsets_of(&edges(edge_count), &names);
+        let size = size(edge_count, server_count);
+        let mean = (edge_count * size) as f64 / server_count as f64;
+        assert!(mean >= HOLDERS.min(edge_count) as f64 || size == server_count);
+        for subset in subsets.values() {
+            let mut sorted = subset.clone();
+            sorted.sort();
+            sorted.dedup();
+            assert_eq!(sorted.len(), size, "{edge_count} edges, {server_count} servers");
+        }
+        for name in &names {
+            let holders = holders(&subsets, name) as f64;
+            let bounds = (mean * 0.4).floor()..=(mean * 1.2).ceil();
+            assert!(bounds.contains(&holders), "{edge_count} x {server_count}: {holders} of {mean}");
+        }
+    }
+}
+
+#[test]
+fn a_server_with_twice_the_capacity_is_in_about_twice_as_many() {
+    let names = names(40);
+    let servers: Vec<(&str, u32)> =
+        names.iter().enumerate().map(|(n, name)| (name.as_str(), if n < 20 { 4 } else { 2 })).collect();
+    let subsets = subsets(&edges(90), &servers);
+    let places = |at: std::ops::Range<usize>| {
+        subsets.values().flatten().filter(|place| at.contains(place)).count() as f64
+    };
+    let times = places(0..20) / places(20..40);
+    assert!((1.7..2.4).contains(&times), "{times}");
+}
+
+#[test]
+fn whoever_comes_or_goes_changes_few_subsets() {
+    let (edges, names) = (edges(90), names(49));
+    let before = subsets_of(&edges, &names);
+    let places: usize = before.values().map(Vec::len).sum();
+    let moved = |after: &BTreeMap<u64, Vec<String>>| {
+        let stays = |edge: &u64, server: &String| after.get(edge).is_some_and(|s| s.contains(server));
+        let gone = before.iter().flat_map(|(edge, subset)| subset.iter().filter(move |s| !stays(edge, s)));
+        gone.count() as f64 / places as f64
+    };
+    let (mut by_server, mut by_edge) = (Vec::new(), Vec::new());
+    for at in 0..20 {
+        let mut fewer = names.clone();
+        fewer.remove(at);
+        by_server.push(moved(&subsets_of(&edges, &fewer)));
+        let mut fewer = edges.clone();
+        fewer.remove(at);
+        by_edge.push(moved(&subsets_of(&fewer, &names)));
+    }
+    // One of 49 servers has a forty-ninth of all places, one of 90 edges a ninetieth.
+    let mean = |parts: &[f64]| parts.iter().sum::<f64>() / parts.len() as f64;
+    assert!(mean(&by_server) < 0.15, "{by_server:?}");
+    assert!(mean(&by_edge) < 0.10, "{by_edge:?}");
+}
