Tests of a node's connections and of answers live in node/tests/upstream.rs

The nine tests of connections keep their names; that the idlest connection makes room is shown by a request to a second server, not by a call from within. The tables of answers (reply.rs, answers_are_told_as_the_protocol_has_them) are now played over a socket, as one: all its cases stand, and those that were no answer end as spoilt. That a server has no room is kept as the time until which, which a caller may tell as well.

--- /dev/null
+++ b/node/tests/upstream.rs
@@ -0,0 +1,333 @@
+//! Exchanges with servers: which connection a request takes, when it waits for one, and how an answer is read.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use glenfall_http::Sent;
+use hyper::header::HeaderValue;
+use hyper::{Method, Uri};
+use mallowpaddle::{CacheNote, Limits, RosterEntry, ServerId, ServerState, Status};
+use tackstage::config::List;
+use tackstage::upstream::{Payload, Upstreams};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+
+const WAIT: Duration = Duration::from_secs(30);
+
+fn server(number: usize) -> ServerId {
+    ServerId(format!("s-{number}").as_str().into())
+}
+
+/// A list of servers, `s-1` and so on, in one state.
+fn list(addrs: &[SocketAddr], state: ServerState) -> List {
+    let entry = |number| RosterEntry { server: server(number), state, ..RosterEntry::default() };
+    let servers = (1..).map(entry).zip(addrs.iter().copied()).collect();
+    List { version: 1, full: true, servers }
+}
+
+fn payload(body: &str) -> Payload {
+    Payload {
+        method: if body.is_empty() { Method::GET } else { Method::PUT },
+        uri: Uri::from_static("/read/a"),
+        id: HeaderValue::from_static("1"),
+        idempotency_key: None,
+        body: Bytes::from(body.to_owned()),
+    }
+}
+
+fn limits() -> Limits {
+    Limits { connect_timeout: 30.0, ..Limits::default() }
+}
+
+/// One server, `s-1`, at a listener.
+fn upstreams(listener: &TcpListener, nodes: u32, most_open: usize) -> Rc<Upstreams> {
+    // At 100 nodes the surplus is closed after a tenth of the time.
+    let upstreams = Upstreams::start(&Limits { idle_close: 15.0, ..limits() }, nodes, most_open);
+    upstreams.update(&list(&[listener.local_addr().unwrap()], ServerState::Ready));
+    upstreams
+}
+
+fn on_loopback<F: Future>(test: impl FnOnce(TcpListener) -> F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        tokio::time::timeout(WAIT, test(listener)).await.expect("the test ends")
+    })
+}
+
+/// Serves one request on the next connection, and hands that back.
+async fn serve_one(listener: &TcpListener, status: &str) -> TcpStream {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    serve_again(&mut stream, status).await;
+    stream
+}
+
+async fn serve_again(stream: &mut TcpStream, status: &str) {
+    assert!(stream.read(&mut [0; 1024]).await.unwrap() > 0, "a request");
+    let answer = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
+    stream.write_all(answer.as_bytes()).await.unwrap();
+}
+
+#[test]
+fn nothing_that_waits_for_a_connect_goes_to_a_server_that_drains_meanwhile() {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 1, 8);
+        let (server, payload, sent) = (server(1), payload(""), Sent::default());
+        let (ended, ()) = tokio::join! {
+            biased;
+            upstreams.exchange(&server, &payload, WAIT, &sent),
+            // Polled while the connect is under way.
+            async { upstreams.update(&list(&[listener.local_addr().unwrap()], ServerState::Draining)) },
+        };
+        assert_eq!((ended.status, sent.whole()), (Status::Overloaded, false));
+        let mut seen = Vec::new();
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.read_to_end(&mut seen).await.unwrap();
+        assert_eq!(seen, b"");
+    });
+}
+
+#[test]
+fn a_request_is_known_to_be_written_whole_once_its_last_byte_is() {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 1, 8);
+        let (server, payload, sent) = (server(1), payload("body"), Sent::default());
+        let answered = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut seen = Vec::new();
+            while !seen.ends_with(b"body") {
+                assert!(stream.read_buf(&mut seen).await.unwrap() > 0);
+            }
+            // Closed unanswered: it may have run.
+        };
+        let (ended, ()) = tokio::join!(upstreams.exchange(&server, &payload, WAIT, &sent), answered);
+        assert_eq!((ended.status, sent.whole()), (Status::Broken, true));
+    });
+}
+
+#[test]
+fn at_the_limit_the_idlest_connection_makes_room_and_none_is_opened_beyond() {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 1, 1);
+        let second = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addrs = [&listener, &second].map(|listener| listener.local_addr().unwrap());
+        upstreams.update(&list(&addrs, ServerState::Ready));
+        let (payload, first, other) = (payload(""), server(1), server(2));
+        let (sent, unsent) = (Sent::default(), Sent::default());
+        let (ended, beyond, mut stream) = tokio::join! {
+            biased;
+            upstreams.exchange(&first, &payload, WAIT, &sent),
+            upstreams.exchange(&first, &payload, WAIT, &unsent),
+            serve_one(&listener, "200 OK"),
+        };
+        assert_eq!((ended.status, beyond.status), (Status::Success, Status::Void));
+        let (ended, _) = tokio::join! {
+            upstreams.exchange(&other, &payload, WAIT, &sent),
+            serve_one(&second, "200 OK"),
+        };
+        assert_eq!(ended.status, Status::Success);
+        assert_eq!(stream.read(&mut [0]).await.unwrap(), 0, "the idle connection is closed");
+    });
+}
+
+#[test]
+fn what_came_on_an_idle_connection_is_not_read_as_the_next_answer() {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 1, 8);
+        let (server, payload) = (server(1), payload(""));
+        let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{body}");
+        let serve = |body: &'static str| {
+            let listener = &listener;
+            async move {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                let _ = stream.read(&mut [0; 1024]).await.unwrap();
+                stream.write_all(answer(body).as_bytes()).await.unwrap();
+                stream
+            }
+        };
+        let sent = Sent::default();
+        let (_, stream) = tokio::join!(upstreams.exchange(&server, &payload, WAIT, &sent), serve("one"));
+        // A second copy comes behind, of which the reactor has not told when the next request begins.
+        assert!(stream.try_write(answer("one").as_bytes()).is_ok());
+        let (ended, _) = tokio::join! {
+            biased;
+            upstreams.exchange(&server, &payload, WAIT, &sent),
+            serve("two"),
+        };
+        assert_eq!(ended.reply.map(|reply| reply.body), Some(Bytes::from("two")));
+    });
+}
+
+#[test]
+fn where_a_server_turns_connections_away_a_request_waits_for_the_one_that_is_open() {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 100, 8);
+        let (server, payload) = (server(1), payload(""));
+        let sent = [Sent::default(), Sent::default(), Sent::default()];
+        let exchange = |n: usize| upstreams.exchange(&server, &payload, WAIT, &sent[n]);
+        let (begun, turned_away) = (Notify::new(), Notify::new());
+        let (first, second, third, ()) = tokio::join! {
+            exchange(0),
+            // On a connection of its own, as the first is out; it is turned away.
+            async {
+                begun.notified().await;
+                let ended = exchange(1).await;
+                // However slowly the test runs, the server has no room.
+                assert!(upstreams.must_wait(&server));
+                upstreams.no_room_until(&server, Instant::now() + WAIT);
+                turned_away.notify_one();
+                ended
+            },
+            async {
+                turned_away.notified().await;
+                // The server still holds the first; the third must not dial again beside it.
+                exchange(2).await
+            },
+            async {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                begun.notify_one();
+                drop(serve_one(&listener, "503 Service Unavailable\r\nX-Not-Run: 1\r\nConnection: close").await);
+                serve_again(&mut stream, "200 OK").await;
+                serve_again(&mut stream, "200 OK").await;
+            },
+        };
+        assert_eq!(first.status, Status::Success);
+        assert_eq!(second.status, Status::Overloaded);
+        assert_eq!(third.status, Status::Success);
+    });
+}
+
+#[test]
+fn a_request_that_waits_for_a_connection_opens_its_own_once_there_is_none() {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 100, 8);
+        let (server, payload, sent) = (server(1), payload(""), Sent::default());
+        upstreams.no_room_until(&server, Instant::now() + WAIT);
+        let other = upstreams.claim_place(&server);
+        let (ended, _, ()) = tokio::join! {
+            biased;
+            upstreams.exchange(&server, &payload, WAIT, &sent),
+            serve_one(&listener, "200 OK"),
+            async { drop(other) },
+        };
+        assert_eq!(ended.status, Status::Success);
+    });
+}
+
+#[test]
+fn of_those_that_wait_for_a_connection_writes_go_first() {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 100, 8);
+        let server = server(1);
+        upstreams.no_room_until(&server, Instant::now() + WAIT);
+        let open = upstreams.claim_place(&server);
+        let (reads, write) = ([payload(""), payload("")], payload("body"));
+        let sent = [Sent::default(), Sent::default(), Sent::default()];
+        let served = async {
+            drop(open);
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut methods = Vec::new();
+            for _ in 0..3 {
+                let mut seen = Vec::new();
+                while !(seen.ends_with(b"body") || seen.ends_with(b"\r\n\r\n") && seen.starts_with(b"GET")) {
+                    assert!(stream.read_buf(&mut seen).await.unwrap() > 0);
+                }
+                methods.push(seen[..3].to_vec());
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.unwrap();
+            }
+            (methods, stream)
+        };
+        let (one, two, three, (methods, _stream)) = tokio::join! {
+            biased;
+            upstreams.exchange(&server, &reads[0], WAIT, &sent[0]),
+            upstreams.exchange(&server, &reads[1], WAIT, &sent[1]),
+            upstreams.exchange(&server, &write, WAIT, &sent[2]),
+            served,
+        };
+        assert_eq!([one.status, two.status, three.status], [Status::Success; 3]);
+        assert_eq!(methods, [b"PUT", b"GET", b"GET"]);
+    });
+}
+
+#[test]
+fn the_more_nodes_the_sooner_a_surplus_connection_is_closed() {
+    let times = |nodes| {
+        let (idle, surplus) =
+            on_loopback(|listener| async move { upstreams(&listener, nodes, 8).idle_times() });
+        (surplus.as_secs_f64(), idle.as_secs_f64())
+    };
+    assert_eq!(times(3), (12.0, 12.0));
+    assert_eq!(times(100), (1.2, 12.0));
+}
+
+#[test]
+fn of_two_idle_connections_the_one_used_last_outlives_the_other() {
+    on_loopback(|listener| async move {
+        // The test's own sweeps alone matter.
+        let upstreams = upstreams(&listener, 100, 8);
+        let (server, payload) = (server(1), payload(""));
+        let sent = [Sent::default(), Sent::default()];
+        let (.., (mut one, mut two)) = tokio::join! {
+            upstreams.exchange(&server, &payload, WAIT, &sent[0]),
+            upstreams.exchange(&server, &payload, WAIT, &sent[1]),
+            async {
+                let (mut one, _) = listener.accept().await.unwrap();
+                let two = serve_one(&listener, "200 OK").await;
+                serve_again(&mut one, "200 OK").await;
+                (one, two)
+            },
+        };
+        let used = Instant::now();
+        upstreams.close_unused(used);
+        assert_eq!(upstreams.idle(&server), 2);
+        upstreams.close_unused(used + Duration::from_secs(2));
+        let (mut a, mut b) = ([0], [0]);
+        tokio::select! {
+            end = one.read(&mut a) => assert_eq!(end.unwrap(), 0),
+            end = two.read(&mut b) => assert_eq!(end.unwrap(), 0),
+        }
+        assert_eq!(upstreams.idle(&server), 1);
+    });
+}
+
+/// How an exchange ends at a server that answers with this head.
+fn answered(status: &str) -> (Status, Option<CacheNote>) {
+    on_loopback(|listener| async move {
+        let upstreams = upstreams(&listener, 1, 8);
+        let (server, payload, sent) = (server(1), payload(""), Sent::default());
+        let (ended, _) =
+            tokio::join!(upstreams.exchange(&server, &payload, WAIT, &sent), serve_one(&listener, status));
+        (ended.status, ended.note)
+    })
+}
+
+#[test]
+fn answers_are_told_as_the_protocol_has_them() {
+    for (head, told) in [
+        ("200 OK", Status::Success),
+        ("404 Absent", Status::Absent),
+        ("500 Error", Status::Error),
+        ("503 Unavailable", Status::Error),
+        ("500 Error\r\nX-Not-Run: 1", Status::Error),
+        ("503 Unavailable\r\nX-Not-Run: 1", Status::Overloaded),
+        ("504 Too Late\r\nX-Not-Run: 1", Status::Overloaded),
+        ("101 Switching", Status::Spoilt),
+        ("204 Empty", Status::Spoilt),
+        ("206 Part", Status::Spoilt),
+    ] {
+        assert_eq!(answered(head).0, told, "{head}");
+    }
+    for (word, note) in [
+        ("hit", Some(CacheNote::Hit)),
+        ("miss", Some(CacheNote::Miss)),
+        ("pending", Some(CacheNote::MissFetching)),
+        ("odd", None),
+    ] {
+        assert_eq!(answered(&format!("200 OK\r\nX-Cache: {word}")), (Status::Success, note), "{word}");
+    }
+}
