Responses are typed by origin: status, seal and body can't be mixed

Cause: one mutable type stood for a server's response, one made from a copy and one of our own. 416 and 304 made from a copy bore the seal of the copied 200; those who had joined a failed fetch got the failure's seal, which is another request's. Change: ServerResponse (read from one exchange, immutable), CachedResponse (status fixed by its constructor, a seal with 200 and 206 only) and LocalResponse (no header of a server) become a ProxyResponse, all that edge and shield hand out. Joined requests get the failure's status without its seal. Inline tests are adapted to the accessors, no assertion changed.

--- a/glenfall/src/cache.rs
+++ b/glenfall/src/cache.rs
@@ -8,17 +8,14 @@
 
 use bytes::Bytes;
 use glenfall_plane::messages::{Aged, Purge};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::StatusCode;
 use lru::LruCache;
 use tokio::time::Instant;
 
-use crate::pool::Reply;
+use crate::response::{CachedResponse, ProxyResponse, ServerResponse, AGE_MS, SEAL, TAGS};
 use crate::serve::{passed_on, TRY_ID};
-use crate::shield::AGE_MS;
 
-const TAGS: HeaderName = HeaderName::from_static("x-glenfall-tags");
-const SEAL: HeaderName = HeaderName::from_static("x-glenfall-seal");
 /// What a copy costs beside its body: headers, names, places in the tables.
 const OVERHEAD: usize = 1024;
 /// A copy is taken for older than a purge unless it is younger by more than this: what an age took on its way counts
@@ -39,13 +36,13 @@
 
 impl Copy {
     /// A copy of an answer, if it may be kept.
-    pub fn of(reply: &Reply, born: Instant) -> Option<Copy> {
-        let headers = &reply.headers;
+    pub fn of(response: &ServerResponse, born: Instant) -> Option<Copy> {
+        let headers = response.headers();
         let spared = headers.get_all(header::CACHE_CONTROL).iter().any(|value| {
             let value = value.to_str().unwrap_or("no-store").to_ascii_lowercase();
             value.contains("no-store") || value.contains("private")
         });
-        let whole = reply.status == StatusCode::OK
+        let whole = response.status() == StatusCode::OK
             && headers.contains_key(SEAL)
             && !headers.contains_key(header::CONTENT_ENCODING)
             && !headers.contains_key(header::CONTENT_RANGE);
@@ -57,20 +54,17 @@
         let mut headers = passed_on(headers);
         headers.remove(TRY_ID);
         headers.remove(header::AGE);
-        Some(Copy { headers, body: reply.body.clone(), born: Cell::new(born), labels })
+        Some(Copy { headers, body: response.body().clone(), born: Cell::new(born), labels })
     }
 
     /// Tells an edge what it has to know to keep the copy as well.
-    pub fn hand_on(&self, headers: &mut HeaderMap) {
-        headers.insert(AGE_MS, HeaderValue::from(self.age().as_millis() as u64));
-        if let Ok(tags) = HeaderValue::from_str(&self.labels.join(" ")) {
-            headers.insert(TAGS, tags);
-        }
+    pub fn hand_on(&self, response: &mut ProxyResponse) {
+        response.set_copy_details(self.age(), &self.labels.join(" "));
     }
 
     /// When a copy was born that a shield handed on in answer to a request sent at this time.
-    pub fn handed_on(reply: &Reply, asked: Instant) -> Option<Instant> {
-        let age = reply.headers.get(AGE_MS)?.to_str().ok()?.parse().ok()?;
+    pub fn handed_on(response: &ServerResponse, asked: Instant) -> Option<Instant> {
+        let age = response.headers().get(AGE_MS)?.to_str().ok()?.parse().ok()?;
         asked.checked_sub(Duration::from_millis(age))
     }
 
@@ -88,7 +82,7 @@
 
     /// The answer to a request with these headers: all of the object, the range that it names, or the word
     /// that it has not changed.
-    pub fn answer(&self, request: &HeaderMap) -> Reply {
+    pub fn answer(&self, request: &HeaderMap) -> CachedResponse {
         let mut headers = self.headers.clone();
         headers.insert(header::AGE, HeaderValue::from(self.age().as_secs()));
         if let Some(id) = request.get(TRY_ID) {
@@ -97,25 +91,14 @@
         let etag = self.headers.get(header::ETAG);
         let text = |name| request.get(name).and_then(|value| value.to_str().ok());
         if etag.is_some() && request.get(header::IF_NONE_MATCH) == etag {
-            return Reply { status: StatusCode::NOT_MODIFIED, headers, body: Bytes::new() };
+            return CachedResponse::not_modified(headers);
         }
         let length = self.body.len();
         let current = request.get(header::IF_RANGE).is_none_or(|given| Some(given) == etag);
         match text(header::RANGE).filter(|_| current).and_then(|range| range_of(range, length)) {
-            None => Reply { status: StatusCode::OK, headers, body: self.body.clone() },
-            Some(Err(Beyond)) => {
-                if let Ok(value) = HeaderValue::from_str(&format!("bytes */{length}")) {
-                    headers.insert(header::CONTENT_RANGE, value);
-                }
-                Reply { status: StatusCode::RANGE_NOT_SATISFIABLE, headers, body: Bytes::new() }
-            }
-            Some(Ok((first, last))) => {
-                if let Ok(value) = HeaderValue::from_str(&format!("bytes {first}-{last}/{length}")) {
-                    headers.insert(header::CONTENT_RANGE, value);
-                }
-                let body = self.body.slice(first..=last);
-                Reply { status: StatusCode::PARTIAL_CONTENT, headers, body }
-            }
+            None => CachedResponse::whole(headers, self.body.clone()),
+            Some(Err(Beyond)) => CachedResponse::range_not_satisfiable(length),
+            Some(Ok((first, last))) => CachedResponse::range(headers, &self.body, first, last),
         }
     }
 }
@@ -254,17 +237,23 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use hyper::http::response::Parts;
+    use hyper::Response;
 
-    fn reply(body: &str, tags: &'static str) -> Reply {
-        let mut headers = HeaderMap::new();
+    fn head(tags: &'static str) -> Parts {
+        let mut head = Response::new(()).into_parts().0;
+        let headers = &mut head.headers;
         headers.insert(SEAL, HeaderValue::from_static("s"));
         headers.insert(TAGS, HeaderValue::from_static(tags));
         headers.insert(header::ETAG, HeaderValue::from_static("\"e\""));
-        Reply { status: StatusCode::OK, headers, body: Bytes::from(body.to_owned()) }
+        head
     }
 
     fn copy(body: &str, tags: &'static str) -> Rc<Copy> {
-        Rc::new(Copy::of(&reply(body, tags), Instant::now()).expect("kept"))
+        Rc::new(
+            Copy::of(&ServerResponse::new(head(tags), Bytes::from(body.to_owned())), Instant::now())
+                .expect("kept"),
+        )
     }
 
     fn key(path: &str) -> ObjectKey {
@@ -328,12 +317,12 @@
     #[test]
     fn ranges_and_conditions_are_answered_from_the_whole() {
         let copy = copy("0123456789", "");
-        let asked = |name: HeaderName, value: &'static str| {
+        let asked = |name: header::HeaderName, value: &'static str| {
             let mut request = HeaderMap::new();
             request.insert(name, HeaderValue::from_static(value));
             let reply = copy.answer(&request);
-            let range = reply.headers.get(header::CONTENT_RANGE).map(|v| v.to_str().unwrap().to_owned());
-            (reply.status.as_u16(), String::from_utf8(reply.body.to_vec()).unwrap(), range)
+            let range = reply.headers().get(header::CONTENT_RANGE).map(|v| v.to_str().unwrap().to_owned());
+            (reply.status().as_u16(), String::from_utf8(reply.body().to_vec()).unwrap(), range)
         };
         let part = |status, body: &str, range: &str| (status, body.to_owned(), Some(range.to_owned()));
         assert_eq!(asked(header::RANGE, "bytes=2-4"), part(206, "234", "bytes 2-4/10"));
@@ -348,10 +337,10 @@
 
     #[test]
     fn only_whole_sealed_answers_are_kept() {
-        let kept = |spoil: fn(&mut Reply)| {
-            let mut reply = reply("body", "");
-            spoil(&mut reply);
-            Copy::of(&reply, Instant::now()).is_some()
+        let kept = |spoil: fn(&mut Parts)| {
+            let mut head = head("");
+            spoil(&mut head);
+            Copy::of(&ServerResponse::new(head, Bytes::from_static(b"body")), Instant::now()).is_some()
         };
         assert!(kept(|_| {}));
         assert!(!kept(|r| r.status = StatusCode::INTERNAL_SERVER_ERROR));
--- a/glenfall/src/demo.rs
+++ b/glenfall/src/demo.rs
@@ -20,7 +20,8 @@
 
 use crate::local::{Layout, Local};
 use crate::ops::{self, Controls, ROOM};
-use crate::pool::{Pool, Reply, Trust};
+use crate::pool::{Pool, Trust};
+use crate::response::ServerResponse;
 use crate::room::Room;
 use crate::serve::{self, plain, Answer, Handler, Whole};
 
@@ -103,22 +104,22 @@
     let edges = local.edges();
     let get = |path| ask(edges[0], Method::GET, path);
     let first = until("a read through edge and shield", || get("/pages/hello")).await?;
-    print!("read:           {}", String::from_utf8_lossy(&first.body));
+    print!("read:           {}", String::from_utf8_lossy(first.body()));
     let other =
         until("the same read at the other edge", || ask(edges[1], Method::GET, "/pages/hello")).await?;
-    print!("other edge:     {}", String::from_utf8_lossy(&other.body));
-    if other.body != first.body {
+    print!("other edge:     {}", String::from_utf8_lossy(other.body()));
+    if other.body() != first.body() {
         return Err(DemoError::TooLate { what: "the shield's copy at the other edge" });
     }
     let body = json!({ "hostname": HOST, "urlPath": "/pages/hello" }).to_string();
     ops::call(&at, Method::POST, "/api/purge", None, body.into()).await?;
     let fresh = until("the read after a purge", || get("/pages/hello")).await?;
-    print!("after a purge:  {}", String::from_utf8_lossy(&fresh.body));
-    if fresh.body == first.body {
+    print!("after a purge:  {}", String::from_utf8_lossy(fresh.body()));
+    if fresh.body() == first.body() {
         return Err(DemoError::TooLate { what: "a fresh copy after the purge" });
     }
     let write = until("a write", || ask(edges[0], Method::POST, "/orders/1")).await?;
-    print!("write:          {}", String::from_utf8_lossy(&write.body));
+    print!("write:          {}", String::from_utf8_lossy(write.body()));
     if once {
         println!("the whole path works");
         return Ok(());
@@ -166,7 +167,7 @@
                 };
                 let until = Instant::now() + Duration::from_secs(1);
                 let reply = pool.exchange((*control).into(), request, until, Trust::Ours, || true).await;
-                if reply.is_ok_and(|reply| reply.status.is_success()) {
+                if reply.is_ok_and(|reply| reply.status().is_success()) {
                     break;
                 }
             }
@@ -225,7 +226,7 @@
     Err(DemoError::TooLate { what: "the word of all shields and servers" })
 }
 
-async fn ask(edge: SocketAddrV4, method: Method, path: &'static str) -> Option<Reply> {
+async fn ask(edge: SocketAddrV4, method: Method, path: &'static str) -> Option<ServerResponse> {
     let request = || {
         let mut request = Request::new(Full::new(Bytes::new()));
         *request.method_mut() = method.clone();
@@ -239,14 +240,14 @@
         .exchange(edge.into(), request, until, Trust::Ours, || true)
         .await
         .ok()?;
-    (reply.status == StatusCode::OK && reply.headers.contains_key("x-glenfall-seal")).then_some(reply)
+    (reply.status() == StatusCode::OK && reply.headers().contains_key("x-glenfall-seal")).then_some(reply)
 }
 
 /// Repeats a step until it comes true.
-async fn until<F: Future<Output = Option<Reply>>>(
+async fn until<F: Future<Output = Option<ServerResponse>>>(
     what: &'static str,
     step: impl Fn() -> F,
-) -> Result<Reply, DemoError> {
+) -> Result<ServerResponse, DemoError> {
     let began = Instant::now();
     while began.elapsed() < STEP {
         if let Some(reply) = step().await {
--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -21,7 +21,8 @@
 use crate::counter::Counter;
 use crate::limit::Limits;
 use crate::origins::{End, Origins};
-use crate::pool::{Pool, Reply, Trouble, Trust, ANSWER_TIME};
+use crate::pool::{Pool, Trouble, Trust, ANSWER_TIME};
+use crate::response::ServerResponse;
 use crate::serve::DEADLINE;
 
 const WANT_SERVER: HeaderName = HeaderName::from_static("x-glenfall-want-server");
@@ -61,7 +62,7 @@
 /// What came of it.
 pub enum Outcome {
     /// To be passed on.
-    Answered(Reply),
+    Answered(ServerResponse),
     /// It has not run and will not; it may come again after so long.
     NotRun(Duration),
     /// It may have run.
@@ -260,10 +261,12 @@
             };
             sends += 1;
             let fate = send::fate(Stage::Answering, event, job.repeatable);
-            let failure = ended.as_ref().is_ok_and(|reply| reply.status.is_server_error());
+            let failure = ended.as_ref().is_ok_and(|reply| reply.status().is_server_error());
             in_flight.ended(match (&ended, event) {
                 (Err(_), _) | (_, Event::Noise) => End::Failed,
-                (Ok(reply), Event::NotRun) if reply.status == StatusCode::MISDIRECTED_REQUEST => End::Failed,
+                (Ok(reply), Event::NotRun) if reply.status() == StatusCode::MISDIRECTED_REQUEST => {
+                    End::Failed
+                }
                 (_, Event::NotRun) => End::TurnedAway,
                 _ if failure => End::Erred,
                 _ => End::Answered,
@@ -272,7 +275,7 @@
             match (fate, ended) {
                 (Fate::NotRun, ended) => {
                     // Another server of the service would say the same of its ceiling, and count it.
-                    let ceiling = ended.is_ok_and(|reply| reply.status == StatusCode::TOO_MANY_REQUESTS);
+                    let ceiling = ended.is_ok_and(|reply| reply.status() == StatusCode::TOO_MANY_REQUESTS);
                     go_on = !ceiling;
                     if !matches!(fallback, Outcome::Answered(_)) {
                         fallback = Outcome::NotRun(if ceiling { NONE } else { FULL });
@@ -290,10 +293,10 @@
 }
 
 /// What a whole answer of a server says.
-fn event(reply: &Reply) -> Event {
-    let status = reply.status;
+fn event(reply: &ServerResponse) -> Event {
+    let status = reply.status();
     let failure = status.is_client_error() || status.is_server_error();
-    let said = reply.headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    let said = reply.headers().contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
     match status.as_u16() {
         _ if said && failure => Event::NotRun,
         // One that says that it has not run and what came of it.
@@ -383,7 +386,7 @@
         ];
         let direct = way(servers, counted);
         let told = match direct.send(job(&Uri::from_static("/x"), repeatable, tries)).await {
-            Outcome::Answered(reply) if reply.status.is_success() => "answered",
+            Outcome::Answered(reply) if reply.status().is_success() => "answered",
             Outcome::Answered(_) => "failure passed on",
             Outcome::NotRun(_) => "not run",
             Outcome::Unknown => "unknown",
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -14,7 +14,7 @@
 use glenfall_plane::messages::{Aged, Proxy, Purge};
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, StatusCode};
 use mallowpaddle::{Key, ServerId, Shields};
 use tokio::time::Instant;
 
@@ -24,9 +24,10 @@
 use crate::direct::{Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
-use crate::pool::{Pool, Reply, Trust};
-use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
-use crate::shield::{object_draw, object_hash, AGAIN, BEHIND, REV, SHIELD};
+use crate::pool::{Pool, Trust};
+use crate::response::{LocalResponse, ProxyResponse, ServerResponse, ShieldSource, SHIELD};
+use crate::serve::{passed_on, plain, Answer, Handler, Whole, DEADLINE};
+use crate::shield::{object_draw, object_hash, AGAIN, REV};
 
 /// What a request has spent on its way here since the client's clock started, and what its answer needs back.
 const TRANSIT: Duration = Duration::from_millis(12);
@@ -98,7 +99,7 @@
 
 /// What came of asking the shields.
 enum Asked {
-    Answered(Answer),
+    Answered(ProxyResponse),
     /// None answers, and the servers are to be asked; one that was tried may have done so.
     Nobody {
         tried: bool,
@@ -135,14 +136,14 @@
         self.direct.hold(Holder::Edge { of: self.edges.get() as usize, alone });
     }
 
-    async fn serve(&self, whole: Whole) -> Answer {
+    async fn serve(&self, whole: Whole) -> ProxyResponse {
         self.counters.requests.add();
         let Some(config) = self.feed.config() else {
-            return refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", UNREADY);
+            return LocalResponse::refused("not ready", UNREADY).into();
         };
         let Some(route) = config.route(whole.host(), whole.head.uri.path()) else {
             self.counters.no_route.add();
-            return plain(StatusCode::NOT_FOUND, "no such route");
+            return LocalResponse::no_route().into();
         };
         let stated = whole.head.headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
         let wait =
@@ -161,7 +162,7 @@
         let draw =
             if read { object_draw(whole.host(), whole.path_and_query()) } else { self.direct.origins.draw() };
         let Some(service) = route.service(draw) else {
-            return refused(StatusCode::SERVICE_UNAVAILABLE, "no service", UNREADY);
+            return LocalResponse::refused("no service", UNREADY).into();
         };
         if read {
             // No shield answers. Ranges are the server's to cut.
@@ -215,7 +216,7 @@
         let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
         if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.own_copies.add();
-            return Asked::Answered(passed_back(copy.answer(headers), &Method::GET));
+            return Asked::Answered(copy.answer(headers).into());
         }
         // What is not fresh any more is asked for again, whole; it comes only if it has changed.
         let mut headers = headers.clone();
@@ -226,7 +227,7 @@
         }
         if !self.direct.pool.room.is_free() {
             self.counters.refused.add();
-            return Asked::Answered(refused(StatusCode::SERVICE_UNAVAILABLE, "no room", UNREADY));
+            return Asked::Answered(LocalResponse::refused("no room", UNREADY).into());
         }
         let asked_whole = !headers.contains_key(header::RANGE);
         let mut tried: Vec<ServerId> = Vec::new();
@@ -259,43 +260,43 @@
                 let _counted = InFlight::at(&self.shields, &shield);
                 self.direct.pool.exchange(addr, request, attempt, Trust::Ours, || true).await
             };
-            let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
-            let behind = reply.as_ref().is_some_and(|reply| reply.headers.get(SHIELD) == Some(&BEHIND));
+            let reply = ended.ok().filter(|reply| reply.shield_source().is_some());
+            let behind =
+                reply.as_ref().is_some_and(|reply| reply.shield_source() == Some(ShieldSource::Behind));
             let reply = reply.filter(|_| !behind);
             self.shields.borrow_mut().heard(self.now(), &shield, sent, reply.is_none());
             if let Some(reply) = reply {
-                if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &own) {
+                if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status(), &own) {
                     self.counters.refreshed.add();
                     if let Some(born) = Copy::handed_on(&reply, began) {
                         own.born.set(born);
                     }
-                    return Asked::Answered(passed_back(own.answer(&whole.head.headers), &Method::GET));
+                    return Asked::Answered(own.answer(&whole.head.headers).into());
                 }
                 if asked_whole && !self.near.borrow().contains(&shield) {
                     self.keep(&object, &reply, began);
                 }
-                if own.is_some() && reply.status == StatusCode::OK {
+                if own.is_some() && reply.status() == StatusCode::OK {
                     // The range that was taken off the request.
                     if let Some(copy) = Copy::of(&reply, began) {
-                        let answer = copy.answer(&whole.head.headers);
-                        return Asked::Answered(passed_back(answer, &Method::GET));
+                        return Asked::Answered(copy.answer(&whole.head.headers).into());
                     }
                 }
-                return Asked::Answered(passed_back(reply, &Method::GET));
+                return Asked::Answered(reply.forward_from_shield());
             }
             self.counters.shield_failed.add();
             again |= !behind;
             tried.push(shield);
             if Instant::now() >= until && again {
                 self.counters.timed_out.add();
-                return Asked::Answered(plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
+                return Asked::Answered(LocalResponse::gateway_timeout().into());
             }
         }
         Asked::Nobody { tried: again }
     }
 
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
-    fn keep(&self, object: &ObjectKey, reply: &Reply, asked: Instant) {
+    fn keep(&self, object: &ObjectKey, reply: &ServerResponse, asked: Instant) {
         let Some(born) = Copy::handed_on(reply, asked) else { return };
         let Some(copy) = Copy::of(reply, born).filter(|_| self.in_touch.get()) else { return };
         let mut purged = self.purged.borrow_mut();
@@ -312,41 +313,26 @@
         }
     }
 
-    fn told(&self, outcome: Outcome, route: &Route, method: &Method) -> Answer {
+    fn told(&self, outcome: Outcome, route: &Route, method: &Method) -> ProxyResponse {
         match outcome {
-            Outcome::Answered(reply) => passed_back(reply, method),
+            Outcome::Answered(reply) => reply.forward(method),
             Outcome::NotRun(after) => {
                 self.counters.refused.add();
                 tracing::debug!(route = %route.name, "refused");
-                refused(StatusCode::SERVICE_UNAVAILABLE, "not run", after)
+                LocalResponse::refused("not run", after).into()
             }
             Outcome::Unknown => {
                 self.counters.unknown.add();
-                plain(StatusCode::BAD_GATEWAY, "no answer")
+                LocalResponse::bad_gateway().into()
             }
             Outcome::TimedOut => {
                 self.counters.timed_out.add();
-                plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+                LocalResponse::gateway_timeout().into()
             }
         }
     }
 }
 
-/// A server's answer as the client gets it.
-fn passed_back(reply: Reply, method: &Method) -> Answer {
-    let mut headers = passed_on(&reply.headers);
-    // Without a body of its own, the answer to `HEAD` keeps the length that it tells of.
-    if method == Method::HEAD {
-        if let Some(length) = reply.headers.get(header::CONTENT_LENGTH) {
-            headers.insert(header::CONTENT_LENGTH, length.clone());
-        }
-    }
-    let mut answer = Response::new(Full::new(reply.body));
-    *answer.status_mut() = reply.status;
-    *answer.headers_mut() = headers;
-    answer
-}
-
 impl Follower for Edge {
     fn config(&self, _config: &Arc<Config>) {}
 
@@ -417,7 +403,7 @@
         let answer = self.0.serve(whole).await;
         let counters = &self.0.counters;
         if read { &counters.read } else { &counters.write }.add(began.elapsed());
-        answer
+        answer.into()
     }
 
     fn limits(&self) -> ReqLimits {
@@ -469,14 +455,14 @@
         ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
     }
 
-    fn from_shield(tags: &'static str) -> Reply {
-        let mut headers = HeaderMap::new();
+    fn from_shield(tags: &'static str) -> ServerResponse {
+        let mut head = hyper::Response::new(()).into_parts().0;
         for (name, value) in
             [("x-glenfall-seal", "s"), ("x-glenfall-tags", tags), ("x-glenfall-age-ms", "1500")]
         {
-            headers.insert(name, HeaderValue::from_static(value));
+            head.headers.insert(name, HeaderValue::from_static(value));
         }
-        Reply { status: StatusCode::OK, headers, body: Bytes::from_static(b"body") }
+        ServerResponse::new(head, Bytes::from_static(b"body"))
     }
 
     fn kept(edge: &Edge, path: &str) -> bool {
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod origins;
 mod pace;
 pub mod pool;
+pub mod response;
 pub mod room;
 pub mod serve;
 pub mod sessions;
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -18,7 +18,8 @@
 use crate::control::store::{self, StoreError};
 use crate::declare::{self, DeclareError, Declared, Difference};
 use crate::disk;
-use crate::pool::{Pool, Reply, Trust};
+use crate::pool::{Pool, Trust};
+use crate::response::ServerResponse;
 use crate::room::Room;
 
 /// One call to a control node; it answers within a second or not at all.
@@ -205,7 +206,7 @@
     path: &'static str,
     if_match: Option<u64>,
     body: Bytes,
-) -> Result<Reply, OpsError> {
+) -> Result<ServerResponse, OpsError> {
     call_within(CALL, at, method, path, if_match, body).await
 }
 
@@ -216,7 +217,7 @@
     path: &'static str,
     if_match: Option<u64>,
     body: Bytes,
-) -> Result<Reply, OpsError> {
+) -> Result<ServerResponse, OpsError> {
     let pool = Pool::new(CONNECTIONS, Room::new(ROOM));
     for addr in at.controls.iter().cycle().take(at.controls.len() * ROUNDS) {
         let request = || {
@@ -232,10 +233,10 @@
             request
         };
         match pool.exchange((*addr).into(), request, Instant::now() + within, Trust::Ours, || true).await {
-            Ok(reply) if reply.status.is_success() => return Ok(reply),
-            Ok(reply) if reply.status.is_client_error() => {
-                let body = String::from_utf8_lossy(&reply.body).into_owned();
-                return Err(OpsError::Refused { status: reply.status.as_u16(), body });
+            Ok(reply) if reply.status().is_success() => return Ok(reply),
+            Ok(reply) if reply.status().is_client_error() => {
+                let body = String::from_utf8_lossy(reply.body()).into_owned();
+                return Err(OpsError::Refused { status: reply.status().as_u16(), body });
             }
             // Changes and purges are known again when they are repeated.
             Ok(_) | Err(_) => tokio::time::sleep(Duration::from_millis(100)).await,
@@ -244,8 +245,8 @@
     Err(OpsError::NoAnswer)
 }
 
-fn text(reply: Reply) -> String {
-    String::from_utf8_lossy(&reply.body).into_owned()
+fn text(reply: ServerResponse) -> String {
+    String::from_utf8_lossy(reply.body()).into_owned()
 }
 
 pub async fn config(verb: &ConfigVerb) -> Result<String, OpsError> {
@@ -267,8 +268,9 @@
 async fn in_force(at: &Controls) -> Result<(u64, Bytes), OpsError> {
     match call(at, Method::GET, "/api/config", None, Bytes::new()).await {
         Ok(reply) => {
-            let rev = serde_json::from_slice::<serde_json::Value>(&reply.body).map_err(DeclareError::from)?;
-            Ok((rev["rev"].as_u64().unwrap_or(0), reply.body))
+            let rev =
+                serde_json::from_slice::<serde_json::Value>(reply.body()).map_err(DeclareError::from)?;
+            Ok((rev["rev"].as_u64().unwrap_or(0), reply.body().clone()))
         }
         Err(OpsError::Refused { status: 404, .. }) => Ok((0, Bytes::new())),
         Err(error) => Err(error),
@@ -328,13 +330,13 @@
             let reply = call(&at, Method::GET, "/api/state", None, Bytes::new()).await?;
             // What is not whole here would be of no use when it is needed.
             let wrong = |what| OpsError::Backup { path: file.clone(), what };
-            let backup = Backup::read(&reply.body).map_err(wrong)?;
+            let backup = Backup::read(reply.body()).map_err(wrong)?;
             let broken = |what| OpsError::File { path: file.clone(), what };
             let out = std::fs::File::create_new(&file).map_err(broken)?;
             let folder = file.parent().filter(|folder| !folder.as_os_str().is_empty());
             let folder = folder.unwrap_or(Path::new("."));
             let synced = |()| out.sync_all().and_then(|()| disk::sync_folder(folder));
-            (&out).write_all(&reply.body).and_then(synced).map_err(broken)?;
+            (&out).write_all(reply.body()).and_then(synced).map_err(broken)?;
             Ok(format!("configuration {}, change {}, exported", backup.rev, backup.seq))
         }
         StateVerb::Import { file, into, voters, acknowledged } => {
@@ -393,7 +395,7 @@
         let one = Controls { controls: vec![*control] };
         let reply = call(&one, Method::GET, path, None, Bytes::new()).await;
         let value = match reply {
-            Ok(reply) => serde_json::from_slice(&reply.body).unwrap_or(serde_json::Value::Null),
+            Ok(reply) => serde_json::from_slice(reply.body()).unwrap_or(serde_json::Value::Null),
             Err(error) => serde_json::json!({ "control": control, "error": error.to_string() }),
         };
         seen.push(value);
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -15,6 +15,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+use crate::response::ServerResponse;
 use crate::room::Room;
 use crate::serve::TRY_ID;
 
@@ -37,14 +38,6 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// A whole answer.
-#[derive(Clone, Debug)]
-pub struct Reply {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -148,7 +141,7 @@
         until: Instant,
         trust: Trust,
         still: impl Fn() -> bool,
-    ) -> Result<Reply, Trouble> {
+    ) -> Result<ServerResponse, Trouble> {
         self.exchange_within(Some(ANSWER_TIME), addr, request, until, trust, still).await
     }
 
@@ -162,7 +155,7 @@
         until: Instant,
         trust: Trust,
         still: impl Fn() -> bool,
-    ) -> Result<Reply, Trouble> {
+    ) -> Result<ServerResponse, Trouble> {
         loop {
             let (mut connection, reused) = match self.take_idle(addr, trust) {
                 Some(connection) => (connection, true),
@@ -245,7 +238,7 @@
     method: &Method,
     room: &Room,
     waiting: &Cell<bool>,
-) -> Option<(Reply, Option<Duration>)> {
+) -> Option<(ServerResponse, Option<Duration>)> {
     let (head, body) = response.into_parts();
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return None;
@@ -257,7 +250,7 @@
     }
     let body = read_body(body, room, waiting).await?;
     let kept = kept_for(&head.headers);
-    Some((Reply { status: head.status, headers: head.headers, body }, kept))
+    Some((ServerResponse::new(head, body), kept))
 }
 
 /// Reads a body for which there is room, or will be.
@@ -360,7 +353,7 @@
             };
             let ended =
                 pool.exchange(addr, request, Instant::now() + Duration::from_secs(20), trust, || true).await;
-            got.push(ended.map(|reply| String::from_utf8_lossy(&reply.body).into_owned()));
+            got.push(ended.map(|reply| String::from_utf8_lossy(reply.body()).into_owned()));
             sleep(Duration::from_millis(150)).await;
         }
         got.try_into().expect("two")
@@ -447,7 +440,7 @@
                 assert!(pool.is_warm(addr));
                 sleep(SURE).await;
                 let second = pool.exchange(addr, request, until(), trust, || true).await;
-                let second = second.map(|reply| String::from_utf8_lossy(&reply.body).into_owned());
+                let second = second.map(|reply| String::from_utf8_lossy(reply.body()).into_owned());
                 assert_eq!((second, whole.get()), (got, 2), "{trust:?}");
             }
         });
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -22,8 +22,9 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::pace::{self, Ended, Pace, Paced};
+use crate::response::LocalResponse;
 
-/// A whole answer.
+/// A whole answer, of whatever origin: proxies make theirs as [`ProxyResponse`](crate::response::ProxyResponse).
 pub type Answer = Response<Full<Bytes>>;
 
 pub const TRY_ID: HeaderName = HeaderName::from_static("x-glenfall-try-id");
@@ -255,7 +256,7 @@
             let limits = handler.limits();
             let (mut answer, understood) = match read_whole(request, &limits, clients).await {
                 Ok((whole, _room)) => (handler.answer(whole).await, true),
-                Err(answer) => (answer, false),
+                Err(local) => (Answer::from(local), false),
             };
             if chunked || !understood || handler.leaving() {
                 answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -317,20 +318,20 @@
     request: Request<Incoming>,
     limits: &ReqLimits,
     clients: &'a Clients,
-) -> Result<(Whole, Room<'a>), Answer> {
+) -> Result<(Whole, Room<'a>), LocalResponse> {
     let (head, body) = request.into_parts();
     if head.uri.authority().is_some() || head.method == hyper::Method::CONNECT {
-        return Err(plain(StatusCode::BAD_REQUEST, "a path expected"));
+        return Err(LocalResponse::bad_request("a path expected"));
     }
     let hosts = head.headers.get_all(header::HOST).iter().count();
     if hosts != 1 {
-        return Err(plain(StatusCode::BAD_REQUEST, "one Host expected"));
+        return Err(LocalResponse::bad_request("one Host expected"));
     }
     // A body is held whole, so that it can go to a second server where the first has not run it.
     let most = limits.max_body_bytes.min(clients.most_bodies);
     let stated = body.size_hint().lower() as usize;
     if stated > most {
-        return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
+        return Err(LocalResponse::payload_too_large());
     }
     if body.is_end_stream() {
         return Ok((Whole { head, body: Bytes::new() }, Room(clients, 0)));
@@ -346,12 +347,11 @@
     most: usize,
     limits: &ReqLimits,
     room: &mut Room<'_>,
-) -> Result<Bytes, Answer> {
+) -> Result<Bytes, LocalResponse> {
     let began = Instant::now();
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
     // Of a stated length all is taken at once, else what has come and as much again.
-    let no_room =
-        || refused(StatusCode::SERVICE_UNAVAILABLE, "no room for the body", Duration::from_millis(200));
+    let no_room = || LocalResponse::refused("no room for the body", Duration::from_millis(200));
     if !room.make(stated) {
         return Err(no_room());
     }
@@ -362,12 +362,12 @@
         let data = match timeout_at(due, body.frame()).await {
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(None) => return Ok(buffer.freeze()),
-            Ok(Some(Err(_))) => return Err(plain(StatusCode::BAD_REQUEST, "broken body")),
-            Err(_) => return Err(plain(StatusCode::REQUEST_TIMEOUT, "body took too long")),
+            Ok(Some(Err(_))) => return Err(LocalResponse::bad_request("broken body")),
+            Err(_) => return Err(LocalResponse::request_timeout()),
         };
         let length = buffer.len() + data.len();
         if length > most {
-            return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "body too large"));
+            return Err(LocalResponse::payload_too_large());
         }
         if buffer.is_empty() && body.is_end_stream() {
             return if room.make(length) { Ok(data) } else { Err(no_room()) };
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -11,9 +11,8 @@
 use glenfall_plane::config::{Config, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
-use http_body_util::Full;
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Response, StatusCode, Uri};
+use hyper::header::{self, HeaderMap, HeaderName};
+use hyper::{Method, StatusCode, Uri};
 use mallowpaddle::mix;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -26,20 +25,14 @@
 use crate::feed::{Feed, Follower};
 use crate::kept::{Kept, Row};
 use crate::latency::Latency;
-use crate::pool::{Pool, Reply};
-use crate::serve::{passed_on, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
+use crate::pool::Pool;
+use crate::response::{LocalResponse, ProxyResponse, ServerResponse, ShieldSource};
+use crate::serve::{passed_on, Answer, Handler, Whole, DEADLINE, TRY_ID};
 
 /// The version that an edge decided under; the shield never answers by an older one.
 pub const REV: HeaderName = HeaderName::from_static("x-glenfall-rev");
 /// Another shield was asked before, which may have asked a server.
 pub const AGAIN: HeaderName = HeaderName::from_static("x-glenfall-again");
-/// How old a copy is, in milliseconds.
-pub const AGE_MS: HeaderName = HeaderName::from_static("x-glenfall-age-ms");
-/// What a shield says of its answer; no answer without it is a shield's.
-pub const SHIELD: HeaderName = HeaderName::from_static("x-glenfall-shield");
-
-/// What a shield says that does not have the edge's version yet, and has asked no server: another one may have it.
-pub const BEHIND: HeaderValue = HeaderValue::from_static("behind");
 /// A version is waited for so long. Pushes to machines of a region are milliseconds apart, between regions a way; one that
 /// takes longer may not come, as control beside is cut off.
 const PUSH: Duration = Duration::from_millis(100);
@@ -53,7 +46,7 @@
 #[derive(Clone)]
 enum Fetched {
     Copy(Rc<Copy>),
-    Other(Rc<Reply>),
+    Other(ServerResponse),
     Refused(Duration),
     Unknown,
     TimedOut,
@@ -61,15 +54,19 @@
 
 /// What a read comes to.
 struct Read {
-    reply: Reply,
-    said: &'static str,
-    /// Where it comes from a copy.
-    copy: Option<Rc<Copy>>,
+    response: ProxyResponse,
+    source: ShieldSource,
 }
 
 impl Read {
-    fn of(copy: &Rc<Copy>, request: &HeaderMap, said: &'static str) -> Read {
-        Read { reply: copy.answer(request), said, copy: Some(Rc::clone(copy)) }
+    fn of(copy: &Copy, request: &HeaderMap, source: ShieldSource) -> Read {
+        let mut response = copy.answer(request).into();
+        copy.hand_on(&mut response);
+        Read { response, source }
+    }
+
+    fn local(response: LocalResponse) -> Read {
+        Read { response: response.into(), source: ShieldSource::Local }
     }
 }
 
@@ -180,23 +177,23 @@
         }
     }
 
-    async fn read(self: &Rc<Self>, whole: &Whole) -> Result<Read, Answer> {
+    async fn read(self: &Rc<Self>, whole: &Whole) -> Result<Read, Read> {
         let number = |name| whole.head.headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
         let until = Instant::now() + Duration::from_millis(number(DEADLINE).unwrap_or(1000).min(60_000));
-        let unready = || refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", Duration::from_millis(200));
+        let unready = || Read::local(LocalResponse::refused("not ready", Duration::from_millis(200)));
         let rev = number(REV).unwrap_or(0);
         if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
-            let mut answer = unready();
-            answer.headers_mut().insert(SHIELD, BEHIND);
-            return Err(answer);
+            return Err(Read { source: ShieldSource::Behind, ..unready() });
         }
         let config = self.feed.config().ok_or_else(unready)?;
         let path = whole.path_and_query();
         let route = config.route(whole.host(), whole.head.uri.path());
         let Some(route) = route.filter(|_| whole.head.method == Method::GET) else {
-            return Err(plain_404());
+            return Err(Read::local(LocalResponse::no_route()));
         };
-        let service = route.service(object_draw(whole.host(), path)).ok_or_else(plain_404)?;
+        let service = route
+            .service(object_draw(whole.host(), path))
+            .ok_or_else(|| Read::local(LocalResponse::no_route()))?;
         if !whole.head.headers.contains_key(AGAIN) {
             self.direct.count(service);
         }
@@ -205,9 +202,10 @@
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.hits.add();
-            return Ok(Read::of(copy, &whole.head.headers, "hit"));
+            return Ok(Read::of(copy, &whole.head.headers, ShieldSource::Hit));
         }
         let joined = self.fetching.borrow().get(&key).map(|fetch| fetch.done.clone());
+        let is_joined = joined.is_some();
         let mut done = match joined {
             Some(done) => {
                 self.counters.joined.add();
@@ -224,21 +222,22 @@
             Err(_) => Fetched::TimedOut,
         };
         match fetched {
-            Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, "miss")),
+            Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, ShieldSource::Miss)),
+            Fetched::Other(failure) if is_joined && !failure.status().is_success() => {
+                Err(Read::local(LocalResponse::same_failure(&failure)))
+            }
             Fetched::Other(reply) => {
-                let headers = passed_on(&reply.headers);
-                let reply = Reply { status: reply.status, headers, body: reply.body.clone() };
-                Ok(Read { reply, said: "pass", copy: None })
+                Ok(Read { response: reply.forward(&Method::GET), source: ShieldSource::Passed })
             }
             Fetched::Refused(after) => Err(self.refuse(after)),
-            Fetched::Unknown => Err(crate::serve::plain(StatusCode::BAD_GATEWAY, "no answer")),
-            Fetched::TimedOut => Err(crate::serve::plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
+            Fetched::Unknown => Err(Read::local(LocalResponse::bad_gateway())),
+            Fetched::TimedOut => Err(Read::local(LocalResponse::gateway_timeout())),
         }
     }
 
-    fn refuse(&self, after: Duration) -> Answer {
+    fn refuse(&self, after: Duration) -> Read {
         self.counters.refused.add();
-        refused(StatusCode::SERVICE_UNAVAILABLE, "service full", after)
+        Read::local(LocalResponse::refused("service full", after))
     }
 
     /// Begins to fetch an object; all who ask for it meanwhile wait for the same answer.
@@ -330,8 +329,8 @@
         }
     }
 
-    fn take(&self, key: &ObjectKey, reply: Reply, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
-        if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status, old) {
+    fn take(&self, key: &ObjectKey, reply: ServerResponse, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
+        if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status(), old) {
             tracing::debug!(path = %key.path, "copy still good");
             self.counters.refreshed.add();
             old.born.set(sent);
@@ -339,15 +338,11 @@
         }
         match Copy::of(&reply, sent) {
             Some(copy) => Fetched::Copy(Rc::new(copy)),
-            None => Fetched::Other(Rc::new(reply)),
+            None => Fetched::Other(reply),
         }
     }
 }
 
-fn plain_404() -> Answer {
-    crate::serve::plain(StatusCode::NOT_FOUND, "no such route")
-}
-
 /// Which service of a split an object belongs to, the same at all shields.
 pub fn object_draw(host: &str, path: &str) -> f64 {
     (object_hash(host, path) >> 11) as f64 / (1u64 << 53) as f64
@@ -449,29 +444,13 @@
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
-        let mut answer = match self.0.read(&whole).await {
-            Ok(Read { reply, said, copy }) => {
-                let mut answer = Response::new(Full::new(reply.body));
-                *answer.status_mut() = reply.status;
-                *answer.headers_mut() = reply.headers;
-                if let Some(copy) = copy {
-                    copy.hand_on(answer.headers_mut());
-                }
-                answer.headers_mut().insert(SHIELD, HeaderValue::from_static(said));
-                answer
-            }
-            Err(mut answer) => {
-                answer.headers_mut().entry(SHIELD).or_insert(HeaderValue::from_static("own"));
-                answer
-            }
-        };
+        let (Ok(read) | Err(read)) = self.0.read(&whole).await;
+        let Read { mut response, source } = read;
+        response.set_shield_source(source);
         // By it the edge knows which request this answers.
-        match whole.head.headers.get(TRY_ID) {
-            Some(id) => answer.headers_mut().insert(TRY_ID, id.clone()),
-            None => answer.headers_mut().remove(TRY_ID),
-        };
+        response.set_try_id(whole.head.headers.get(TRY_ID));
         self.0.counters.answer.add(began.elapsed());
-        answer
+        response.into()
     }
 
     fn limits(&self) -> ReqLimits {
--- a/glenfall/tests/hostile.rs
+++ b/glenfall/tests/hostile.rs
@@ -374,9 +374,9 @@
     };
     let told = match outcome {
         Outcome::Answered(reply) => {
-            let body = String::from_utf8_lossy(&reply.body).into_owned();
+            let body = String::from_utf8_lossy(reply.body()).into_owned();
             assert_eq!(body, format!("for {id} end"), "an answer of its own, whole");
-            let promise = matches!(reply.status.as_u16(), 408 | 421 | 429 | 503);
+            let promise = matches!(reply.status().as_u16(), 408 | 421 | 429 | 503);
             assert!(repeatable || !promise, "{id}: a promise that the server did not make");
             "answered"
         }
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall::pool::{Pool, Reply, Trouble, Trust};
+use glenfall::pool::{Pool, Trouble, Trust};
+use glenfall::response::ServerResponse;
 use glenfall::room::Room;
 use glenfall::serve::{DEADLINE, TRY_ID};
 use http_body_util::Full;
@@ -123,21 +124,21 @@
             let sent = Instant::now();
             let reply = self.try_once(class, edge, &path, &id, until).await;
             let again = match &reply {
-                Ok(reply) if reply.status.is_success() => {
-                    let sealed = reply.headers.contains_key("x-glenfall-seal");
-                    self.ledger.got(&path, sent, sealed, &reply.body, class.bytes);
+                Ok(reply) if reply.status().is_success() => {
+                    let sealed = reply.headers().contains_key("x-glenfall-seal");
+                    self.ledger.got(&path, sent, sealed, reply.body(), class.bytes);
                     let aim = Duration::from_millis(class.aim_ms);
                     ended = if began.elapsed() <= aim { Ended::InAim } else { Ended::Late };
                     None
                 }
                 Ok(reply) => {
-                    let promised = matches!(reply.status.as_u16(), 408 | 421 | 429 | 503);
+                    let promised = matches!(reply.status().as_u16(), 408 | 421 | 429 | 503);
                     if promised && class.kind == Kind::Mutating {
                         self.ledger.told_not_run(&id);
                     }
                     ended = if promised { Ended::Refused } else { Ended::Failed };
                     let may = promised || class.kind != Kind::Mutating;
-                    let never = matches!(reply.status.as_u16(), 400 | 401 | 404 | 413 | 431);
+                    let never = matches!(reply.status().as_u16(), 400 | 401 | 404 | 413 | 431);
                     (may && !never).then(|| wait_of(reply))
                 }
                 Err(trouble) => {
@@ -159,7 +160,7 @@
         path: &str,
         id: &str,
         until: Instant,
-    ) -> Result<Reply, Trouble> {
+    ) -> Result<ServerResponse, Trouble> {
         let request = || {
             let mut request = Request::new(Full::new(Bytes::new()));
             if class.kind == Kind::Mutating {
@@ -209,8 +210,8 @@
 }
 
 /// How long an answer asks to wait.
-fn wait_of(reply: &Reply) -> Duration {
-    let stated = reply.headers.get(header::RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
-    let least = if reply.status == StatusCode::SERVICE_UNAVAILABLE { 0.02 } else { 0.0 };
+fn wait_of(reply: &ServerResponse) -> Duration {
+    let stated = reply.headers().get(header::RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
+    let least = if reply.status() == StatusCode::SERVICE_UNAVAILABLE { 0.02 } else { 0.0 };
     Duration::from_secs_f64(f64::clamp(stated.unwrap_or(least), 0.0, 60.0))
 }
--- a/lab/src/origin.rs
+++ b/lab/src/origin.rs
@@ -250,7 +250,7 @@
         };
         let reply =
             pool.exchange((*control).into(), request, Instant::now() + CALL, Trust::Ours, || true).await;
-        if reply.is_ok_and(|reply| reply.status.is_success()) {
+        if reply.is_ok_and(|reply| reply.status().is_success()) {
             return true;
         }
     }
