--- a/glenfall/tests/unit/cache.rs
+++ b/glenfall/tests/unit/cache.rs
@@ -5,26 +5,29 @@
 
 use bytes::Bytes;
 use glenfall::cache::{Cache, Copy, OVERHEAD};
-use glenfall::pool::Reply;
+use glenfall::response::ServerResponse;
 use glenfall_plane::messages::{Aged, Purge};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::StatusCode;
+use hyper::http::response::Parts;
+use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
 use crate::support::object as key;
 
 const SEAL: &str = "x-glenfall-seal";
 
-fn reply(body: &str, tags: &'static str) -> Reply {
-    let mut headers = HeaderMap::new();
+fn head(tags: &'static str) -> Parts {
+    let mut head = Response::new(()).into_parts().0;
+    let headers = &mut head.headers;
     headers.insert(SEAL, HeaderValue::from_static("s"));
     headers.insert("x-glenfall-tags", HeaderValue::from_static(tags));
     headers.insert(header::ETAG, HeaderValue::from_static("\"e\""));
-    Reply { status: StatusCode::OK, headers, body: Bytes::from(body.to_owned()) }
+    head
 }
 
 fn copy(body: &str, tags: &'static str) -> Rc<Copy> {
-    Rc::new(Copy::of(&reply(body, tags), Instant::now()).expect("kept"))
+    let response = ServerResponse::new(head(tags), Bytes::from(body.to_owned()));
+    Rc::new(Copy::of(&response, Instant::now()).expect("kept"))
 }
 
 fn now(purge: Purge) -> Aged {
@@ -88,8 +91,8 @@
         let mut request = HeaderMap::new();
         request.insert(name, HeaderValue::from_static(value));
         let reply = copy.answer(&request);
-        let range = reply.headers.get(header::CONTENT_RANGE).map(|v| v.to_str().unwrap().to_owned());
-        (reply.status.as_u16(), String::from_utf8(reply.body.to_vec()).unwrap(), range)
+        let range = reply.headers().get(header::CONTENT_RANGE).map(|v| v.to_str().unwrap().to_owned());
+        (reply.status().as_u16(), String::from_utf8(reply.body().to_vec()).unwrap(), range)
     };
     let part = |status, body: &str, range: &str| (status, body.to_owned(), Some(range.to_owned()));
     assert_eq!(asked(header::RANGE, "bytes=2-4"), part(206, "234", "bytes 2-4/10"));
@@ -104,13 +107,13 @@
 
 #[test]
 fn only_whole_sealed_answers_are_kept() {
-    let kept = |spoil: fn(&mut Reply)| {
-        let mut reply = reply("body", "");
-        spoil(&mut reply);
-        Copy::of(&reply, Instant::now()).is_some()
+    let kept = |spoil: fn(&mut Parts)| {
+        let mut head = head("");
+        spoil(&mut head);
+        Copy::of(&ServerResponse::new(head, Bytes::from_static(b"body")), Instant::now()).is_some()
     };
-    fn set(reply: &mut Reply, name: HeaderName, value: &'static str) {
-        reply.headers.insert(name, HeaderValue::from_static(value));
+    fn set(head: &mut Parts, name: HeaderName, value: &'static str) {
+        head.headers.insert(name, HeaderValue::from_static(value));
     }
     assert!(kept(|_| {}));
     assert!(!kept(|r| r.status = StatusCode::INTERNAL_SERVER_ERROR));
--- a/glenfall/tests/unit/direct.rs
+++ b/glenfall/tests/unit/direct.rs
@@ -74,7 +74,7 @@
     }
     let direct = way(servers, counted);
     let told = match direct.send(job(&Uri::from_static("/x"), repeatable, tries)).await {
-        Outcome::Answered(reply) if reply.status.is_success() => "answered",
+        Outcome::Answered(reply) if reply.status().is_success() => "answered",
         Outcome::Answered(_) => "failure passed on",
         Outcome::NotRun(_) => "not run",
         Outcome::Unknown => "unknown",
--- a/glenfall/tests/unit/pool.rs
+++ b/glenfall/tests/unit/pool.rs
@@ -40,7 +40,7 @@
     };
     let until = Instant::now() + Duration::from_secs(20);
     let reply = pool.exchange(addr, request, until, trust, || true).await?;
-    Ok(String::from_utf8_lossy(&reply.body).into_owned())
+    Ok(String::from_utf8_lossy(reply.body()).into_owned())
 }
 
 /// A server that says one text to the first request that it ever gets, and then, unasked, another one; to each
