Lab: wake-ups, system calls and kilobytes for one request and for idle processes

`glenfall-lab processor` starts a small system on loopback, sends one request at a time of each kind (a shield's copy, an edge's own, a miss, a write, each also on new connections), and counts what each role's processes do for it beside what they do at rest: wake-ups and processor time from /proc, system calls and bytes with strace.

--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -84,7 +84,11 @@
     Ok(Report::new(plan, &seen, services, counters, &ledger.broken()))
 }
 
-async fn start_servers(plan: &Plan, local: &Local, ledger: &Rc<Ledger>) -> std::io::Result<Vec<Rc<Origin>>> {
+pub async fn start_servers(
+    plan: &Plan,
+    local: &Local,
+    ledger: &Rc<Ledger>,
+) -> std::io::Result<Vec<Rc<Origin>>> {
     let mut origins = Vec::new();
     for service in &plan.services {
         for number in 0..service.servers {
@@ -101,7 +105,7 @@
     Ok(origins)
 }
 
-async fn configured(plan: &Plan, controls: &Controls) -> Result<(), LabError> {
+pub async fn configured(plan: &Plan, controls: &Controls) -> Result<(), LabError> {
     let body = plan.document().to_string();
     let began = Instant::now();
     loop {
@@ -119,7 +123,7 @@
 }
 
 /// Waits until all control nodes know all, and all sessions have applied it.
-async fn settled(plan: &Plan, controls: &Controls, servers: usize) -> Result<(), LabError> {
+pub async fn settled(plan: &Plan, controls: &Controls, servers: usize) -> Result<(), LabError> {
     let machines = usize::from(plan.system.cores) + usize::from(plan.system.edges);
     let began = Instant::now();
     while began.elapsed() < START {
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -11,6 +11,7 @@
 mod origin;
 mod plan;
 mod plot;
+mod processor;
 mod report;
 mod schedules;
 
@@ -65,6 +66,18 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Count wake-ups, system calls and kilobytes for one request of each kind and for idle processes; write
+    /// processor.json and processor.md
+    Processor {
+        #[command(flatten)]
+        plan: processor::ProcessorPlan,
+        /// Folder of the report; it is made
+        #[arg(long)]
+        out: PathBuf,
+        /// The program under test; the one beside this one if not given
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
     /// Check a plan, and name the place of a mistake
     Check { plan: PathBuf },
     /// Set two reports (report.json) side by side
@@ -119,6 +132,15 @@
             print!("{}", report.markdown());
             Ok(report.all_in_touch())
         }
+        Command::Processor { plan, out, program } => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            let report = LocalSet::new().block_on(&runtime, processor::play(&plan, &beside(program)?))?;
+            std::fs::create_dir_all(&out)?;
+            std::fs::write(out.join("processor.json"), serde_json::to_string_pretty(&report)?)?;
+            std::fs::write(out.join("processor.md"), report.markdown())?;
+            print!("{}", report.markdown());
+            Ok(true)
+        }
         Command::Check { plan } => {
             let plan = Plan::load(&plan)?;
             let (services, classes) = (plan.services.len(), plan.classes.len());
--- /dev/null
+++ b/lab/tests/processor.rs
@@ -0,0 +1,51 @@
+//! A few requests of each kind at a small real system, as `glenfall-lab processor` counts them. What is measured is not
+//! judged here, only that it is whole.
+
+use std::path::Path;
+use std::process::Command;
+
+const ROLES: [&str; 4] = ["edge", "agent", "shield", "control"];
+
+fn measured(out: &Path, extra: &[&str]) -> serde_json::Value {
+    let program = env!("CARGO_BIN_EXE_glenfall-lab");
+    assert!(
+        Path::new(program).with_file_name("glenfall").exists(),
+        "the program under test is missing: build the whole workspace"
+    );
+    let ended = Command::new(program)
+        .args(["processor", "--requests", "10", "--idle-s", "0.5", "--out"])
+        .arg(out)
+        .args(extra)
+        .output()
+        .unwrap();
+    let told = String::from_utf8_lossy(&ended.stderr);
+    assert!(ended.status.success(), "{told}");
+    assert!(!told.contains("ended with"), "a request was not answered with success: {told}");
+    serde_json::from_str(&std::fs::read_to_string(out.join("processor.json")).unwrap()).unwrap()
+}
+
+#[test]
+fn each_case_has_figures_for_each_role_and_its_requests_go_the_way_that_it_names() {
+    let out = std::env::temp_dir().join(format!("glenfall-processor-{}", std::process::id()));
+    let has_strace = Command::new("strace").arg("-V").output().is_ok();
+    let report = measured(&out, if has_strace { &[] } else { &["--no-trace"] });
+    let cases = report["cases"].as_array().unwrap();
+    assert_eq!(cases.len(), 9);
+    for case in cases {
+        for role in ROLES {
+            assert!(case["costs"][role]["wakeups"].is_number(), "{}, {role}", case["name"]);
+        }
+    }
+    if has_strace {
+        let reads = |name: &str, role: &str| {
+            let case = cases.iter().find(|case| case["name"] == name).unwrap();
+            case["costs"][role]["kilobytes"].as_f64().unwrap()
+        };
+        // 6 kB go through a shield for a copy that it has, twice for one that it fetches, and not for an edge's own.
+        assert!((5.0..9.0).contains(&reads("shield's copy", "shield")));
+        assert!(reads("miss", "shield") > 11.0);
+        assert!(reads("edge's copy", "shield") < 3.0);
+        assert!(reads("edge's copy", "edge") > 5.0);
+    }
+    std::fs::remove_dir_all(&out).unwrap();
+}
