A client's connection costs two system calls less

Cause: each accepted connection was set to TCP_NODELAY by itself, and one that its client had closed was shut down before it was closed. Change: the listener has the option, which accepted sockets inherit; once the client's end has been read, the close alone is left. Test: lab/tests/processor.rs finds either call.

--- a/glenfall/src/pace.rs
+++ b/glenfall/src/pace.rs
@@ -8,8 +8,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{sleep_until, Instant};
 
@@ -131,37 +130,23 @@
 
 /// A client's socket; tells its pace what comes and goes.
 pub struct Paced {
-    stream: TokioIo<TcpStream>,
+    stream: TcpStream,
     pace: Rc<Pace>,
+    /// The client has closed its side.
+    at_end: bool,
 }
 
 impl Paced {
     pub fn new(stream: TcpStream, pace: &Rc<Pace>) -> Self {
-        Paced { stream: TokioIo::new(stream), pace: Rc::clone(pace) }
+        Paced { stream, pace: Rc::clone(pace), at_end: false }
     }
 
     /// Says something last, as far as there is room for it.
     pub fn last_word(&self, bytes: &[u8]) {
         // The client has failed to keep to the protocol; whether it hears why is up to it.
-        let _ = self.stream.inner().try_write(bytes);
+        let _ = self.stream.try_write(bytes);
     }
-}
-
-impl Read for Paced {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let result = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if matches!(result, Poll::Ready(Ok(()))) && self.pace.phase.get() == Phase::Idle {
-            self.pace.set(Phase::Head);
-        }
-        result
-    }
-}
 
-impl Paced {
     /// A client that takes an answer in pieces is not idle.
     fn taken(&self, result: Poll<std::io::Result<usize>>) -> Poll<std::io::Result<usize>> {
         if let Poll::Ready(Ok(bytes @ 1..)) = result {
@@ -174,22 +159,40 @@
     }
 }
 
-impl Write for Paced {
+impl AsyncRead for Paced {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let (before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if matches!(result, Poll::Ready(Ok(()))) {
+            self.at_end |= has_room && buffer.filled().len() == before;
+            if self.pace.phase.get() == Phase::Idle {
+                self.pace.set(Phase::Head);
+            }
+        }
+        result
+    }
+}
+
+impl AsyncWrite for Paced {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: &[u8],
+        buffer: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let result = Pin::new(&mut self.stream).poll_write(cx, buffer);
         self.taken(result)
     }
 
     fn poll_write_vectored(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        bufs: &[std::io::IoSlice<'_>],
+        buffers: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, buffers);
         self.taken(result)
     }
 
@@ -201,7 +204,12 @@
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
+    /// Tells the client that nothing more comes. One that has closed its side needs no call for that: the socket is
+    /// closed next, which says the same.
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        if self.at_end {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/glenfall/src/serve.rs
+++ b/glenfall/src/serve.rs
@@ -16,6 +16,8 @@
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, HttpService};
 use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::spawn_local;
@@ -177,6 +179,8 @@
     stopping: watch::Receiver<bool>,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(terms.listen).await?;
+    // Accepted sockets inherit it, which saves a call for each connection.
+    SockRef::from(&listener).set_tcp_nodelay(true)?;
     let clients = Rc::new(Clients {
         open: Cell::new(0),
         most: terms.most,
@@ -233,7 +237,6 @@
     client: Client,
     stopping: watch::Receiver<bool>,
 ) {
-    let _ = stream.set_nodelay(true);
     let limits = handler.limits();
     let time = |ms: u64| Duration::from_millis(ms.max(1));
     let pace = Pace::new({
@@ -266,7 +269,7 @@
     let mut serving = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD))
-        .serve_connection(Paced::new(stream, &pace), respond);
+        .serve_connection(TokioIo::new(Paced::new(stream, &pace)), respond);
     let ended = tokio::select! {
         // An error is the client's, who has gone or has been told.
         ended = pace.keep(&mut serving) => Some(ended),
@@ -277,13 +280,13 @@
         None => close(&mut serving, &pace, &served, time(limits.header_timeout_ms.min(1000))).await,
     };
     if ended == Ended::SlowHead {
-        serving.into_parts().io.last_word(SLOW_HEAD);
+        serving.into_parts().io.inner().last_word(SLOW_HEAD);
     }
 }
 
 /// Ends a connection in order, as the process leaves.
 async fn close<S>(
-    serving: &mut http1::Connection<Paced, S>,
+    serving: &mut http1::Connection<TokioIo<Paced>, S>,
     pace: &Pace,
     served: &Cell<bool>,
     first_within: Duration,
--- a/lab/tests/processor.rs
+++ b/lab/tests/processor.rs
@@ -24,6 +24,12 @@
     serde_json::from_str(&std::fs::read_to_string(out.join("processor.json")).unwrap()).unwrap()
 }
 
+/// Calls of this name that an edge makes for one request.
+fn calls_at_edge(cases: &[serde_json::Value], case: &str, name: &str) -> f64 {
+    let case = cases.iter().find(|other| other["name"] == case).unwrap();
+    case["costs"]["edge"]["calls"][name].as_f64().unwrap_or(0.0)
+}
+
 #[test]
 fn each_case_has_figures_for_each_role_and_its_requests_go_the_way_that_it_names() {
     let out = std::env::temp_dir().join(format!("glenfall-processor-{}", std::process::id()));
@@ -46,6 +52,10 @@
         assert!(reads("miss", "shield") > 11.0);
         assert!(reads("edge's copy", "shield") < 3.0);
         assert!(reads("edge's copy", "edge") > 5.0);
+        // A client's connection is set up by its listener, and one that its client has closed is only closed.
+        for name in ["setsockopt", "shutdown"] {
+            assert_eq!(calls_at_edge(cases, "edge's copy, new connection", name), 0.0, "{name}");
+        }
     }
     std::fs::remove_dir_all(&out).unwrap();
 }
