--- a/lab/src/processor/mod.rs
+++ b/lab/src/processor/mod.rs
@@ -208,7 +208,7 @@
         };
         let until = Instant::now() + ANSWERED;
         let reply = pool.exchange(self.edge.into(), request, until, Trust::Ours, || true).await;
-        let status = reply.map(|reply| reply.status);
+        let status = reply.map(|reply| reply.status());
         if status != Ok(StatusCode::OK) {
             eprintln!("{}: request {} ended with {status:?}", case.name, self.next);
         }
