--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -13,9 +13,8 @@
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
-use http_body_util::Full;
-use hyper::header::{self, HeaderMap};
-use hyper::{Method, Response, StatusCode};
+use hyper::header::HeaderMap;
+use hyper::{Method, StatusCode};
 use mallowpaddle::{ServerId, Shields};
 use tokio::time::Instant;
 
@@ -26,8 +25,9 @@
 use crate::direct::{Direct, Job, Outcome};
 use crate::feed::{Feed, Follower};
 use crate::latency::Latency;
-use crate::pool::{Pool, Reply};
-use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
+use crate::pool::Pool;
+use crate::response::{LocalResponse, ProxyResponse, ServerResponse};
+use crate::serve::{passed_on, plain, Answer, Handler, Whole, DEADLINE};
 use crate::shield::object_draw;
 
 /// What a request has spent on its way here since the client's clock started, and what its answer needs back.
@@ -37,9 +37,9 @@
 pub const COPIES: f64 = 0.06;
 /// For so long after a purge nothing that it names is kept: a shield may hear of it later than this edge, and
 /// an answer from before it may be under way.
-const PURGED: Duration = Duration::from_secs(3);
+pub const PURGED: Duration = Duration::from_secs(3);
 /// Purges remembered for that.
-const MOST_PURGED: usize = 1024;
+pub const MOST_PURGED: usize = 1024;
 /// When to come back to a node that is not ready yet.
 const UNREADY: Duration = Duration::from_millis(300);
 
@@ -59,6 +59,7 @@
     write: Latency,
 }
 
+/// An edge: the requests that it forwards, and its own copies.
 pub struct Edge {
     feed: Rc<Feed>,
     direct: Direct,
@@ -122,14 +123,14 @@
         self.direct.hold(Holder::Edge { of: self.edges.get() as usize, alone });
     }
 
-    async fn serve(&self, whole: Whole) -> Answer {
+    async fn serve(&self, whole: Whole) -> ProxyResponse {
         self.counters.requests.add();
         let Some(config) = self.feed.config() else {
-            return refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", UNREADY);
+            return LocalResponse::refused("not ready", UNREADY).into();
         };
         let Some(route) = config.route(whole.host(), whole.head.uri.path()) else {
             self.counters.no_route.add();
-            return plain(StatusCode::NOT_FOUND, "no such route");
+            return LocalResponse::no_route().into();
         };
         let until = deadline(route, &whole);
         let is_read =
@@ -139,7 +140,7 @@
             false => self.direct.origins.draw(),
         };
         let Some(service) = route.service(draw) else {
-            return refused(StatusCode::SERVICE_UNAVAILABLE, "no service", UNREADY);
+            return LocalResponse::refused("no service", UNREADY).into();
         };
         let headers = passed_on(&whole.head.headers);
         if is_read {
@@ -150,7 +151,7 @@
         self.direct.count(service);
         let job = Job { until, ..self.job(&config, route, service, &whole, headers) };
         let outcome = self.direct.send(job).await;
-        self.answer_of(outcome, route, &whole.head.method)
+        self.response_to(outcome, route, &whole.head.method)
     }
 
     /// A client's request as it goes to servers.
@@ -185,7 +186,7 @@
     }
 
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
-    fn keep(&self, object: &ObjectKey, reply: &Reply, asked: Instant) {
+    pub fn keep(&self, object: &ObjectKey, reply: &ServerResponse, asked: Instant) {
         let Some(born) = Copy::handed_on(reply, asked) else { return };
         let Some(copy) = Copy::of(reply, born).filter(|_| self.in_touch.get()) else { return };
         let mut purged = self.purged.borrow_mut();
@@ -202,22 +203,32 @@
         }
     }
 
+    /// A copy that this edge holds itself.
+    pub fn copy(&self, object: &ObjectKey) -> Option<Rc<Copy>> {
+        self.copies.borrow_mut().get(object)
+    }
+
+    /// Purges of late that bar what they name.
+    pub fn remembered_purges(&self) -> usize {
+        self.purged.borrow().len()
+    }
+
     /// What a client gets of what came of its request at servers.
-    fn answer_of(&self, outcome: Outcome, route: &Route, method: &Method) -> Answer {
+    fn response_to(&self, outcome: Outcome, route: &Route, method: &Method) -> ProxyResponse {
         match outcome {
-            Outcome::Answered(reply) => passed_back(reply, method),
+            Outcome::Answered(reply) => reply.forward(method),
             Outcome::NotRun(after) => {
                 self.counters.refused.add();
                 tracing::debug!(route = %route.name, "refused");
-                refused(StatusCode::SERVICE_UNAVAILABLE, "not run", after)
+                LocalResponse::refused("not run", after).into()
             }
             Outcome::Unknown => {
                 self.counters.unknown.add();
-                plain(StatusCode::BAD_GATEWAY, "no answer")
+                LocalResponse::bad_gateway().into()
             }
             Outcome::TimedOut => {
                 self.counters.timed_out.add();
-                plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+                LocalResponse::gateway_timeout().into()
             }
         }
     }
@@ -231,21 +242,6 @@
     Instant::now() + Duration::from_millis(wait).saturating_sub(TRANSIT)
 }
 
-/// A server's answer as the client gets it.
-fn passed_back(reply: Reply, method: &Method) -> Answer {
-    let mut headers = passed_on(&reply.headers);
-    // Without a body of its own, the answer to `HEAD` keeps the length that it tells of.
-    if method == Method::HEAD {
-        if let Some(length) = reply.headers.get(header::CONTENT_LENGTH) {
-            headers.insert(header::CONTENT_LENGTH, length.clone());
-        }
-    }
-    let mut answer = Response::new(Full::new(reply.body));
-    *answer.status_mut() = reply.status;
-    *answer.headers_mut() = headers;
-    answer
-}
-
 impl Follower for Edge {
     fn config(&self, _config: &Arc<Config>) {}
 
@@ -316,7 +312,7 @@
         let answer = self.0.serve(whole).await;
         let counters = &self.0.counters;
         if read { &counters.read } else { &counters.write }.add(began.elapsed());
-        answer
+        answer.into()
     }
 
     fn limits(&self) -> ReqLimits {
@@ -349,76 +345,3 @@
         false
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::room::Room;
-    use bytes::Bytes;
-    use hyper::header::HeaderValue;
-
-    const SETTINGS: &str = "node = \"e\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
-                            seedNodes = [\"127.0.0.1:1\"]\n[listeners]\n";
-
-    fn edge() -> Rc<Edge> {
-        let boot = Rc::new(Boot::parse(SETTINGS).unwrap());
-        let feed = Feed::new(Rc::clone(&boot), Proxy::Edge);
-        Edge::new(&boot, feed, Pool::new(8, Room::new(1 << 20)))
-    }
-
-    fn object(path: &str) -> ObjectKey {
-        ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
-    }
-
-    fn from_shield(tags: &'static str) -> Reply {
-        let mut headers = HeaderMap::new();
-        for (name, value) in
-            [("x-glenfall-seal", "s"), ("x-glenfall-tags", tags), ("x-glenfall-age-ms", "1500")]
-        {
-            headers.insert(name, HeaderValue::from_static(value));
-        }
-        Reply { status: StatusCode::OK, headers, body: Bytes::from_static(b"body") }
-    }
-
-    fn kept(edge: &Edge, path: &str) -> bool {
-        edge.copies.borrow_mut().get(&object(path)).is_some()
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_purge_ends_copies_and_bars_what_it_names_for_a_while() {
-        tokio::time::advance(Duration::from_secs(10)).await;
-        let edge = edge();
-        edge.in_touch(true);
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        edge.keep(&object("/b"), &from_shield("u"), Instant::now());
-        let age = edge.copies.borrow_mut().get(&object("/a")).map(|copy| copy.age());
-        assert_eq!(age, Some(Duration::from_millis(1500)));
-        let now = |purge| Aged { purge, age_ms: 0 };
-        let one = Purge::Object { hostname: "h".into(), path: "/c".into() };
-        edge.purge(&[now(Purge::Label("t".into())), now(one)]);
-        assert!(!kept(&edge, "/a") && kept(&edge, "/b"));
-        // A shield that has not heard yet hands out the old copies.
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        edge.keep(&object("/c"), &from_shield("u"), Instant::now());
-        assert!(!kept(&edge, "/a") && !kept(&edge, "/c"));
-        tokio::time::advance(PURGED).await;
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        assert!(kept(&edge, "/a"));
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn out_of_touch_nothing_is_kept_and_a_stream_of_purges_is_bounded() {
-        tokio::time::advance(Duration::from_secs(10)).await;
-        let edge = edge();
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        assert!(!kept(&edge, "/a"));
-        edge.in_touch(true);
-        let purges: Vec<Purge> = (0..2 * MOST_PURGED).map(|n| Purge::Label(n.to_string())).collect();
-        for purge in purges {
-            edge.purge(&[Aged { purge, age_ms: 0 }]);
-        }
-        assert!(edge.purged.borrow().len() <= MOST_PURGED);
-        edge.keep(&object("/a"), &from_shield("t"), Instant::now());
-        assert!(!kept(&edge, "/a"), "more were purged than are remembered");
-    }
-}
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -3,20 +3,20 @@
 
 #![forbid(unsafe_code)]
 
-mod agent;
+pub mod agent;
 pub mod boot;
 pub mod cache;
 pub mod control;
 mod counter;
-mod declare;
+pub mod declare;
 mod demo;
 pub mod direct;
 mod disk;
 pub mod edge;
 pub mod feed;
 pub mod kept;
-mod latency;
-mod limit;
+pub mod latency;
+pub mod limit;
 pub mod link;
 pub mod local;
 pub mod ops;
@@ -24,6 +24,7 @@
 mod pace;
 pub mod pool;
 pub mod read_plan;
+pub mod response;
 pub mod room;
 pub mod send_budget;
 pub mod serve;
--- a/glenfall/src/shield/fetch.rs
+++ b/glenfall/src/shield/fetch.rs
@@ -16,7 +16,7 @@
 use super::{Shield, AGAIN};
 use crate::cache::{Copy, ObjectKey};
 use crate::direct::{Job, Outcome};
-use crate::pool::Reply;
+use crate::response::ServerResponse;
 use crate::send_budget::{Allowance, SendReport};
 use crate::serve::passed_on;
 
@@ -27,7 +27,7 @@
 #[derive(Clone)]
 pub(super) enum Fetched {
     Copy(Rc<Copy>),
-    Other(Rc<Reply>),
+    Other(ServerResponse),
     Refused(Duration),
     Unknown,
     TimedOut,
@@ -198,8 +198,14 @@
         }
     }
 
-    fn take_reply(&self, key: &ObjectKey, reply: Reply, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
-        if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status, old) {
+    fn take_reply(
+        &self,
+        key: &ObjectKey,
+        reply: ServerResponse,
+        sent: Instant,
+        old: Option<Rc<Copy>>,
+    ) -> Fetched {
+        if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status(), old) {
             tracing::debug!(path = %key.path, "copy still good");
             self.counters.refreshed.add();
             old.born.set(sent);
@@ -207,7 +213,7 @@
         }
         match Copy::of(&reply, sent) {
             Some(copy) => Fetched::Copy(Rc::new(copy)),
-            None => Fetched::Other(Rc::new(reply)),
+            None => Fetched::Other(reply),
         }
     }
 }
