Real sockets: a try reaches no more servers than its route allows

An edge and two shields that are well, frozen, reset, mute or gone, before servers that answer, fail, reset or hang, with 1, 2 and 3 tries: 300 cases at once. Feed::take is public for it.

--- a/glenfall/src/feed.rs
+++ b/glenfall/src/feed.rs
@@ -95,7 +95,7 @@
     }
 
     /// Takes what the agent tells; false where it does not build on what is known.
-    fn take(&self, news: News, follower: &impl Follower) -> bool {
+    pub fn take(&self, news: News, follower: &impl Follower) -> bool {
         let was_ready = self.ready();
         match news {
             News::Config { rev, document } => self.take_config(rev, &document, follower),
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -19,3 +19,4 @@
 mod room;
 mod serve;
 mod store;
+mod tries;
