--- a/glenfall/src/direct/attempts.rs
+++ b/glenfall/src/direct/attempts.rs
@@ -6,7 +6,8 @@
 
 use super::{Outcome, FULL, NONE};
 use crate::origins::End;
-use crate::pool::{Reply, Trouble};
+use crate::pool::Trouble;
+use crate::response::ServerResponse;
 
 const NOT_RUN: HeaderName = HeaderName::from_static("x-glenfall-not-run");
 
@@ -28,7 +29,7 @@
     }
 
     /// Takes the end of a send, and says what it tells of the server.
-    pub fn ended(&mut self, ended: Result<Reply, Trouble>) -> End {
+    pub fn ended(&mut self, ended: Result<ServerResponse, Trouble>) -> End {
         let (stage, event) = match &ended {
             Ok(reply) => (Stage::Answering, event(reply)),
             Err(Trouble::Unsent) => (Stage::Unconnected, Event::NoConnection),
@@ -37,7 +38,7 @@
         };
         // What did not reach a server is still to be had under the ceiling.
         self.under_ceiling = event == Event::NoConnection;
-        let status = ended.as_ref().ok().map(|reply| reply.status);
+        let status = ended.as_ref().ok().map(|reply| reply.status());
         let failure = status.is_some_and(|status| status.is_server_error());
         let fate = self.sends.ended(stage, event, failure);
         match (fate, ended) {
@@ -70,10 +71,10 @@
 }
 
 /// What a whole answer of a server says.
-fn event(reply: &Reply) -> Event {
-    let status = reply.status;
+fn event(reply: &ServerResponse) -> Event {
+    let status = reply.status();
     let failure = status.is_client_error() || status.is_server_error();
-    let said = reply.headers.contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    let said = reply.headers().contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
     match status.as_u16() {
         _ if said && failure => Event::NotRun,
         // One that says that it has not run and what came of it.
--- a/glenfall/src/edge/read.rs
+++ b/glenfall/src/edge/read.rs
@@ -15,14 +15,15 @@
 use mallowpaddle::{Key, Seconds, ServerId};
 use tokio::time::{timeout_at, Instant};
 
-use super::{passed_back, Edge, UNREADY};
+use super::{Edge, UNREADY};
 use crate::cache::{Copy, ObjectKey};
 use crate::direct::Outcome;
-use crate::pool::{Reply, Trouble, Trust};
+use crate::pool::{Trouble, Trust};
 use crate::read_plan::{AskEnd, Next, ReadPlan, Verdict};
+use crate::response::{LocalResponse, ProxyResponse, ServerResponse, ShieldSource};
 use crate::send_budget::{Allowance, SendReport, SENDS};
-use crate::serve::{plain, refused, Answer, Whole, DEADLINE};
-use crate::shield::{object_hash, AGAIN, BEHIND, OWN, REV, SHIELD};
+use crate::serve::{Whole, DEADLINE};
+use crate::shield::{object_hash, AGAIN, REV};
 
 /// A shield that has not answered after this part of the time that is left, and this much at least, may be dark:
 /// the next one is asked. Half of the time was too much: what waited for a frozen shield came late.
@@ -52,17 +53,17 @@
 
 impl Edge {
     /// Answers a read of an object.
-    pub(super) async fn read(&self, read: Read<'_>) -> Answer {
+    pub(super) async fn read(&self, read: Read<'_>) -> ProxyResponse {
         let object = read.object();
         let max_age = Duration::from_secs_f64(read.route.max_age_s.clamp(0.0, 1e6));
         let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
         if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.own_copies.add();
-            return passed_back(copy.answer(read.headers), &Method::GET);
+            return copy.answer(read.headers).into();
         }
         if !self.direct.pool.room.is_free() {
             self.counters.refused.add();
-            return refused(StatusCode::SERVICE_UNAVAILABLE, "no room", UNREADY);
+            return LocalResponse::refused("no room", UNREADY).into();
         }
         // What is not fresh any more is asked for again, whole; it comes only if it has changed.
         let mut headers = read.headers.clone();
@@ -93,7 +94,7 @@
     shield: ServerId,
     asked: Instant,
     asked_s: Seconds,
-    ended: Result<Reply, Trouble>,
+    ended: Result<ServerResponse, Trouble>,
 }
 
 /// The end of an ask.
@@ -124,11 +125,11 @@
     /// The shield asked last, and when it counts as silent.
     silent_at: Option<(ServerId, Seconds, Instant)>,
     /// The client's answer, if no better one comes.
-    fallback: Option<Answer>,
+    fallback: Option<ProxyResponse>,
 }
 
 impl<'a> Reading<'a> {
-    async fn run(mut self) -> Answer {
+    async fn run(mut self) -> ProxyResponse {
         loop {
             if Instant::now() >= self.read.until && self.plan.may_be_counted() {
                 return self.time_is_up();
@@ -152,16 +153,16 @@
                     }
                 }
                 Next::GiveUp => {
-                    let no_answer = || plain(StatusCode::BAD_GATEWAY, "no answer");
+                    let no_answer = || LocalResponse::bad_gateway().into();
                     return self.fallback.unwrap_or_else(no_answer);
                 }
             }
         }
     }
 
-    fn time_is_up(self) -> Answer {
+    fn time_is_up(self) -> ProxyResponse {
         self.edge.counters.timed_out.add();
-        self.fallback.unwrap_or_else(|| plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
+        self.fallback.unwrap_or_else(|| LocalResponse::gateway_timeout().into())
     }
 
     /// Shields that may still answer, beside those found unresponsive.
@@ -212,7 +213,7 @@
     }
 
     /// Waits for the end of an ask, or until the shield asked last counts as silent.
-    async fn wait(&mut self) -> Option<Answer> {
+    async fn wait(&mut self) -> Option<ProxyResponse> {
         let ended = match &self.silent_at {
             None => Some(next_ended(&mut self.asks).await),
             Some((_, _, at)) => timeout_at(*at, next_ended(&mut self.asks)).await.ok(),
@@ -237,14 +238,14 @@
     }
 
     /// Takes the end of an ask at a shield; the client's answer, where it is one.
-    fn shield_ended(&mut self, number: usize, end: ShieldEnd) -> Option<Answer> {
+    fn shield_ended(&mut self, number: usize, end: ShieldEnd) -> Option<ProxyResponse> {
         let ShieldEnd { shield, asked, asked_s, ended } = end;
         if self.silent_at.as_ref().is_some_and(|(silent, ..)| *silent == shield) {
             self.silent_at = None;
         }
         let reached = !matches!(ended, Err(Trouble::Unsent));
-        let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
-        let behind = reply.as_ref().is_some_and(|reply| reply.headers.get(SHIELD) == Some(&BEHIND));
+        let reply = ended.ok().filter(|reply| reply.shield_source().is_some());
+        let behind = reply.as_ref().is_some_and(|reply| reply.shield_source() == Some(ShieldSource::Behind));
         let reply = reply.filter(|_| !behind);
         let is_late = self.unresponsive.contains(&shield);
         let mut shields = self.edge.shields.borrow_mut();
@@ -261,11 +262,11 @@
             }
             return None;
         };
-        let report = SendReport::of_answer(&reply.headers).unwrap_or_default();
+        let report = SendReport::of_answer(reply.headers()).unwrap_or_default();
         let verdict = self.plan.ended(number, AskEnd::Answered(report));
-        let is_refusal =
-            reply.status == StatusCode::SERVICE_UNAVAILABLE && reply.headers.get(SHIELD) == Some(&OWN);
-        let answer = self.answer_of(reply, &shield, asked);
+        let is_refusal = reply.status() == StatusCode::SERVICE_UNAVAILABLE
+            && reply.shield_source() == Some(ShieldSource::Local);
+        let answer = self.response_of(reply, &shield, asked);
         match verdict {
             // What a server has said is more than that no other can be asked.
             Verdict::Final if is_refusal => Some(self.fallback.take().unwrap_or(answer)),
@@ -274,10 +275,15 @@
         }
     }
 
-    fn servers_ended(&mut self, number: usize, outcome: Outcome, report: SendReport) -> Option<Answer> {
+    fn servers_ended(
+        &mut self,
+        number: usize,
+        outcome: Outcome,
+        report: SendReport,
+    ) -> Option<ProxyResponse> {
         let verdict = self.plan.ended(number, AskEnd::Answered(report));
         let is_refusal = matches!(outcome, Outcome::NotRun(_));
-        let answer = self.edge.answer_of(outcome, self.read.route, &Method::GET);
+        let answer = self.edge.response_to(outcome, self.read.route, &Method::GET);
         match verdict {
             // A silent shield may still answer.
             Verdict::Final if is_refusal && !self.asks.is_empty() => self.keep_fallback(answer, report),
@@ -288,7 +294,7 @@
     }
 
     /// Keeps an answer for the case that no better one comes: what a server has said is better than what it has not.
-    fn keep_fallback(&mut self, answer: Answer, report: SendReport) -> Option<Answer> {
+    fn keep_fallback(&mut self, answer: ProxyResponse, report: SendReport) -> Option<ProxyResponse> {
         if report.used > 0 || self.fallback.is_none() {
             self.fallback = Some(answer);
         }
@@ -296,26 +302,26 @@
     }
 
     /// What the client gets of a shield's answer.
-    fn answer_of(&self, reply: Reply, shield: &ServerId, asked: Instant) -> Answer {
+    fn response_of(&self, reply: ServerResponse, shield: &ServerId, asked: Instant) -> ProxyResponse {
         let client_headers = &self.read.whole.head.headers;
-        if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status, &self.own) {
+        if let (StatusCode::NOT_MODIFIED, Some(own)) = (reply.status(), &self.own) {
             self.edge.counters.refreshed.add();
             if let Some(born) = Copy::handed_on(&reply, asked) {
                 own.born.set(born);
             }
-            return passed_back(own.answer(client_headers), &Method::GET);
+            return own.answer(client_headers).into();
         }
         let is_whole = !self.headers.contains_key(header::RANGE);
         if is_whole && !self.edge.near.borrow().contains(shield) {
             self.edge.keep(&self.object, &reply, asked);
         }
-        if self.own.is_some() && reply.status == StatusCode::OK {
+        if self.own.is_some() && reply.status() == StatusCode::OK {
             // The range that was taken off the request.
             if let Some(copy) = Copy::of(&reply, asked) {
-                return passed_back(copy.answer(client_headers), &Method::GET);
+                return copy.answer(client_headers).into();
             }
         }
-        passed_back(reply, &Method::GET)
+        reply.forward_from_shield()
     }
 }
 
@@ -328,7 +334,7 @@
         headers: &HeaderMap,
         allowance: Allowance,
         again: bool,
-    ) -> Result<Reply, Trouble> {
+    ) -> Result<ServerResponse, Trouble> {
         let addr = shield.0.parse().map_err(|_| Trouble::Unsent)?;
         let request = || {
             let mut request = Request::new(Full::new(Bytes::new()));
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -12,9 +12,8 @@
 use glenfall_plane::config::{Config, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
-use http_body_util::Full;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Response, StatusCode};
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::Method;
 use mallowpaddle::mix;
 use tokio::task::spawn_local;
 use tokio::time::{timeout_at, Instant};
@@ -27,24 +26,16 @@
 use crate::feed::{Feed, Follower};
 use crate::kept::{Kept, Row};
 use crate::latency::Latency;
-use crate::pool::{Pool, Reply};
-use crate::send_budget::{Allowance, SendReport, SENDS};
-use crate::serve::{passed_on, refused, Answer, Handler, Whole, DEADLINE, TRY_ID};
+use crate::pool::Pool;
+use crate::response::{LocalResponse, ProxyResponse, ShieldSource};
+use crate::send_budget::{Allowance, SendReport};
+use crate::serve::{Answer, Handler, Whole, DEADLINE, TRY_ID};
 
 /// The version that an edge decided under; the shield never answers by an older one.
 pub const REV: HeaderName = HeaderName::from_static("x-glenfall-rev");
 /// A shield was asked before, which may have counted the request or asked a server: what is sent now draws on the retry
 /// budget.
 pub const AGAIN: HeaderName = HeaderName::from_static("x-glenfall-again");
-/// How old a copy is, in milliseconds.
-pub const AGE_MS: HeaderName = HeaderName::from_static("x-glenfall-age-ms");
-/// What a shield says of its answer; no answer without it is a shield's.
-pub const SHIELD: HeaderName = HeaderName::from_static("x-glenfall-shield");
-
-/// What a shield says that does not have the edge's version yet, and has asked no server: another one may have it.
-pub const BEHIND: HeaderValue = HeaderValue::from_static("behind");
-/// What a shield says of an answer of its own, that no server gave.
-pub const OWN: HeaderValue = HeaderValue::from_static("own");
 /// A version is waited for so long. Pushes to machines of a region are milliseconds apart, between regions a way; one that
 /// takes longer may not come, as control beside is cut off.
 const PUSH: Duration = Duration::from_millis(100);
@@ -53,15 +44,21 @@
 pub const COPIES: f64 = 0.4;
 /// What a read comes to.
 struct Read {
-    reply: Reply,
-    said: &'static str,
-    /// Where it comes from a copy.
-    copy: Option<Rc<Copy>>,
+    response: ProxyResponse,
+    source: ShieldSource,
+    /// What it used of its try's sends.
+    report: SendReport,
 }
 
 impl Read {
-    fn of(copy: &Rc<Copy>, request: &HeaderMap, said: &'static str) -> Read {
-        Read { reply: copy.answer(request), said, copy: Some(Rc::clone(copy)) }
+    fn of(copy: &Copy, request: &HeaderMap, source: ShieldSource) -> Read {
+        let mut response = copy.answer(request).into();
+        copy.hand_on(&mut response);
+        Read { response, source, report: SendReport::default() }
+    }
+
+    fn local(response: LocalResponse) -> Read {
+        Read { response: response.into(), source: ShieldSource::Local, report: SendReport::default() }
     }
 }
 
@@ -161,16 +158,17 @@
         }
     }
 
-    /// Answers a read, and says what it used of its try's sends.
-    async fn read(self: &Rc<Self>, whole: &Whole) -> (Result<Read, Answer>, SendReport) {
+    /// Answers a read: from a copy, from a fetch that another read began, or by a fetch of its own.
+    async fn read(self: &Rc<Self>, whole: &Whole) -> Read {
         let number = |name| whole.head.headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
         let until = Instant::now() + Duration::from_millis(number(DEADLINE).unwrap_or(1000).min(60_000));
-        let nothing_sent = SendReport::default();
         let config = match self.configuration(number(REV).unwrap_or(0), until).await {
             Ok(config) => config,
-            Err(answer) => return (Err(answer), nothing_sent),
+            Err(not_ready) => return not_ready,
+        };
+        let Some((route, key)) = object_of(&config, whole) else {
+            return Read::local(LocalResponse::no_route());
         };
-        let Some((route, key)) = object_of(&config, whole) else { return (Err(plain_404()), nothing_sent) };
         if !whole.head.headers.contains_key(AGAIN) {
             self.direct.count(&key.service);
         }
@@ -178,72 +176,82 @@
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.hits.add();
-            return (Ok(Read::of(copy, &whole.head.headers, "hit")), nothing_sent);
+            return Read::of(copy, &whole.head.headers, ShieldSource::Hit);
         }
-        let allowance = Allowance::of_request(&whole.head.headers, route.tries);
         let joined = self.flights.borrow().get(&key).map(|flight| flight.done.clone());
         if let Some(done) = joined {
             self.counters.joined.add();
-            let (answer, report) = self.await_fetch(done, until, allowance, whole).await;
-            // Servers know the fetch by the id of the try that began it.
-            return (answer, SendReport { used: 0, ..report });
+            return self.await_joined(done, until, whole).await;
         }
+        let allowance = Allowance::of_request(&whole.head.headers, route.tries);
         if allowance.sends == 0 {
-            let answer = crate::serve::plain(StatusCode::GATEWAY_TIMEOUT, "no copy, and no send left");
-            return (Err(answer), SendReport { used: 0, short: true });
+            let report = SendReport { used: 0, short: true };
+            return Read { report, ..Read::local(LocalResponse::gateway_timeout()) };
         }
         let fetch = FetchRequest::new(&config, route, key, &whole.head, old, allowance);
         match self.begin_fetch(fetch) {
-            Ok(done) => self.await_fetch(done, until, allowance, whole).await,
-            Err(TooManyFetches) => (Err(self.refuse(NONE)), nothing_sent),
+            Ok(done) => self.await_own(done, until, allowance, whole).await,
+            Err(TooManyFetches) => self.refuse(NONE),
         }
     }
 
-    /// The configuration, once it is as new as the edge's; an answer that says so where it does not come.
-    async fn configuration(&self, rev: u64, until: Instant) -> Result<Arc<Config>, Answer> {
-        let unready = || refused(StatusCode::SERVICE_UNAVAILABLE, "not ready", Duration::from_millis(200));
+    /// The configuration, once it is as new as the edge's; a refusal that says so where it does not come.
+    async fn configuration(&self, rev: u64, until: Instant) -> Result<Arc<Config>, Read> {
+        let unready = || Read::local(LocalResponse::refused("not ready", Duration::from_millis(200)));
         if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
-            let mut answer = unready();
-            answer.headers_mut().insert(SHIELD, BEHIND);
-            return Err(answer);
+            return Err(Read { source: ShieldSource::Behind, ..unready() });
         }
         self.feed.config().ok_or_else(unready)
     }
 
-    /// Waits for a fetch until the read's deadline, which may be earlier than the fetch's.
-    async fn await_fetch(
-        &self,
-        mut done: FetchDone,
-        until: Instant,
-        allowance: Allowance,
-        whole: &Whole,
-    ) -> (Result<Read, Answer>, SendReport) {
-        // It goes on, and may use all that it was allowed.
-        let goes_on = SendReport { used: allowance.sends, short: false };
-        let end = match timeout_at(until, done.wait_for(|end| end.is_some())).await {
-            Ok(Ok(end)) => end.clone(),
-            Ok(Err(_)) => None,
-            Err(_) => Some(FetchEnd { fetched: Fetched::TimedOut, report: goes_on }),
-        };
-        let FetchEnd { fetched, report } =
-            end.unwrap_or(FetchEnd { fetched: Fetched::Unknown, report: goes_on });
-        let answer = match fetched {
-            Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, "miss")),
-            Fetched::Other(reply) => {
-                let headers = passed_on(&reply.headers);
-                let reply = Reply { status: reply.status, headers, body: reply.body.clone() };
-                Ok(Read { reply, said: "pass", copy: None })
+    /// Waits for the fetch that a read has begun, until the read's deadline.
+    async fn await_own(&self, done: FetchDone, until: Instant, allowance: Allowance, whole: &Whole) -> Read {
+        match await_end(done, until).await {
+            Ok(FetchEnd { fetched: Fetched::Other(response), report }) => {
+                Read { response: response.forward(&Method::GET), source: ShieldSource::Passed, report }
             }
-            Fetched::Refused(after) => Err(self.refuse(after)),
-            Fetched::Unknown => Err(crate::serve::plain(StatusCode::BAD_GATEWAY, "no answer")),
-            Fetched::TimedOut => Err(crate::serve::plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")),
-        };
-        (answer, report)
+            Ok(FetchEnd { fetched, report }) => Read { report, ..self.read_of(fetched, whole) },
+            Err(fetched) => {
+                // The fetch goes on, and may use all that it was allowed.
+                let report = SendReport { used: allowance.sends, short: false };
+                Read { report, ..self.read_of(fetched, whole) }
+            }
+        }
+    }
+
+    /// Waits for the fetch that another read has begun. Servers know it by the id of that read's try, so that it uses
+    /// none of this one's sends.
+    async fn await_joined(&self, done: FetchDone, until: Instant, whole: &Whole) -> Read {
+        match await_end(done, until).await {
+            Ok(FetchEnd { fetched, report }) => {
+                let report = SendReport { used: 0, short: report.short };
+                Read { report, ..self.read_of(fetched, whole) }
+            }
+            Err(fetched) => self.read_of(fetched, whole),
+        }
+    }
+
+    /// What a fetch brings to all who wait for it.
+    fn read_of(&self, fetched: Fetched, whole: &Whole) -> Read {
+        match fetched {
+            Fetched::Copy(copy) => Read::of(&copy, &whole.head.headers, ShieldSource::Miss),
+            Fetched::Other(failure) if !failure.status().is_success() => {
+                Read::local(LocalResponse::same_failure(&failure))
+            }
+            Fetched::Other(response) => Read {
+                response: response.forward(&Method::GET),
+                source: ShieldSource::Passed,
+                report: SendReport::default(),
+            },
+            Fetched::Refused(after) => self.refuse(after),
+            Fetched::Unknown => Read::local(LocalResponse::bad_gateway()),
+            Fetched::TimedOut => Read::local(LocalResponse::gateway_timeout()),
+        }
     }
 
-    fn refuse(&self, after: Duration) -> Answer {
+    fn refuse(&self, after: Duration) -> Read {
         self.counters.refused.add();
-        refused(StatusCode::SERVICE_UNAVAILABLE, "service full", after)
+        Read::local(LocalResponse::refused("service full", after))
     }
 
     /// Keeps a copy in memory and on disk.
@@ -271,8 +279,13 @@
     Some((route, ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() }))
 }
 
-fn plain_404() -> Answer {
-    crate::serve::plain(StatusCode::NOT_FOUND, "no such route")
+/// Waits for the end of a fetch; what is known without it, where it does not come by then.
+async fn await_end(mut done: FetchDone, until: Instant) -> Result<FetchEnd, Fetched> {
+    match timeout_at(until, done.wait_for(|end| end.is_some())).await {
+        Ok(Ok(end)) => end.clone().ok_or(Fetched::Unknown),
+        Ok(Err(_)) => Err(Fetched::Unknown),
+        Err(_) => Err(Fetched::TimedOut),
+    }
 }
 
 /// Which service of a split an object belongs to, the same at all shields.
@@ -376,33 +389,13 @@
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
-        let (answer, report) = self.0.read(&whole).await;
-        let mut answer = match answer {
-            Ok(Read { reply, said, copy }) => {
-                let mut answer = Response::new(Full::new(reply.body));
-                *answer.status_mut() = reply.status;
-                *answer.headers_mut() = reply.headers;
-                if let Some(copy) = copy {
-                    copy.hand_on(answer.headers_mut());
-                }
-                answer.headers_mut().insert(SHIELD, HeaderValue::from_static(said));
-                answer
-            }
-            Err(mut answer) => {
-                answer.headers_mut().entry(SHIELD).or_insert(OWN);
-                answer
-            }
-        };
-        if report != SendReport::default() {
-            answer.headers_mut().insert(SENDS, report.encode());
-        }
+        let Read { mut response, source, report } = self.0.read(&whole).await;
+        response.set_shield_source(source);
+        response.set_send_report(report);
         // By it the edge knows which request this answers.
-        match whole.head.headers.get(TRY_ID) {
-            Some(id) => answer.headers_mut().insert(TRY_ID, id.clone()),
-            None => answer.headers_mut().remove(TRY_ID),
-        };
+        response.set_try_id(whole.head.headers.get(TRY_ID));
         self.0.counters.answer.add(began.elapsed());
-        answer
+        response.into()
     }
 
     fn limits(&self) -> ReqLimits {
