--- a/plane/src/fleet.rs
+++ b/plane/src/fleet.rs
@@ -8,7 +8,7 @@
 use mallowpaddle::mix;
 use serde::{Deserialize, Serialize};
 
-use crate::messages::{Member, Server};
+use crate::nodes::{Member, Server};
 
 /// All servers, shields and edges, each list in the order of names.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -211,7 +211,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::messages::Proxy;
+    use crate::nodes::Proxy;
     use rand::{Rng, SeedableRng};
     use rand_chacha::ChaCha8Rng;
     use std::net::SocketAddrV4;
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -1,20 +1,30 @@
-//! The control state of the glenfall system: configuration documents, the chain that keeps them, the view
-//! that mends the chain, the registry of servers, and the messages between processes. No sockets, no disk and
-//! no clock: callers pass the time in and carry out what comes out.
+//! Control state of the glenfall system: configuration documents, the replicated chain that keeps them, the registry of
+//! servers, and the messages between processes. No sockets, no disk and no clock: callers pass events and the time in,
+//! and carry out what comes out. `docs/glossary.md` defines the terms.
 
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
+#[allow(missing_docs)]
 pub mod budget;
+#[allow(missing_docs)]
 pub mod ceiling;
 pub mod chain;
+#[allow(missing_docs)]
 pub mod config;
+#[allow(missing_docs)]
 pub mod fleet;
 pub mod ids;
+#[allow(missing_docs)]
 pub mod messages;
+pub mod nodes;
 pub mod orders;
+#[allow(missing_docs)]
 pub mod purges;
 pub mod record;
+#[allow(missing_docs)]
 pub mod registry;
+#[allow(missing_docs)]
 pub mod subset;
 
 /// Milliseconds on the caller's steady clock.
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -4,7 +4,7 @@
 //! and the control node beside it, with the same messages: downwards numbered changes, upwards the count of
 //! those applied. Control nodes speak as *peers*.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::Ipv4Addr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -14,29 +14,11 @@
 use crate::registry::Entry;
 
 pub use crate::ids::CallId;
+pub use crate::nodes::{Member, Proxy, Server};
 
 /// Longest frame: a configuration of many hundred routes, and room.
 pub const LONGEST_FRAME: usize = 4 << 20;
 
-/// What a proxy is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Proxy {
-    Edge,
-    Shield,
-}
-
-/// A proxy as its session tells of it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// The machine's name.
-    pub node: String,
-    pub zone: String,
-    pub proxy: Proxy,
-    /// Where a shield takes reads.
-    pub http: SocketAddrV4,
-    pub ready: bool,
-}
-
 /// From proxy to agent and from agent to control.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Up {
@@ -52,19 +34,6 @@
     Ping,
 }
 
-/// A server as proxies know it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Server {
-    pub id: String,
-    pub backend: String,
-    pub addr: SocketAddrV4,
-    pub zone: String,
-    pub capacity: u32,
-    pub ready: bool,
-    /// How much longer it is slow from its start.
-    pub warmup_left_ms: u64,
-}
-
 /// What copies a purge ends.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Purge {
--- a/plane/src/record.rs
+++ b/plane/src/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::config::{Change, Invalid};
-use crate::orders::{Entry, OrderKey, TakenOrder, TakenOrders};
+use crate::orders::{AppliedOrder, DeduplicationTable, Entry, IdempotencyKey};
 
 /// The state that the chain replicates: the newest configuration document with the table of orders that led to it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,7 +15,7 @@
     /// The configuration document; empty before the first.
     pub document: Vec<u8>,
     /// Idempotency keys of the newest orders, by which a repeated order is recognised.
-    pub taken: TakenOrders,
+    pub taken: DeduplicationTable,
 }
 
 /// How an order relates to a record.
@@ -45,7 +45,7 @@
 impl Record {
     /// Judges an order by what the record holds, and by nothing else.
     pub fn decide(&self, builds_on: u64, change: &Change) -> Decision {
-        let key = OrderKey::of(builds_on, change);
+        let key = IdempotencyKey::of(builds_on, change);
         if let Some(order) = self.taken.find(key) {
             return Decision::Taken { rev: order.rev };
         }
@@ -60,7 +60,7 @@
         match change.apply(&self.document, self.rev) {
             Err(invalid) => Decision::Invalid(invalid),
             Ok((rev, document)) => {
-                Decision::New(Entry { seq: self.seq + 1, document, order: TakenOrder { rev, key } })
+                Decision::New(Entry { seq: self.seq + 1, document, order: AppliedOrder { rev, key } })
             }
         }
     }
@@ -75,7 +75,7 @@
     /// The same document without the table of orders, for nodes that only distribute it. Mistaking it for the whole
     /// record is safe: an empty table answers [`Decision::Forgotten`] for every version that it may have held.
     pub fn without_table(&self) -> Record {
-        let taken = TakenOrders::forgotten(self.rev.max(self.taken.forgotten_up_to()));
+        let taken = DeduplicationTable::forgotten(self.rev.max(self.taken.forgotten_up_to()));
         Record { seq: self.seq, rev: self.rev, document: self.document.clone(), taken }
     }
 }
--- a/plane/src/registry.rs
+++ b/plane/src/registry.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::messages::Server;
+use crate::nodes::Server;
 use crate::Millis;
 
 /// A server that has been silent for so many beats has crashed: one may be lost, and a second late.
