An order older than the table gets a final answer that names what is in force

Cause: a repeat after 4,032 further changes, or a new order that looks as old, got 503 'no clear answer' for ever, and verbs and operators asked again. Neither 200 nor 412 can be said of it by a bounded table. As versions rise it can have no effect any more, so the caller needs the current version: the 503 is JSON with current (confirmed down the chain like a refusal), forgottenUpTo and readBack, and verbs stop at the first such answer.

Outcome::Forgotten has one more field at its end: control nodes of a core run one version, as before.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -53,6 +53,17 @@
     answer(status, json!({ "error": why }))
 }
 
+/// The order may have been applied before the horizon of the deduplication table: no node will ever tell, and sending it
+/// again is no use. Its caller reads the current version back, and decides.
+fn forgotten(up_to: u64, current: u64) -> Answer {
+    let why = format!(
+        "no clear answer: versions up to {up_to} may have been taken, too long ago to tell; version {current} is in \
+         force: read it back, and do not send this again"
+    );
+    let body = json!({ "error": why, "current": current, "forgottenUpTo": up_to, "readBack": "/api/config" });
+    answer(StatusCode::SERVICE_UNAVAILABLE, body)
+}
+
 fn out_of_touch() -> Answer {
     wrong(StatusCode::SERVICE_UNAVAILABLE, "this node does not reach a majority of the core")
 }
@@ -213,12 +224,7 @@
                 json!({ "error": "another version is current", "current": current }),
             ),
             Outcome::Invalid(why) => wrong(StatusCode::BAD_REQUEST, why),
-            Outcome::Forgotten { up_to } => wrong(
-                StatusCode::SERVICE_UNAVAILABLE,
-                format_args!(
-                    "no clear answer: versions up to {up_to} may have been taken, too long ago to tell"
-                ),
-            ),
+            Outcome::Forgotten { up_to, current } => forgotten(up_to, current),
             Outcome::Document(_) | Outcome::Unchanged | Outcome::Unavailable => {
                 wrong(StatusCode::SERVICE_UNAVAILABLE, "no clear answer: the same call may be made again")
             }
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -234,7 +234,7 @@
         };
         match pool.exchange((*addr).into(), request, Instant::now() + within, Trust::Ours, || true).await {
             Ok(reply) if reply.status().is_success() => return Ok(reply),
-            Ok(reply) if reply.status().is_client_error() => {
+            Ok(reply) if reply.status().is_client_error() || is_final(&reply) => {
                 let body = String::from_utf8_lossy(reply.body()).into_owned();
                 return Err(OpsError::Refused { status: reply.status().as_u16(), body });
             }
@@ -245,6 +245,13 @@
     Err(OpsError::NoAnswer)
 }
 
+/// Whether no other node and no later call gives another answer, whatever the status: the order is older than what
+/// control remembers.
+fn is_final(reply: &ServerResponse) -> bool {
+    let body = serde_json::from_slice::<serde_json::Value>(reply.body());
+    body.is_ok_and(|body| body.get("forgottenUpTo").is_some())
+}
+
 fn text(reply: ServerResponse) -> String {
     String::from_utf8_lossy(reply.body()).into_owned()
 }
--- a/glenfall/tests/core.rs
+++ b/glenfall/tests/core.rs
@@ -200,8 +200,21 @@
             ] {
                 let (status, why) = told(&core, n, method, builds_on, body);
                 assert!(status == 503 && why.contains("versions up to 9"), "{status}: {why}");
+                // What the caller can act on: what is in force, and where to read it.
+                let answer: serde_json::Value = serde_json::from_str(&why).unwrap();
+                let current = if restarted { 11 } else { 7 };
+                let expected = serde_json::json!([current, 9, "/api/config"]);
+                assert_eq!(
+                    serde_json::json!([answer["current"], answer["forgottenUpTo"], answer["readBack"]]),
+                    expected
+                );
             }
         }
+        // The verb says so at its first call, and does not ask again.
+        std::fs::write(core.folder.join("lost.json"), document(9, "lost")).unwrap();
+        let put =
+            core.verb(&["config", "put", "--control", &core.control(2), "--builds-on", "7", "lost.json"]);
+        assert!(!put.0 && put.1.contains("read it back"), "{}", put.1);
         if !restarted {
             assert_eq!(told(&core, 1, "PUT", 7, &document(11, "on")).0, 200);
             // From the disks, not from the backup.
--- a/plane/src/chain/client_calls.rs
+++ b/plane/src/chain/client_calls.rs
@@ -51,6 +51,8 @@
     Forgotten {
         /// Highest version whose key may have been evicted.
         up_to: u64,
+        /// The current version, which tells the caller whether its order can still have any effect.
+        current: u64,
     },
     /// The newest committed record.
     Document(Arc<Record>),
@@ -176,7 +178,9 @@
                     return;
                 }
                 Decision::Taken { rev } => Outcome::Done { rev },
-                Decision::Forgotten { up_to } => Outcome::Forgotten { up_to },
+                Decision::Forgotten { up_to } => {
+                    Outcome::Forgotten { up_to, current: self.hard_state.record.rev }
+                }
                 Decision::Stale { current } => Outcome::Conflict { current },
                 Decision::Invalid(invalid) => Outcome::Invalid(invalid),
             };
--- a/plane/tests/orders.rs
+++ b/plane/tests/orders.rs
@@ -475,6 +475,33 @@
     }
 }
 
+#[test]
+fn an_order_older_than_the_table_is_told_what_is_in_force_at_any_node() {
+    let mut core = Core::new(1);
+    let record =
+        Record { seq: 9, rev: 20, document: br#"{"rev":20}"#.to_vec(), taken: TakenOrders::forgotten(13) };
+    for n in 0..3 {
+        core.stop(n, true);
+        let members = Members::of((0..3).map(node).collect());
+        let record = Arc::new(record.clone());
+        core.disks[n] = Some(Durable { members, votes: true, promised: 0, accepted: 0, record });
+    }
+    (0..3).for_each(|n| core.restart(n));
+    core.pass(1500);
+    for order in [put(5, 7, 0), patch(12, 13, 0), put(20, 13, 0)] {
+        let expected = if order.0 < 13 {
+            Outcome::Forgotten { up_to: 13, current: 20 }
+        } else {
+            // It makes no version above the one that it builds on, and so was never applied.
+            Outcome::Invalid(Invalid::OldVersion { current: 20, got: 13 })
+        };
+        assert_eq!(core.told(&order), expected, "{order:?}");
+    }
+    // Once another change is in force, it is named.
+    assert_eq!(core.told(&put(20, 21, 0)), Outcome::Done { rev: 21 });
+    assert_eq!(core.told(&put(5, 7, 0)), Outcome::Forgotten { up_to: 13, current: 21 });
+}
+
 #[test]
 fn an_entry_that_does_not_rise_above_the_record_is_not_taken() {
     let mut core = Core::new(1);
