--- /dev/null
+++ b/lab/tests/unit/plan.rs
@@ -0,0 +1,25 @@
+//! Plans of experiments.
+
+use glenfall_lab::plan::Plan;
+
+#[test]
+fn the_plans_that_come_along_are_good_and_mistakes_are_told() {
+    let text = include_str!("../../plans/overload.toml");
+    for text in [text, include_str!("../../plans/losses.toml"), include_str!("../../plans/small.toml")] {
+        let plan = Plan::read(text).unwrap();
+        let document = plan.document().to_string();
+        glenfall_plane::config::Config::read(document.as_bytes()).unwrap();
+    }
+    assert_eq!(Plan::read(text).unwrap().factor(11.0), 6.0);
+    assert_eq!(Plan::read(text).unwrap().factor(1.0), 1.0);
+    for (from, to, told) in [
+        ("seconds = ", "second = ", "line"),
+        ("servers = 6", "servers = 0", "servers: 1 to 40 expected, got 0"),
+        ("service = \"orders\"", "service = \"none\"", "no service is named \"none\""),
+        ("aim_ms = 250", "aim_ms = 2500", "aim_ms: 1 to 1000 expected"),
+    ] {
+        assert!(text.contains(from), "{from}");
+        let why = Plan::read(&text.replacen(from, to, 1)).expect_err(from);
+        assert!(why.contains(told) && !why.contains('\n'), "{from}: {why}");
+    }
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -1,4 +1,6 @@
-//! The program; all of it is in the library beside.
+//! The program; what it does is in the library.
+
+#![forbid(unsafe_code)]
 
 use std::process::ExitCode;
 
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -214,21 +214,3 @@
     let price = |name| Ok::<_, String>(number(from, name)?.unwrap_or(0.0));
     Ok(Prices { connection: price("connection")?, handshake: price("handshake")? })
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_load_report_is_read_whole_or_not_at_all() {
-        let read = Some(Load { held: 7.0, rate: 140.5 });
-        assert_eq!(load("x0:0.4,x1:1.25,served_ps:140.5,busy_reqs:7", ':'), read);
-        assert_eq!(load("busy_reqs=7, served_ps=140.5", '='), read);
-        for report in ["", "-", "busy_reqs=7", "busy_reqs=7,served_ps=", "busy_reqs=-1,served_ps=2"] {
-            assert_eq!(load(report, '='), None, "{report}");
-        }
-        for report in ["busy_reqs=nan,served_ps=2", "busy_reqs=7,served_ps=inf", "\u{1},=,=="] {
-            assert_eq!(load(report, '='), None, "{report}");
-        }
-    }
-}
