--- /dev/null
+++ b/tests/balance/connections.rs
@@ -0,0 +1,154 @@
+//! Connections that die unseen, second copies of reads, and connections kept unused.
+
+use crate::*;
+
+/// Connections reset one by one, as by a box on the way, took healthy servers out at all nodes in turn, and each
+/// retry asked a server that lacks the key.
+#[test]
+fn resets_between_answers_do_not_close_a_server_and_are_tried_again_there() {
+    for status in [Status::Broken, Status::Unreachable] {
+        let mut node = Node::with(settings(), 1, fleet(6));
+        let keys = keys_of_one(&mut node, 800, usize::MAX);
+        warm_up(&mut node);
+        for (n, &key) in (1000..1012).zip(&keys) {
+            assert_eq!(sent(&node.request(read(n, key))), [id(1)], "{status:?} {n}");
+            node.now += 0.01;
+            assert_eq!(sent(&node.outcome(n, status, None)), [id(1)], "{status:?} {n}");
+            // Every other request meets two in a row.
+            if n % 2 == 0 {
+                node.outcome(n, status, None);
+            }
+            node.serve(n);
+            assert_eq!(node.home(n + 1000, key), id(1), "{status:?} {n}");
+            node.pass(0.2);
+        }
+    }
+}
+
+/// Idle connections dropped unseen: nearly each send of a node that uses a server every few seconds met a dead
+/// one; resets took healthy servers out and sent their keys to servers that lack them.
+#[test]
+fn a_connection_that_lay_idle_as_long_as_a_dead_one_is_closed_before_the_next_send() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    let key = keys_of_one(&mut node, 400, 1)[0];
+    let closes = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::CloseIdle(_)));
+    node.pass(2.0);
+    assert!(!closes(&node.request(read(1000, key))), "nothing is suspected yet");
+    node.now += 0.01;
+    let again = node.outcome(1000, Status::Broken, None);
+    assert_eq!(sent(&again), [id(1)], "the server did not fail: the same one is asked again");
+    node.serve(1000);
+    node.pass(0.3);
+    assert!(!closes(&node.request(read(1001, key))), "a short rest is harmless");
+    node.serve(1001);
+    node.pass(3.0);
+    let actions = node.request(read(1002, key));
+    let close = actions.iter().position(|a| *a == Action::CloseIdle(id(1)));
+    let send = actions.iter().position(|a| matches!(a, Action::Send { .. }));
+    assert!(close.is_some() && close < send, "{actions:?}");
+    node.serve(1002);
+    node.pass(60.0);
+    assert!(!closes(&node.request(read(1003, key))), "the suspicion has faded");
+}
+
+/// The same where nothing says so: an attempt on a connection that lay idle got no answer, later ones did.
+#[test]
+fn silence_on_an_idle_connection_of_a_server_that_answers_others_is_the_connection_s() {
+    let mut node = Node::with(settings(), 1, fleet(1));
+    node.home(1, 1);
+    node.pass(1.0);
+    node.request(read(2, 1));
+    node.now += 0.1;
+    node.request(read(3, 1));
+    node.serve(3);
+    node.now += 0.8;
+    let actions = node.outcome(2, Status::TimedOut, None);
+    assert!(actions.contains(&Action::CloseIdle(id(1))), "{actions:?}");
+}
+
+/// A read waited out its time on a silent connection of a server that answered all that came later.
+#[test]
+fn a_read_that_was_overtaken_has_one_second_copy_and_what_may_not_run_twice_none() {
+    let aside = aside();
+    let mut node = Node::with(aside, 1, vec![entry(1), origin()]);
+    let later = |node: &mut Node, n| {
+        node.pass(0.2);
+        node.request(read(n, n));
+        node.serve(n);
+        sent(&node.pass(0.05))
+    };
+    node.request(read(1, 1));
+    node.request(NewRequest { class: Some(UNSAFE), ..read(2, 2) });
+    assert_eq!(later(&mut node, 3), [], "not by half an aim yet");
+    assert_eq!(later(&mut node, 4), [id(1)]);
+    assert_eq!(later(&mut node, 5), [], "one copy is enough");
+    // What the copy finds lacking the first would, too: it is called off, and then the origin is asked.
+    let actions = node.outcome(1, Status::Absent, Some(CacheNote::Miss));
+    let call_off = Action::Cancel { request: RequestId(1), attempt: AttemptId(0) };
+    assert!(actions.contains(&call_off) && sent(&actions).is_empty(), "{actions:?}");
+    assert_eq!(sent(&node.event(first_ended(1, Status::Cancelled, 0.7))), [origin().server]);
+}
+
+/// Retries after resets found the budget used up by second copies.
+#[test]
+fn second_copies_leave_half_of_the_budget_to_retries() {
+    let mut settings = settings();
+    settings.guarantees.budget = Some(Budget { span: 10.0, free: 4.0, ratio: 0.0 });
+    let mut node = Node::with(settings, 1, vec![entry(1)]);
+    for n in 1..4 {
+        assert_eq!(sent(&node.request(read(n, n))), [id(1)]);
+    }
+    node.pass(0.3);
+    node.request(read(4, 4));
+    node.serve(4);
+    assert_eq!(sent(&node.pass(0.1)).len(), 2);
+}
+
+/// Heavy reads are overtaken everywhere on a slow server: more copies would make it slower.
+#[test]
+fn a_server_that_is_slow_by_the_mean_is_sent_no_second_copies() {
+    let mut node = Node::with(settings(), 1, vec![entry(1)]);
+    for n in 100..140 {
+        node.request(read(n, n));
+        node.now += 0.22;
+        node.serve(n);
+    }
+    node.request(read(1, 1));
+    node.pass(0.3);
+    node.request(read(2, 2));
+    node.pass(0.3);
+    node.request(read(3, 3));
+    node.serve(3);
+    assert!(sent(&node.pass(0.1)).is_empty());
+}
+
+/// Two thirds of all attempts got no connection while each node held one that it seldom used.
+#[test]
+fn where_connections_are_scarce_none_is_kept_unused() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    let closed = |node: &mut Node, n| {
+        node.request(read(n, n));
+        node.serve(n).iter().any(|a| matches!(a, Action::CloseIdle(_)))
+    };
+    assert!(!closed(&mut node, 1));
+    for n in 100..110 {
+        node.request(read(n, n));
+        node.outcome(n, Status::Unreachable, None);
+        node.serve(n);
+    }
+    assert!(closed(&mut node, 2));
+    assert!(!(200..260).all(|n| closed(&mut node, n)), "and kept again when there is room");
+}
+
+/// Where open connections of all nodes cost more than new ones, they are closed; with few nodes they stay.
+#[test]
+fn idle_connections_are_closed_where_they_cost_more_than_new_ones() {
+    let closes = |balancers| {
+        let prices = Prices { connection: 0.1, handshake: 0.1 };
+        let mut node = Node::with(Settings { balancers, prices, ..settings() }, 1, fleet(4));
+        node.request(read(1, 1));
+        node.serve(1).contains(&Action::CloseIdle(node.sends[&RequestId(1)][0].0.clone()))
+    };
+    assert!(closes(500));
+    assert!(!closes(3));
+}
--- /dev/null
+++ b/tests/balance/failures.rs
@@ -0,0 +1,215 @@
+//! Servers that fail, stay silent, turn requests away or spoil answers.
+
+use crate::*;
+
+/// A server that fails twice is left alone for some seconds.
+#[test]
+fn a_server_that_fails_is_left_alone_and_tried_again_later() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    let keys = keys_of_one(&mut node, 400, 20);
+    warm_up(&mut node);
+    let at_one = |node: &mut Node, from: u64, status| {
+        let mut count = 0;
+        for (n, &key) in keys.iter().enumerate() {
+            let n = from + n as u64;
+            let mut server = sent(&node.request(read(n, key)));
+            node.now += 0.02;
+            count += usize::from(server == [id(1)]);
+            while server == [id(1)] && status != Status::Success {
+                server = sent(&node.outcome(n, status, None));
+            }
+            if node.sends.contains_key(&RequestId(n)) {
+                node.serve(n);
+            }
+        }
+        count
+    };
+    let failing = at_one(&mut node, 1000, Status::Broken);
+    assert!((2..12).contains(&failing), "{failing} of 20 sent to a server that breaks");
+    for round in 0..20 {
+        node.pass(1.0);
+        at_one(&mut node, 2000 + 100 * round, Status::Success);
+    }
+    assert_eq!(at_one(&mut node, 9000, Status::Success), 20);
+}
+
+/// Where all servers spoil a few answers alike, each was found failing in turn and most requests were refused.
+#[test]
+fn a_spoilt_answer_is_asked_for_again_once_and_tells_nothing_of_its_server() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    warm_up(&mut node);
+    let key = keys_of_one(&mut node, 400, 1)[0];
+    for n in 1000..1010 {
+        assert_eq!(sent(&node.request(read(n, key))), [id(1)], "{n}");
+        node.now += 0.01;
+        assert_eq!(sent(&node.outcome(n, Status::Spoilt, None)), [id(1)], "{n}");
+        node.serve(n);
+    }
+    node.request(read(2000, key));
+    node.outcome(2000, Status::Spoilt, None);
+    let third = sent(&node.outcome(2000, Status::Spoilt, None));
+    assert!(
+        third.len() == 1 && third != [id(1)],
+        "a server that does nothing else is passed over: {third:?}"
+    );
+}
+
+/// Requests that had waited for a fetch went out with milliseconds left, and their time-outs closed the servers.
+#[test]
+fn time_outs_of_what_was_sent_with_little_time_left_do_not_close_a_server() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    let mut keys = keys_of_one(&mut node, 400, usize::MAX).into_iter();
+    warm_up(&mut node);
+    for n in 1000..1006 {
+        let hurried = NewRequest { left: 0.06, ..read(n, keys.next().unwrap()) };
+        assert_eq!(sent(&node.request(hurried)), [id(1)], "{n}");
+        node.now += 0.05;
+        node.outcome(n, Status::TimedOut, None);
+    }
+}
+
+/// Work is heavy-tailed: an answer that took its hinted work is no sign of a crowd.
+#[test]
+fn heavy_requests_do_not_pass_for_crowding() {
+    let at_once = |work| {
+        let mut node = Node::with(settings(), 1, fleet(1));
+        for n in 0..40 {
+            node.request(NewRequest { work, ..read(n, 1) });
+            node.now += 0.4;
+            if node.sends.contains_key(&RequestId(n)) {
+                node.serve(n);
+            }
+        }
+        (100..140).filter(|&n| !sent(&node.request(read(n, 1))).is_empty()).count()
+    };
+    let (told, untold) = (at_once(Some(0.3)), at_once(None));
+    assert!(told > untold, "{told} at once with hints, {untold} without");
+}
+
+/// Each of 36 nodes learnt of a choked server by time-outs of its own and tried it now and then: together they
+/// never left it idle, and it stayed choked. One that is found silent twice, by whomever, is left alone.
+#[test]
+fn a_server_found_silent_twice_is_left_alone_and_others_are_told() {
+    let mut telling = settings();
+    telling.limits.peers = true;
+    let mut node = Node::with(telling, 1, fleet(6));
+    warm_up(&mut node);
+    let keys = keys_of_one(&mut node, 400, 3);
+    node.request(read(1000, keys[0]));
+    node.now += 0.9;
+    let told = Action::Tell(failing(&id(1)));
+    assert!(node.outcome(1000, Status::TimedOut, None).contains(&told));
+    node.pass(0.5);
+    assert_eq!(node.home(2000, keys[1]), id(1), "once may be chance");
+    // Another node had no answer either; what is no address is passed over.
+    for bytes in [failing(&id(1)), b"\xff\xfe".to_vec(), b"nobody".to_vec()] {
+        node.event(Event::Message { from: 3, bytes });
+    }
+    node.pass(1.0);
+    assert!(sent(&node.request(read(3000, keys[1]))).iter().all(|s| *s != id(1)));
+    node.pass(6.0);
+    assert_eq!(node.home(4000, keys[2]), id(1), "and back after its rest");
+}
+
+/// Where nodes may not tell, each goes by what it saw itself.
+#[test]
+fn nothing_is_told_where_it_is_not_allowed() {
+    let mut node = Node::with(settings(), 1, fleet(1));
+    node.request(read(1, 1));
+    node.now += 0.9;
+    assert!(!node.outcome(1, Status::TimedOut, None).iter().any(|a| matches!(a, Action::Tell(_))));
+}
+
+/// Many nodes crowd a small server even with one request each.
+#[test]
+fn a_server_that_keeps_turning_requests_away_is_left_to_rest() {
+    let mut node = Node::with(settings(), 1, fleet(1));
+    let mut sends = 0;
+    for n in 0..1000 {
+        let actions = node.request(read(n, n));
+        node.now += 0.005;
+        if !sent(&actions).is_empty() {
+            sends += 1;
+            node.outcome(n, Status::Overloaded, None);
+        }
+    }
+    assert!((2..60).contains(&sends), "{sends} sends in 5 s");
+}
+
+/// With many nodes one request each is a crowd: a node's part of what a server may hold is then below one.
+#[test]
+fn with_hundreds_of_nodes_a_server_is_asked_once_and_then_left_to_rest() {
+    let mut node = Node::with(Settings { balancers: 300, ..settings() }, 1, fleet(1));
+    let sends = |node: &mut Node, n: u64| {
+        let count = sent(&node.request(read(n, n))).len();
+        if count == 1 {
+            node.serve(n);
+        }
+        count
+    };
+    let at_once = (1..20).map(|n| sends(&mut node, n)).sum::<usize>();
+    assert!((1..=6).contains(&at_once), "{at_once} of 20, with what was saved up");
+    node.pass(3.0);
+    assert_eq!(sends(&mut node, 30), 1);
+}
+
+/// Nodes with an old list met one dead server after another, the budget for repeats ran out, and up to four in ten
+/// requests were refused unsent while most servers stood idle.
+#[test]
+fn attempts_that_found_no_connection_cost_none_of_the_node_s_own_budget() {
+    let mut node = one_of_many(fleet(20));
+    let dead: BTreeSet<ServerId> = (1..=6).map(id).collect();
+    let mut served = 0;
+    for n in 0..200 {
+        let mut to = sent(&node.request(read(n, n)));
+        while let [server] = &to[..] {
+            if !dead.contains(server) {
+                node.serve(n);
+                served += 1;
+                break;
+            }
+            to = sent(&node.outcome(n, Status::Unreachable, None));
+        }
+        node.pass(0.05);
+    }
+    assert!(served > 190, "{served} of 200 served");
+}
+
+/// Among many nodes each meets a dead server seldom: two refused connections, wherever, and all leave it alone.
+#[test]
+fn among_many_nodes_a_server_that_refuses_two_connections_is_left_alone() {
+    let mut node = one_of_many(fleet(10));
+    let keys = keys_of_one(&mut node, 1000, 3);
+    node.request(read(5000, keys[0]));
+    let told = Action::Tell(failing(&id(1)));
+    assert!(node.outcome(5000, Status::Unreachable, None).contains(&told));
+    node.serve(5000);
+    node.pass(0.5);
+    assert_eq!(node.home(5001, keys[1]), id(1), "one may be chance");
+    node.event(Event::Message { from: 9, bytes: failing(&id(1)) });
+    assert_ne!(node.home(5002, keys[1]), id(1));
+    node.pass(6.0);
+    assert_eq!(node.home(5003, keys[1]), id(1), "asked again later");
+}
+
+/// Any two of 100 nodes that had no answer made all of them leave a server alone, until half of the fleet was
+/// left alone and the rest jammed.
+#[test]
+fn among_many_nodes_time_outs_do_not_take_a_server_out() {
+    let mut node = one_of_many(fleet(10));
+    warm_up(&mut node);
+    let keys = keys_of_one(&mut node, 2000, usize::MAX);
+    let mut asked = 0;
+    for (n, &key) in (5000..5040).zip(&keys) {
+        let to = sent(&node.request(read(n, key)));
+        node.now += 0.9;
+        if to == [id(1)] {
+            asked += 1;
+            let actions = node.outcome(n, Status::TimedOut, None);
+            assert!(!actions.contains(&Action::Tell(failing(&id(1)))), "told as failing");
+        }
+        node.pass(0.1);
+    }
+    // It goes on being asked for some of its keys, fewer and fewer.
+    assert!((4..30).contains(&asked), "asked {asked} times");
+}
--- /dev/null
+++ b/tests/balance/origin.rs
@@ -0,0 +1,195 @@
+//! The way to the origin: fetches that are shared, and their limit.
+
+use crate::*;
+
+/// Where caches don't tell hits, only errors were taken for fetches: a few in a thousand shut the fetch limit.
+#[test]
+fn rare_errors_do_not_shut_the_way_to_the_origin_where_caches_tell_no_hits() {
+    let mut node = Node::with(settings(), 1, fleet(8));
+    let mut held = 0;
+    for n in 0..3000 {
+        held += usize::from(sent(&node.request(read(n, n))).is_empty());
+        node.pass(0.05);
+        if node.sends.contains_key(&RequestId(n)) {
+            node.outcome(n, if n % 100 == 0 { Status::Error } else { Status::Success }, None);
+        }
+    }
+    assert!(held < 30, "{held} of 3000 held");
+}
+
+/// With two attempts in all, a second cache lacked the key in vain after a first that took no connection.
+#[test]
+fn in_aside_mode_the_last_attempt_of_a_read_goes_to_the_origin() {
+    let mut aside = aside();
+    aside.limits.max_attempts = 2;
+    let entries = fleet_and_origin(4);
+    let mut node = Node::with(aside.clone(), 1, entries.clone());
+    node.request(read(1, 3));
+    assert_eq!(sent(&node.outcome(1, Status::Unreachable, None)), [origin().server]);
+    aside.limits.max_attempts = 3;
+    let mut node = Node::with(aside, 1, entries);
+    node.request(read(1, 3));
+    assert_ne!(sent(&node.outcome(1, Status::Unreachable, None)), [origin().server]);
+}
+
+/// With tens of nodes the floor fell to one, and reads that met at a home by chance jumped into misses.
+#[test]
+fn in_aside_mode_reads_that_meet_at_their_home_stay_there() {
+    let together = |cache| {
+        let mut node = Node::with(Settings { balancers: 8, cache, ..settings() }, 1, fleet(6));
+        let keys = keys_of_one(&mut node, 400, 2);
+        (0..2)
+            .flat_map(|n| sent(&node.request(read(900 + n, keys[n as usize]))))
+            .filter(|s| *s == id(1))
+            .count()
+    };
+    assert_eq!(together(at_origin()), 2);
+    assert_eq!(together(CacheMode::Through), 1);
+}
+
+/// A fifth of a fleet died, the rest got slow, and two thirds of all reads jumped: into misses, each of which
+/// held a place in its server until the origin had answered.
+#[test]
+fn while_a_through_fleet_is_slow_a_server_at_its_limit_holds_requests() {
+    let sent_of_four = |cache| {
+        let mut node = Node::with(Settings { cache, ..settings() }, 1, fleet(6));
+        let keys = keys_of_one(&mut node, 400, usize::MAX);
+        for n in 1000..1072 {
+            let key = if n < 1060 { n } else { keys[n as usize % 4] };
+            node.request(read(n, key));
+            node.now += if n < 1060 { 0.2 } else { 0.3 };
+            node.serve(n);
+        }
+        (0..4).filter(|&n| !sent(&node.request(read(2000 + n, keys[n as usize]))).is_empty()).count()
+    };
+    assert_eq!(sent_of_four(CacheMode::Through), 2);
+    assert_eq!(sent_of_four(at_origin()), 4);
+}
+
+#[test]
+fn reads_of_one_key_share_a_fetch() {
+    let mut node = Node::with(settings(), 1, fleet(4));
+    assert_eq!(sent(&node.request(read(1, 3))).len(), 1);
+    assert!(sent(&node.request(read(2, 3))).is_empty());
+    let released = node.outcome(1, Status::Success, Some(CacheNote::Miss));
+    assert_eq!(sent(&released).len(), 1);
+    // Known to be kept now: reads no longer wait for one another.
+    assert_eq!(sent(&node.request(read(3, 3))).len(), 1);
+}
+
+#[test]
+fn failed_fetches_lower_the_number_of_unknown_keys_sent_and_known_keys_pass() {
+    let mut node = Node::with(settings(), 1, fleet(8));
+    for n in 0..50 {
+        node.home(n, n);
+    }
+    for n in 1000..1400 {
+        if !sent(&node.request(read(n, n))).is_empty() {
+            node.now += 0.002;
+            node.outcome(n, Status::Error, Some(CacheNote::Miss));
+        }
+        node.now += 0.02;
+    }
+    let unknown = unknown_keys_sent(&mut node);
+    assert!(unknown < 10, "{unknown} sent");
+    assert_eq!(sent(&node.request(read(3000, 1))).len(), 1);
+}
+
+#[test]
+fn in_aside_mode_a_miss_and_a_write_go_to_the_origin_and_reads_share_the_fetch() {
+    let aside = aside();
+    let entries = fleet_and_origin(4);
+    let mut node = Node::with(aside, 1, entries);
+    let home = sent(&node.request(read(1, 3)))[0].clone();
+    assert_ne!(home, origin().server);
+    assert_eq!(sent(&node.request(NewRequest { write: true, ..read(9, 4) })), [origin().server]);
+    assert_eq!(sent(&node.request(read(2, 3))).len(), 1);
+    assert_eq!(sent(&node.outcome(1, Status::Absent, Some(CacheNote::Miss))), [origin().server]);
+    assert!(sent(&node.outcome(2, Status::Absent, Some(CacheNote::Miss))).is_empty());
+    // The second read asks its cache server again when the fetch is over.
+    assert_eq!(sent(&node.serve(1)), [home]);
+}
+
+/// Writes reach the origin too: while it fails, they and second copies must not keep it flooded.
+#[test]
+fn while_the_origin_fails_writes_are_held_back_too() {
+    let mut node = Node::with(settings(), 1, fleet(8));
+    for n in 0..400 {
+        if !sent(&node.request(read(n, n))).is_empty() {
+            node.now += 0.002;
+            node.outcome(n, Status::Error, Some(CacheNote::Miss));
+        }
+        node.now += 0.02;
+    }
+    let write = |n| NewRequest { class: Some(UNSAFE), write: true, ..read(n, n) };
+    let writes = (2000..2060).filter(|&n| !sent(&node.request(write(n))).is_empty()).count();
+    assert!((1..10).contains(&writes), "{writes} sent");
+}
+
+/// Where many nodes share an origin each uses little of its limit: when the origin is slow, the limit must
+/// fall from what is in use, or it takes tens of cuts before it acts.
+#[test]
+fn a_fetch_limit_far_above_what_is_in_use_falls_fast() {
+    let mut node = Node::with(settings(), 1, fleet(8));
+    for n in 0..25 {
+        for m in 0..4 {
+            node.request(read(n * 4 + m, n * 4 + m));
+        }
+        node.now += 0.9;
+        for m in 0..4 {
+            if node.sends.contains_key(&RequestId(n * 4 + m)) {
+                node.outcome(n * 4 + m, Status::Success, Some(CacheNote::Miss));
+            }
+        }
+    }
+    let unknown = unknown_keys_sent(&mut node);
+    assert!(unknown <= 4, "{unknown} sent");
+}
+
+/// Single fetches vary much. While half of them were in time and half far from it, a limit that went by their
+/// mean fell to nothing and kept most reads out for twenty seconds.
+#[test]
+fn fetches_of_which_half_are_in_time_do_not_lower_the_fetch_limit() {
+    let mut node = Node::with(settings(), 1, fleet(16));
+    for n in 0..300 {
+        node.request(read(n, n));
+        node.now += if n % 2 == 0 { 0.9 } else { 0.3 };
+        node.outcome(n, Status::Success, Some(CacheNote::Miss));
+    }
+    let unknown = unknown_keys_sent(&mut node);
+    assert!(unknown > 25, "{unknown} sent");
+}
+
+/// Eight silent servers of 75: their time-outs passed for a slow origin, and two thirds of all reads were refused.
+#[test]
+fn time_outs_of_a_silent_server_do_not_lower_the_fetch_limit() {
+    let mut node = Node::with(Settings { balancers: 10, ..settings() }, 1, fleet(8));
+    let mut silent = 0;
+    for n in 0..60 {
+        let server = sent(&node.request(read(n, n)));
+        node.pass(0.05);
+        if server == [id(1)] {
+            silent += 1;
+            node.pass(0.9);
+            node.outcome(n, Status::TimedOut, None);
+        } else if !server.is_empty() {
+            node.outcome(n, Status::Success, Some(CacheNote::Hit));
+        }
+    }
+    assert!(silent > 0);
+    node.pass(5.0);
+    let mut other = Node::with(settings(), 1, fleet(8));
+    let sent_at_once = (100..160)
+        .filter(|&n| other.home(n, n) != id(1))
+        .take(10)
+        .filter(|&n| {
+            let at_once = !sent(&node.request(read(n, n))).is_empty();
+            if at_once {
+                node.serve(n);
+            }
+            node.pass(0.5);
+            at_once
+        })
+        .count();
+    assert!(sent_at_once >= 9, "{sent_at_once} of 10");
+}
--- /dev/null
+++ b/tests/balance/placement.rs
@@ -0,0 +1,142 @@
+//! Where keys go: the same place at all nodes, spread evenly, and past a full home.
+
+use crate::*;
+
+fn homes(entries: Vec<RosterEntry>, seed: u64) -> Vec<ServerId> {
+    let mut node = Node::with(settings(), seed, entries);
+    (0..2000).map(|n| node.home(n, n * 7919)).collect()
+}
+
+#[test]
+fn nodes_with_other_seeds_and_other_orders_agree_on_every_home() {
+    let mut backwards = fleet(10);
+    backwards.reverse();
+    assert_eq!(homes(fleet(10), 1), homes(backwards, 2));
+}
+
+#[test]
+fn a_removed_server_moves_its_own_keys_only() {
+    let (before, after) = (homes(fleet(10), 1), homes(fleet(9), 1));
+    let moved = before.iter().zip(&after).filter(|(b, a)| b != a).count();
+    assert!(moved > 0);
+    assert!(before.iter().zip(&after).all(|(b, a)| b == a || *b == id(10)));
+    assert!(after.iter().all(|a| *a != id(10)));
+}
+
+#[test]
+fn the_keys_of_a_removed_server_spread_over_all_others() {
+    let (before, after) = (homes(fleet(10), 1), homes(fleet(9), 1));
+    let heirs: BTreeSet<_> =
+        before.iter().zip(after).filter(|(b, _)| **b == id(10)).map(|(_, a)| a).collect();
+    assert!(heirs.len() >= 7, "{} heirs", heirs.len());
+}
+
+#[test]
+fn homes_are_even_and_follow_weights() {
+    let mut counts: BTreeMap<ServerId, usize> = BTreeMap::new();
+    homes(fleet(10), 1).into_iter().for_each(|h| *counts.entry(h).or_default() += 1);
+    assert!(counts.len() == 10 && counts.values().all(|&c| (100..340).contains(&c)), "{counts:?}");
+
+    let mut entries = fleet(10);
+    entries[0].weight = 300.0;
+    entries[1..].iter_mut().for_each(|e| e.weight = 100.0);
+    let mut node = Node::with(Settings { weights: WeightSource::Nominal, ..settings() }, 1, entries);
+    let heavy = (0..2000).filter(|&n| node.home(n, n * 7919) == id(1)).count();
+    assert!((380..620).contains(&heavy), "a quarter of 2000 expected, got {heavy}");
+}
+
+#[test]
+fn a_full_home_overflows_by_key_to_many_servers_and_no_server_passes_its_cap() {
+    let mut node = Node::with(settings(), 1, fleet(10));
+    let home = node.home(1, 1);
+    let mut load: BTreeMap<ServerId, usize> = BTreeMap::new();
+    let mut overflow = BTreeSet::new();
+    // Keys of one home, each asked for once and never answered.
+    let keys: Vec<u64> = (2..4000).filter(|&k| node.home(k, k) == home).take(28).collect();
+    for (n, key) in keys.into_iter().enumerate() {
+        for server in sent(&node.request(read(10_000 + n as u64, key))) {
+            *load.entry(server.clone()).or_default() += 1;
+            if server != home {
+                overflow.insert(server);
+            }
+        }
+    }
+    // max(floor, ceil((1 + 0.7) * 28 / 10)) with a floor of 8 over two nodes.
+    assert_eq!(load[&home], 5, "{load:?}");
+    assert!(load.values().all(|&n| n <= 5), "{load:?}");
+    assert!(overflow.len() >= 5, "overflow to {} servers", overflow.len());
+}
+
+/// 33 nodes each filled the first place of the hottest key before the second, all in step: it choked.
+#[test]
+fn a_hot_key_is_drawn_over_places_and_others_stay_at_home() {
+    let mut node = Node::with(settings(), 1, fleet(10));
+    let (mut hot, mut cool) = (BTreeMap::new(), BTreeSet::new());
+    for n in 0..600 {
+        // Three of ten are for one key, one of a hundred for another.
+        let key = if n % 10 < 3 {
+            42
+        } else if n % 100 == 5 {
+            7
+        } else {
+            1000 + n
+        };
+        let server = node.home(n, key);
+        node.pass(0.05);
+        match key {
+            42 if n > 100 => *hot.entry(server).or_insert(0) += 1,
+            7 => drop(cool.insert(server)),
+            _ => {}
+        }
+    }
+    // 0.3 of all over ten servers is three times what a server gets: at most 0.6 of that a place.
+    assert!((4..=6).contains(&hot.len()), "{hot:?}");
+    assert!(hot.values().all(|&n| n < 75), "{hot:?} of 150");
+    assert_eq!(cool.len(), 1);
+}
+
+#[test]
+fn a_request_without_a_key_or_with_an_unknown_class_is_sent() {
+    let mut node = Node::with(settings(), 1, fleet(4));
+    assert_eq!(sent(&node.request(NewRequest { key: None, ..read(1, 0) })).len(), 1);
+    assert_eq!(sent(&node.request(NewRequest { class: None, ..read(2, 0) })).len(), 1);
+    // Unknown classes never run twice.
+    let after = node.outcome(2, Status::TimedOut, None);
+    assert!(sent(&after).is_empty() && failed(&after));
+}
+
+#[test]
+fn over_its_quota_a_tenant_gives_way_first() {
+    let tenants = ["a", "b"].map(|n| Tenant { name: n.into(), quota: 20.0 }).to_vec();
+    let mut node = Node::with(Settings { tenants, ..settings() }, 1, fleet(2));
+    let mut served = [0; 2];
+    for n in 0..60 {
+        let tenant = usize::from(n % 6 == 0);
+        let new = NewRequest { tenant: Some(TenantId(tenant)), ..read(n, n) };
+        served[tenant] += sent(&node.request(new)).len();
+        node.now += 0.001;
+    }
+    assert!(served[1] * 5 > served[0], "{served:?} of 50 and 10");
+}
+
+/// Errors of all servers at once are the origin's: taking servers out for them only adds misses.
+#[test]
+fn errors_of_the_whole_fleet_rest_few_but_those_of_one_server_rest_it() {
+    let play = |bad: &dyn Fn(&ServerId) -> bool| {
+        let mut node = Node::with(settings(), 1, fleet(6));
+        let mut taken_out = 0;
+        for n in 0..3000 {
+            let mut actions = node.request(read(n, n % 100));
+            node.now += 0.01;
+            while let [server, ..] = &sent(&actions)[..] {
+                let status = if bad(server) && n > 300 { Status::Error } else { Status::Success };
+                actions = node.outcome(n, status, Some(CacheNote::Hit));
+                let out = |a: &&Action| matches!(a, Action::Log(t) if t.contains("left alone"));
+                taken_out += actions.iter().filter(out).count();
+            }
+        }
+        taken_out
+    };
+    let (all, one) = (play(&|_| true), play(&|s| *s == id(1)));
+    assert!(all <= 6 && one >= 1, "{all} {one}");
+}
--- /dev/null
+++ b/tests/balance/rules.rs
@@ -0,0 +1,254 @@
+//! Rules one, two, three, five and six, and what is refused.
+
+use crate::*;
+
+#[test]
+fn with_no_server_a_request_is_held_for_part_of_its_aim_and_then_refused() {
+    let mut node = Node::new(settings(), 1);
+    assert!(sent(&node.request(read(1, 1))).is_empty());
+    assert!(refused(&node.pass(0.5)));
+
+    let mut node = Node::new(settings(), 1);
+    node.request(read(1, 1));
+    let actions = node.event(Event::Roster(RosterNews::Full(fleet(2))));
+    assert_eq!(sent(&actions).len(), 1);
+}
+
+#[test]
+fn every_request_is_answered_before_its_deadline_even_if_nothing_answers() {
+    for class in [READ, KEYED, UNSAFE] {
+        let mut node = Node::with(settings(), 1, fleet(4));
+        node.request(NewRequest { class: Some(class), ..read(1, 1) });
+        node.now += 1.0 - 0.01;
+        let actions = node.event(Event::Timer(TimerToken(2)));
+        assert!(refused(&actions) || failed(&actions), "{class:?}");
+        assert!(sent(&actions).is_empty());
+        // A batch that ran late brings the time-out and the timer after the end: both are ignored.
+        node.now += 0.02;
+        let late = node.outcome(1, Status::TimedOut, None);
+        assert!(!refused(&late) && !failed(&late) && sent(&late).is_empty());
+    }
+}
+
+#[test]
+fn unknown_and_ended_things_are_ignored() {
+    let mut node = Node::with(settings(), 1, fleet(4));
+    assert!(node.event(Event::Withdrawn(RequestId(7))).is_empty());
+    assert!(node.event(Event::Timer(TimerToken(77))).is_empty());
+    assert!(node.event(Event::Probed { server: id(200), status: Status::Success }).is_empty());
+    assert!(node.event(Event::StreamStarted { request: RequestId(7), attempt: AttemptId(0) }).is_empty());
+    assert!(node.event(first_ended(7, Status::TimedOut, 0.1)).is_empty());
+    node.request(read(1, 1));
+    node.serve(1);
+    assert!(node.event(first_ended(1, Status::TimedOut, 0.1)).is_empty());
+}
+
+#[test]
+fn a_started_stream_is_left_alone() {
+    let mut node = Node::with(settings(), 1, fleet(4));
+    node.request(read(1, 1));
+    node.event(Event::StreamStarted { request: RequestId(1), attempt: AttemptId(0) });
+    node.now += 5.0;
+    assert!(node.event(Event::Timer(TimerToken(2))).is_empty());
+}
+
+const ALL: [Status; 11] = [
+    Status::Success,
+    Status::Error,
+    Status::Overloaded,
+    Status::TimedOut,
+    Status::Unreachable,
+    Status::Broken,
+    Status::Cancelled,
+    Status::Void,
+    Status::Absent,
+    Status::Spoilt,
+    Status::Unknown,
+];
+
+#[test]
+fn every_effect_crossed_with_every_status() {
+    for status in ALL {
+        for class in [READ, KEYED, UNSAFE] {
+            let mut node = Node::with(settings(), 1, fleet(6));
+            let first = sent(&node.request(NewRequest { class: Some(class), ..read(1, 5) }))[0].clone();
+            node.now += 0.01;
+            let actions = node.outcome(1, status, None);
+            let again = sent(&actions);
+            if status == Status::Success {
+                assert!(again.is_empty() && !refused(&actions) && !failed(&actions));
+            } else if status.may_have_run() && class == UNSAFE {
+                assert!(again.is_empty() && !refused(&actions), "{status:?} {actions:?}");
+            } else if status.may_have_run() && class == KEYED {
+                // Zones alternate by number; the group is the zone.
+                let zone = |s: &ServerId| s.0.trim_end_matches(":80").ends_with(['0', '2', '4', '6', '8']);
+                assert!(again.iter().all(|s| zone(s) == zone(&first)), "{status:?} {again:?}");
+                assert!(!refused(&actions), "{status:?}");
+            }
+            assert!(again.len() <= 1);
+        }
+    }
+}
+
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window() {
+    let mut node = Node::with(settings(), 1, fleet(6));
+    node.request(NewRequest { class: Some(KEYED), left: 2.0, ..read(1, 5) });
+    node.now += 1.2;
+    let actions = node.outcome(1, Status::Broken, None);
+    assert!(sent(&actions).is_empty());
+}
+
+#[test]
+fn a_drain_just_before_a_send_keeps_the_send_away() {
+    for state in [ServerState::Draining, ServerState::Gone] {
+        let mut node = Node::with(settings(), 1, fleet(4));
+        let home = node.home(1, 9);
+        let n = (1..=4).find(|&n| id(n) == home).unwrap();
+        node.event(Event::Roster(RosterNews::Delta(vec![RosterEntry { state, ..entry(n) }])));
+        for request in 2..40 {
+            assert!(sent(&node.request(read(request, 9))).iter().all(|s| *s != home));
+        }
+    }
+}
+
+#[test]
+fn who_is_absent_from_a_full_list_has_left() {
+    let mut node = Node::with(settings(), 1, fleet(4));
+    node.event(Event::Roster(RosterNews::Full(fleet(3))));
+    assert!((1..200).all(|n| node.home(n, n) != id(4)));
+}
+
+#[test]
+fn an_emptied_list_sends_nothing_and_a_new_one_serves_again() {
+    let mut node = Node::with(settings(), 1, fleet(4));
+    node.event(Event::Roster(RosterNews::Full(vec![])));
+    assert!(sent(&node.request(read(1, 1))).is_empty());
+    node.event(Event::Roster(RosterNews::Full(fleet(4))));
+    assert_eq!(sent(&node.request(read(2, 2))).len(), 1);
+}
+
+/// A bucket that fills in quiet times let more attempts through in one window than the rule allows.
+#[test]
+fn further_attempts_keep_to_the_budget_in_any_window() {
+    let mut stated = settings();
+    stated.guarantees.budget = Some(Budget { span: 5.0, free: 2.0, ratio: 0.1 });
+    let mut node = Node::with(stated, 1, fleet(8));
+    let (mut taken, mut extra) = (Vec::new(), Vec::new());
+    for n in 0..600 {
+        // A busy start, a rest in which the window empties, and a burst of failures.
+        let failing = n >= 300;
+        node.now += if n == 300 { 4.0 } else { 0.01 };
+        taken.push(node.now);
+        let mut actions = node.request(read(n, n));
+        while !sent(&actions).is_empty() {
+            node.now += 0.001;
+            let status = if failing { Status::Overloaded } else { Status::Success };
+            actions = node.outcome(n, status, Some(CacheNote::Hit));
+            if !sent(&actions).is_empty() {
+                extra.push(node.now);
+                let within = |times: &[f64]| times.iter().filter(|&&t| t > node.now - 5.0).count() as f64;
+                assert!(within(&extra) <= 2.0 + 0.1 * within(&taken), "request {n}");
+            }
+        }
+    }
+    assert!(extra.len() > 20, "{} further attempts", extra.len());
+}
+
+#[test]
+fn an_absent_grants_one_send_outside_the_budget() {
+    let mut aside = aside();
+    aside.guarantees.budget = Some(Budget { span: 5.0, free: 0.0, ratio: 0.0 });
+    let entries = fleet_and_origin(4);
+    let mut node = Node::with(aside, 1, entries);
+    node.request(read(1, 3));
+    assert_eq!(sent(&node.outcome(1, Status::Absent, None)), [origin().server]);
+    let after = node.outcome(1, Status::Overloaded, None);
+    assert!(sent(&after).is_empty() && refused(&after), "no budget is left for one more");
+}
+
+#[test]
+fn connections_to_a_draining_server_are_closed_at_the_notice_and_after_a_late_outcome() {
+    let mut closing = settings();
+    closing.guarantees.close_on_drain = Some(1.0);
+    let closes = |actions: &[Action], n| actions.contains(&Action::CloseIdle(id(n)));
+    let mut node = Node::with(closing, 1, fleet(4));
+    let key = keys_of_one(&mut node, 400, 1)[0];
+    node.request(NewRequest { left: 1.9, ..read(900, key) });
+    let drain = RosterEntry { state: ServerState::Draining, ..entry(1) };
+    assert!(closes(&node.event(Event::Roster(RosterNews::Delta(vec![drain.clone()]))), 1));
+    // Ordered answers: a connection may fall idle unseen, so closing is repeated while it is listed.
+    assert!(closes(&node.pass(0.4), 1));
+    assert!(closes(&node.event(Event::Roster(RosterNews::Delta(vec![drain]))), 1), "a repeated notice");
+    assert!(closes(&node.event(Event::Roster(RosterNews::Full(fleet(4)[1..].to_vec()))), 1), "it left");
+    node.pass(1.0);
+    assert!(closes(&node.serve(900), 1), "an outcome after it left the list");
+    assert!(!closes(&node.pass(2.0), 2), "those that stay are left open");
+}
+
+#[test]
+fn repeats_are_budgeted() {
+    let mut node = Node::with(settings(), 1, fleet(8));
+    let mut repeats = 0;
+    for n in 0..1000 {
+        let mut actions = node.request(read(n, n));
+        while !sent(&actions).is_empty() {
+            node.now += 0.01;
+            actions = node.outcome(n, Status::Overloaded, None);
+            repeats += sent(&actions).len();
+        }
+    }
+    assert!((20..=125).contains(&repeats), "{repeats} repeats of 1000 requests");
+}
+
+#[test]
+fn nonsense_settings_are_errors_that_name_the_value() {
+    let bad = |change: &dyn Fn(&mut Settings)| {
+        let mut s = settings();
+        change(&mut s);
+        Balancer::new(s, 1).err().expect("an error").to_string()
+    };
+    assert!(bad(&|s| s.balancers = 0).contains("balancers"));
+    assert!(bad(&|s| s.classes.clear()).contains("classes"));
+    assert!(bad(&|s| s.guarantees.ramp = -1.0).contains("ramp"));
+    assert!(bad(&|s| s.guarantees.cold_from = f64::NAN).contains("cold from"));
+    assert!(bad(&|s| s.classes[0].deadline = 0.0).contains("read"));
+}
+
+#[test]
+fn a_refusal_tells_when_to_come_back_within_what_clients_heed() {
+    let advice = |limits: Limits| {
+        let mut node = Node::with(Settings { limits, ..settings() }, 1, vec![]);
+        node.request(read(1, 1));
+        node.pass(0.5).iter().find_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        })
+    };
+    let heeding = Limits { retry_after: true, max_retry_after: 0.05, ..settings().limits };
+    assert_eq!(advice(heeding.clone()), Some(Some(0.05)));
+    let usual = advice(Limits { max_retry_after: 10.0, ..heeding.clone() }).flatten();
+    assert!(usual.is_some_and(|after| after > 0.05 && after < 1.0), "{usual:?}");
+    assert_eq!(advice(Limits { retry_after: false, ..heeding }), Some(None));
+}
+
+/// Each answer looked at all requests held, and each of them at all places: more CPU than the node has.
+#[test]
+fn an_answer_frees_one_place_and_few_of_the_requests_held_are_looked_at() {
+    let cache = at_origin();
+    let mut node = Node::with(Settings { cache, ..settings() }, 1, fleet(1));
+    assert_eq!(sent(&node.request(NewRequest { left: 30.0, ..read(1, 1) })).len(), 1);
+    // Left alone for 5 s at most.
+    for from in [3, 4] {
+        node.event(Event::Message { from, bytes: failing(&id(1)) });
+    }
+    node.now += 2.9;
+    for n in 2..20 {
+        let held = NewRequest { left: 30.0, ..read(n, n) };
+        assert!(sent(&node.request(held)).is_empty(), "{n} is held");
+    }
+    node.now += 2.2;
+    assert_eq!(sent(&node.serve(1)).len(), 2);
+    node.now += 0.05;
+    assert!(sent(&node.event(Event::Timer(TimerToken(0)))).len() > 2, "the others at the next tick");
+}
