Pool: no look through idle connections while there are none

Cause: each edge and shield woke up every second to look for idle connections to close, also where it had none.

--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap};
 use hyper::{Method, Request, Response, StatusCode};
+use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::room::Room;
@@ -75,6 +76,8 @@
 /// All connections that one process opens.
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
+    /// A connection has become idle.
+    rested: Notify,
     open: Rc<Cell<usize>>,
     most: usize,
     /// Connections opened so far.
@@ -85,12 +88,23 @@
 
 impl Pool {
     pub fn new(most: usize, room: Room) -> Rc<Self> {
-        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, opened: Cell::new(0), room })
+        Rc::new(Pool {
+            idle: RefCell::default(),
+            rested: Notify::new(),
+            open: Rc::default(),
+            most,
+            opened: Cell::new(0),
+            room,
+        })
     }
 
     /// Closes what would be unused for too long, for as long as the process runs.
     pub async fn sweep(&self) {
         loop {
+            // Without idle connections there is nothing to wake up for.
+            while self.idle.borrow().is_empty() {
+                self.rested.notified().await;
+            }
             sleep(SWEEP).await;
             let now = Instant::now();
             self.idle.borrow_mut().retain(|_, idle| {
@@ -204,6 +218,7 @@
                             let since = Instant::now();
                             let idle = Idle { connection, since, until: since + kept };
                             self.idle.borrow_mut().entry(addr).or_default().push(idle);
+                            self.rested.notify_one();
                         }
                     }
                     return Ok(reply);
--- a/glenfall/tests/unit/pool.rs
+++ b/glenfall/tests/unit/pool.rs
@@ -12,8 +12,9 @@
 use hyper::header::HeaderMap;
 use hyper::{Method, Request, Uri};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::time::{sleep, Instant};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
 
 use crate::support::{run_local, stand_in};
 
@@ -164,3 +165,34 @@
     assert_eq!(kept("connection", "Close"), None);
     assert_eq!(kept("server", "x"), Some(KEPT));
 }
+
+/// The sweep rests while no connection is idle; one that becomes idle after such a rest is closed all the same.
+#[test]
+fn connections_that_become_idle_after_a_rest_are_closed_in_time() {
+    run_local(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let addr = listener.local_addr().expect("its address");
+        let pool = pool();
+        let sweeping = Rc::clone(&pool);
+        spawn_local(async move { sweeping.sweep().await });
+        for _ in 0..2 {
+            let served = async {
+                let (mut stream, _) = listener.accept().await.expect("the client");
+                let mut heard = Vec::new();
+                while !heard.ends_with(b"\r\n\r\n") {
+                    stream.read_buf(&mut heard).await.expect("a request");
+                }
+                // Kept for half a second by the client.
+                let answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=2\r\n\r\nok";
+                stream.write_all(answer.as_bytes()).await.expect("it is read");
+                stream
+            };
+            let asked = exchanged(&pool, addr, Method::GET, "", Trust::Ours);
+            let (body, mut stream) = tokio::join!(asked, served);
+            assert_eq!(body, Ok("ok".to_owned()));
+            assert!(pool.is_warm(addr));
+            let closed = timeout(Duration::from_secs(30), stream.read(&mut [0])).await;
+            assert_eq!(closed.expect("a close, long after it is due").expect("in order"), 0);
+        }
+    });
+}
