--- a/glenfall/src/kept.rs
+++ b/glenfall/src/kept.rs
@@ -5,7 +5,7 @@
 //! the last while (see [`Shield`](crate::shield::Shield)), and only if it was written within that while.
 
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use crate::backlog::{Backlog, Reserved};
 use crate::cache::ObjectKey;
 use crate::disk::{self, now_ms};
 
@@ -26,6 +27,8 @@
 const GATHER: Duration = Duration::from_millis(300);
 /// Bytes of copies that wait to be written; what comes beyond is kept in memory only.
 pub const MOST_WAITING: usize = 8 << 20;
+/// Rows that changes wait for at most, of all kinds: a disk that hangs must not fill the memory with them.
+pub const MOST_ENTRIES: usize = 1 << 16;
 /// Pages of the file, and of the log before it, in bytes: a copy takes few of them.
 const PAGE: usize = 16 << 10;
 /// The log goes into the file when it has so many pages, and is cut back to that where it was longer.
@@ -70,6 +73,13 @@
     Remove(Vec<String>),
 }
 
+/// A change on its way to the thread that writes, and its part of the backlogs.
+struct Queued {
+    change: Change,
+    _entries: Reserved,
+    _body: Option<Reserved>,
+}
+
 impl Change {
     fn rows(&self) -> usize {
         match self {
@@ -77,19 +87,16 @@
             Change::Remove(ids) => ids.len(),
         }
     }
-
-    fn body_bytes(&self) -> usize {
-        match self {
-            Change::Put { body, .. } => body.len(),
-            Change::Born { .. } | Change::Remove(_) => 0,
-        }
-    }
 }
 
 /// The way to the thread that writes.
 pub struct Kept {
-    changes: mpsc::Sender<Change>,
-    waiting: Arc<AtomicUsize>,
+    changes: mpsc::Sender<Queued>,
+    /// Bytes of bodies that wait, and rows of all changes.
+    bodies: Backlog,
+    entries: Backlog,
+    /// A removal found no place in the queue: all that was queued before it, and the file, is thrown away.
+    removal_lost: Arc<AtomicBool>,
 }
 
 /// The steady clock, which goes on while the machine runs, whatever becomes of the process.
@@ -119,13 +126,25 @@
     pub fn prepare(folder: &Path, disk_mb: u64) -> (Kept, Writer, oneshot::Receiver<Vec<Row>>) {
         let (changes, queue) = mpsc::channel();
         let (tell, found) = oneshot::channel();
-        let waiting = Arc::new(AtomicUsize::new(0));
+        let (bodies, entries) = (Backlog::new(MOST_WAITING), Backlog::new(MOST_ENTRIES));
+        let removal_lost = Arc::new(AtomicBool::new(false));
         let file = File {
             path: folder.join(FILE),
             most_pages: (disk_mb as f64 * PART_OF_DISK * f64::from(1 << 20)) as usize / PAGE,
         };
-        let writer = Writer { file, queue, waiting: Arc::clone(&waiting), tell: Some(tell) };
-        (Kept { changes, waiting }, writer, found)
+        let writer = Writer {
+            file,
+            queue,
+            bodies: bodies.clone(),
+            removal_lost: Arc::clone(&removal_lost),
+            tell: Some(tell),
+        };
+        (Kept { changes, bodies, entries, removal_lost }, writer, found)
+    }
+
+    /// Bytes of copies that wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.bodies.waiting()
     }
 
     /// Writes a copy, in place of what lay there under its name.
@@ -137,10 +156,11 @@
         body: &Bytes,
         age: Duration,
     ) {
-        if self.waiting.load(Ordering::Relaxed) + body.len() > MOST_WAITING {
+        let rooms = self.bodies.reserve(body.len()).zip(self.entries.reserve(1));
+        let Some((room, entries)) = rooms else {
             // What lay there before is another version.
             return self.remove(std::slice::from_ref(key));
-        }
+        };
         let text = |(name, value): (&HeaderName, &HeaderValue)| (name.to_string(), value.as_bytes().to_vec());
         let head = Head {
             service: key.service.to_string(),
@@ -150,25 +170,31 @@
             labels: labels.iter().map(ToString::to_string).collect(),
         };
         let Ok(head) = postcard::to_stdvec(&head) else { return };
-        self.waiting.fetch_add(body.len(), Ordering::Relaxed);
-        self.send(Change::Put { id: id(key), head, body: body.clone(), born: born(age) });
+        let change = Change::Put { id: id(key), head, body: body.clone(), born: born(age) };
+        self.send(change, entries, Some(room));
     }
 
     /// A copy was asked for again, and has not changed.
     pub fn refreshed(&self, key: &ObjectKey, age: Duration) {
-        self.send(Change::Born { id: id(key), born: born(age) });
+        // Without it the copy is taken for older than it is.
+        if let Some(entries) = self.entries.reserve(1) {
+            self.send(Change::Born { id: id(key), born: born(age) }, entries, None);
+        }
     }
 
     /// Removes copies that are there.
     pub fn remove(&self, keys: &[ObjectKey]) {
         for some in keys.chunks(MOST_AT_ONCE) {
-            self.send(Change::Remove(some.iter().map(id).collect()));
+            match self.entries.reserve(some.len()) {
+                Some(entries) => self.send(Change::Remove(some.iter().map(id).collect()), entries, None),
+                None => self.removal_lost.store(true, Ordering::Release),
+            }
         }
     }
 
-    fn send(&self, change: Change) {
+    fn send(&self, change: Change, entries: Reserved, body: Option<Reserved>) {
         // The thread ends with the process only.
-        let _ = self.changes.send(change);
+        let _ = self.changes.send(Queued { change, _entries: entries, _body: body });
     }
 }
 
@@ -266,7 +292,7 @@
     Ok(found)
 }
 
-fn write(db: &mut Connection, changes: &[Change]) -> rusqlite::Result<()> {
+fn write(db: &mut Connection, changes: &[Queued]) -> rusqlite::Result<()> {
     let transaction = db.transaction()?;
     {
         let mut put = transaction.prepare_cached(
@@ -274,8 +300,8 @@
         )?;
         let mut age = transaction.prepare_cached("UPDATE copies SET born = ?2 WHERE id = ?1")?;
         let mut remove = transaction.prepare_cached("DELETE FROM copies WHERE id = ?1")?;
-        for change in changes {
-            match change {
+        for queued in changes {
+            match &queued.change {
                 Change::Put { id, head, body, born } => {
                     put.execute((id, head, &body[..], born, crc(head, body)))?;
                 }
@@ -300,15 +326,16 @@
 /// The side that reads and writes the file.
 pub struct Writer {
     file: File,
-    queue: mpsc::Receiver<Change>,
-    waiting: Arc<AtomicUsize>,
+    queue: mpsc::Receiver<Queued>,
+    bodies: Backlog,
+    removal_lost: Arc<AtomicBool>,
     tell: Option<oneshot::Sender<Vec<Row>>>,
 }
 
 impl Writer {
     /// Bytes of copies that wait to be written.
     pub fn waiting(&self) -> usize {
-        self.waiting.load(Ordering::Relaxed)
+        self.bodies.waiting()
     }
 
     /// Tells what is there, then writes until nobody can put or remove any more.
@@ -321,9 +348,15 @@
             }
             let changes = self.gather(first);
             behind = rows(&changes) >= MOST_AT_ONCE;
+            // Asked for after the changes were taken: a removal that was lost before one of them shows here.
+            if self.removal_lost.swap(false, Ordering::AcqRel) {
+                db = None;
+                self.throw_all_away();
+                continue;
+            }
             db = db.or_else(|| self.file.open_anew());
             let written = db.as_mut().map(|db| write(db, &changes));
-            self.waiting.fetch_sub(changes.iter().map(Change::body_bytes).sum(), Ordering::Relaxed);
+            drop(changes);
             if let Some(Err(error)) = written {
                 // Full, or the disk refuses: what should have gone may still lie there, so that all of it goes.
                 tracing::warn!(%error, "copies not written to disk; those there are thrown away");
@@ -334,6 +367,13 @@
         }
     }
 
+    /// Lets go of what is queued and what lies in the file, as a removal among it was lost.
+    fn throw_all_away(&self) {
+        tracing::warn!("too many changes wait for the disk; the copies there are thrown away");
+        while self.queue.try_recv().is_ok() {}
+        disk::throw_away(&self.file.path);
+    }
+
     /// Opens the file and tells what is there.
     fn read(&mut self) -> Option<Connection> {
         let mut db = self.file.open_anew();
@@ -351,7 +391,7 @@
     }
 
     /// Changes that are written as one.
-    fn gather(&self, first: Change) -> Vec<Change> {
+    fn gather(&self, first: Queued) -> Vec<Queued> {
         let mut changes = vec![first];
         while rows(&changes) < MOST_AT_ONCE {
             let Ok(next) = self.queue.try_recv() else { break };
@@ -362,6 +402,6 @@
 }
 
 /// Rows that changes touch.
-fn rows(changes: &[Change]) -> usize {
-    changes.iter().map(Change::rows).sum()
+fn rows(changes: &[Queued]) -> usize {
+    changes.iter().map(|queued| queued.change.rows()).sum()
 }
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod agent;
+pub mod backlog;
 pub mod boot;
 pub mod cache;
 pub mod control;
--- a/glenfall/tests/unit/kept.rs
+++ b/glenfall/tests/unit/kept.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall::kept::{since_written, Kept, FILE, MOST_WAITING};
+use glenfall::kept::{since_written, Kept, FILE, MOST_ENTRIES, MOST_WAITING};
 use hyper::header::{HeaderMap, HeaderValue};
 use rusqlite::Connection;
 
@@ -77,6 +77,24 @@
     assert_eq!(found(&folder), [("/big".into(), MOST_WAITING, "t".into())]);
 }
 
+/// A disk that hangs: the queue is full, and what a purge names would stay on disk.
+#[test]
+fn a_removal_that_finds_no_place_takes_along_all_that_was_there_before_it() {
+    let folder = Folder::new("kept-lost");
+    with(&folder, |kept| put(kept, "/a", 5, 0));
+    with(&folder, |kept| {
+        put(kept, "/queued", 5, 0);
+        kept.remove(&(1..MOST_ENTRIES).map(|n| key(&format!("/{n}"))).collect::<Vec<_>>());
+        kept.remove(&[key("/a"), key("/queued")]);
+        // Nothing else finds a place either, and nothing waits for one.
+        put(kept, "/late", 5, 0);
+        kept.refreshed(&key("/a"), Duration::ZERO);
+    });
+    assert_eq!(found(&folder), []);
+    with(&folder, |kept| put(kept, "/new", 5, 0));
+    assert_eq!(found(&folder), [("/new".into(), 5, "t".into())]);
+}
+
 #[test]
 fn a_spoilt_file_is_thrown_away_and_a_spoilt_row_left_out() {
     let folder = Folder::new("kept-spoilt");
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -3,6 +3,7 @@
 mod support;
 
 mod agent;
+mod backlog;
 mod backup;
 mod boot;
 mod cache;
--- a/glenfall/tests/unit/purge_log.rs
+++ b/glenfall/tests/unit/purge_log.rs
@@ -4,7 +4,7 @@
 use glenfall_plane::messages::{Purge, Stamped};
 use glenfall_plane::purges::REMEMBERED;
 
-use crate::support::Folder;
+use crate::support::{copy_files, Folder};
 
 fn stamped(number: u64, age_ms: u64) -> Stamped {
     let purge = Purge::Label(format!("l{number}"));
@@ -31,3 +31,18 @@
     assert_eq!(numbers(&found), [label(1), label(2), label(4)]);
     assert!(found[1].age_ms + CLOCK_OFF as u64 >= REMEMBERED - 60_000);
 }
+
+/// What lies in the folder at the moment when a purge is said to be written, its thread stopped there or going on.
+#[test]
+fn a_purge_is_said_to_be_written_only_once_it_is() {
+    let folder = Folder::new("purges-told");
+    let (log, _found) = PurgeLog::open(&folder).unwrap();
+    for number in 1..=20 {
+        log.write(vec![stamped(number, 0)]).blocking_recv().unwrap();
+        // One of its own each time: the thread of the log before may still be about to remove its files.
+        let then = Folder::new(&format!("purges-told-{number}"));
+        copy_files(&folder, &then);
+        let (_log, found) = PurgeLog::open(&then).unwrap();
+        assert!(found.iter().any(|s| s.number == number), "{number} is not there");
+    }
+}
--- a/glenfall/tests/unit/store.rs
+++ b/glenfall/tests/unit/store.rs
@@ -10,7 +10,7 @@
 use rusqlite::Connection;
 use serde::Serialize;
 
-use crate::support::Folder;
+use crate::support::{copy_files, Folder};
 
 /// The layouts of the file: of this version, and of the versions before.
 const LAYOUT: i64 = 3;
@@ -66,6 +66,21 @@
     }
 }
 
+/// What lies in the folder at the moment when a state is said to be synced, its thread stopped there or going on.
+#[test]
+fn a_state_is_said_to_be_synced_only_once_it_is_in_the_file() {
+    let (folder, then) = (Folder::new("store-told"), Folder::new("store-told-then"));
+    let (store, _) = Store::open(&folder).unwrap();
+    let (tell, mut synced) = tokio::sync::mpsc::unbounded_channel();
+    let writes = start(store, tell).unwrap();
+    for number in 1..=20 {
+        writes.send((number, state(number * 16, 9000))).unwrap();
+        assert_eq!(synced.blocking_recv(), Some(number));
+        copy_files(&folder, &then);
+        assert_eq!(Store::open(&then).unwrap().1, Found::Kept(state(number * 16, 9000)));
+    }
+}
+
 #[test]
 fn what_was_written_last_is_read_back() {
     let folder = Folder::new("store-back");
--- a/glenfall/tests/unit/support.rs
+++ b/glenfall/tests/unit/support.rs
@@ -65,6 +65,15 @@
     }
 }
 
+/// Copies the files of a folder as they are now into another one, which is emptied before.
+pub fn copy_files(from: &Path, to: &Path) {
+    let _ = std::fs::remove_dir_all(to);
+    std::fs::create_dir_all(to).expect("a folder");
+    for entry in std::fs::read_dir(from).expect("a folder").flatten() {
+        std::fs::copy(entry.path(), to.join(entry.file_name())).expect("a copy");
+    }
+}
+
 /// Settings of a node, with more lines at their end.
 pub fn settings(more: &str) -> Boot {
     let text = "node = \"n\"\nzone = \"z\"\nbindIp = \"127.0.0.1\"\nportRange = [1, 9]\n\
