--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
+use crate::response::ServerResponse;
 use crate::room::Room;
 use crate::serve::TRY_ID;
 
@@ -38,14 +39,6 @@
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// A whole answer.
-#[derive(Clone, Debug)]
-pub struct Reply {
-    pub status: StatusCode,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-}
-
 /// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -162,7 +155,7 @@
         until: Instant,
         trust: Trust,
         still: impl Fn() -> bool,
-    ) -> Result<Reply, Trouble> {
+    ) -> Result<ServerResponse, Trouble> {
         self.exchange_within(Some(ANSWER_TIME), addr, request, until, trust, still).await
     }
 
@@ -176,7 +169,7 @@
         until: Instant,
         trust: Trust,
         still: impl Fn() -> bool,
-    ) -> Result<Reply, Trouble> {
+    ) -> Result<ServerResponse, Trouble> {
         loop {
             let (mut connection, reused) = match self.take_idle(addr, trust) {
                 Some(connection) => (connection, true),
@@ -260,7 +253,7 @@
     method: &Method,
     room: &Room,
     waiting: &Cell<bool>,
-) -> Option<(Reply, Option<Duration>)> {
+) -> Option<(ServerResponse, Option<Duration>)> {
     let (head, body) = response.into_parts();
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return None;
@@ -272,7 +265,7 @@
     }
     let body = read_body(body, room, waiting).await?;
     let kept = kept_for(&head.headers);
-    Some((Reply { status: head.status, headers: head.headers, body }, kept))
+    Some((ServerResponse::new(head, body), kept))
 }
 
 /// Reads a body for which there is room, or will be.
--- a/glenfall/tests/unit/edge.rs
+++ b/glenfall/tests/unit/edge.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use glenfall::edge::{Edge, MOST_PURGED, PURGED};
 use glenfall::feed::{Feed, Follower};
-use glenfall::pool::{Pool, Reply};
+use glenfall::pool::Pool;
+use glenfall::response::ServerResponse;
 use glenfall::room::Room;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
-use hyper::header::{HeaderMap, HeaderValue};
-use hyper::StatusCode;
+use hyper::header::HeaderValue;
+use hyper::Response;
 use tokio::time::Instant;
 
 use crate::support::{object, settings};
@@ -21,13 +22,13 @@
     Edge::new(&boot, feed, Pool::new(8, Room::new(1 << 20)))
 }
 
-fn from_shield(tags: &'static str) -> Reply {
-    let mut headers = HeaderMap::new();
+fn from_shield(tags: &'static str) -> ServerResponse {
+    let mut head = Response::new(()).into_parts().0;
     for (name, value) in [("x-glenfall-seal", "s"), ("x-glenfall-tags", tags), ("x-glenfall-age-ms", "1500")]
     {
-        headers.insert(name, HeaderValue::from_static(value));
+        head.headers.insert(name, HeaderValue::from_static(value));
     }
-    Reply { status: StatusCode::OK, headers, body: Bytes::from_static(b"body") }
+    ServerResponse::new(head, Bytes::from_static(b"body"))
 }
 
 fn kept(edge: &Edge, path: &str) -> bool {
