Copies on disk bear the time of the last change in them, not of the write

Cause: a start uses the file if it was written less than 100 s ago, as control remembers the purges of 120 s. The time was taken in the write, though removals may still be queued: behind a disk that hangs, or with more changes than are written at once, the file could look newer than what it holds. Change: each change carries the moment at which it was queued, and the file bears that of the last one. Test: the_file_is_as_old_as_the_last_change_in_it_not_as_its_write fails with the time of the write (tried).

--- a/glenfall/src/kept.rs
+++ b/glenfall/src/kept.rs
@@ -73,9 +73,23 @@
     Remove(Vec<String>),
 }
 
+/// A moment by the time of day and by the steady clock, in milliseconds.
+#[derive(Clone, Copy)]
+struct Clocks {
+    day: i64,
+    steady: i64,
+}
+
+impl Clocks {
+    fn now() -> Clocks {
+        Clocks { day: now_ms(), steady: steady_ms() }
+    }
+}
+
 /// A change on its way to the thread that writes, and its part of the backlogs.
 struct Queued {
     change: Change,
+    at: Clocks,
     _entries: Reserved,
     _body: Option<Reserved>,
 }
@@ -194,7 +208,7 @@
 
     fn send(&self, change: Change, entries: Reserved, body: Option<Reserved>) {
         // The thread ends with the process only.
-        let _ = self.changes.send(Queued { change, _entries: entries, _body: body });
+        let _ = self.changes.send(Queued { change, at: Clocks::now(), _entries: entries, _body: body });
     }
 }
 
@@ -315,10 +329,11 @@
                 }
             }
         }
-        transaction.execute(
-            "INSERT OR REPLACE INTO written (id, at, steady) VALUES (1, ?1, ?2)",
-            [now_ms(), steady_ms()],
-        )?;
+        // The file is as of then: what was removed since waits in the queue, however long this write takes.
+        if let Some(Clocks { day, steady }) = changes.last().map(|last| last.at) {
+            let written = "INSERT OR REPLACE INTO written (id, at, steady) VALUES (1, ?1, ?2)";
+            transaction.execute(written, [day, steady])?;
+        }
     }
     transaction.commit()
 }
--- a/glenfall/tests/unit/kept.rs
+++ b/glenfall/tests/unit/kept.rs
@@ -1,7 +1,7 @@
 //! Copies on disk.
 
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use glenfall::kept::{since_written, Kept, FILE, MOST_ENTRIES, MOST_WAITING};
@@ -77,6 +77,22 @@
     assert_eq!(found(&folder), [("/big".into(), MOST_WAITING, "t".into())]);
 }
 
+/// Purges since the last change that is written wait in the queue, and a start must know that it may have missed them.
+#[test]
+fn the_file_is_as_old_as_the_last_change_in_it_not_as_its_write() {
+    let folder = Folder::new("kept-as-of");
+    let (kept, mut writer, _found) = Kept::prepare(&folder, 64);
+    put(&kept, "/a", 5, 0);
+    drop(kept);
+    // The thread that writes is stopped for a moment.
+    std::thread::sleep(Duration::from_millis(50));
+    let goes_on = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64;
+    writer.run();
+    let db = Connection::open(folder.join(FILE)).unwrap();
+    let at: i64 = db.query_row("SELECT at FROM written", [], |row| row.get(0)).unwrap();
+    assert!(at < goes_on, "{} ms too late", at - goes_on);
+}
+
 /// A disk that hangs: the queue is full, and what a purge names would stay on disk.
 #[test]
 fn a_removal_that_finds_no_place_takes_along_all_that_was_there_before_it() {
