--- a/lab/src/processor/counts.rs
+++ b/lab/src/processor/counts.rs
@@ -39,7 +39,8 @@
     totals
 }
 
-fn threads(pid: u32) -> Vec<PathBuf> {
+/// The threads of a process, as folders in `/proc`.
+pub fn threads(pid: u32) -> Vec<PathBuf> {
     let tasks = read_dir(format!("/proc/{pid}/task")).into_iter().flatten().flatten();
     tasks.map(|task| task.path()).collect()
 }
--- a/lab/src/processor/mod.rs
+++ b/lab/src/processor/mod.rs
@@ -116,12 +116,19 @@
     for case in AT_SHIELDS {
         cases.push(one_zone.measure(case, plan, &idle).await?);
     }
+    let threads = one_zone.threads();
     drop(one_zone);
     let mut zones_apart = System::start(ZONES_APART, NET + 1, program).await?;
     for case in AT_EDGES {
         cases.push(zones_apart.measure(case, plan, &idle).await?);
     }
-    Ok(ProcessorReport { requests: plan.requests, idle_s: plan.idle_s, traced: !plan.no_trace, cases })
+    Ok(ProcessorReport {
+        requests: plan.requests,
+        idle_s: plan.idle_s,
+        traced: !plan.no_trace,
+        threads,
+        cases,
+    })
 }
 
 impl System {
@@ -151,6 +158,13 @@
         nodes.flat_map(|node| self.local.pids(&node, Some(role))).collect()
     }
 
+    /// Threads of a process of each role, the most of any.
+    fn threads(&self) -> BTreeMap<&'static str, usize> {
+        let most =
+            |role| self.pids(role).into_iter().map(|pid| counts::threads(pid).len()).max().unwrap_or(0);
+        ROLES.into_iter().map(|role| (role, most(role))).collect()
+    }
+
     /// What a process of each role costs in a second without requests.
     async fn idle(&mut self, plan: &ProcessorPlan) -> Result<BTreeMap<&'static str, Cost>, LabError> {
         let rest = Duration::from_secs_f64(plan.idle_s);
--- a/lab/src/processor/report.rs
+++ b/lab/src/processor/report.rs
@@ -36,6 +36,8 @@
     pub requests: u32,
     pub idle_s: f64,
     pub traced: bool,
+    /// Threads of a process of each role after all requests, the most of any.
+    pub threads: BTreeMap<&'static str, usize>,
     pub cases: Vec<CaseReport>,
 }
 
@@ -52,6 +54,9 @@
             let cells: Vec<String> = ROLES.iter().map(|role| self.cell(&case.costs[role])).collect();
             let _ = writeln!(text, "| {} | {} |", case.name, cells.join(" | "));
         }
+        let threads: Vec<String> =
+            self.threads.iter().map(|(role, count)| format!("{role} {count}")).collect();
+        let _ = writeln!(text, "\nThreads of a process: {}.", threads.join(", "));
         if self.traced {
             text.push_str("\nSystem calls by name:\n\n");
             for case in &self.cases {
--- a/lab/tests/processor.rs
+++ b/lab/tests/processor.rs
@@ -35,6 +35,8 @@
     let out = std::env::temp_dir().join(format!("glenfall-processor-{}", std::process::id()));
     let has_strace = Command::new("strace").arg("-V").output().is_ok();
     let report = measured(&out, if has_strace { &[] } else { &["--no-trace"] });
+    // Whatever the number of cores: the runtime's, and one for each file that is written (docs/threads.md).
+    assert_eq!(report["threads"], serde_json::json!({ "edge": 1, "agent": 1, "shield": 2, "control": 3 }));
     let cases = report["cases"].as_array().unwrap();
     assert_eq!(cases.len(), 9);
     for case in cases {
