--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -60,24 +60,51 @@
     }
 }
 
-/// Reads one request whole, as a server: its try's id. `None` where the connection ends.
-pub fn read_request(reader: &mut impl BufRead) -> Option<String> {
-    let (mut id, mut length, mut line) = (String::new(), 0, String::new());
-    while line != "\r\n" {
-        line.clear();
-        if reader.read_line(&mut line).unwrap_or(0) == 0 {
-            return None;
-        }
-        let lower = line.to_ascii_lowercase();
-        if let Some(value) = lower.strip_prefix("x-glenfall-try-id: ") {
-            id = value.trim().to_owned();
-        }
-        if let Some(value) = lower.strip_prefix("content-length: ") {
-            length = value.trim().parse().unwrap();
+/// A request as a server reads it.
+pub struct Received {
+    /// Method, path and version.
+    pub line: String,
+    /// Names and values, the names in lower case.
+    headers: Vec<(String, String)>,
+}
+
+impl Received {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+
+    pub fn try_id(&self) -> &str {
+        self.header("x-glenfall-try-id").unwrap_or("")
+    }
+
+    pub fn path(&self) -> &str {
+        self.line.split(' ').nth(1).unwrap_or("")
+    }
+}
+
+/// Reads one request whole, as a server. `None` where the connection ends.
+pub fn receive(reader: &mut impl BufRead) -> Option<Received> {
+    let mut next_line = || {
+        let mut line = String::new();
+        (reader.read_line(&mut line).unwrap_or(0) > 0).then(|| line.trim_end().to_owned())
+    };
+    let mut received = Received { line: next_line()?, headers: Vec::new() };
+    loop {
+        let line = next_line()?;
+        if line.is_empty() {
+            break;
         }
+        let (name, value) = line.split_once(':')?;
+        received.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
     }
+    let length = received.header("content-length").map_or(0, |length| length.parse().unwrap());
     reader.read_exact(&mut vec![0; length]).ok()?;
-    Some(id)
+    Some(received)
+}
+
+/// Reads one request whole, as a server: its try's id. `None` where the connection ends.
+pub fn read_request(reader: &mut impl BufRead) -> Option<String> {
+    receive(reader).map(|received| received.try_id().to_owned())
 }
 
 /// An answer: its status, its head and its body.
@@ -245,6 +272,39 @@
         [4, 5].map(|offset| SocketAddrV4::new(machine(EDGE), self.base + offset))
     }
 
+    /// Says a server's word to the first control node.
+    pub fn beat(&self, id: &str, service: &str, addr: SocketAddrV4, status: &str, seq: u32) {
+        let body = format!(
+            r#"{{"backend":"{service}","addr":"{addr}","zone":"z","capacity":8,"status":"{status}","callSeq":{seq}}}"#
+        );
+        let line = format!("PUT /api/servers/{id}");
+        let heard = request(self.control_addr(1), &line, "Host: c\r\n", &body);
+        assert_eq!(heard.map(|heard| heard.0), Some(200));
+    }
+
+    /// Puts (`put`) or changes (`patch`) the configuration, as an operator's verb does.
+    pub fn configure(&self, verb: &str, builds_on: u64, document: &str) {
+        let file = format!("{verb}-{builds_on}.json");
+        std::fs::write(self.folder.join(&file), document).unwrap();
+        let (at, builds_on) = (self.control(2), builds_on.to_string());
+        let told = self.verb(&["config", verb, "--control", &at, "--builds-on", &builds_on, &file]);
+        assert!(told.0, "{}", told.1);
+    }
+
+    /// Waits until the edge is ready and control knows three shields that are.
+    pub fn await_ready(&self) {
+        let ready = self.edge_addrs()[1];
+        await_that("the edge is ready", || {
+            request(ready, "GET /api/ready", "Host: e\r\n", "").is_some_and(|heard| heard.0 == 200)
+        });
+        let shields = |n| {
+            let status = self.status(n)?;
+            let shields = status["shields"].as_array()?.iter();
+            Some(shields.filter(|shield| shield["ready"] == true).count())
+        };
+        await_that("all shields are ready", || (1..EDGE).all(|n| shields(n) == Some(3)));
+    }
+
     pub fn log(&self, n: u8) -> PathBuf {
         self.folder.join(format!("{n}.log"))
     }
--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -99,42 +99,22 @@
              "targetMs": 5000, "backend": "s", "tries": 2}],
             "backends": [{"name": "s"}, {"name": "t"}]}"#;
         path.change("put", 0, document);
-        let ready = path.system.edge_addrs()[1];
-        await_that("the edge is ready", || {
-            request(ready, "GET /api/ready", "Host: e\r\n", "").is_some_and(|heard| heard.0 == 200)
-        });
+        path.system.await_ready();
         await_that("reads and writes are served", || {
             path.ask("GET /r/first").is_some_and(|heard| heard.0 == 200)
                 && path.ask("POST /w/first").is_some_and(|heard| heard.0 == 200)
         });
-        await_that("all shields are ready", || {
-            let ready = |n| {
-                let status = path.system.status(n)?;
-                let shields = status["shields"].as_array()?.iter();
-                Some(shields.filter(|shield| shield["ready"] == true).count())
-            };
-            (1..EDGE).all(|n| ready(n) == Some(3))
-        });
         // Their being ready comes to the edge a moment later.
         await_that("reads go by a shield", || path.body("GET /r/by") == path.body("GET /r/by"));
         (path, servers.map(|(server, _)| server))
     }
 
     fn beat(&self, id: &str, service: &str, addr: SocketAddrV4, status: &str, seq: u32) {
-        let body = format!(
-            r#"{{"backend":"{service}","addr":"{addr}","zone":"z","capacity":8,"status":"{status}","callSeq":{seq}}}"#
-        );
-        let heard =
-            request(self.system.control_addr(1), &format!("PUT /api/servers/{id}"), "Host: c\r\n", &body);
-        assert_eq!(heard.map(|heard| heard.0), Some(200));
+        self.system.beat(id, service, addr, status, seq);
     }
 
     fn change(&self, verb: &str, builds_on: u64, document: &str) {
-        let file = format!("{verb}-{builds_on}.json");
-        std::fs::write(self.system.folder.join(&file), document).unwrap();
-        let (at, builds_on) = (self.system.control(2), builds_on.to_string());
-        let told = self.system.verb(&["config", verb, "--control", &at, "--builds-on", &builds_on, &file]);
-        assert!(told.0, "{}", told.1);
+        self.system.configure(verb, builds_on, document);
     }
 
     fn purge(&self, what: &[&str]) {
