--- a/glenfall/tests/bounds.rs
+++ b/glenfall/tests/bounds.rs
@@ -91,10 +91,6 @@
         if n % 200 == 0 {
             look();
         }
-        // What finds no room in the queue is not written: the disk of a busy machine may be slower than this loop.
-        while kept.waiting() + body.len() > MOST_WAITING {
-            look();
-        }
     }
     for _ in 0..5 {
         (0..8000).for_each(|n| kept.refreshed(&key(n), Duration::ZERO));
