A server's answer times are forgotten, so that one slow answer does not starve it

Cause: an answer time only changed with the next answer. Change: what is known of an answer time loses half of its weight in 10 s, and a later answer counts the more.

--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -17,6 +17,10 @@
 const FULL: Duration = Duration::from_millis(60);
 /// Weight of a new answer time in the smoothed one.
 const SMOOTH: f64 = 0.15;
+/// The time after which half of what is known of a server's answer times is forgotten. One slow answer, as with a
+/// connection or a machine that has just started, would keep requests away for good otherwise, and nothing would
+/// tell that it is fast by now.
+const TIMES_FORGOTTEN: Duration = Duration::from_secs(10);
 /// A server that is slow from its start takes about this part of what it takes when warm.
 const COLD: f64 = 0.4;
 /// A server in another zone, for those whom its bytes cost: taken when those of the own zone are crowded.
@@ -37,6 +41,10 @@
     in_flight: u32,
     /// Smoothed answer time in seconds, 0 while unknown.
     time: f64,
+    /// Its logarithm.
+    log_time: f64,
+    /// When the last answer came.
+    timed: Instant,
     rests_until: Instant,
     /// Part of the requests that it failed of late, as it was at `blamed`.
     failing: f64,
@@ -46,6 +54,12 @@
 }
 
 impl Known {
+    /// How far its answer time is still believed, from 1 down to 0.
+    fn time_trust(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.timed).as_secs_f64();
+        0.5f64.powf(passed / TIMES_FORGOTTEN.as_secs_f64())
+    }
+
     fn failing_at(&self, now: Instant) -> f64 {
         let passed = now.saturating_duration_since(self.blamed).as_secs_f64();
         self.failing * 0.5f64.powf(passed / FORGIVEN.as_secs_f64())
@@ -113,6 +127,8 @@
                 warm_at,
                 in_flight: 0,
                 time: 0.0,
+                log_time: 0.0,
+                timed: now,
                 rests_until: now,
                 failing: 0.0,
                 blamed: now,
@@ -177,29 +193,26 @@
         }
         // Where all rest, each is as good as the next.
         let awake = open.iter().any(|k| k.rests_until <= now);
-        let usual = {
-            let times: Vec<f64> = open.iter().map(|k| k.time).filter(|time| *time > 0.0).collect();
-            if times.is_empty() {
-                1.0
-            } else {
-                times.iter().sum::<f64>() / times.len() as f64
-            }
-        };
-        let weigh = |k: &Known| {
+        let trusts: Vec<f64> = open.iter().map(|k| k.time_trust(now)).collect();
+        let known_times = || open.iter().zip(&trusts).filter(|(k, _)| k.time > 0.0);
+        let trust_sum: f64 = known_times().map(|(_, trust)| trust).sum();
+        // The logarithm of the usual answer time: what is hardly believed any more hardly counts.
+        let usual = known_times().map(|(k, trust)| k.log_time * trust).sum::<f64>() / trust_sum.max(1e-9);
+        let weigh = |k: &Known, trust: f64| {
             if awake && k.rests_until > now {
                 return 0.0;
             }
-            let time = if k.time > 0.0 { k.time } else { usual };
             let room = 1.0 / (1.0 + f64::from(k.in_flight) * 4.0 / f64::from(k.server.capacity.max(1)));
             let cold = if k.warm_at > now { COLD } else { 1.0 };
             let far = if self.near && k.server.zone != self.zone { FAR } else { 1.0 };
             let warm = if warm(k.server.addr.into()) { WARM } else { 1.0 };
             // Squared: faster and emptier servers take more than their share of what others would queue.
-            let weight = f64::from(k.server.capacity.max(1)) * room * room * (usual / time).powi(2);
+            let speed = if k.time > 0.0 { (2.0 * trust * (usual - k.log_time)).exp() } else { 1.0 };
+            let weight = f64::from(k.server.capacity.max(1)) * room * room * speed;
             let well = (1.0 - k.failing_at(now)).powi(SHY);
             (weight * well * cold * far * warm).max(1e-9)
         };
-        let weights: Vec<f64> = open.iter().map(|k| weigh(k)).collect();
+        let weights: Vec<f64> = open.iter().zip(&trusts).map(|(k, trust)| weigh(k, *trust)).collect();
         let mut left = self.draw() * weights.iter().sum::<f64>();
         let mut last = None;
         for (k, weight) in open.iter().zip(&weights).filter(|(_, weight)| **weight > 0.0) {
@@ -265,7 +278,11 @@
             End::Erred => {}
             End::Answered => {
                 let took = took.as_secs_f64();
-                k.time = if k.time > 0.0 { k.time + SMOOTH * (took - k.time) } else { took };
+                // The longer ago the last answer, the more the new one says.
+                let part = 1.0 - (1.0 - SMOOTH) * k.time_trust(now);
+                k.time = if k.time > 0.0 { k.time + part * (took - k.time) } else { took };
+                k.log_time = k.time.max(1e-6).ln();
+                k.timed = now;
             }
             End::TurnedAway => k.rests_until = now + FULL,
             End::Failed => k.rests_until = now + REST,
--- a/glenfall/tests/unit/origins.rs
+++ b/glenfall/tests/unit/origins.rs
@@ -115,3 +115,24 @@
     tokio::time::advance(Duration::from_secs(2)).await;
     assert_eq!(told(&origins, &[server(2)]), warm_at);
 }
+
+#[tokio::test(start_paused = true)]
+async fn one_slow_answer_does_not_keep_requests_away_for_good() {
+    let origins = Origins::new("z", false, "edge-7");
+    origins.update(Instant::now(), &servers()[..2], &[]);
+    let mut slow = 100;
+    let mut counts = [0; 3];
+    // One request each 30 ms for 60 s, in thirds; a millisecond each, but for the first one at this server.
+    for n in 0..2000 {
+        let chosen = origins.choose(Instant::now(), "s", &[], |_| true).expect("one of them");
+        let began = origins.begin(&chosen.id);
+        let other = chosen.id == "i-2";
+        let took = if other { std::mem::replace(&mut slow, 1) } else { 1 };
+        tokio::time::advance(Duration::from_millis(took)).await;
+        began.ended(End::Answered);
+        tokio::time::advance(Duration::from_millis(30 - took.min(30))).await;
+        counts[n * 3 / 2000] += u32::from(other);
+    }
+    assert!(counts[0] < 100, "it is slow as far as is known: {counts:?}");
+    assert!(counts[2] > 200, "half of 666: {counts:?}");
+}
