Tests that stood beside others of their topic join them

Cause: three test programs held one topic each that unit tests held as well, with the same entry, the same handler and a port that was found free and bound later.

--- a/glenfall/tests/unit/serve.rs
+++ b/glenfall/tests/unit/serve.rs
@@ -1,5 +1,7 @@
-//! Clients' connections: the limits of heads, of idling and of bodies.
+//! Clients' connections: the limits of heads, of idling and of bodies, as they are in force.
 
+use std::cell::Cell;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,8 +18,8 @@
 use crate::support::{listener, run_local};
 
 /// Tells how long the bodies are; who asks for `/held` waits for ever.
-#[derive(Default)]
 struct Lengths {
+    limits: Cell<ReqLimits>,
     held: Notify,
 }
 
@@ -33,12 +35,7 @@
     }
 
     fn limits(&self) -> ReqLimits {
-        ReqLimits {
-            max_header_bytes: 8 << 10,
-            max_body_bytes: 4000,
-            header_timeout_ms: 150,
-            idle_timeout_ms: 900,
-        }
+        self.limits.get()
     }
 
     fn leaving(&self) -> bool {
@@ -46,6 +43,24 @@
     }
 }
 
+const LIMITS: ReqLimits = ReqLimits {
+    max_header_bytes: 8 << 10,
+    max_body_bytes: 4000,
+    header_timeout_ms: 150,
+    idle_timeout_ms: 900,
+};
+
+/// Takes clients until the sender is dropped.
+async fn serving(limits: ReqLimits) -> (Rc<Lengths>, SocketAddrV4, watch::Sender<bool>) {
+    let (listener, listen) = listener().await;
+    let (stop, stopping) = watch::channel(false);
+    let (still_accepting, grace) = (Duration::ZERO, Duration::ZERO);
+    let terms = Terms { listen, most: 2, most_bodies: 5000, still_accepting, grace };
+    let handler = Rc::new(Lengths { limits: Cell::new(limits), held: Notify::new() });
+    spawn_local(serve_at(listener, terms, Rc::clone(&handler), stopping));
+    (handler, listen, stop)
+}
+
 fn post(path: &str, header: &str, body: &str) -> String {
     format!("POST {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{header}\r\n\r\n{body}")
 }
@@ -57,12 +72,7 @@
 
 /// The same, where the body of another request takes so many of 5000 bytes.
 async fn heard_beside(others: usize, pieces: &[(&str, u64)]) -> (String, Duration) {
-    let (listener, addr) = listener().await;
-    let (_stop, stopping) = watch::channel(false);
-    let ms = Duration::from_millis;
-    let terms = Terms { listen: addr, most: 2, most_bodies: 5000, still_accepting: ms(0), grace: ms(0) };
-    let handler = Rc::new(Lengths::default());
-    spawn_local(serve_at(listener, terms, Rc::clone(&handler), stopping));
+    let (handler, addr, _stop) = serving(LIMITS).await;
     let mut other = TcpStream::connect(addr).await.expect("a connection");
     if others > 0 {
         let body = post("/held", &format!("Content-Length: {others}"), &"b".repeat(others));
@@ -131,3 +141,37 @@
         }
     });
 }
+
+/// Sends a request on a connection that stays open, and reads what comes; `None` where the connection has ended.
+async fn asked(stream: &mut TcpStream) -> Option<String> {
+    stream.write_all(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody").await.ok()?;
+    let mut heard = Vec::new();
+    while !heard.ends_with(b"\r\n\r\n") && !heard.ends_with(b"large") {
+        if stream.read_buf(&mut heard).await.ok()? == 0 {
+            return None;
+        }
+    }
+    String::from_utf8(heard).ok()
+}
+
+#[test]
+fn a_connection_goes_by_the_limits_in_force_not_by_those_of_when_it_was_opened() {
+    run_local(async {
+        // The idle limit at first, and after a change.
+        let (first, later) = (600, 60_000);
+        let limits = ReqLimits { idle_timeout_ms: first, max_body_bytes: 4, ..ReqLimits::default() };
+        let (handler, addr, _stop) = serving(limits).await;
+        let mut stream = TcpStream::connect(addr).await.expect("a connection");
+        assert!(asked(&mut stream).await.expect("an answer").starts_with("HTTP/1.1 200 "));
+        // While it rests, clients are allowed to rest for longer.
+        let limits = ReqLimits { idle_timeout_ms: later, ..limits };
+        handler.limits.set(limits);
+        sleep(Duration::from_millis(2 * first)).await;
+        let after = asked(&mut stream).await;
+        assert!(after.expect("the connection is there").starts_with("HTTP/1.1 200 "));
+        // Bodies may be shorter only.
+        handler.limits.set(ReqLimits { max_body_bytes: 3, ..limits });
+        let large = asked(&mut stream).await;
+        assert!(large.expect("an answer").starts_with("HTTP/1.1 413 "));
+    });
+}
--- a/plane/tests/unit/main.rs
+++ b/plane/tests/unit/main.rs
@@ -7,3 +7,4 @@
 mod purges;
 mod registry;
 mod subset;
+mod voters;
--- a/plane/tests/unit/registry.rs
+++ b/plane/tests/unit/registry.rs
@@ -1,10 +1,13 @@
-//! The registry of servers.
+//! The registry of servers, and what a control node that was out of touch brings back of them: its list may be old, and so
+//! may the calls that it finds waiting when it wakes.
 
 use std::net::SocketAddrV4;
 
 use glenfall_plane::registry::{Entry, EntryStatus, Heard, Registry};
 use glenfall_plane::Millis;
 
+const BEAT: Millis = 1500;
+
 fn entry(id: &str, port: u16, status: EntryStatus, call_seq: u64) -> Entry {
     Entry {
         id: id.into(),
@@ -24,7 +27,7 @@
 
 #[test]
 fn a_late_beat_does_not_take_back_a_drain_and_nothing_takes_back_a_goodbye() {
-    let mut registry = Registry::new(1500);
+    let mut registry = Registry::new(BEAT);
     assert_eq!(registry.hear(0, 0, entry("a", 1, EntryStatus::Ready, 1)), Heard::Changed);
     assert_eq!(registry.hear(10, 0, entry("a", 1, EntryStatus::Draining, 3)), Heard::Changed);
     assert_eq!(registry.hear(20, 0, entry("a", 1, EntryStatus::Ready, 2)), Heard::Late);
@@ -39,7 +42,7 @@
 
 #[test]
 fn what_others_were_told_holds_until_the_status_changes() {
-    let mut registry = Registry::new(1500);
+    let mut registry = Registry::new(BEAT);
     registry.hear(0, 0, entry("a", 1, EntryStatus::Draining, 1));
     assert!(!registry.is_spread("a"));
     registry.spread("a", EntryStatus::Draining);
@@ -56,7 +59,7 @@
 
 #[test]
 fn a_new_server_at_an_address_ends_the_one_before() {
-    let mut registry = Registry::new(1500);
+    let mut registry = Registry::new(BEAT);
     registry.hear(0, 0, entry("a", 1, EntryStatus::Ready, 1));
     registry.hear(100, 0, entry("b", 1, EntryStatus::Ready, 1));
     assert_eq!(ready(&registry, 100), ["b"]);
@@ -64,7 +67,7 @@
 
 #[test]
 fn the_silent_are_forgotten_after_some_beats_and_warmth_comes_with_time() {
-    let mut registry = Registry::new(1500);
+    let mut registry = Registry::new(BEAT);
     registry.hear(0, 0, entry("a", 1, EntryStatus::Ready, 1));
     registry.hear(4000, 0, entry("b", 2, EntryStatus::Ready, 1));
     assert_eq!(registry.hear(4000, 500, entry("a", 1, EntryStatus::Ready, 2)), Heard::Alive);
@@ -74,3 +77,53 @@
     assert!(registry.expire(9600));
     assert_eq!(ready(&registry, 9600), ["b"]);
 }
+
+#[test]
+fn an_old_list_revives_nobody_and_takes_back_no_drain() {
+    let mut majority = Registry::new(BEAT);
+    let mut away = Registry::new(BEAT);
+    for (id, port) in [("gone", 1), ("drained", 2), ("crashed", 3), ("alive", 4)] {
+        majority.hear(0, 0, entry(id, port, EntryStatus::Ready, 5));
+        away.hear(0, 0, entry(id, port, EntryStatus::Ready, 5));
+    }
+    // Told to the one that is cut off alone, in the second before it knew.
+    assert_eq!(away.hear(500, 0, entry("early", 5, EntryStatus::Ready, 1)), Heard::Changed);
+    majority.hear(1000, 0, entry("drained", 2, EntryStatus::Draining, 6));
+    assert!(majority.leave(2000, "gone").is_some());
+    assert!(majority.leave(2000, "early").is_some(), "remembered, though not known");
+    // The address of the one that crashed has a new owner.
+    majority.hear(4000, 0, entry("new", 3, EntryStatus::Ready, 1));
+    majority.hear(4500, 0, entry("alive", 4, EntryStatus::Ready, 8));
+    for (told, age) in away.all(5000) {
+        let alive = told.id == "alive";
+        assert_eq!(majority.hear(5000, age, told), Heard::Late, "alive: {alive}");
+    }
+    assert_eq!(ready(&majority, 5000), ["alive", "new"]);
+    for (told, age) in majority.all(5000) {
+        away.hear(5000, age, told);
+    }
+    assert_eq!(ready(&away, 5000), ["alive", "new"]);
+}
+
+#[test]
+fn what_a_frozen_node_finds_waiting_does_not_bring_back_who_has_fallen_silent() {
+    let mut registry = Registry::new(BEAT);
+    registry.hear(0, 0, entry("s", 1, EntryStatus::Ready, 9));
+    assert!(registry.expire(4 * BEAT));
+    // The same call as before, or an older one, heard late; and an entry as old as its age tells.
+    let now = 5 * BEAT;
+    assert_eq!(registry.hear(now, 0, entry("s", 1, EntryStatus::Ready, 9)), Heard::Late);
+    assert_eq!(registry.hear(now, 0, entry("s", 1, EntryStatus::Draining, 8)), Heard::Late);
+    assert_eq!(registry.hear(now, 4 * BEAT, entry("t", 2, EntryStatus::Ready, 3)), Heard::Late);
+    assert_eq!(registry.servers(now), []);
+    // It was cut off itself, and goes on.
+    assert_eq!(registry.hear(now, 0, entry("s", 1, EntryStatus::Ready, 10)), Heard::Changed);
+}
+
+#[test]
+fn an_address_stays_with_its_newest_owner() {
+    let mut registry = Registry::new(BEAT);
+    registry.hear(3000, 0, entry("new", 1, EntryStatus::Ready, 1));
+    assert_eq!(registry.hear(4000, 2000, entry("old", 1, EntryStatus::Ready, 9)), Heard::Late);
+    assert_eq!(ready(&registry, 4000), ["new"]);
+}
