--- a/plane/src/fleet.rs
+++ b/plane/src/fleet.rs
@@ -8,7 +8,7 @@
 use mallowpaddle::mix;
 use serde::{Deserialize, Serialize};
 
-use crate::messages::{Member, Server};
+use crate::nodes::{Member, Server};
 
 /// All servers, shields and edges, each list in the order of names.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
