--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -73,7 +73,8 @@
 pub struct Direct {
     pub pool: Rc<Pool>,
     pub origins: Origins,
-    budget: RefCell<Budget>,
+    /// Retries that the service may still be sent.
+    retry_budget: RefCell<Budget>,
     ceiling: RefCell<Ceiling>,
     limits: Limits,
     /// Whose servers these are to share: the shields, or the edges.
@@ -99,7 +100,7 @@
         Direct {
             pool,
             origins,
-            budget: RefCell::new(Budget::new(boot.further_tries())),
+            retry_budget: RefCell::new(Budget::new(boot.further_tries())),
             ceiling: RefCell::new(Ceiling::new(boot.ceiling(), phase)),
             limits: Limits::default(),
             sharers,
@@ -139,7 +140,7 @@
             self.pool.forget(addr.into());
         }
         let machines = fleet.edges.len() + fleet.shields.len();
-        self.budget.borrow_mut().share_among(self.now(), machines);
+        self.retry_budget.borrow_mut().share_among(self.now(), machines);
         let sharers = match self.sharers {
             Proxy::Edge => fleet.edges.len(),
             Proxy::Shield => fleet.shields.iter().filter(|shield| shield.ready).count(),
@@ -154,12 +155,12 @@
 
     /// Counts a client's request for a service. Each is counted by one machine only.
     pub fn count(&self, service: &str) {
-        self.budget.borrow_mut().request(self.now(), service);
+        self.retry_budget.borrow_mut().request(self.now(), service);
     }
 
     /// Whether the service may be sent one request more than its clients have sent.
-    fn may_repeat(&self, service: &str) -> bool {
-        let may = self.budget.borrow_mut().take(self.now(), service);
+    fn may_retry(&self, service: &str) -> bool {
+        let may = self.retry_budget.borrow_mut().take(self.now(), service);
         if may { &self.further } else { &self.spent }.add();
         may
     }
@@ -248,7 +249,7 @@
             return None;
         }
         let is_retry = job.again || sends > 0;
-        (!is_retry || self.may_repeat(job.service)).then_some(server)
+        (!is_retry || self.may_retry(job.service)).then_some(server)
     }
 
     /// Sends a request to a server. Where another may be asked after it, this one must leave time for that; one that
