--- a/http/tests/send.rs
+++ b/http/tests/send.rs
@@ -1,6 +1,6 @@
 //! Every stage of a send with everything that may happen to it.
 
-use glenfall_http::send::{fate, Event, Fate, Stage};
+use glenfall_http::send::{fate, Event, Fate, Sends, Stage};
 use glenfall_http::tells_its_end;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 
@@ -76,3 +76,40 @@
         assert_eq!(tells_its_end(&all), told, "{lines:?}");
     }
 }
+
+#[test]
+fn sends_end_with_their_number_with_a_settled_answer_or_with_four_unreachable_servers() {
+    let ended = |sends: &mut Sends, event| sends.ended(Stage::Answering, event, event == Event::Failure);
+    for (case, repeatable, events, used, may_begin, is_short) in [
+        ("none yet", true, &[][..], 0, true, false),
+        ("a success", true, &[Event::Success], 1, false, false),
+        ("a failure", true, &[Event::Failure], 1, true, false),
+        ("a failure of what runs once", false, &[Event::Failure], 1, false, false),
+        ("silence, and what runs once", false, &[Event::Silence], 1, false, false),
+        ("not run, and what runs once", false, &[Event::NotRun], 1, true, false),
+        ("all used", true, &[Event::Silence, Event::Broken], 2, false, true),
+        ("all used, and what runs once", false, &[Event::NotRun, Event::NotRun], 2, false, true),
+        ("a good end", true, &[Event::Failure, Event::Success], 2, false, false),
+    ] {
+        let mut sends = Sends::new(2, repeatable);
+        for event in events {
+            assert!(sends.may_begin(), "{case}");
+            ended(&mut sends, *event);
+        }
+        assert_eq!(
+            (sends.used(), sends.may_begin(), sends.is_short()),
+            (used, may_begin, is_short),
+            "{case}"
+        );
+    }
+    let mut sends = Sends::new(2, false);
+    for _ in 0..4 {
+        assert!(sends.may_begin());
+        sends.ended(Stage::Unconnected, Event::NoConnection, false);
+    }
+    assert_eq!((sends.used(), sends.may_begin(), sends.is_short()), (0, false, false), "nobody was reached");
+    let mut sends = Sends::new(2, true);
+    ended(&mut sends, Event::NotRun);
+    sends.settle();
+    assert!(!sends.may_begin() && !sends.is_short(), "no other server is to be asked");
+}
