--- a/glenfall/tests/unit/backlog.rs
+++ b/glenfall/tests/unit/backlog.rs
@@ -1,28 +1,27 @@
 //! Backlogs between threads, where one of them is stopped between any two steps of the other.
 
-use std::cell::RefCell;
-use std::rc::Rc;
 use std::sync::atomic::AtomicUsize;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 
 use glenfall::backlog::{Backlog, Reserved, SharedCount};
 
 const MOST: usize = 100;
 
-type Step = Box<dyn FnOnce()>;
+type Step = Box<dyn FnOnce() + Send>;
 
 /// A count whose reader is stopped after it has read, while the other side does something.
 #[derive(Default)]
 struct Stopped {
     count: AtomicUsize,
-    meanwhile: RefCell<Option<Step>>,
+    meanwhile: Mutex<Option<Step>>,
 }
 
 impl SharedCount for Stopped {
     fn load(&self) -> usize {
         let read = SharedCount::load(&self.count);
-        if let Some(step) = self.meanwhile.take() {
+        let step = self.meanwhile.lock().unwrap().take();
+        if let Some(step) = step {
             step();
         }
         read
@@ -44,9 +43,9 @@
     units: usize,
     step: Step,
 ) -> Option<Reserved<Stopped>> {
-    count.meanwhile.replace(Some(step));
+    *count.meanwhile.lock().unwrap() = Some(step);
     let reserved = backlog.reserve(units);
-    assert!(count.meanwhile.borrow().is_none(), "it was not stopped");
+    assert!(count.meanwhile.lock().unwrap().is_none(), "it was not stopped");
     reserved
 }
 
@@ -58,12 +57,12 @@
 #[test]
 fn what_another_thread_reserves_in_between_is_not_overlooked() {
     let (backlog, count) = stopped();
-    let others = Rc::new(RefCell::new(None));
+    let others = Arc::new(Mutex::new(None));
     // Each alone has room, both together have not.
-    let (other, held) = (backlog.clone(), Rc::clone(&others));
-    let step = move || drop(held.replace(other.reserve(60)));
+    let (other, held) = (backlog.clone(), Arc::clone(&others));
+    let step = move || *held.lock().unwrap() = other.reserve(60);
     let reserved = reserve_beside(&backlog, &count, 60, Box::new(step));
-    assert!(reserved.is_none() && others.borrow().is_some(), "who came first alone");
+    assert!(reserved.is_none() && others.lock().unwrap().is_some(), "who came first alone");
     assert_eq!(backlog.waiting(), 60);
 }
 
