--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -25,6 +25,13 @@
     String::from_utf8(bytes.to_vec()).expect("UTF-8")
 }
 
+/// What is replied to sound input.
+fn replies(input: &str) -> String {
+    let output = run(input.as_bytes());
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    text(&output.stdout)
+}
+
 const SETUP: &str = concat!(
     r#"{"balancers":2,"locality":"here","membership-mode":"on_request","round-s":0.005,"weight-source":"off","#,
     r#""grades":[{"name":"read","effect":"free","target-s":0.5,"hard-limit-s":2.0},"#,
@@ -63,9 +70,7 @@
     input += "go\nsync 9.1\narrival 3 2811873703137732 0.4 0.012 1 - read 1800 4569004829183723\n";
     input += "withdrawn 3 77\ngo\nsync 9.15\n";
     input += "outcome 3 2811873703137732 0.05 0 10.0.0.1:80 0 overloaded - -\ngo\n";
-    let output = run(input.as_bytes());
-    assert!(output.status.success(), "{}", text(&output.stderr));
-    let replies = text(&output.stdout);
+    let replies = replies(&input);
     let replies: Vec<&str> = replies.split_inclusive("ack\n").collect();
     assert_eq!(replies[0], "ack\n");
     assert_eq!(replies[1], "set_timer 3 0 0.050000\nkeep_informed 3 1\nack\n");
@@ -85,9 +90,7 @@
     let input = format!("sync 9\n{}go\n", attach(3, 1).replace(SETUP, &priced))
         + "sync 9.1\narrival 3 5 0.4 - 0 - read - 7\ngo\n"
         + "sync 9.2\noutcome 3 5 0.05 1 10.0.0.1:80 0 success 1 -\ngo\n";
-    let output = run(input.as_bytes());
-    assert!(output.status.success(), "{}", text(&output.stderr));
-    assert!(text(&output.stdout).contains("close_idle 3 10.0.0."));
+    assert!(replies(&input).contains("close_idle 3 10.0.0."));
 }
 
 #[test]
@@ -100,9 +103,7 @@
         + "sync 9.1\narrival 3 5 0.4 - 0 - read - 7\ngo\n"
         + "sync 9.2\noutcome 3 5 0.05 0 10.0.0.1:80 0 overloaded - -\ngo\n"
         + "sync 9.3\nroster_change 3 delta 2 1\nm Terminating 10.0.0.1:80 here 1 box - 0\ngo\n";
-    let output = run(input.as_bytes());
-    assert!(output.status.success(), "{}", text(&output.stderr));
-    let replies = text(&output.stdout);
+    let replies = replies(&input);
     assert_eq!(replies.matches("hand_off").count(), 1, "{replies}");
     assert!(replies.contains("busy 3 5") && replies.contains("close_idle 3 10.0.0.1:80"), "{replies}");
 }
@@ -118,9 +119,7 @@
             "sync {at}.4\noutcome 3 {id} 0.39 0 10.0.0.2:80 0 timed_out - -\nmessage 3 1 00ff\ngo\n"
         );
     }
-    let output = run(input.as_bytes());
-    assert!(output.status.success(), "{}", text(&output.stderr));
-    let replies = text(&output.stdout);
+    let replies = replies(&input);
     // 10.0.0.2:80 in hex digits, to all peers.
     assert!(replies.contains("write_peer 3 -1 31302e302e302e323a3830"), "{replies}");
     assert!(replies.contains("journal_line 3 10.0.0.2:80 fails, left alone"), "{replies}");
@@ -147,9 +146,7 @@
 fn a_killed_node_forgets() {
     let input =
         format!("sync 1\n{}go\nsync 2\ndown 1\n{}go\nsync 3\ndown 1\ngo\n", attach(1, 1), attach(1, 2));
-    let output = run(input.as_bytes());
-    assert!(output.status.success(), "{}", text(&output.stderr));
-    assert_eq!(text(&output.stdout).matches("keep_informed").count(), 2);
+    assert_eq!(replies(&input).matches("keep_informed").count(), 2);
 }
 
 fn fails(input: &[u8], line: u64, expected: &str) {
@@ -162,32 +159,34 @@
 
 #[test]
 fn malformed_lines_are_named() {
-    fails(b"hello\n", 1, "`sync`");
-    fails(b"sync abc\n", 1, "clock time");
-    fails(b"sync inf\n", 1, "clock time");
-    fails(b"sync 1\nfoo 1\n", 2, "a known message name");
-    fails(b"sync 1\narrival\n", 2, "node number");
-    fails(b"sync 1\narrival 4 1 0.2 - 0 - read - 1\n", 2, "an attached node");
-    fails(b"sync 1\nattach 1 2 {\n", 2, "JSON");
-    fails(b"sync 1\nattach 1 2 {}\n", 2, "grades");
-    fails(b"sync 1\n", 2, "`go`");
-    fails(b"sync 1\nroster_change 1 full 1 1\n", 3, "list entry");
-    fails(b"sync 1\n\xff\xfe\n", 2, "UTF-8");
-    let zero = SETUP.replace("\"balancers\":2", "\"balancers\":0");
-    fails(format!("sync 1\nattach 1 2 {zero}\n").as_bytes(), 2, "balancers");
-    let negative = SETUP.replace("\"ramp-time-s\":8", "\"ramp-time-s\":-8");
-    fails(format!("sync 1\nattach 1 2 {negative}\n").as_bytes(), 2, "ramp");
-    for (figures, expected) in [
-        (r#""budget-span-s":-5,"extra-free":3"#, "budget span"),
-        (r#""budget-span-s":5,"resend-ratio":-0.1"#, "budget ratio"),
-        (r#""resend-ratio":0.1"#, "guarantees.budget-span-s: missing"),
-        (r#""close-on-drain-within-s":-1"#, "close on drain"),
+    for (input, line, expected) in [
+        (&b"hello\n"[..], 1, "`sync`"),
+        (b"sync abc\n", 1, "clock time"),
+        (b"sync inf\n", 1, "clock time"),
+        (b"sync 1\nfoo 1\n", 2, "a known message name"),
+        (b"sync 1\narrival\n", 2, "node number"),
+        (b"sync 1\narrival 4 1 0.2 - 0 - read - 1\n", 2, "an attached node"),
+        (b"sync 1\nattach 1 2 {\n", 2, "JSON"),
+        (b"sync 1\nattach 1 2 {}\n", 2, "grades"),
+        (b"sync 1\n", 2, "`go`"),
+        (b"sync 1\nroster_change 1 full 1 1\n", 3, "list entry"),
+        (b"sync 1\n\xff\xfe\n", 2, "UTF-8"),
+    ] {
+        fails(input, line, expected);
+    }
+    let figures = |figures: &str| format!("\"fall-s\":1,{figures}");
+    for (from, to, expected) in [
+        ("\"balancers\":2", "\"balancers\":0", "balancers"),
+        ("\"ramp-time-s\":8", "\"ramp-time-s\":-8", "ramp"),
+        ("\"fall-s\":1", &figures(r#""budget-span-s":-5,"extra-free":3"#), "budget span"),
+        ("\"fall-s\":1", &figures(r#""budget-span-s":5,"resend-ratio":-0.1"#), "budget ratio"),
+        ("\"fall-s\":1", &figures(r#""resend-ratio":0.1"#), "guarantees.budget-span-s: missing"),
+        ("\"fall-s\":1", &figures(r#""close-on-drain-within-s":-1"#), "close on drain"),
+        ("\"fall-s\":1", "\"fall-t\":1", "guarantees.fall-s: missing"),
     ] {
-        let wrong = SETUP.replace("\"fall-s\":1", &format!("\"fall-s\":1,{figures}"));
+        let wrong = SETUP.replace(from, to);
         fails(format!("sync 1\nattach 1 2 {wrong}\n").as_bytes(), 2, expected);
     }
-    let absent = SETUP.replace("\"fall-s\":1", "\"fall-t\":1");
-    fails(format!("sync 1\nattach 1 2 {absent}\n").as_bytes(), 2, "guarantees.fall-s: missing");
 }
 
 /// A day with one byte changed here and there: a clean error or whole replies, never a panic.
