--- a/glenfall/tests/unit/backlog.rs
+++ b/glenfall/tests/unit/backlog.rs
@@ -20,7 +20,7 @@
 impl SharedCount for Stopped {
     fn load(&self) -> usize {
         let read = SharedCount::load(&self.count);
-        let step = self.meanwhile.lock().unwrap().take();
+        let step = self.meanwhile.lock().expect("no panic in between").take();
         if let Some(step) = step {
             step();
         }
@@ -43,9 +43,9 @@
     units: usize,
     step: Step,
 ) -> Option<Reserved<Stopped>> {
-    *count.meanwhile.lock().unwrap() = Some(step);
+    *count.meanwhile.lock().expect("no panic in between") = Some(step);
     let reserved = backlog.reserve(units);
-    assert!(count.meanwhile.lock().unwrap().is_none(), "it was not stopped");
+    assert!(count.meanwhile.lock().expect("no panic in between").is_none(), "it was not stopped");
     reserved
 }
 
@@ -60,9 +60,10 @@
     let others = Arc::new(Mutex::new(None));
     // Each alone has room, both together have not.
     let (other, held) = (backlog.clone(), Arc::clone(&others));
-    let step = move || *held.lock().unwrap() = other.reserve(60);
+    let step = move || *held.lock().expect("no panic in between") = other.reserve(60);
     let reserved = reserve_beside(&backlog, &count, 60, Box::new(step));
-    assert!(reserved.is_none() && others.lock().unwrap().is_some(), "who came first alone");
+    let others = others.lock().expect("no panic in between");
+    assert!(reserved.is_none() && others.is_some(), "who came first alone");
     assert_eq!(backlog.waiting(), 60);
 }
 
