--- a/glenfall/tests/bounds.rs
+++ b/glenfall/tests/bounds.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use glenfall::cache::ObjectKey;
 use glenfall::control::purge_log::PurgeLog;
-use glenfall::kept::{Kept, MOST_WAITING};
+use glenfall::kept::Kept;
 use glenfall_plane::messages::{Aged, Purge, Stamped, LONGEST_FRAME};
 use glenfall_plane::purges::{Purges, MOST};
 use hyper::header::HeaderMap;
