Schedules aimed at rare moments of views; sessions among the checked calls

Sessions, and calls at processes that are paused, were not played at all. The exhaustive check never had a voter that returns behind the others, and looked at what nodes hold in memory only.

A session is handed a configuration after a quorum read begun since its opening, and it must not be older than what was acknowledged before (Violation::OldSession). A paused process finds the calls made meanwhile, as it does on a real socket. Exhaustive: a voter left out returns at any moment, and what is in force after a loss is read from the disks of the chain as well.

--- a/lab/src/schedules.rs
+++ b/lab/src/schedules.rs
@@ -5,7 +5,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use glenfall_sim::{shrunk, Broken, Coverage, Schedule};
+use glenfall_sim::{shrunk, Coverage, Schedule};
 
 use crate::Failure;
 
@@ -22,6 +22,9 @@
     /// Seed of the first; the others follow it
     #[arg(long, default_value_t = 0)]
     first: u64,
+    /// Aimed at rare moments of views, in a seed space of their own
+    #[arg(long)]
+    aimed: bool,
     /// In so many threads; one for each processor if not given
     #[arg(long)]
     threads: Option<usize>,
@@ -32,10 +35,26 @@
     #[arg(long, default_value = "target/schedules")]
     out: PathBuf,
     /// Play one schedule from its file, exactly as it was
-    #[arg(long, conflicts_with_all = ["count", "first", "shrink"])]
+    #[arg(long, conflicts_with_all = ["count", "first", "shrink", "aimed"])]
     replay: Option<PathBuf>,
 }
 
+impl Wanted {
+    fn schedule(&self, seed: u64) -> Schedule {
+        match self.aimed {
+            true => Schedule::aimed(seed),
+            false => Schedule::generate(seed),
+        }
+    }
+
+    fn kind(&self) -> &'static str {
+        match self.aimed {
+            true => "aimed",
+            false => "random",
+        }
+    }
+}
+
 /// False where a schedule failed.
 pub fn play(wanted: &Wanted) -> Result<bool, Failure> {
     // A node that panics is a property broken, and told as one.
@@ -54,7 +73,7 @@
     print!("{}", described(&schedule));
     match schedule.play() {
         Ok(played) => {
-            println!("holds; {}", told(&played));
+            println!("holds; {}", described_coverage(&played));
             Ok(true)
         }
         Err(broken) => {
@@ -64,10 +83,10 @@
     }
 }
 
-fn told(sum: &Coverage) -> String {
-    let Coverage { changes, reads, refusals, repeats, views, member_changes, seats } = sum;
+fn described_coverage(sum: &Coverage) -> String {
+    let Coverage { changes, reads, refusals, repeats, sessions, views, member_changes, seats } = sum;
     format!(
-        "{changes} changes acknowledged, {reads} reads, {refusals} refusals, {repeats} orders sent again, {views} views, \
+        "{changes} changes acknowledged, {reads} reads, {refusals} refusals, {repeats} orders sent again, {sessions} sessions opened, {views} views, \
          {member_changes} changes of who counts, {seats} asked for by operators"
     )
 }
@@ -85,80 +104,110 @@
     lines
 }
 
-fn play_many(wanted: &Wanted) -> Result<bool, Failure> {
-    let threads =
-        wanted.threads.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, Into::into));
-    let (next, ended) = (AtomicU64::new(0), AtomicBool::new(false));
-    let (sum, failed) = (Mutex::new(Coverage::default()), Mutex::new(Vec::<(u64, Broken)>::new()));
-    let began = Instant::now();
-    std::thread::scope(|scope| {
-        let work = || {
-            let mut own = Coverage::default();
-            loop {
-                let n = next.fetch_add(1, Ordering::Relaxed);
-                if n >= wanted.count {
-                    break;
-                }
-                let seed = wanted.first.wrapping_add(n);
-                match Schedule::generate(seed).play() {
-                    Ok(played) => own += played,
-                    Err(broken) => {
-                        println!("seed {seed} failed at {} ms: {}", broken.at, broken.violation);
-                        if let Ok(mut failed) = failed.lock() {
-                            failed.push((seed, broken));
-                        }
+/// Schedules that are played by several threads.
+struct Batch<'a> {
+    wanted: &'a Wanted,
+    next: AtomicU64,
+    ended: AtomicBool,
+    coverage: Mutex<Coverage>,
+    failed: Mutex<Vec<u64>>,
+    began: Instant,
+}
+
+impl Batch<'_> {
+    /// Plays one schedule after the other until all have been taken.
+    fn work(&self) {
+        let mut own = Coverage::default();
+        loop {
+            let n = self.next.fetch_add(1, Ordering::Relaxed);
+            if n >= self.wanted.count {
+                break;
+            }
+            let seed = self.wanted.first.wrapping_add(n);
+            match self.wanted.schedule(seed).play() {
+                Ok(coverage) => own += coverage,
+                Err(broken) => {
+                    println!("seed {seed} failed at {} ms: {}", broken.at, broken.violation);
+                    if let Ok(mut failed) = self.failed.lock() {
+                        failed.push(seed);
                     }
                 }
             }
-            if let Ok(mut sum) = sum.lock() {
-                *sum += own;
+        }
+        if let Ok(mut coverage) = self.coverage.lock() {
+            *coverage += own;
+        }
+    }
+
+    fn report_progress(&self) {
+        let mut reported = Instant::now();
+        while !self.ended.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(50));
+            if reported.elapsed() >= PROGRESS {
+                reported = Instant::now();
+                let played = self.next.load(Ordering::Relaxed).min(self.wanted.count);
+                eprintln!(
+                    "{played} of {} schedules, {} s",
+                    self.wanted.count,
+                    self.began.elapsed().as_secs()
+                );
             }
-        };
-        let workers: Vec<_> = (0..threads.max(1)).map(|_| scope.spawn(work)).collect();
-        scope.spawn(|| {
-            let mut told = Instant::now();
-            while !ended.load(Ordering::Relaxed) {
-                std::thread::sleep(Duration::from_millis(50));
-                if told.elapsed() >= PROGRESS {
-                    told = Instant::now();
-                    let played = next.load(Ordering::Relaxed).min(wanted.count);
-                    eprintln!("{played} of {} schedules, {} s", wanted.count, began.elapsed().as_secs());
+        }
+    }
+
+    fn play(&self, threads: usize) {
+        std::thread::scope(|scope| {
+            let workers: Vec<_> = (0..threads.max(1)).map(|_| scope.spawn(|| self.work())).collect();
+            scope.spawn(|| self.report_progress());
+            for worker in workers {
+                // What panicked is not a schedule, which would have been caught.
+                if worker.join().is_err() {
+                    eprintln!("a thread ended early");
                 }
             }
+            self.ended.store(true, Ordering::Relaxed);
         });
-        for worker in workers {
-            // What panicked is not a schedule, which would have been caught.
-            if worker.join().is_err() {
-                eprintln!("a thread ended early");
-            }
-        }
-        ended.store(true, Ordering::Relaxed);
-    });
-    let sum = sum.into_inner().unwrap_or_default();
-    let mut failed = failed.into_inner().unwrap_or_default();
-    failed.sort_by_key(|(seed, _)| *seed);
+    }
+}
+
+fn play_many(wanted: &Wanted) -> Result<bool, Failure> {
+    let threads =
+        wanted.threads.unwrap_or_else(|| std::thread::available_parallelism().map_or(1, Into::into));
+    let batch = Batch {
+        wanted,
+        next: AtomicU64::new(0),
+        ended: AtomicBool::new(false),
+        coverage: Mutex::default(),
+        failed: Mutex::default(),
+        began: Instant::now(),
+    };
+    batch.play(threads);
+    let took = batch.began.elapsed().as_secs_f64();
+    let coverage = batch.coverage.into_inner().unwrap_or_default();
+    let mut failed = batch.failed.into_inner().unwrap_or_default();
+    failed.sort();
     println!(
-        "{} schedules from seed {} in {:.1} s with {threads} threads: {} failed; {}",
+        "{} {} schedules from seed {} in {took:.1} s with {threads} threads: {} failed; {}",
         wanted.count,
+        wanted.kind(),
         wanted.first,
-        began.elapsed().as_secs_f64(),
         failed.len(),
-        told(&sum)
+        described_coverage(&coverage)
     );
-    for (seed, _) in failed.iter().take(MOST_FAILED) {
+    for seed in failed.iter().take(MOST_FAILED) {
         if wanted.shrink {
-            cut_down(*seed, &wanted.out)?;
+            cut_down(wanted, *seed)?;
         }
     }
     Ok(failed.is_empty())
 }
 
-fn cut_down(seed: u64, out: &Path) -> Result<(), Failure> {
-    let whole = Schedule::generate(seed);
+fn cut_down(wanted: &Wanted, seed: u64) -> Result<(), Failure> {
+    let whole = wanted.schedule(seed);
     let Some((short, tries)) = shrunk(&whole) else { return Ok(()) };
     let Err(broken) = short.play() else { return Ok(()) };
-    std::fs::create_dir_all(out)?;
-    let file = out.join(format!("seed-{seed}.json"));
+    std::fs::create_dir_all(&wanted.out)?;
+    let file = wanted.out.join(format!("{}-{seed}.json", wanted.kind()));
     std::fs::write(&file, serde_json::to_string_pretty(&short)?)?;
     println!(
         "\nseed {seed}, {} events cut down to {} in {tries} tries",
--- a/plane/tests/exhaustive.rs
+++ b/plane/tests/exhaustive.rs
@@ -55,6 +55,8 @@
     Break(usize, usize),
     /// Time in which a view comes due to be proposed.
     Pass,
+    /// The links of the node that is away come up.
+    Return,
 }
 
 #[derive(Clone)]
@@ -84,6 +86,8 @@
     asks: u64,
     breaks: usize,
     passes: usize,
+    /// A voter that the others have left out, and hear nothing of.
+    away: Option<usize>,
     /// The version that an operator was told is in force, and what nodes published as the first change.
     acknowledged: Option<u64>,
     published: Option<u64>,
@@ -122,6 +126,7 @@
             asks: 0,
             breaks: 0,
             passes: 0,
+            away: None,
             acknowledged: None,
             published: None,
         };
@@ -227,6 +232,9 @@
         if self.passes > 0 {
             events.push(Event::Pass);
         }
+        if self.away.is_some() {
+            events.push(Event::Return);
+        }
         events
     }
 
@@ -258,6 +266,10 @@
                 self.passes -= 1;
                 self.pass(self.due)
             }
+            Event::Return => {
+                self.returns();
+                self.beats()
+            }
         }
     }
 
@@ -278,6 +290,33 @@
         self.beats()
     }
 
+    /// A voter that others hear nothing of, in whose absence they have formed a view.
+    fn leave_out(&mut self, n: usize) {
+        for other in (0..self.nodes()).filter(|other| *other != n) {
+            for (from, to) in [(n, other), (other, n)] {
+                self.links.remove(&(from, to));
+                self.with(to, |chain, now| chain.peer_down(now, node(from))).unwrap();
+            }
+        }
+        let without =
+            |world: &World, at: usize| world.chain(at).view().is_some_and(|v| !v.chain.contains(&node(n)));
+        while !(0..self.nodes()).filter(|other| *other != n).all(|other| without(self, other)) {
+            self.run();
+            assert!(self.now < MENDED, "a view without it stands");
+        }
+        self.away = Some(n);
+    }
+
+    fn returns(&mut self) {
+        let Some(n) = self.away.take() else { return };
+        for other in 0..self.nodes() {
+            let running = |n: usize| self.machines[n].chain.is_some();
+            if other != n && running(other) && running(n) {
+                self.link(n, other);
+            }
+        }
+    }
+
     /// A node loses its power, and what is under way to its disk, if not the disk itself.
     fn lose(&mut self, n: usize, disk: bool) -> Result<(), String> {
         let machine = &mut self.machines[n];
@@ -296,6 +335,7 @@
     /// The others mend the core; what was acknowledged is in force then, or what was not yet, and all know it.
     fn mend(mut self) -> Result<(), String> {
         (self.asks, self.breaks, self.passes) = (0, 0, 0);
+        self.returns();
         let until = self.now + MENDED;
         let stands = |world: &World| {
             let views: Vec<_> =
@@ -313,8 +353,7 @@
         for _ in 0..20 {
             self.run();
         }
-        let newest = self.machines.iter().filter_map(|m| m.chain.as_ref()).map(|chain| chain.committed().rev);
-        let newest: Vec<u64> = newest.collect();
+        let newest = self.versions();
         let one = newest.iter().all(|rev| *rev == newest[0]);
         if one && self.acknowledged.is_none_or(|rev| rev == newest[0]) {
             Ok(())
@@ -323,6 +362,17 @@
         }
     }
 
+    /// The versions that those that run know to be committed, and those on the disks of the chain: the two may differ
+    /// while a change is under way, and where a view has gone on from an older record.
+    fn versions(&self) -> Vec<u64> {
+        let chains = self.machines.iter().filter_map(|machine| machine.chain.as_ref());
+        let committed = chains.map(|chain| chain.committed().rev);
+        let members = self.stood().map_or(&[][..], |view| &view.chain);
+        let disks = members.iter().map(|member| self.machines[place(*member)].disk.as_ref());
+        let on_disks = disks.map(|disk| disk.map_or(0, |disk| disk.record.rev));
+        committed.chain(on_disks).collect()
+    }
+
     /// What was acknowledged is on the disks of a majority of those who count, whatever is lost with the power.
     fn check(&self) -> Result<(), String> {
         let Some(rev) = self.acknowledged else { return Ok(()) };
@@ -344,7 +394,8 @@
 
     fn print(&mut self) -> u64 {
         let mut hasher = DefaultHasher::new();
-        (self.now, self.asks, self.breaks, self.passes, self.acknowledged, self.published).hash(&mut hasher);
+        let left = (self.asks, self.breaks, self.passes, self.away);
+        (self.now, left, self.acknowledged, self.published).hash(&mut hasher);
         for machine in &mut self.machines {
             let Machine { chain, disk, syncing, print } = machine;
             print.get_or_insert_with(|| hashed(&format!("{chain:?}{disk:?}{syncing:?}"))).hash(&mut hasher);
@@ -406,6 +457,17 @@
     assert!(states > 1000 && acknowledged > 50, "{states} states, {acknowledged} acknowledged");
 }
 
+#[test]
+fn no_voter_that_returns_at_any_moment_of_a_change_and_no_loss_undoes_it() {
+    for away in 0..SEEDS {
+        let mut world = World::new(0, 0, 0);
+        world.leave_out(away);
+        (world.asks, world.passes) = (1, 1);
+        let (states, acknowledged) = visited(world);
+        assert!(states > 200 && acknowledged > 50, "{away}: {states} states, {acknowledged} acknowledged");
+    }
+}
+
 // ---- Changes of members among five voters ----
 
 /// Events from each moment of a change of members on; `EXHAUSTIVE_DEPTH` plays more.
@@ -466,7 +528,7 @@
         for _ in 0..10 {
             world.run();
         }
-        let newest: Vec<u64> = (0..world.nodes()).map(|n| world.chain(n).committed().rev).collect();
+        let newest = world.versions();
         let one = newest.iter().all(|rev| *rev == newest[0]);
         if one && self.acknowledged.is_none_or(|rev| rev == newest[0]) {
             Ok(())
--- a/sim/src/action.rs
+++ b/sim/src/action.rs
@@ -34,6 +34,10 @@
     Read {
         at: u8,
     },
+    /// A session opens at a node.
+    OpenSession {
+        at: u8,
+    },
     /// An operator at a node asks for one more voter.
     AddVoter {
         at: u8,
@@ -77,6 +81,12 @@
         channels: Vec<(u8, u8)>,
         lasts: Millis,
     },
+    /// What the first sends to the second of each within this time takes so much longer.
+    Delay {
+        channels: Vec<(u8, u8)>,
+        by: Millis,
+        lasts: Millis,
+    },
     /// A connection is reset.
     ResetLink {
         a: u8,
@@ -108,6 +118,7 @@
             | Action::PartitionOneWay { lasts, .. }
             | Action::Pause { lasts, .. }
             | Action::StallDisk { lasts, .. } => *lasts,
+            Action::Delay { by, lasts, .. } => (*by).max(*lasts),
             Action::OnAcknowledged { then } => then.figure(),
             _ => 0,
         }
@@ -119,7 +130,8 @@
             Action::Change { at, .. }
             | Action::ChangeOnce { at, .. }
             | Action::Resend { at, .. }
-            | Action::Read { at } => vec![*at],
+            | Action::Read { at }
+            | Action::OpenSession { at } => vec![*at],
             Action::AddVoter { at, node } | Action::RemoveVoter { at, node } => vec![*at, *node],
             Action::Kill { nodes }
             | Action::PowerOff { nodes }
@@ -128,9 +140,9 @@
             | Action::WipeAfterRepair { nodes }
             | Action::Pause { nodes, .. } => nodes.clone(),
             Action::Lose { node } | Action::StallDisk { node, .. } => vec![*node],
-            Action::Partition { pairs: ends, .. } | Action::PartitionOneWay { channels: ends, .. } => {
-                ends.iter().flat_map(|(a, b)| [*a, *b]).collect()
-            }
+            Action::Partition { pairs: ends, .. }
+            | Action::PartitionOneWay { channels: ends, .. }
+            | Action::Delay { channels: ends, .. } => ends.iter().flat_map(|(a, b)| [*a, *b]).collect(),
             Action::ResetLink { a, b } => vec![*a, *b],
             Action::OnAcknowledged { then } => then.machines(),
         }
@@ -158,6 +170,7 @@
             Action::Read { at } => {
                 self.read(*at);
             }
+            Action::OpenSession { at } => self.open_session(*at),
             Action::AddVoter { at, node: n } => self.ask_voters(*at, Seat::Add(node(*n))),
             Action::RemoveVoter { at, node: n } => self.ask_voters(*at, Seat::Remove(node(*n))),
             Action::Kill { nodes } => nodes.iter().for_each(|n| self.kill(*n)),
@@ -188,6 +201,9 @@
             Action::PartitionOneWay { channels, lasts } => {
                 channels.iter().for_each(|(from, to)| self.partition_one_way(*from, *to, *lasts));
             }
+            Action::Delay { channels, by, lasts } => {
+                channels.iter().for_each(|(from, to)| self.delay(*from, *to, *by, *lasts));
+            }
             Action::ResetLink { a, b } => self.reset_link(*a, *b),
             Action::Pause { nodes, lasts } => nodes.iter().for_each(|n| self.pause(*n, *lasts)),
             Action::StallDisk { node, lasts } => self.stall_disk(*node, *lasts),
--- a/sim/src/faults.rs
+++ b/sim/src/faults.rs
@@ -15,6 +15,8 @@
     LyingDisk,
     /// A machine that lost its disk takes that for a first start, and votes.
     FreshAfterWipe,
+    /// A session is handed what its node knows at once, without a quorum read.
+    UnprovenSession,
 }
 
 impl World {
@@ -54,6 +56,11 @@
         self.network.silence(now, from, to, lasts);
     }
 
+    /// What one machine sends to another within this time takes so much longer. No machine counts as lost for it.
+    pub fn delay(&mut self, from: u8, to: u8, by: Millis, lasts: Millis) {
+        self.network.delay(from, to, by, self.now + lasts);
+    }
+
     // ---- Machines ----
 
     /// The process does nothing for so long.
--- a/sim/src/generator.rs
+++ b/sim/src/generator.rs
@@ -9,7 +9,7 @@
 use crate::{rng, Action, Content, Event, Schedule, Size, TICK};
 
 /// How long the mended cluster is watched at least in a short schedule.
-const WATCHED: Millis = 1_500;
+pub(crate) const WATCHED: Millis = 1_500;
 /// How long faults go on in a long schedule, and at most in a short one.
 const LONG: Millis = 20_000;
 const SHORT: std::ops::Range<Millis> = 4_000..9_000;
@@ -20,33 +20,37 @@
 
 /// Builds the events of a schedule.
 pub(crate) struct Generator {
-    rng: ChaCha8Rng,
-    size: Size,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) size: Size,
     events: Vec<Event>,
 }
 
 impl Generator {
-    fn new(seed: u64, size: Size) -> Generator {
-        let mut generator = Generator { rng: rng::stream(seed, rng::EVENTS), size, events: Vec::new() };
-        for standing_by in size.voters() + 1..=size.nodes() {
-            generator.power_on_later(0, standing_by);
+    /// Draws from one of the random streams of a seed.
+    pub(crate) fn new(seed: u64, size: Size, stream: u64) -> Generator {
+        Generator { rng: rng::stream(seed, stream), size, events: Vec::new() }
+    }
+
+    /// Machines that stand by start early on.
+    fn start_spares(&mut self) {
+        for standing_by in self.size.voters() + 1..=self.size.nodes() {
+            self.power_on_later(0, standing_by);
         }
-        generator
     }
 
-    fn any_node(&mut self) -> u8 {
+    pub(crate) fn any_node(&mut self) -> u8 {
         self.rng.random_range(1..=self.size.nodes())
     }
 
-    fn all_nodes(&self) -> Vec<u8> {
+    pub(crate) fn all_nodes(&self) -> Vec<u8> {
         (1..=self.size.nodes()).collect()
     }
 
-    fn add(&mut self, at: Millis, action: Action) {
+    pub(crate) fn add(&mut self, at: Millis, action: Action) {
         self.events.push(Event { at, action });
     }
 
-    fn finish(mut self, seed: u64, troubles: Millis, watched: Millis) -> Schedule {
+    pub(crate) fn finish(mut self, seed: u64, troubles: Millis, watched: Millis) -> Schedule {
         self.events.sort_by_key(|event| event.at);
         Schedule { seed, size: self.size, fault: None, troubles, watched, events: self.events }
     }
@@ -68,7 +72,7 @@
     }
 
     /// Operators change, read, and ask for other voters.
-    fn operate(&mut self, at: Millis) {
+    pub(crate) fn operate(&mut self, at: Millis) {
         for _ in 0..self.rng.random_range(1..=2) {
             if self.rng.random_ratio(1, 4) {
                 let (node, raise) = (self.any_node(), self.rng.random_range(1..9));
@@ -91,8 +95,9 @@
         if self.size.spare > 0 && self.rng.random_ratio(1, 10) {
             self.ask_voters(at);
         }
-        let reader = self.any_node();
+        let (reader, opens) = (self.any_node(), self.any_node());
         self.add(at, Action::Read { at: reader });
+        self.add(at, Action::OpenSession { at: opens });
     }
 
     fn ask_voters(&mut self, at: Millis) {
@@ -254,7 +259,8 @@
     /// One of 20 s, with a fault every 1.3 s, and 8 s after that.
     pub fn long(seed: u64) -> Schedule {
         let sizes = [(1, 0), (2, 0), (2, 2), (1, 1), (3, 1)].map(|(losses, spare)| Size { losses, spare });
-        let mut generator = Generator::new(seed, sizes[(seed % sizes.len() as u64) as usize]);
+        let mut generator = Generator::new(seed, sizes[(seed % sizes.len() as u64) as usize], rng::EVENTS);
+        generator.start_spares();
         for at in (OPERATE..=LONG).step_by(OPERATE as usize) {
             generator.operate(at);
         }
@@ -269,7 +275,8 @@
         }
         let sizes = [(1, 0), (2, 0), (1, 1), (2, 2), (1, 2), (3, 1), (2, 1)];
         let (losses, spare) = sizes[(seed % sizes.len() as u64) as usize];
-        let mut generator = Generator::new(seed, Size { losses, spare });
+        let mut generator = Generator::new(seed, Size { losses, spare }, rng::EVENTS);
+        generator.start_spares();
         let (from, until) = (generator.rng.random_range(300..1200), generator.rng.random_range(SHORT));
         let repair = seed % KINDS == REPAIR && spare > 0;
         let until = if repair { generator.loss_after_repair(from + 1000) } else { until };
--- a/sim/src/lib.rs
+++ b/sim/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod action;
+mod aimed;
 mod cluster;
 mod disk;
 mod faults;
@@ -16,6 +17,7 @@
 mod operators;
 mod rng;
 mod schedule;
+mod sessions;
 mod shrink;
 mod violation;
 mod world;
--- a/sim/src/machine.rs
+++ b/sim/src/machine.rs
@@ -1,12 +1,13 @@
 //! A simulated machine: the node's state machine, its disk, and the faults that have met it.
 
-use glenfall_plane::chain::Chain;
+use glenfall_plane::chain::{Call, Chain};
 use glenfall_plane::Millis;
 use rand_chacha::ChaCha8Rng;
 
 use crate::disk::Disk;
 use crate::network::Endpoint;
 use crate::rng;
+use crate::sessions::Sessions;
 
 pub struct Machine {
     /// `None` while its process does not run.
@@ -25,6 +26,9 @@
     /// Its process does nothing before then.
     pub paused_until: Millis,
     pub(crate) paused_since: Millis,
+    /// Calls that its process finds when it goes on.
+    pub(crate) calls: Vec<(u64, Call)>,
+    pub(crate) sessions: Sessions,
     /// Counts its processes.
     pub(crate) incarnation: u64,
     /// The newest change that this process has published.
@@ -47,6 +51,8 @@
             faulty_until: 0,
             paused_until: 0,
             paused_since: 0,
+            calls: Vec::new(),
+            sessions: Sessions::default(),
             incarnation: 0,
             published: 0,
             rng: rng::stream(seed, rng::MACHINES + u64::from(n)),
@@ -67,5 +73,7 @@
         self.chain = None;
         self.incarnation += 1;
         self.published = 0;
+        self.calls.clear();
+        self.sessions = Sessions::default();
     }
 }
--- a/sim/src/network.rs
+++ b/sim/src/network.rs
@@ -29,6 +29,9 @@
     messages: VecDeque<(Millis, u64, Message)>,
     /// Nothing arrives in this time; what was sent comes after it, if the connection lasts.
     silent: Range<Millis>,
+    /// What is sent before then takes so much longer.
+    delayed_until: Millis,
+    delayed_by: Millis,
     /// The connection that the receiver hears on, until it is notified that it is lost.
     open: Option<u64>,
     rng: ChaCha8Rng,
@@ -38,7 +41,8 @@
     fn send(&mut self, now: Millis, connection: u64, message: Message) {
         let previous = self.messages.back().map_or(0, |(at, ..)| *at);
         let lost = self.rng.random_ratio(1, PACKETS_FOR_ONE_LOST);
-        let delay = if lost { RETRANSMITTED } else { self.rng.random_range(DELAY) };
+        let usual = if lost { RETRANSMITTED } else { self.rng.random_range(DELAY) };
+        let delay = if now < self.delayed_until { usual + self.delayed_by } else { usual };
         let silent_until = if self.silent.contains(&now) { self.silent.end } else { 0 };
         let at = (now + delay).max(previous).max(silent_until + delay);
         self.messages.push_back((at, connection, message));
@@ -115,6 +119,8 @@
         let channel = |stream| Channel {
             messages: VecDeque::new(),
             silent: 0..0,
+            delayed_until: 0,
+            delayed_by: 0,
             open: None,
             rng: rng::stream(seed, rng::CHANNELS + stream),
         };
@@ -229,6 +235,12 @@
         self.channel(from, to).silence(now, lasts);
     }
 
+    /// What one machine sends to another until then takes so much longer.
+    pub(crate) fn delay(&mut self, from: u8, to: u8, by: Millis, until: Millis) {
+        let channel = self.channel(from, to);
+        (channel.delayed_by, channel.delayed_until) = (by, until);
+    }
+
     /// A process ends: what it sent still arrives, and the operating system notifies its peers.
     pub(crate) fn kill(&mut self, now: Millis, n: u8) {
         for peer in self.peers(n) {
@@ -270,6 +282,7 @@
         }
         for channel in &mut self.channels {
             channel.silent.end = channel.silent.end.min(now);
+            channel.delayed_until = 0;
             channel.messages.iter_mut().for_each(|(at, ..)| *at = (*at).min(now + RETRANSMITTED));
         }
     }
--- a/sim/src/operators.rs
+++ b/sim/src/operators.rs
@@ -37,12 +37,23 @@
     refused: bool,
 }
 
-/// A call that an operator waits for.
+/// What a call is made for.
+#[derive(Clone, Copy)]
+pub(crate) enum Purpose {
+    /// To send the order of this number.
+    Order(u64),
+    Read,
+    /// To read for the sessions that wait, up to the opening of this number.
+    Sessions {
+        covers: u64,
+    },
+}
+
+/// A call that has not been answered.
 struct PendingCall {
     at: u8,
     incarnation: u64,
-    /// The order's number; `None` for a read.
-    order: Option<u64>,
+    purpose: Purpose,
     /// The newest version that was acknowledged when it began, and the newest that was committed.
     acknowledged: u64,
     committed: u64,
@@ -111,22 +122,24 @@
         }
     }
 
-    /// A call at a node; `None` where nobody listens there.
-    fn ask(&mut self, n: u8, what: Call, order: Option<u64>) -> Option<u64> {
-        if self.chain(n).is_none() || self.is_paused(n) {
-            return None;
-        }
+    /// A call at a node; `None` where nobody listens there. A process that is paused finds it when it goes on.
+    pub(crate) fn ask(&mut self, n: u8, what: Call, purpose: Purpose) -> Option<u64> {
+        self.chain(n)?;
         let incarnation = self.machine(n).incarnation;
         let ops = &mut self.operators;
         ops.next_call += 1;
         let (call, acknowledged, committed) = (ops.next_call, ops.newest_acknowledged, ops.newest_committed);
-        ops.asked.insert(call, PendingCall { at: n, incarnation, order, acknowledged, committed });
-        self.with(n, |chain, now| chain.call(now, call, what));
+        ops.asked.insert(call, PendingCall { at: n, incarnation, purpose, acknowledged, committed });
+        if self.is_paused(n) {
+            self.machine(n).calls.push((call, what));
+        } else {
+            self.with(n, |chain, now| chain.call(now, call, what));
+        }
         Some(call)
     }
 
     pub fn read(&mut self, n: u8) -> Option<u64> {
-        self.ask(n, Call::Read, None)
+        self.ask(n, Call::Read, Purpose::Read)
     }
 
     /// An order that is sent once; `rev` is the version that it makes.
@@ -155,7 +168,7 @@
     fn send_order(&mut self, n: u8, order: u64) -> Option<u64> {
         let sent = &self.operators.orders[order as usize];
         let what = Call::Change { builds_on: sent.builds_on, change: sent.change.clone() };
-        self.ask(n, what, Some(order))
+        self.ask(n, what, Purpose::Order(order))
     }
 
     /// The next order's number, the newest version that operators know, and a document of a version above it.
@@ -242,27 +255,28 @@
             asked.at == n && asked.incarnation == self.machine(n).incarnation,
             "an answer comes where the call went in"
         );
-        match (asked.order, &outcome) {
-            (None, Outcome::Document(record)) => {
+        match (asked.purpose, &outcome) {
+            (Purpose::Sessions { covers }, outcome) => self.sessions_answered(n, covers, outcome),
+            (Purpose::Read, Outcome::Document(record)) => {
                 let (read, acknowledged) = (record.rev, asked.acknowledged);
                 self.require(read >= acknowledged, || Violation::OldRead { read, acknowledged });
                 let known = self.committed.get(&record.seq).is_some_and(|(rev, _)| *rev == read);
                 self.require(known || record.seq == 0, || Violation::UncommittedRead { read });
                 self.counts.reads += 1;
             }
-            (Some(order), Outcome::Done { rev }) => self.order_done(order, *rev),
-            (Some(order), Outcome::Conflict { current }) => {
+            (Purpose::Order(order), Outcome::Done { rev }) => self.order_done(order, *rev),
+            (Purpose::Order(order), Outcome::Conflict { current }) => {
                 self.order_conflicts(&asked, order, *current);
                 self.refuse(order);
             }
-            (Some(order), Outcome::Invalid(_)) => self.refuse(order),
-            (Some(order), _) => {
+            (Purpose::Order(order), Outcome::Invalid(_)) => self.refuse(order),
+            (Purpose::Order(order), _) => {
                 let now = self.now;
                 let open = &mut self.operators.orders[order as usize];
                 let pause = PAUSE << open.attempts.min(3);
                 open.next = open.next.map(|_| now + pause);
             }
-            (None, _) => {}
+            (Purpose::Read, _) => {}
         }
         self.operators.outcomes.insert(call, outcome);
     }
@@ -352,6 +366,7 @@
         }
         let reader = self.rng.random_range(1..=nodes);
         self.read(reader);
+        self.open_session(reader);
     }
 }
 
--- a/sim/src/rng.rs
+++ b/sim/src/rng.rs
@@ -7,6 +7,8 @@
 pub(crate) const OPERATORS: u64 = 0;
 /// The events of a schedule.
 pub(crate) const EVENTS: u64 = 1;
+/// The events of an aimed schedule.
+pub(crate) const AIMED_EVENTS: u64 = 2;
 /// Machines, by their numbers, from here on.
 pub(crate) const MACHINES: u64 = 100;
 /// Channels of the network, from here on.
--- a/sim/src/schedule.rs
+++ b/sim/src/schedule.rs
@@ -56,6 +56,8 @@
     pub reads: u64,
     pub refusals: u64,
     pub repeats: u64,
+    /// Sessions that were handed a configuration.
+    pub sessions: u64,
     /// Views that stood, changes of who counts, and changes of voters begun at an operator's word.
     pub views: u64,
     pub member_changes: u64,
@@ -68,6 +70,7 @@
         self.reads += other.reads;
         self.refusals += other.refusals;
         self.repeats += other.repeats;
+        self.sessions += other.sessions;
         self.views += other.views;
         self.member_changes += other.member_changes;
         self.seats += other.seats;
--- a/sim/src/shrink.rs
+++ b/sim/src/shrink.rs
@@ -114,6 +114,11 @@
                 )
                 .collect()
         }
+        Action::Delay { channels, by, lasts } => {
+            let fewer = without_one(&channels).map(|channels| Action::Delay { channels, by, lasts });
+            let shorter = shorter(lasts).map(|lasts| Action::Delay { channels: channels.clone(), by, lasts });
+            fewer.chain(shorter).collect()
+        }
         Action::Pause { nodes, lasts } => {
             let fewer = without_one(&nodes).map(|nodes| Action::Pause { nodes, lasts });
             fewer.chain(shorter(lasts).map(|lasts| Action::Pause { nodes: nodes.clone(), lasts })).collect()
--- a/sim/src/violation.rs
+++ b/sim/src/violation.rs
@@ -37,6 +37,8 @@
     OldRead { read: u64, acknowledged: u64 },
     #[error("a read gave version {read}, which was not in force by then")]
     UncommittedRead { read: u64 },
+    #[error("a session was handed version {given} after version {acknowledged} was acknowledged")]
+    OldSession { given: u64, acknowledged: u64 },
     #[error("{voters} voters were promised to an operator, {needed} are needed")]
     FewVoters { voters: usize, needed: usize },
     #[error("a refusal says nothing")]
--- a/sim/src/world.rs
+++ b/sim/src/world.rs
@@ -195,7 +195,12 @@
 
     fn run(&mut self, n: u8) {
         self.finish_writes(n);
+        self.read_for_sessions(n);
         // What came at once is handled in any order.
+        let calls_first = !self.machine(n).calls.is_empty() && self.machine(n).rng.random();
+        if calls_first {
+            self.take_calls(n);
+        }
         let notices_first = self.network.has_notice(n) && self.machine(n).rng.random();
         if notices_first {
             self.notify(n);
@@ -206,12 +211,20 @@
             }
         }
         self.notify(n);
+        self.take_calls(n);
         if self.now.is_multiple_of(CHAIN_TICK) {
             self.with(n, |chain, now| chain.tick(now));
         }
         self.note_view(n);
     }
 
+    /// A process that was paused takes the calls that came meanwhile.
+    fn take_calls(&mut self, n: u8) {
+        for (call, what) in std::mem::take(&mut self.machine(n).calls) {
+            self.with(n, |chain, now| chain.call(now, call, what));
+        }
+    }
+
     fn finish_writes(&mut self, n: u8) {
         let (now, lies) = (self.now, self.fault == Some(Fault::LyingDisk));
         let synced = |machine: &mut Machine| machine.disk.synced(now, lies, &mut machine.rng);
--- a/sim/tests/schedules.rs
+++ b/sim/tests/schedules.rs
@@ -1,15 +1,19 @@
 //! Some thousands of schedules, of all kinds; and machines that do wrong on purpose, which must be found.
-//! `SCHEDULES=n cargo test -p glenfall-sim` plays more; a failing seed replays with `glenfall-lab schedules`.
+//! `SCHEDULES=n cargo test -p glenfall-sim` plays more, and `AIMED_SCHEDULES=n` more of those that are aimed at rare
+//! moments; a failing seed replays with `glenfall-lab schedules`.
 
 use glenfall_sim::{shrunk, Action, Coverage, Event, Fault, InvalidSchedule, Schedule, Violation};
 
-/// Plays in as many threads as there are; gives what they brought about, and the seeds that failed.
-fn play(seeds: std::ops::Range<u64>, fault: Option<Fault>) -> (Coverage, Vec<(u64, Violation)>) {
+/// Plays in as many threads as there are; returns what they brought about, and the seeds that failed.
+fn play(
+    seeds: std::ops::Range<u64>,
+    schedule: impl Fn(u64) -> Schedule + Sync,
+) -> (Coverage, Vec<(u64, Violation)>) {
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
     let part = |first: u64| {
         let mut sum = (Coverage::default(), Vec::new());
         for seed in (seeds.start + first..seeds.end).step_by(threads as usize) {
-            match (Schedule { fault, ..Schedule::generate(seed) }).play() {
+            match schedule(seed).play() {
                 Ok(played) => sum.0 += played,
                 Err(broken) => sum.1.push((seed, broken.violation)),
             }
@@ -17,6 +21,7 @@
         sum
     };
     std::thread::scope(|scope| {
+        let part = &part;
         let parts: Vec<_> = (0..threads).map(|first| scope.spawn(move || part(first))).collect();
         parts.into_iter().map(|part| part.join().expect("a part ends")).fold(
             (Coverage::default(), Vec::new()),
@@ -29,21 +34,38 @@
     })
 }
 
+fn number(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
 #[test]
 fn all_properties_hold_in_thousands_of_schedules() {
-    let count = std::env::var("SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(4000);
-    let (played, failed) = play(0..count, None);
+    let count = number("SCHEDULES").unwrap_or(4000);
+    let (played, failed) = play(0..count, Schedule::generate);
     println!("{count} schedules: {played:?}");
     assert_eq!(failed, [], "seeds that failed");
-    let each = [played.changes, played.reads, played.refusals, played.repeats, played.views];
+    let each = [played.changes, played.reads, played.refusals, played.repeats, played.sessions, played.views];
     assert!(each.iter().all(|sum| *sum > 2 * count), "{played:?} in {count} schedules");
     assert!(played.member_changes + played.seats > count / 4, "{played:?} in {count} schedules");
 }
 
+#[test]
+fn all_properties_hold_at_the_moments_that_random_schedules_seldom_meet() {
+    let count = number("AIMED_SCHEDULES").unwrap_or(1600);
+    let (played, failed) = play(0..count, Schedule::aimed);
+    println!("{count} aimed schedules: {played:?}");
+    assert_eq!(failed, [], "seeds that failed");
+    let each = [played.changes, played.reads, played.refusals, played.repeats, played.sessions, played.views];
+    assert!(each.iter().all(|sum| *sum > 5 * count), "{played:?} in {count} schedules");
+    assert!(played.member_changes > count / 2, "{played:?} in {count} schedules");
+}
+
 #[test]
 fn a_schedule_replays_exactly_and_so_does_a_part_of_it() {
-    for seed in 0..40 {
-        let schedule = Schedule::generate(seed);
+    let schedules = (0..40).flat_map(|seed| [Schedule::generate(seed), Schedule::aimed(seed)]);
+    for schedule in schedules {
+        let seed = schedule.seed;
+        assert_eq!(schedule.check(), Ok(()), "seed {seed}");
         assert_eq!(schedule.play(), schedule.play(), "seed {seed}");
         let events: Vec<Event> = schedule.events.iter().skip(1).step_by(2).cloned().collect();
         let part = Schedule { events, ..schedule };
@@ -78,7 +100,7 @@
 
 /// The first failing schedule under a fault, cut down.
 fn found(fault: Fault) -> (Schedule, Violation) {
-    let (_, failed) = play(0..200, Some(fault));
+    let (_, failed) = play(0..200, |seed| Schedule { fault: Some(fault), ..Schedule::generate(seed) });
     let seed = failed.iter().map(|(seed, _)| *seed).min().expect("some seed fails");
     let schedule = Schedule { fault: Some(fault), ..Schedule::generate(seed) };
     let broken = schedule.play().expect_err("it fails again");
@@ -115,3 +137,10 @@
     };
     assert!(short.events.iter().any(loses), "{:?}", short.events);
 }
+
+#[test]
+fn a_session_that_is_handed_a_configuration_without_a_quorum_read_is_found() {
+    let (short, violation) = found(Fault::UnprovenSession);
+    assert!(matches!(violation, Violation::OldSession { .. }), "{violation}");
+    assert!(short.events.len() <= 6, "{:?}", short.events);
+}
