Control: beats that say nothing new go to the peers with the chain's heartbeats

Cause: a control node passed each beat of a server on by itself, to every peer: a message, a wake-up and two system calls at each for what only keeps the server on the list for four beats more. Change: such beats are gathered, the last one of each server, and go out with the heartbeats of the chain, five times a second, with their ages. What is new in a beat still goes at once. A beat that comes late takes back nothing that was said since (test; that the registry knows a late one by its number was so before).

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -5,6 +5,7 @@
 pub mod backup;
 mod peers;
 pub mod purge_log;
+pub mod relay;
 pub mod store;
 mod taken;
 
@@ -15,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start, Terms};
+use glenfall_plane::chain::{Call, Chain, Durable, Message, Outcome, Output, Record, Start, Terms};
 use glenfall_plane::fleet::{edge_mark, Fleet, Members, Numbered};
 use glenfall_plane::messages::{CallId, Down, Member, News, Open, Peer, Proxy, Purge, Stamped};
 use glenfall_plane::purges::{Purges, REMEMBERED};
@@ -32,6 +33,7 @@
 use crate::sessions::Sessions;
 use peers::Peers;
 use purge_log::PurgeLog;
+use relay::BeatRelay;
 use store::Found;
 
 /// How often the state machines are asked what time has brought.
@@ -75,6 +77,7 @@
     calls: RefCell<BTreeMap<u64, oneshot::Sender<Outcome>>>,
     next_call: Cell<u64>,
     registry: RefCell<Registry>,
+    relay: BeatRelay,
     purges: RefCell<Purges>,
     purge_log: PurgeLog,
     next_purge: Cell<u64>,
@@ -138,6 +141,7 @@
         calls: RefCell::default(),
         next_call: Cell::new(0),
         registry: RefCell::new(Registry::new(boot.beat_ms)),
+        relay: BeatRelay::default(),
         purges: RefCell::new(remembered),
         purge_log,
         next_purge: Cell::new(0),
@@ -280,6 +284,10 @@
             ticks.tick().await;
             let now = self.now();
             let outputs = self.chain.borrow_mut().tick(now);
+            let heartbeat = |output: &Output| matches!(output, Output::Send(_, Message::Heartbeat(_)));
+            if outputs.iter().any(heartbeat) {
+                self.relay.take(now).iter().for_each(|beats| self.peers.tell(beats));
+            }
             self.carry_out(outputs);
             // Seen here also where no session asks.
             self.cut_off();
@@ -475,7 +483,7 @@
                 self.peers.tell(&Peer::Servers(vec![(entry, 0)]));
                 self.fleet_changed.notify_one();
             }
-            Heard::Alive => self.peers.tell(&Peer::Servers(vec![(entry, 0)])),
+            Heard::Alive => self.relay.add(self.now(), entry),
         }
         Some(heard)
     }
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -17,6 +17,7 @@
 mod origins;
 mod pool;
 mod purge_log;
+mod relay;
 mod room;
 mod serve;
 mod store;
