--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -24,11 +24,13 @@
 pub mod origins;
 mod pace;
 pub mod pool;
+pub mod read_plan;
 pub mod response;
 pub mod room;
+pub mod send_budget;
 pub mod serve;
 pub mod sessions;
-mod shield;
+pub mod shield;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/glenfall/src/response.rs
+++ b/glenfall/src/response.rs
@@ -52,6 +52,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
 
+use crate::send_budget::{SendReport, SENDS};
 use crate::serve::{passed_on, TRY_ID};
 
 /// A server's signature of its response.
@@ -301,6 +302,13 @@
         }
     }
 
+    /// Tells an edge what was used of the sends that it allowed; nothing where it used none.
+    pub fn set_send_report(&mut self, report: SendReport) {
+        if report != SendReport::default() {
+            self.0.headers_mut().insert(SENDS, report.encode());
+        }
+    }
+
     /// Names the request that this answers, as an edge knows it.
     pub fn set_try_id(&mut self, id: Option<&HeaderValue>) {
         match id {
