Seven voters keep to syncS 4: losses are found sooner where time is short

Cause: three losses, one right after the repair of another, took 4.8 s by the sum of their times, of which 3 x 1,000 ms were the detection of silence. Where syncS has no time for that, a silent peer counts as lost sooner: 733 ms for seven voters at 4 s, never under 700, and 1,000 at all other sizes that were carried before. What no such time carries is refused when control starts, and by glenfall check, with both figures: nine voters at 4 s need 4.9 s.

Tests: plane/tests/unit/settings.rs (both fail with 1,000 ms at least: tried), glenfall/tests/unit/boot.rs.

--- a/glenfall/src/boot.rs
+++ b/glenfall/src/boot.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use glenfall_plane::chain::{ChainSettings, SyncTooShort};
 use glenfall_plane::{budget, ceiling, Millis};
 use serde::Deserialize;
 
@@ -121,6 +122,8 @@
     Unreadable { path: String, what: std::io::Error },
     #[error("{path}: {what}")]
     Wrong { path: String, what: String },
+    #[error("survive.hosts {hosts} with timing.syncS {sync_s}: {why}")]
+    Promise { hosts: usize, sync_s: f64, why: SyncTooShort },
 }
 
 impl Boot {
@@ -170,8 +173,13 @@
         Ok(boot)
     }
 
-    pub fn sync_ms(&self) -> Millis {
-        (self.timing.sync_s * 1000.0) as Millis
+    /// The settings of the core; an error where it can't outlive the promised losses in the time that it has.
+    pub fn core(&self) -> Result<ChainSettings, BootError> {
+        let sync = (self.timing.sync_s * 1000.0) as Millis;
+        let settings = ChainSettings { losses: self.survive.hosts, eligible: self.voter, sync };
+        let (hosts, sync_s) = (self.survive.hosts, self.timing.sync_s);
+        settings.check().map_err(|why| BootError::Promise { hosts, sync_s, why })?;
+        Ok(settings)
     }
 
     /// What all machines together may send beyond the first try of each request.
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start, Terms};
+use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start};
 use glenfall_plane::fleet::{edge_mark, Fleet, Members, Numbered};
 use glenfall_plane::messages::{CallId, Down, Member, News, Open, Peer, Proxy, Purge, Stamped};
 use glenfall_plane::purges::{Purges, REMEMBERED};
@@ -112,6 +112,7 @@
 
 pub async fn run(boot: Rc<Boot>) -> Result<(), Box<dyn std::error::Error>> {
     let listen = boot.need("controlAddr", |listeners| listeners.control_addr)?;
+    let core = boot.core()?;
     let me = boot.bind_ip;
     let seeds: Vec<Ipv4Addr> = boot.seed_nodes.iter().map(|seed| *seed.ip()).collect();
     let folder = boot.state_dir.clone().ok_or("stateDir: missing; control keeps its state there")?;
@@ -125,7 +126,6 @@
             Start::Wiped
         }
     };
-    let terms = Terms { losses: boot.survive.hosts, eligible: boot.voter, sync: boot.sync_ms() };
     let (purge_log, written) = PurgeLog::open(&folder)?;
     let mut remembered = Purges::default();
     remembered.take(BEFORE, written);
@@ -133,7 +133,7 @@
     let life = life();
     let control = Rc::new(Control {
         began: Instant::now(),
-        chain: RefCell::new(Chain::new(me, terms, start).in_life(life)),
+        chain: RefCell::new(Chain::new(me, core, start).in_life(life)),
         writes: store::start(store, synced)?,
         calls: RefCell::default(),
         next_call: Cell::new(0),
--- a/glenfall/src/ops.rs
+++ b/glenfall/src/ops.rs
@@ -196,6 +196,7 @@
     }
     let text = String::from_utf8(bytes).map_err(|e| wrong(e.to_string()))?;
     let boot = Boot::parse(&text).map_err(wrong)?;
+    boot.core().map_err(|e| wrong(e.to_string()))?;
     Ok(format!("settings of {} in zone {}", boot.node, boot.zone))
 }
 
--- a/glenfall/tests/unit/boot.rs
+++ b/glenfall/tests/unit/boot.rs
@@ -20,6 +20,30 @@
     assert_eq!(boot.link([127, 0, 0, 9].into()).to_string(), "127.0.0.9:7720");
 }
 
+#[test]
+fn losses_that_can_not_be_outlived_in_time_are_refused_by_control_and_by_check() {
+    let file = std::env::temp_dir().join(format!("glenfall-boot-{}.toml", std::process::id()));
+    let promised = |hosts: usize, sync_s: f64| {
+        let promise = format!("[survive]\nhosts = {hosts}\n[timing]\nsyncS = {sync_s}\n[listeners]");
+        let text = TEXT.replace("[listeners]", &promise);
+        std::fs::write(&file, &text).unwrap();
+        let checked = glenfall::ops::check(&file).map_err(|e| e.to_string());
+        let core = Boot::parse(&text).unwrap().core();
+        assert_eq!(core.is_ok(), checked.is_ok(), "{checked:?}");
+        checked.map(|_| core.unwrap().losses)
+    };
+    // Five voters at 4 s and at 6 s, seven at 4 s, and a core that promises nothing.
+    for (hosts, sync_s) in [(1, 4.0), (2, 4.0), (2, 6.0), (3, 4.0), (0, 0.0)] {
+        assert_eq!(promised(hosts, sync_s), Ok(hosts));
+    }
+    for (hosts, sync_s, needed) in [(3, 3.5, "3900 ms"), (4, 4.0, "4900 ms"), (7, 4.0, "7900 ms")] {
+        let why = promised(hosts, sync_s).expect_err("refused");
+        let said = format!("survive.hosts {hosts} with timing.syncS {sync_s}: ");
+        assert!(why.contains(&said) && why.contains(needed) && !why.contains('\n'), "{why}");
+    }
+    std::fs::remove_file(&file).unwrap();
+}
+
 #[test]
 fn what_is_wrong_is_told_in_one_line_with_its_place() {
     for (from, to, told) in [
--- a/plane/src/chain/mod.rs
+++ b/plane/src/chain/mod.rs
@@ -59,7 +59,7 @@
 pub use message::{Claim, Heartbeat, Message, Output};
 pub use quorum::JointConfig;
 pub use reconfiguration::{VoterChange, VoterChangeError};
-pub use settings::{ChainSettings, HEARTBEAT_INTERVAL};
+pub use settings::{ChainSettings, SyncTooShort, HEARTBEAT_INTERVAL};
 pub use state::{HardState, Start};
 pub use view::View;
 
--- a/plane/src/chain/peers.rs
+++ b/plane/src/chain/peers.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::chain::settings::{DISK_STALL, FIRST_EXCLUSION, LATE_EXCLUSION, LONGEST_EXCLUSION, PEER_TIMEOUT};
+use crate::chain::settings::{
+    DISK_STALL, FIRST_EXCLUSION, LATE_EXCLUSION, LONGEST_EXCLUSION, RESEND_INTERVAL,
+};
 use crate::chain::{Chain, Heartbeat, JointConfig, Message, Output};
 use crate::ids::NodeId;
 use crate::Millis;
@@ -186,7 +188,7 @@
         let (newest, now) = (self.committed.seq, self.now);
         let Some(peer) = self.peers.get_mut(to) else { return };
         let sent = &mut peer.sent_record;
-        if sent.seq < newest || now >= sent.at + PEER_TIMEOUT {
+        if sent.seq < newest || now >= sent.at + RESEND_INTERVAL {
             *sent = SentRecord { seq: newest, at: now };
             let record = Arc::new(self.committed.without_table());
             self.send(to, Message::Committed { record });
@@ -200,7 +202,8 @@
 
     /// Whether a peer is connected and was heard lately.
     pub(super) fn hears(&self, node: NodeId) -> bool {
-        self.peers.check(node, |peer| peer.up && self.now < peer.heard + PEER_TIMEOUT)
+        let timeout = self.settings.peer_timeout();
+        self.peers.check(node, |peer| peer.up && self.now < peer.heard + timeout)
     }
 
     /// Whether a peer failed, as far as this node can tell; it never tells so of itself.
--- a/plane/src/chain/settings.rs
+++ b/plane/src/chain/settings.rs
@@ -5,7 +5,11 @@
 /// Interval between heartbeats, and so the longest wait for news of a peer.
 pub const HEARTBEAT_INTERVAL: Millis = 200;
 /// A peer that was not heard for so long counts as failed: four heartbeats, and a stall of a small machine.
-pub(super) const PEER_TIMEOUT: Millis = 1000;
+const LONGEST_PEER_TIMEOUT: Millis = 1000;
+/// Where `sync` has no time for that: two heartbeats, a lost packet that comes again, and a short stall.
+const SHORTEST_PEER_TIMEOUT: Millis = 700;
+/// A peer that is behind is sent the same record again after so long.
+pub(super) const RESEND_INTERVAL: Millis = 1000;
 /// How long a change of who is reachable must last before a view is proposed: links come up one after the other.
 pub(super) const SETTLE_TIME: Millis = 60;
 /// Proposers are staggered: each voter lets those with lower addresses propose first, for so long apiece.
@@ -28,8 +32,8 @@
 const DEFAULT_SYNC: Millis = 4000;
 /// What three views take on slow disks (50 ms a sync), each after one stagger: see [`ChainSettings::replaced_after`].
 const RECONFIGURATION_TIME: Millis = 1200;
-/// What a further loss in the middle of them adds at most: its detection, and the view that goes on without it.
-const FURTHER_LOSS_TIME: Millis = 1300;
+/// What a further loss in the middle of them adds to its detection at most: the view that goes on without it.
+const FURTHER_VIEW_TIME: Millis = 300;
 /// A learner stays in a chain that has taken it in for so long, also for nodes that do not know whose place it is to
 /// take: time for the next view to give it a vote.
 pub(super) const LEARNER_TIME: Millis = 1000;
@@ -46,6 +50,18 @@
 /// Bound of the control nodes.
 pub(super) const MAX_NODES: usize = 64;
 
+/// The promised losses take longer to be outlived than a machine has for catching up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{losses} losses, one right after the repair of another, take {needed} ms to be outlived, and the settings give {sync} ms")]
+pub struct SyncTooShort {
+    /// The promised losses.
+    pub losses: usize,
+    /// The time that they take.
+    pub needed: Millis,
+    /// The time that the settings give.
+    pub sync: Millis,
+}
+
 /// What the settings of a node say of the core.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ChainSettings {
@@ -69,12 +85,45 @@
         2 * self.losses + 1
     }
 
+    /// Losses that may come in the middle of a reconfiguration, one after the other.
+    fn further_losses(&self) -> Millis {
+        self.losses.saturating_sub(1) as Millis
+    }
+
+    /// What a reconfiguration takes with all further losses in the middle of it, without the detection of any loss.
+    fn views_time(&self) -> Millis {
+        RECONFIGURATION_TIME + self.further_losses() * FURTHER_VIEW_TIME
+    }
+
+    /// A peer that was not heard for so long counts as failed. Each promised loss has to be detected within `sync`, one
+    /// after the other, so that many losses in little time are detected sooner.
+    pub(super) fn peer_timeout(&self) -> Millis {
+        let detections = (self.losses as Millis).max(1);
+        let time_left = self.sync.saturating_sub(self.views_time());
+        (time_left / detections).clamp(SHORTEST_PEER_TIMEOUT, LONGEST_PEER_TIMEOUT)
+    }
+
+    /// The longest time from the start of a successor until the machine that it replaces has no vote any more, with all
+    /// further promised losses in the middle of the change. It has to be within `sync`.
+    pub fn replacement_time(&self) -> Millis {
+        self.replaced_after() + self.views_time() + self.further_losses() * self.peer_timeout()
+    }
+
+    /// Whether the promised losses can be outlived in the time that `sync` gives, one after the other.
+    pub fn check(&self) -> Result<(), SyncTooShort> {
+        let (needed, sync) = (self.replacement_time(), self.sync);
+        if self.losses == 0 || needed <= sync {
+            return Ok(());
+        }
+        Err(SyncTooShort { losses: self.losses, needed, sync })
+    }
+
     /// A voter that has been silent for so long is replaced by a machine that stands by. That may have started in the
     /// moment of the loss, so that the rest of `sync` has to suffice for the change, with all other promised losses in
     /// the middle of it; a machine that merely restarts keeps its vote where there is time.
     pub fn replaced_after(&self) -> Millis {
-        let further_losses = self.losses.saturating_sub(1) as Millis;
-        let time_left = self.sync.saturating_sub(RECONFIGURATION_TIME + further_losses * FURTHER_LOSS_TIME);
-        time_left.min(self.sync / 2).max(PEER_TIMEOUT)
+        let change = self.views_time() + self.further_losses() * self.peer_timeout();
+        let time_left = self.sync.saturating_sub(change);
+        time_left.min(self.sync / 2).max(self.peer_timeout())
     }
 }
--- a/plane/tests/unit/main.rs
+++ b/plane/tests/unit/main.rs
@@ -6,4 +6,5 @@
 mod fleet;
 mod purges;
 mod registry;
+mod settings;
 mod subset;
--- /dev/null
+++ b/plane/tests/unit/settings.rs
@@ -0,0 +1,60 @@
+//! What the promised losses and the time to catch up make of the chain's time limits.
+
+use glenfall_plane::chain::{Chain, ChainSettings, NodeId, Start, SyncTooShort};
+use glenfall_plane::Millis;
+
+const STEP: Millis = 10;
+
+fn settings(losses: usize, sync: Millis) -> ChainSettings {
+    ChainSettings { losses, eligible: true, sync }
+}
+
+/// How long a peer has to be silent until a node counts it as failed.
+fn detection_time(settings: ChainSettings) -> Millis {
+    let (me, peer) = (NodeId::new(10, 0, 0, 1), NodeId::new(10, 0, 0, 2));
+    let mut chain = Chain::new(me, settings, Start::Fresh(vec![me, peer]));
+    chain.tick(0);
+    chain.peer_up(0, peer);
+    let mut now = 0;
+    while chain.in_majority() {
+        now += STEP;
+        chain.tick(now);
+    }
+    now
+}
+
+#[test]
+fn seven_voters_keep_to_four_seconds_by_detecting_losses_sooner() {
+    for (losses, sync, detected, replaced, needed) in [
+        (1, 4000, 1000, 2000, 3200),
+        (2, 4000, 1000, 1500, 4000),
+        (2, 6000, 1000, 3000, 5500),
+        (3, 4000, 740, 734, 4000),
+        (3, 5000, 1000, 1200, 5000),
+        (3, 6000, 1000, 2200, 6000),
+    ] {
+        let settings = settings(losses, sync);
+        let times = (detection_time(settings), settings.replaced_after(), settings.replacement_time());
+        assert_eq!(times, (detected, replaced, needed), "{losses} losses, {sync} ms");
+    }
+}
+
+#[test]
+fn what_passes_the_check_fits_and_what_does_not_is_named() {
+    let refused = |losses, needed, sync| Err(SyncTooShort { losses, needed, sync });
+    assert_eq!(settings(4, 4000).check(), refused(4, 4900, 4000));
+    assert_eq!(settings(1, 1000).check(), refused(1, 1900, 1000));
+    assert_eq!(settings(0, 0).check(), Ok(()));
+    for losses in 1..=7 {
+        for sync in (0..20_000).step_by(100) {
+            let settings = settings(losses, sync);
+            let fits = settings.replacement_time() <= sync;
+            assert_eq!(settings.check().is_ok(), fits, "{losses} losses, {sync} ms");
+            let more = ChainSettings { sync: sync + 100, ..settings };
+            assert!(
+                !fits || more.check().is_ok(),
+                "{losses} losses: {sync} ms suffice, and 100 ms more do not"
+            );
+        }
+    }
+}
