--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod agent;
+pub mod backlog;
 pub mod boot;
 pub mod cache;
 pub mod control;
@@ -23,11 +24,13 @@
 pub mod origins;
 mod pace;
 pub mod pool;
+pub mod read_plan;
 pub mod response;
 pub mod room;
+pub mod send_budget;
 pub mod serve;
 pub mod sessions;
-mod shield;
+pub mod shield;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -1,37 +1,40 @@
 //! The shield: answers edges' reads from its copies, joins concurrent misses, and fetches from the servers.
 
+mod fetch;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
-use hyper::header::{self, HeaderMap, HeaderName};
-use hyper::{Method, StatusCode, Uri};
+use hyper::header::{HeaderMap, HeaderName};
+use hyper::Method;
 use mallowpaddle::mix;
-use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{timeout_at, Instant};
 
+use self::fetch::{FetchDone, FetchEnd, FetchRequest, Fetched, Flight, TooManyFetches};
 use crate::boot::Boot;
 use crate::cache::{Cache, Copy, ObjectKey};
 use crate::counter::Counter;
-use crate::direct::{Direct, Job, Outcome, NONE};
+use crate::direct::{Direct, NONE};
 use crate::feed::{Feed, Follower};
 use crate::kept::{Kept, Row};
 use crate::latency::Latency;
 use crate::pool::Pool;
-use crate::response::{LocalResponse, ProxyResponse, ServerResponse, ShieldSource};
-use crate::serve::{passed_on, Answer, Handler, Whole, DEADLINE, TRY_ID};
+use crate::response::{LocalResponse, ProxyResponse, ShieldSource};
+use crate::send_budget::{Allowance, SendReport};
+use crate::serve::{Answer, Handler, Whole, DEADLINE, TRY_ID};
 
 /// The version that an edge decided under; the shield never answers by an older one.
 pub const REV: HeaderName = HeaderName::from_static("x-glenfall-rev");
-/// Another shield was asked before, which may have asked a server.
+/// A shield was asked before, which may have counted the request or asked a server: what is sent now draws on the retry
+/// budget.
 pub const AGAIN: HeaderName = HeaderName::from_static("x-glenfall-again");
 /// A version is waited for so long. Pushes to machines of a region are milliseconds apart, between regions a way; one that
 /// takes longer may not come, as control beside is cut off.
@@ -39,49 +42,26 @@
 
 /// Part of the machine's memory for copies: the rest is for what is under way, and for control beside it.
 pub const COPIES: f64 = 0.4;
-/// Fetches under way at most; what misses beyond is told to come back.
-const MOST_FETCHES: usize = 1024;
-
-/// What came of a fetch, for all who wait for it.
-#[derive(Clone)]
-enum Fetched {
-    Copy(Rc<Copy>),
-    Other(ServerResponse),
-    Refused(Duration),
-    Unknown,
-    TimedOut,
-}
-
 /// What a read comes to.
 struct Read {
     response: ProxyResponse,
     source: ShieldSource,
+    /// What it used of its try's sends.
+    report: SendReport,
 }
 
 impl Read {
     fn of(copy: &Copy, request: &HeaderMap, source: ShieldSource) -> Read {
         let mut response = copy.answer(request).into();
         copy.hand_on(&mut response);
-        Read { response, source }
+        Read { response, source, report: SendReport::default() }
     }
 
     fn local(response: LocalResponse) -> Read {
-        Read { response: response.into(), source: ShieldSource::Local }
+        Read { response: response.into(), source: ShieldSource::Local, report: SendReport::default() }
     }
 }
 
-/// No more can be fetched now.
-struct NoRoom;
-
-/// A fetch under way.
-struct Fetch {
-    done: watch::Receiver<Option<Fetched>>,
-    /// Labels purged since it began: what it brings may be older.
-    purged: Rc<RefCell<Vec<String>>>,
-    /// Its object was purged since.
-    stale: Rc<Cell<bool>>,
-}
-
 #[derive(Default)]
 struct Counters {
     hits: Counter,
@@ -102,9 +82,10 @@
     kept: Option<Kept>,
     /// What lay on disk at the start, until control has told of all purges that came meanwhile.
     found: RefCell<Option<Cache>>,
-    fetching: RefCell<HashMap<ObjectKey, Fetch>>,
-    /// Fetches that are no longer joined, as a purge has come since: their number.
-    under_way: Cell<usize>,
+    /// Fetches that reads may join, by what they fetch.
+    flights: RefCell<HashMap<ObjectKey, Flight>>,
+    /// All fetches under way, also those that are not joined any more as a purge has come since.
+    fetches: Cell<usize>,
     read_from_disk: Cell<bool>,
     purged_early: RefCell<Vec<Aged>>,
     /// Control has told of all purges that came before this process began.
@@ -126,8 +107,8 @@
             cache: RefCell::new(Cache::new(most)),
             kept,
             found: RefCell::new(found.is_some().then(|| Cache::new(most))),
-            fetching: RefCell::default(),
-            under_way: Cell::new(0),
+            flights: RefCell::default(),
+            fetches: Cell::new(0),
             read_from_disk: Cell::new(false),
             purged_early: RefCell::default(),
             told_all: Cell::new(false),
@@ -177,61 +158,94 @@
         }
     }
 
-    async fn read(self: &Rc<Self>, whole: &Whole) -> Result<Read, Read> {
+    /// Answers a read: from a copy, from a fetch that another read began, or by a fetch of its own.
+    async fn read(self: &Rc<Self>, whole: &Whole) -> Read {
         let number = |name| whole.head.headers.get(name)?.to_str().ok()?.parse::<u64>().ok();
         let until = Instant::now() + Duration::from_millis(number(DEADLINE).unwrap_or(1000).min(60_000));
-        let unready = || Read::local(LocalResponse::refused("not ready", Duration::from_millis(200)));
-        let rev = number(REV).unwrap_or(0);
-        if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
-            return Err(Read { source: ShieldSource::Behind, ..unready() });
-        }
-        let config = self.feed.config().ok_or_else(unready)?;
-        let path = whole.path_and_query();
-        let route = config.route(whole.host(), whole.head.uri.path());
-        let Some(route) = route.filter(|_| whole.head.method == Method::GET) else {
-            return Err(Read::local(LocalResponse::no_route()));
+        let config = match self.configuration(number(REV).unwrap_or(0), until).await {
+            Ok(config) => config,
+            Err(not_ready) => return not_ready,
+        };
+        let Some((route, key)) = object_of(&config, whole) else {
+            return Read::local(LocalResponse::no_route());
         };
-        let service = route
-            .service(object_draw(whole.host(), path))
-            .ok_or_else(|| Read::local(LocalResponse::no_route()))?;
         if !whole.head.headers.contains_key(AGAIN) {
-            self.direct.count(service);
+            self.direct.count(&key.service);
         }
-        let key = ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() };
         let old = self.cache.borrow_mut().get(&key);
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.hits.add();
-            return Ok(Read::of(copy, &whole.head.headers, ShieldSource::Hit));
+            return Read::of(copy, &whole.head.headers, ShieldSource::Hit);
+        }
+        let joined = self.flights.borrow().get(&key).map(|flight| flight.done.clone());
+        if let Some(done) = joined {
+            self.counters.joined.add();
+            return self.await_joined(done, until, whole).await;
         }
-        let joined = self.fetching.borrow().get(&key).map(|fetch| fetch.done.clone());
-        let is_joined = joined.is_some();
-        let mut done = match joined {
-            Some(done) => {
-                self.counters.joined.add();
-                done
+        let allowance = Allowance::of_request(&whole.head.headers, route.tries);
+        if allowance.sends == 0 {
+            let report = SendReport { used: 0, short: true };
+            return Read { report, ..Read::local(LocalResponse::gateway_timeout()) };
+        }
+        let fetch = FetchRequest::new(&config, route, key, &whole.head, old, allowance);
+        match self.begin_fetch(fetch) {
+            Ok(done) => self.await_own(done, until, allowance, whole).await,
+            Err(TooManyFetches) => self.refuse(NONE),
+        }
+    }
+
+    /// The configuration, once it is as new as the edge's; a refusal that says so where it does not come.
+    async fn configuration(&self, rev: u64, until: Instant) -> Result<Arc<Config>, Read> {
+        let unready = || Read::local(LocalResponse::refused("not ready", Duration::from_millis(200)));
+        if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
+            return Err(Read { source: ShieldSource::Behind, ..unready() });
+        }
+        self.feed.config().ok_or_else(unready)
+    }
+
+    /// Waits for the fetch that a read has begun, until the read's deadline.
+    async fn await_own(&self, done: FetchDone, until: Instant, allowance: Allowance, whole: &Whole) -> Read {
+        match await_end(done, until).await {
+            Ok(FetchEnd { fetched: Fetched::Other(response), report }) => {
+                Read { response: response.forward(&Method::GET), source: ShieldSource::Passed, report }
             }
-            None => {
-                let fetch = self.fetch(&config, route, key, &whole.head.headers, whole.head.uri.clone(), old);
-                fetch.map_err(|NoRoom| self.refuse(NONE))?
+            Ok(FetchEnd { fetched, report }) => Read { report, ..self.read_of(fetched, whole) },
+            Err(fetched) => {
+                // The fetch goes on, and may use all that it was allowed.
+                let report = SendReport { used: allowance.sends, short: false };
+                Read { report, ..self.read_of(fetched, whole) }
             }
-        };
-        let fetched = match timeout_at(until, done.wait_for(|fetched| fetched.is_some())).await {
-            Ok(Ok(fetched)) => fetched.clone().unwrap_or(Fetched::Unknown),
-            Ok(Err(_)) => Fetched::Unknown,
-            Err(_) => Fetched::TimedOut,
-        };
-        match fetched {
-            Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, ShieldSource::Miss)),
-            Fetched::Other(failure) if is_joined && !failure.status().is_success() => {
-                Err(Read::local(LocalResponse::same_failure(&failure)))
+        }
+    }
+
+    /// Waits for the fetch that another read has begun. Servers know it by the id of that read's try, so that it uses
+    /// none of this one's sends.
+    async fn await_joined(&self, done: FetchDone, until: Instant, whole: &Whole) -> Read {
+        match await_end(done, until).await {
+            Ok(FetchEnd { fetched, report }) => {
+                let report = SendReport { used: 0, short: report.short };
+                Read { report, ..self.read_of(fetched, whole) }
             }
-            Fetched::Other(reply) => {
-                Ok(Read { response: reply.forward(&Method::GET), source: ShieldSource::Passed })
+            Err(fetched) => self.read_of(fetched, whole),
+        }
+    }
+
+    /// What a fetch brings to all who wait for it.
+    fn read_of(&self, fetched: Fetched, whole: &Whole) -> Read {
+        match fetched {
+            Fetched::Copy(copy) => Read::of(&copy, &whole.head.headers, ShieldSource::Miss),
+            Fetched::Other(failure) if !failure.status().is_success() => {
+                Read::local(LocalResponse::same_failure(&failure))
             }
-            Fetched::Refused(after) => Err(self.refuse(after)),
-            Fetched::Unknown => Err(Read::local(LocalResponse::bad_gateway())),
-            Fetched::TimedOut => Err(Read::local(LocalResponse::gateway_timeout())),
+            Fetched::Other(response) => Read {
+                response: response.forward(&Method::GET),
+                source: ShieldSource::Passed,
+                report: SendReport::default(),
+            },
+            Fetched::Refused(after) => self.refuse(after),
+            Fetched::Unknown => Read::local(LocalResponse::bad_gateway()),
+            Fetched::TimedOut => Read::local(LocalResponse::gateway_timeout()),
         }
     }
 
@@ -240,80 +254,6 @@
         Read::local(LocalResponse::refused("service full", after))
     }
 
-    /// Begins to fetch an object; all who ask for it meanwhile wait for the same answer.
-    fn fetch(
-        self: &Rc<Self>,
-        config: &Arc<Config>,
-        route: &Route,
-        key: ObjectKey,
-        request: &HeaderMap,
-        uri: Uri,
-        old: Option<Rc<Copy>>,
-    ) -> Result<watch::Receiver<Option<Fetched>>, NoRoom> {
-        if self.under_way.get() >= MOST_FETCHES {
-            return Err(NoRoom);
-        }
-        self.counters.misses.add();
-        let (tell, done) = watch::channel(None);
-        let (purged, stale) = (Rc::new(RefCell::new(Vec::new())), Rc::new(Cell::new(false)));
-        let fetch = Fetch { done: done.clone(), purged: Rc::clone(&purged), stale: Rc::clone(&stale) };
-        let mark = Rc::clone(&stale);
-        self.fetching.borrow_mut().insert(key.clone(), fetch);
-        self.under_way.set(self.under_way.get() + 1);
-        let again = request.contains_key(AGAIN);
-        let mut headers = passed_on(request);
-        for name in [header::RANGE, header::IF_RANGE, header::IF_NONE_MATCH, header::IF_MODIFIED_SINCE] {
-            headers.remove(name);
-        }
-        if let Some(etag) = old.as_ref().and_then(|old| old.headers.get(header::ETAG)) {
-            headers.insert(header::IF_NONE_MATCH, etag.clone());
-        }
-        let (tries, wait) = (route.tries, Duration::from_millis(route.deadline_ms));
-        let (aim, rank) = (route.aim(), config.rank(route));
-        let per_s = config.backend(&key.service).and_then(|backend| backend.rate_per_s);
-        let shield = Rc::clone(self);
-        spawn_local(async move {
-            let sent = Instant::now();
-            let job = Job {
-                service: &key.service,
-                method: &Method::GET,
-                uri: &uri,
-                headers,
-                body: Bytes::new(),
-                repeatable: true,
-                tries,
-                again,
-                until: sent + wait,
-                aim,
-                rank,
-                per_s,
-            };
-            let before = old.clone();
-            let fetched = match shield.direct.send(job).await {
-                Outcome::Answered(reply) => shield.take(&key, reply, sent, old),
-                Outcome::NotRun(after) => Fetched::Refused(after),
-                Outcome::Unknown => Fetched::Unknown,
-                Outcome::TimedOut => Fetched::TimedOut,
-            };
-            shield.counters.fetch.add(sent.elapsed());
-            shield.under_way.set(shield.under_way.get() - 1);
-            // It may have been taken off by a purge, and another begun under the same name.
-            let mut fetching = shield.fetching.borrow_mut();
-            if fetching.get(&key).is_some_and(|fetch| Rc::ptr_eq(&fetch.stale, &mark)) {
-                fetching.remove(&key);
-            }
-            if let Fetched::Copy(copy) = &fetched {
-                let refreshed = before.is_some_and(|before| Rc::ptr_eq(&before, copy));
-                let purged = purged.borrow().iter().any(|label| copy.labelled(label));
-                if !mark.get() && !purged {
-                    shield.keep(key, copy, refreshed);
-                }
-            }
-            tell.send_replace(Some(fetched));
-        });
-        Ok(done)
-    }
-
     /// Keeps a copy in memory and on disk.
     fn keep(&self, key: ObjectKey, copy: &Rc<Copy>, refreshed: bool) {
         if let Some(kept) = &self.kept {
@@ -328,18 +268,23 @@
             kept.remove(&gone);
         }
     }
+}
 
-    fn take(&self, key: &ObjectKey, reply: ServerResponse, sent: Instant, old: Option<Rc<Copy>>) -> Fetched {
-        if let (StatusCode::NOT_MODIFIED, Some(old)) = (reply.status(), old) {
-            tracing::debug!(path = %key.path, "copy still good");
-            self.counters.refreshed.add();
-            old.born.set(sent);
-            return Fetched::Copy(old);
-        }
-        match Copy::of(&reply, sent) {
-            Some(copy) => Fetched::Copy(Rc::new(copy)),
-            None => Fetched::Other(reply),
-        }
+/// The route of a read and the name of its object; `None` where no route takes it.
+fn object_of<'a>(config: &'a Config, whole: &Whole) -> Option<(&'a Route, ObjectKey)> {
+    let path = whole.path_and_query();
+    let route = config.route(whole.host(), whole.head.uri.path());
+    let route = route.filter(|_| whole.head.method == Method::GET)?;
+    let service = route.service(object_draw(whole.host(), path))?;
+    Some((route, ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() }))
+}
+
+/// Waits for the end of a fetch; what is known without it, where it does not come by then.
+async fn await_end(mut done: FetchDone, until: Instant) -> Result<FetchEnd, Fetched> {
+    match timeout_at(until, done.wait_for(|end| end.is_some())).await {
+        Ok(Ok(end)) => end.clone().ok_or(Fetched::Unknown),
+        Ok(Err(_)) => Err(Fetched::Unknown),
+        Err(_) => Err(Fetched::TimedOut),
     }
 }
 
@@ -373,7 +318,7 @@
 
     fn purge(&self, purges: &[Aged]) {
         let mut cache = self.cache.borrow_mut();
-        let mut fetching = self.fetching.borrow_mut();
+        let mut flights = self.flights.borrow_mut();
         for purge in purges {
             let mut gone = cache.purge(purge);
             if let Some(found) = self.found.borrow_mut().as_mut() {
@@ -388,20 +333,20 @@
             match &purge.purge {
                 // Nobody joins a fetch that began before; it is told apart when it ends.
                 Purge::Label(label) => {
-                    for fetch in fetching.values() {
-                        fetch.purged.borrow_mut().push(label.clone());
-                    }
+                    flights.values().for_each(|flight| flight.purge_label(label));
                 }
                 Purge::Object { hostname, path } => {
-                    fetching.retain(|key, fetch| {
+                    flights.retain(|key, flight| {
                         let named = key.at(hostname, path);
-                        fetch.stale.set(fetch.stale.get() || named);
+                        if named {
+                            flight.purge_object();
+                        }
                         !named
                     });
                 }
                 Purge::Everything => {
-                    fetching.values().for_each(|fetch| fetch.stale.set(true));
-                    fetching.clear();
+                    flights.values().for_each(Flight::purge_object);
+                    flights.clear();
                 }
             }
         }
@@ -444,9 +389,9 @@
 impl Handler for Serving {
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
-        let (Ok(read) | Err(read)) = self.0.read(&whole).await;
-        let Read { mut response, source } = read;
+        let Read { mut response, source, report } = self.0.read(&whole).await;
         response.set_shield_source(source);
+        response.set_send_report(report);
         // By it the edge knows which request this answers.
         response.set_try_id(whole.head.headers.get(TRY_ID));
         self.0.counters.answer.add(began.elapsed());
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -3,9 +3,11 @@
 mod support;
 
 mod agent;
+mod backlog;
 mod backup;
 mod boot;
 mod cache;
+mod deadlines;
 mod declare;
 mod direct;
 mod edge;
@@ -15,7 +17,9 @@
 mod ops;
 mod origins;
 mod pool;
+mod proxies;
 mod purge_log;
 mod room;
 mod serve;
 mod store;
+mod tries;
--- a/plane/tests/unit/main.rs
+++ b/plane/tests/unit/main.rs
@@ -8,3 +8,4 @@
 mod registry;
 mod settings;
 mod subset;
+mod voters;
