--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -157,6 +157,8 @@
             "node": self.0.boot.bind_ip,
             "view": chain.view().map(|view| view.name()),
             "voters": voters,
+            "outgoingVoters": members.before,
+            // The name before version 0.4.
             "lettingGoOf": members.before,
             "standingBy": chain.standing_by(),
             "losses": self.0.boot.survive.hosts,
@@ -195,7 +197,8 @@
             }
             Err(refused) => return wrong(StatusCode::CONFLICT, refused),
         };
-        tracing::info!(?seat, ?voters, "an operator changes the voters");
+        // `seat` is the name before version 0.4.
+        tracing::info!(change = ?seat, ?seat, ?voters, "an operator changes the voters");
         let began = Instant::now();
         while began.elapsed() < SEATED {
             sleep(super::TICK).await;
