--- a/plane/tests/unit/main.rs
+++ b/plane/tests/unit/main.rs
@@ -6,5 +6,6 @@
 mod fleet;
 mod purges;
 mod registry;
+mod settings;
 mod subset;
 mod voters;
