--- a/scripts/own-days.sh
+++ b/scripts/own-days.sh
@@ -13,7 +13,7 @@
 quiet=$(awk '/^\[\[day\]\]/ { n++ } n == 1' "$site")
 length=$(sed -n 's/^length_s = //p' "$site")
 
-# name | closing fault | troubles, at seconds from the start of traffic
+# name | closing fault | troubles | planned work beside that of all days, at seconds from the start of traffic
 days='
 cut-20s                  || core_cut at=4 for_s=20 count=1
 cut-20s-leader           || core_cut at=4 for_s=20 count=1 how="leader"
@@ -77,6 +77,41 @@
 crash-answer-lost        || answer_lost at=4 for_s=8 x=0.1; srv_crash at=13 share=0.2 for_s=4; garble at=18 for_s=4 x=0.05 how="extra"
 idle-flap                || idle_race at=4 for_s=8 x=200; srv_flap at=13 for_s=8 gap_s=1
 grey-mute                || srv_grey at=4 for_s=8 how="mute"; srv_grey at=14 for_s=8 how="reset"
+herd-edges               || herd_kill at=6 on="front" share=1 for_s=1; herd_kill at=18 on="front" share=1 for_s=1
+herd-edges-power         || herd_kill at=6 on="front" share=1 for_s=1 how="power"; herd_kill at=18 on="front" share=1 for_s=1 how="power"
+herd-every               || herd_kill at=6 share=1 for_s=1; herd_kill at=18 share=1 for_s=1
+herd-every-power         || herd_kill at=6 share=1 for_s=1 how="power"; herd_kill at=18 share=1 for_s=1 how="power"
+herd-every-taken         || herd_kill at=6 on="core" for_s=2 how="taken all"; herd_kill at=18 on="core" for_s=2 how="taken all"
+herd-core-meet           || herd_kill at=6 on="core" for_s=2 how="power meet"; herd_kill at=18 on="core" for_s=2 how="race"
+herd-core-drain          || herd_kill at=6 on="core" for_s=2 how="power drain"; herd_kill at=18 on="core" for_s=2 how="drain"
+herd-edges-then-core     || herd_kill at=6 on="front" share=1 for_s=2; herd_kill at=7 on="core" for_s=2 how="power"; herd_kill at=18 share=0.6 for_s=1
+herd-twice-close-power   | power_off_all down_s=1 how="taken" | herd_kill at=6 on="core" for_s=2 how="taken"; herd_kill at=18 on="core" for_s=2 how="power"
+herd-twice-close-kill    | kill_all down_s=1 how="taken" | herd_kill at=6 share=1 for_s=1; herd_kill at=18 on="core" for_s=2 how="taken all"
+herd-close-wipe          | wipe_after_ack down_s=1 how="taken" | herd_kill at=8 share=0.6 for_s=2 how="power"
+close-kill-taken         | kill_all down_s=1 how="taken" |
+close-wipe-oldest        | wipe_after_ack down_s=1 how="oldest" |
+close-wipe-taken-oldest  | wipe_after_ack down_s=1 how="taken oldest" |
+ack-wipe-oldest          || after_ack_wipe at=4 for_s=3 how="oldest"; after_ack_wipe at=16 for_s=3 how="oldest"
+cut-20s-all              || core_cut at=4 for_s=20 count=1 how="leader all"
+cut-20s-near             || core_cut at=4 for_s=20 count=1 how="near"
+cut-20s-oldest           || core_cut at=4 for_s=20 count=1 how="oldest"
+cut-20s-lure             || core_cut at=4 for_s=16 count=1 how="lure"
+replace-core             || replace_core at=4 x=1; replace_core at=16 x=1 how="oldest"
+replace-core-planned     ||| replace_core at=4 x=1 how="planned"; replace_core at=16 x=1 how="planned"
+acks-lost                || ack_lost at=3 for_s=12 x=0.7 share=0.7; node_kill at=8 on="core" count=1 for_s=3 how="leader power meet"
+bad-configs              || bad_config at=4 count=6 gap_s=1 how="stale_match"; bad_config at=12 count=6 gap_s=1 how="same_version"
+disk-full                || disk_full at=4 count=1 for_s=8; node_kill at=16 on="core" count=1 for_s=3 how="leader power meet"
+work-hup-config          ||| hup at=3 share=1 gap_s=6; config_change at=4 how="idle"; config_change at=6 how="timeout"; config_change at=8 how="route"
+work-hup-term-busy       ||| hup at=3 share=1 gap_s=6; roll_term at=4 share=0.6 x=4 gap_s=1 how="busy"; config_change at=6 how="idle"; config_change at=8.5 how="route"
+work-hup-term-remove     ||| roll_term at=3 share=0.3 x=2 gap_s=1 how="remove busy"; hup at=4 share=1 gap_s=8; config_change at=6 how="idle"; config_change at=8 how="timeout"
+work-term-core-hup       ||| roll_term at=3 on="core" share=1 x=1 gap_s=6 how="busy"; hup at=4 share=1 gap_s=10; config_change at=8 how="idle"; release at=10 share=0.5 x=2 gap_s=1
+abuse-grey-errors        || retry_abuse at=3 for_s=22 share=0.3 x=3; srv_grey at=6 for_s=6 how="errors"; srv_grey at=16 for_s=6 how="errors across"
+abuse-grey-shed          || retry_abuse at=3 for_s=22 share=0.3 x=3; srv_grey at=6 for_s=6 how="shed"; srv_grey at=16 for_s=6 how="busy"
+abuse-grey-hang          || retry_abuse at=3 for_s=22 share=0.3 x=3; srv_grey at=6 for_s=6 how="hang"; srv_grey at=16 for_s=6 how="mute"
+abuse-grey-reset         || retry_abuse at=3 for_s=22 share=0.3 x=3; srv_grey at=6 for_s=6 how="reset"; srv_grey at=16 for_s=6 how="slow"
+mix-cut-herd-flap        || core_cut at=4 for_s=10 count=1 how="leader meet"; herd_kill at=6 on="front" share=0.5 for_s=1; srv_flap at=5 for_s=12 gap_s=1; purge_storm at=5 for_s=8 gap_s=0.1 how="tag"
+mix-herd-grey-abuse      || herd_kill at=6 share=0.6 for_s=1 how="power"; retry_abuse at=4 for_s=20 share=0.3 x=3; srv_grey at=5 for_s=12 how="errors"; answer_lost at=12 for_s=6 x=0.05
+mix-slow-burst           || node_slow at=4 for_s=10 share=0.3 x=5; disk_slow at=4 for_s=10 count=1 x=30; srv_slow at=6 for_s=8 x=3; burst at=8 for_s=4 x=1.5; node_kill at=16 on="core" count=1 for_s=3 how="leader power meet"
 '
 
 # `kind at=4 how="x"; kind …` as entries of a day, without the kinds that the site does not know.
@@ -91,12 +126,13 @@
 }
 
 number=0
-while IFS='|' read -r name closing troubles; do
+while IFS='|' read -r name closing troubles planned; do
     name=$(tr -d ' ' <<<"$name")
     number=$((number + 1))
     [[ -n $name && $name =~ $pattern ]] || continue
     faults=$(entries "$troubles")
-    [ -n "$faults" ] || [[ $closing == *[a-z]* ]] || continue
+    work=$(entries "$planned")
+    [ -n "$faults$work" ] || [[ $closing == *[a-z]* ]] || continue
     {
         echo "[[day]]"
         printf 'name = "own-%s"\nslot = "trouble"\nseed = %d\nlength_s = %s\n' "$name" $((7000 + number)) "$length"
@@ -104,8 +140,9 @@
             printf 'closing = { kind = "%s", %s }\n' "$kind" "$(sed -E 's/ ([a-z_]+=)/, \1/g; s/=/ = /g' <<<"$fields")"
         fi
         printf 'faults = [\n%s\n]\n' "$faults"
+        printf 'plan = [\n'
+        [ -z "$work" ] || printf '%s\n' "$work"
         cat <<PLAN
-plan = [
   { at = 2.0, kind = "config_change", how = "route" },
   { at = 5.5, kind = "config_change", how = "weights" },
   { at = 7.0, kind = "purge", count = 8, gap_s = 1.5, how = "tag" },
