--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -3,26 +3,28 @@
 
 #![forbid(unsafe_code)]
 
-mod agent;
+pub mod agent;
+pub mod backlog;
 pub mod boot;
 pub mod cache;
 pub mod control;
 mod counter;
-mod declare;
+pub mod declare;
 mod demo;
 pub mod direct;
 mod disk;
-mod edge;
-mod feed;
+pub mod edge;
+pub mod feed;
 pub mod kept;
-mod latency;
-mod limit;
+pub mod latency;
+pub mod limit;
 pub mod link;
 pub mod local;
 pub mod ops;
 pub mod origins;
 mod pace;
 pub mod pool;
+pub mod response;
 pub mod room;
 pub mod serve;
 pub mod sessions;
