Chain: a new link is announced to all peers at once

Cause: a node whose link came up sent its heartbeat to the peer at the other end alone; the others heard of the link with the next periodic heartbeat, up to 200 ms later, while a view is proposed after 60 ms. After a start of all, a healthy voter was left out of the first view, or no view was proposed for 0.2 s more.

Change: `link_up` sends the heartbeat to every peer, as `link_down` does.

With the change taken out `a_new_link_is_announced_to_all_peers_at_once` fails (left: [10.0.0.2], right: [10.0.0.1, 10.0.0.2]).

--- a/plane/src/chain/peers.rs
+++ b/plane/src/chain/peers.rs
@@ -123,8 +123,8 @@
         peer.up = true;
         peer.heard = now;
         peer.sent_record = SentRecord::default();
-        let heartbeat = Message::Heartbeat(self.heartbeat());
-        self.outputs.push(Output::Send(node, heartbeat));
+        // To every peer: no chain holds two nodes that are not known to hear each other.
+        self.send_heartbeats();
     }
 
     pub(super) fn link_down(&mut self, node: NodeId) {
