--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -12,11 +12,15 @@
 use tokio::time::Instant;
 
 /// How long a server is left alone that gave no connection or no answer.
-const REST: Duration = Duration::from_millis(1500);
+pub const REST: Duration = Duration::from_millis(1500);
 /// The same for one that was full: a place is free again about when a request ends.
 const FULL: Duration = Duration::from_millis(60);
 /// Weight of a new answer time in the smoothed one.
 const SMOOTH: f64 = 0.15;
+/// The time after which half of what is known of a server's answer times is forgotten. One slow answer, as with a
+/// connection or a machine that has just started, would keep requests away for good otherwise, and nothing would
+/// tell that it is fast by now.
+const TIMES_FORGOTTEN: Duration = Duration::from_secs(10);
 /// A server that is slow from its start takes about this part of what it takes when warm.
 const COLD: f64 = 0.4;
 /// A server in another zone, for those whom its bytes cost: taken when those of the own zone are crowded.
@@ -37,6 +41,10 @@
     in_flight: u32,
     /// Smoothed answer time in seconds, 0 while unknown.
     time: f64,
+    /// Its logarithm.
+    log_time: f64,
+    /// When the last answer came.
+    timed: Instant,
     rests_until: Instant,
     /// Part of the requests that it failed of late, as it was at `blamed`.
     failing: f64,
@@ -46,6 +54,12 @@
 }
 
 impl Known {
+    /// How far its answer time is still believed, from 1 down to 0.
+    fn time_trust(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.timed).as_secs_f64();
+        0.5f64.powf(passed / TIMES_FORGOTTEN.as_secs_f64())
+    }
+
     fn failing_at(&self, now: Instant) -> f64 {
         let passed = now.saturating_duration_since(self.blamed).as_secs_f64();
         self.failing * 0.5f64.powf(passed / FORGIVEN.as_secs_f64())
@@ -113,6 +127,8 @@
                 warm_at,
                 in_flight: 0,
                 time: 0.0,
+                log_time: 0.0,
+                timed: now,
                 rests_until: now,
                 failing: 0.0,
                 blamed: now,
@@ -177,29 +193,26 @@
         }
         // Where all rest, each is as good as the next.
         let awake = open.iter().any(|k| k.rests_until <= now);
-        let usual = {
-            let times: Vec<f64> = open.iter().map(|k| k.time).filter(|time| *time > 0.0).collect();
-            if times.is_empty() {
-                1.0
-            } else {
-                times.iter().sum::<f64>() / times.len() as f64
-            }
-        };
-        let weigh = |k: &Known| {
+        let trusts: Vec<f64> = open.iter().map(|k| k.time_trust(now)).collect();
+        let known_times = || open.iter().zip(&trusts).filter(|(k, _)| k.time > 0.0);
+        let trust_sum: f64 = known_times().map(|(_, trust)| trust).sum();
+        // The logarithm of the usual answer time: what is hardly believed any more hardly counts.
+        let usual = known_times().map(|(k, trust)| k.log_time * trust).sum::<f64>() / trust_sum.max(1e-9);
+        let weigh = |k: &Known, trust: f64| {
             if awake && k.rests_until > now {
                 return 0.0;
             }
-            let time = if k.time > 0.0 { k.time } else { usual };
             let room = 1.0 / (1.0 + f64::from(k.in_flight) * 4.0 / f64::from(k.server.capacity.max(1)));
             let cold = if k.warm_at > now { COLD } else { 1.0 };
             let far = if self.near && k.server.zone != self.zone { FAR } else { 1.0 };
             let warm = if warm(k.server.addr.into()) { WARM } else { 1.0 };
             // Squared: faster and emptier servers take more than their share of what others would queue.
-            let weight = f64::from(k.server.capacity.max(1)) * room * room * (usual / time).powi(2);
+            let speed = if k.time > 0.0 { (2.0 * trust * (usual - k.log_time)).exp() } else { 1.0 };
+            let weight = f64::from(k.server.capacity.max(1)) * room * room * speed;
             let well = (1.0 - k.failing_at(now)).powi(SHY);
             (weight * well * cold * far * warm).max(1e-9)
         };
-        let weights: Vec<f64> = open.iter().map(|k| weigh(k)).collect();
+        let weights: Vec<f64> = open.iter().zip(&trusts).map(|(k, trust)| weigh(k, *trust)).collect();
         let mut left = self.draw() * weights.iter().sum::<f64>();
         let mut last = None;
         for (k, weight) in open.iter().zip(&weights).filter(|(_, weight)| **weight > 0.0) {
@@ -224,7 +237,12 @@
         self.known.borrow().get(id).is_some_and(|k| k.server.ready)
     }
 
-    #[cfg(test)]
+    /// When a server will be warm.
+    pub fn warm_at(&self, id: &str) -> Option<Instant> {
+        self.known.borrow().get(id).map(|k| k.warm_at)
+    }
+
+    /// Requests at all servers together.
     pub fn in_flight(&self) -> u32 {
         self.known.borrow().values().map(|k| k.in_flight).sum()
     }
@@ -260,7 +278,11 @@
             End::Erred => {}
             End::Answered => {
                 let took = took.as_secs_f64();
-                k.time = if k.time > 0.0 { k.time + SMOOTH * (took - k.time) } else { took };
+                // The longer ago the last answer, the more the new one says.
+                let part = 1.0 - (1.0 - SMOOTH) * k.time_trust(now);
+                k.time = if k.time > 0.0 { k.time + part * (took - k.time) } else { took };
+                k.log_time = k.time.max(1e-6).ln();
+                k.timed = now;
             }
             End::TurnedAway => k.rests_until = now + FULL,
             End::Failed => k.rests_until = now + REST,
@@ -293,124 +315,3 @@
         self.origins.exit(self.id);
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::collections::BTreeSet;
-
-    fn server(n: u16, ready: bool) -> Server {
-        Server {
-            id: format!("i-{n}"),
-            backend: "s".into(),
-            addr: SocketAddrV4::new([127, 0, 0, 1].into(), n),
-            zone: "z".into(),
-            capacity: 2,
-            ready,
-            warmup_left_ms: 0,
-        }
-    }
-
-    fn servers() -> Vec<Server> {
-        (1..=49).map(|n| server(n, true)).collect()
-    }
-
-    fn marks() -> Vec<u64> {
-        (0..90).map(|n| edge_mark(&format!("edge-{n}"))).collect()
-    }
-
-    fn drawn(origins: &Origins, warm: impl Fn(SocketAddr) -> bool) -> BTreeSet<String> {
-        (0..500)
-            .filter_map(|_| origins.choose(Instant::now(), "s", &[], &warm))
-            .map(|chosen| chosen.id)
-            .collect()
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn an_edge_goes_to_its_subset_and_to_others_where_that_has_no_room() {
-        let origins = Origins::new("z", false, "edge-7");
-        origins.update(Instant::now(), &servers(), &marks());
-        let own = drawn(&origins, |_| false);
-        assert_eq!(own.len(), subset::size(90, 49));
-        // Full by this edge's own requests, or resting: any of the others.
-        let own: Vec<String> = own.into_iter().collect();
-        let out: Vec<InFlight> = own.iter().flat_map(|id| [origins.begin(id), origins.begin(id)]).collect();
-        assert!(drawn(&origins, |_| false).len() > 40);
-        drop(out);
-        own.iter().for_each(|id| origins.begin(id).ended(End::Failed));
-        let others = drawn(&origins, |_| false);
-        assert!(others.len() == 49 - own.len() && others.is_disjoint(&own.iter().cloned().collect()));
-        tokio::time::advance(REST).await;
-        assert_eq!(drawn(&origins, |_| false).len(), own.len());
-        // One that was tried is out, and so is one that drains.
-        assert!(!own
-            .contains(&origins.choose(Instant::now(), "s", &own, |_| false).expect("one of the others").id));
-        let first = own[0].clone();
-        let left: Vec<Server> = servers().into_iter().map(|s| Server { ready: s.id != first, ..s }).collect();
-        origins.update(Instant::now(), &left, &marks());
-        assert!(!drawn(&origins, |_| false).contains(&first));
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_machine_that_is_no_known_edge_goes_to_all() {
-        let origins = Origins::new("z", false, "shield-1");
-        origins.update(Instant::now(), &servers(), &[]);
-        assert!(drawn(&origins, |_| false).len() > 45);
-        origins.update(Instant::now(), &servers(), &marks());
-        assert!(drawn(&origins, |_| false).len() > 45);
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_server_with_an_idle_connection_is_preferred() {
-        let origins = Origins::new("z", false, "edge-7");
-        origins.update(Instant::now(), &servers()[..4], &marks());
-        let warm: SocketAddr = servers()[0].addr.into();
-        let count = |id: &str| {
-            let chosen =
-                (0..1000).filter_map(|_| origins.choose(Instant::now(), "s", &[], |addr| addr == warm));
-            chosen.filter(|chosen| chosen.id == id).count()
-        };
-        assert!((500..650).contains(&count("i-1")), "four of seven parts");
-        assert!((100..190).contains(&count("i-2")), "one of seven");
-    }
-
-    /// How many of 300 requests, one each 30 ms, go to a server that fails all, each in a millisecond, from the
-    /// first on; the others take 30.
-    async fn at_the_failing_one(origins: &Origins, how: End) -> usize {
-        let mut count = 0;
-        for _ in 0..300 {
-            let chosen = origins.choose(Instant::now(), "s", &[], |_| false).expect("one of them");
-            let (ill, began) = (chosen.id == "i-1", origins.begin(&chosen.id));
-            tokio::time::advance(Duration::from_millis(if ill { 1 } else { 30 })).await;
-            began.ended(if ill { how } else { End::Answered });
-            tokio::time::advance(Duration::from_millis(if ill { 29 } else { 0 })).await;
-            count += usize::from(ill);
-        }
-        count
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_server_that_fails_at_once_draws_no_requests_but_for_a_trial_now_and_then() {
-        let origins = Origins::new("z", false, "edge-7");
-        origins.update(Instant::now(), &servers()[..4], &marks());
-        // It fails for 9 s; the time in which half is forgiven is 4 s.
-        let erred = at_the_failing_one(&origins, End::Erred).await;
-        assert!((2..12).contains(&erred), "{erred} of 300");
-        // Well again, it has its part back before long.
-        let recovered = at_the_failing_one(&origins, End::Answered).await;
-        assert!(recovered > 60, "{recovered} of 300");
-    }
-
-    #[tokio::test(start_paused = true)]
-    async fn a_server_warms_up_from_when_it_was_told_whatever_else_is_told() {
-        let origins = Origins::new("z", false, "edge-7");
-        let cold = Server { warmup_left_ms: 3000, ..server(1, true) };
-        let told = |origins: &Origins, others: &[Server]| {
-            origins.update(Instant::now(), &[std::slice::from_ref(&cold), others].concat(), &[]);
-            origins.known.borrow()["i-1"].warm_at
-        };
-        let warm_at = told(&origins, &[]);
-        tokio::time::advance(Duration::from_secs(2)).await;
-        assert_eq!(told(&origins, &[server(2, true)]), warm_at);
-    }
-}
--- /dev/null
+++ b/glenfall/tests/unit/serve.rs
@@ -0,0 +1,177 @@
+//! Clients' connections: the limits of heads, of idling and of bodies, as they are in force.
+
+use std::cell::Cell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use glenfall::serve::{plain, serve_at, Answer, Handler, Terms, Whole};
+use glenfall_plane::config::ReqLimits;
+use hyper::header::HeaderValue;
+use hyper::StatusCode;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{watch, Notify};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+use crate::support::{listener, run_local};
+
+/// Tells how long the bodies are; who asks for `/held` waits for ever.
+struct Lengths {
+    limits: Cell<ReqLimits>,
+    held: Notify,
+}
+
+impl Handler for Lengths {
+    async fn answer(&self, whole: Whole) -> Answer {
+        if whole.path_and_query() == "/held" {
+            self.held.notify_one();
+            std::future::pending::<()>().await;
+        }
+        let mut answer = plain(StatusCode::OK, "");
+        answer.headers_mut().insert("x-length", HeaderValue::from(whole.body.len()));
+        answer
+    }
+
+    fn limits(&self) -> ReqLimits {
+        self.limits.get()
+    }
+
+    fn leaving(&self) -> bool {
+        false
+    }
+}
+
+const LIMITS: ReqLimits = ReqLimits {
+    max_header_bytes: 8 << 10,
+    max_body_bytes: 4000,
+    header_timeout_ms: 150,
+    idle_timeout_ms: 900,
+};
+
+/// Takes clients until the sender is dropped.
+async fn serving(limits: ReqLimits) -> (Rc<Lengths>, SocketAddrV4, watch::Sender<bool>) {
+    let (listener, listen) = listener().await;
+    let (stop, stopping) = watch::channel(false);
+    let (still_accepting, grace) = (Duration::ZERO, Duration::ZERO);
+    let terms = Terms { listen, most: 2, most_bodies: 5000, still_accepting, grace };
+    let handler = Rc::new(Lengths { limits: Cell::new(limits), held: Notify::new() });
+    spawn_local(serve_at(listener, terms, Rc::clone(&handler), stopping));
+    (handler, listen, stop)
+}
+
+fn post(path: &str, header: &str, body: &str) -> String {
+    format!("POST {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{header}\r\n\r\n{body}")
+}
+
+/// What a client that says these pieces, pausing for a while after each, hears in all; and when it ends.
+async fn heard(pieces: &[(&str, u64)]) -> (String, Duration) {
+    heard_beside(0, pieces).await
+}
+
+/// The same, where the body of another request takes so many of 5000 bytes.
+async fn heard_beside(others: usize, pieces: &[(&str, u64)]) -> (String, Duration) {
+    let (handler, addr, _stop) = serving(LIMITS).await;
+    let mut other = TcpStream::connect(addr).await.expect("a connection");
+    if others > 0 {
+        let body = post("/held", &format!("Content-Length: {others}"), &"b".repeat(others));
+        other.write_all(body.as_bytes()).await.expect("a request");
+        handler.held.notified().await;
+    }
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    let mut ends = stream.split();
+    let say = async {
+        for (piece, pause) in pieces {
+            // The other side may have ended it by then.
+            let _ = ends.1.write_all(piece.as_bytes()).await;
+            sleep(Duration::from_millis(*pause)).await;
+        }
+        std::future::pending::<()>().await;
+    };
+    let began = Instant::now();
+    let mut text = String::new();
+    tokio::select! {
+        () = say => {}
+        read = ends.0.read_to_string(&mut text) => { read.expect("an end in order"); }
+    }
+    (text, began.elapsed())
+}
+
+#[test]
+fn a_head_has_one_limit_and_idling_another() {
+    run_local(async {
+        let whole = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        let ms = Duration::from_millis;
+        let (text, took) = heard(&[("GET / HT", 0)]).await;
+        assert!(text.starts_with("HTTP/1.1 408 ") && took >= ms(150), "{text} after {took:?}");
+        // Bytes that trickle in give no more time.
+        let (text, _) = heard(&[("GET / H", 60), ("T", 60), ("T", 60), ("P", 60), ("/1", 600)]).await;
+        assert!(text.starts_with("HTTP/1.1 408 "), "{text}");
+        // Idle for longer than a head may take.
+        let (text, took) = heard(&[("", 300), (whole, 300), (whole, 0)]).await;
+        assert_eq!(text.matches("HTTP/1.1 200 ").count(), 2, "{text}");
+        assert!(!text.contains("408") && took >= ms(600 + 900), "{text} after {took:?}");
+    });
+}
+
+#[test]
+fn bodies_are_read_whole_within_their_limits() {
+    run_local(async {
+        let post = |header: &str, body: &str| post("/", header, body);
+        let chunk = |length: usize| format!("{length:x}\r\n{}\r\n", "b".repeat(length));
+        let chunks = "Transfer-Encoding: chunked";
+        for (case, first, rest, told) in [
+            ("whole", post("Content-Length: 5", "hello"), String::new(), "x-length: 5\r\n"),
+            ("in pieces", post("Content-Length: 4000", "a"), "a".repeat(3999), "x-length: 4000\r\n"),
+            ("one more", post("Content-Length: 4001", ""), String::new(), "HTTP/1.1 413 "),
+            ("in chunks", post(chunks, &chunk(900)), chunk(3100) + "0\r\n\r\n", "x-length: 4000\r\n"),
+            ("one too many", post(chunks, &chunk(1000)), chunk(3001) + "0\r\n\r\n", "HTTP/1.1 413 "),
+            ("no chunk", post(chunks, &chunk(10)), "what\r\n".into(), "HTTP/1.1 400 "),
+            ("never whole", post("Content-Length: 9", "eight"), String::new(), "HTTP/1.1 408 "),
+        ] {
+            let (text, _) = heard(&[(&first, 50), (&rest, 0)]).await;
+            assert!(text.contains(told), "{case}: {text}");
+        }
+        let (text, _) = heard_beside(3000, &[(&post("Content-Length: 2000", &"a".repeat(2000)), 0)]).await;
+        assert!(text.contains("x-length: 2000"), "{text}");
+        for full in [post("Content-Length: 2001", "a"), post(chunks, &chunk(2001))] {
+            let (text, _) = heard_beside(3000, &[(&full, 0)]).await;
+            assert!(text.starts_with("HTTP/1.1 503 ") && text.contains("retry-after: 0.200"), "{text}");
+        }
+    });
+}
+
+/// Sends a request on a connection that stays open, and reads what comes; `None` where the connection has ended.
+async fn asked(stream: &mut TcpStream) -> Option<String> {
+    stream.write_all(b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody").await.ok()?;
+    let mut heard = Vec::new();
+    while !heard.ends_with(b"\r\n\r\n") && !heard.ends_with(b"large") {
+        if stream.read_buf(&mut heard).await.ok()? == 0 {
+            return None;
+        }
+    }
+    String::from_utf8(heard).ok()
+}
+
+#[test]
+fn a_connection_goes_by_the_limits_in_force_not_by_those_of_when_it_was_opened() {
+    run_local(async {
+        // The idle limit at first, and after a change.
+        let (first, later) = (600, 60_000);
+        let limits = ReqLimits { idle_timeout_ms: first, max_body_bytes: 4, ..ReqLimits::default() };
+        let (handler, addr, _stop) = serving(limits).await;
+        let mut stream = TcpStream::connect(addr).await.expect("a connection");
+        assert!(asked(&mut stream).await.expect("an answer").starts_with("HTTP/1.1 200 "));
+        // While it rests, clients are allowed to rest for longer.
+        let limits = ReqLimits { idle_timeout_ms: later, ..limits };
+        handler.limits.set(limits);
+        sleep(Duration::from_millis(2 * first)).await;
+        let after = asked(&mut stream).await;
+        assert!(after.expect("the connection is there").starts_with("HTTP/1.1 200 "));
+        // Bodies may be shorter only.
+        handler.limits.set(ReqLimits { max_body_bytes: 3, ..limits });
+        let large = asked(&mut stream).await;
+        assert!(large.expect("an answer").starts_with("HTTP/1.1 413 "));
+    });
+}
