--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -19,6 +19,7 @@
 mod pool;
 mod proxies;
 mod purge_log;
+mod relay;
 mod room;
 mod serve;
 mod store;
