--- a/plane/tests/exhaustive/main.rs
+++ b/plane/tests/exhaustive/main.rs
@@ -11,7 +11,7 @@
 
 use std::collections::HashSet;
 
-use world::{Event, World};
+use world::{Event, World, SEEDS};
 
 /// Visits all states, and gives how many there are, and how many of them with a change acknowledged.
 fn visited(first: World) -> (usize, usize) {
@@ -55,3 +55,14 @@
     let (states, acknowledged) = visited(World::new(1, 1, 0));
     assert!(states > 1000 && acknowledged > 50, "{states} states, {acknowledged} acknowledged");
 }
+
+#[test]
+fn no_voter_that_returns_at_any_moment_of_a_change_and_no_loss_undoes_it() {
+    for away in 0..SEEDS {
+        let mut world = World::new(0, 0, 0);
+        world.leave_out(away);
+        (world.asks, world.passes) = (1, 1);
+        let (states, acknowledged) = visited(world);
+        assert!(states > 200 && acknowledged > 50, "{away}: {states} states, {acknowledged} acknowledged");
+    }
+}
--- a/plane/tests/unit/main.rs
+++ b/plane/tests/unit/main.rs
@@ -7,5 +7,6 @@
 mod peers;
 mod purges;
 mod registry;
+mod settings;
 mod subset;
 mod voters;
