--- a/glenfall/tests/unit/serve.rs
+++ b/glenfall/tests/unit/serve.rs
@@ -175,3 +175,22 @@
         assert!(large.expect("an answer").starts_with("HTTP/1.1 413 "));
     });
 }
+
+#[test]
+fn a_client_that_rests_has_the_idle_limit_of_when_it_was_answered_where_that_is_longer() {
+    run_local(async {
+        let limits = ReqLimits { idle_timeout_ms: 3000, ..ReqLimits::default() };
+        let (handler, addr, _stop) = serving(limits).await;
+        let mut stream = TcpStream::connect(addr).await.expect("a connection");
+        sleep(Duration::from_millis(2000)).await;
+        assert!(asked(&mut stream).await.is_some());
+        // Far less is allowed from now on, and the connection is looked at 3 s after it was opened.
+        handler.limits.set(ReqLimits { idle_timeout_ms: 50, ..limits });
+        sleep(Duration::from_millis(1500)).await;
+        let after = asked(&mut stream).await;
+        assert!(after.expect("the connection is there").starts_with("HTTP/1.1 200 "));
+        // Whoever rests from now on has less.
+        sleep(Duration::from_millis(3500)).await;
+        assert!(asked(&mut stream).await.is_none());
+    });
+}
