--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use glenfall_plane::fleet::{Fleet, Gap, Numbered, Told};
+use glenfall_plane::lease::{waits_for, SESSION_LEASE};
 use glenfall_plane::messages::{Aged, Down, News, Open, Purge, Up};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -17,14 +18,19 @@
 use tokio::time::sleep;
 
 use crate::boot::Boot;
+use crate::lease::HeldLease;
 use crate::link::{self, Frames, Outbox};
-use crate::sessions::{self, Sessions};
+use crate::sessions::{self, Reach, Sessions};
 
 /// Pause after all known control nodes were tried in vain; it grows to the longest.
 const PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// The proxy has so long to apply a change before the agent goes on.
 const APPLY: Duration = Duration::from_secs(1);
+/// A proxy that does not apply a purge, or is lost, can serve from copies no more after this time.
+const LEASES_END: Duration = Duration::from_millis(waits_for(SESSION_LEASE) + 100);
+/// Proxies have so long to say that they serve from copies no more.
+const RELEASE: Duration = Duration::from_millis(200);
 /// How often counters go on to control.
 const REPORT: Duration = Duration::from_secs(5);
 
@@ -44,6 +50,8 @@
     boot: Rc<Boot>,
     known: RefCell<Known>,
     proxies: Sessions,
+    /// By which leases of the proxies end; it serves nothing itself.
+    lease: HeldLease,
     changed: Notify,
 }
 
@@ -52,7 +60,8 @@
     let agent = Rc::new(Agent {
         boot,
         known: RefCell::default(),
-        proxies: Sessions::default(),
+        proxies: Sessions::relaying(),
+        lease: HeldLease::default(),
         changed: Notify::new(),
     });
     tokio::join!(agent.accept(listener), agent.follow_control());
@@ -90,7 +99,9 @@
             (Vec::new(), news)
         };
         self.proxies
-            .serve(frames, Outbox::start(write), greet, ready(Some(Vec::new())), || self.changed.notify_one())
+            .serve(Reach::SameMachine, frames, Outbox::start(write), greet, ready(Some(Vec::new())), || {
+                self.changed.notify_one();
+            })
             .await;
     }
 
@@ -121,12 +132,13 @@
                     }
                 };
                 tracing::info!(control = %addr, "control found");
+                let (hello, now) = (|| self.hello(), || self.lease.now());
                 tokio::select! {
-                    () = sessions::follow(Frames::new(read), outbox.clone(), || self.hello(), &self.changed, take) => {}
+                    () = sessions::follow(Frames::new(read), outbox.clone(), hello, now, &self.changed, take) => {}
                     () = reports => {}
                 }
                 tracing::warn!(control = %addr, "control lost");
-                self.touch(false);
+                self.release(&outbox).await;
                 // The next one, not the one just lost.
                 turn = turn + step + 1;
                 break;
@@ -151,7 +163,20 @@
         addrs
     }
 
+    /// Ends the leases that came from a control node, and tells it so where it can still be told.
+    async fn release(&self, outbox: &Outbox<Up>) {
+        self.touch(false);
+        if self.proxies.purged(RELEASE).await {
+            // It may be gone; then it waits for the end of the lease.
+            let _ = outbox.send(Up::Released);
+        }
+    }
+
     fn touch(&self, yes: bool) {
+        if !yes {
+            self.lease.end();
+            self.proxies.vouch_until(self.lease.until());
+        }
         self.known.borrow_mut().in_touch = yes;
         self.proxies.push(&News::InTouch(yes));
     }
@@ -164,6 +189,11 @@
                 return true;
             }
             Down::Push { news, .. } => news,
+            Down::Granted { sent, lasts } => {
+                self.lease.renew(sent, lasts);
+                self.proxies.vouch_until(self.lease.until());
+                return true;
+            }
             Down::Leaving | Down::Ping => return true,
         };
         let news = match news {
@@ -184,7 +214,10 @@
                 }
             },
             // The first thing that control tells is all that may have been missed.
-            News::Purges(purges) => News::Purges(purges),
+            News::Purges(purges) => {
+                self.purge(purges).await;
+                return true;
+            }
             News::InTouch(yes) => {
                 self.touch(yes);
                 return true;
@@ -198,6 +231,18 @@
     }
 }
 
+impl Agent {
+    /// Ends once no proxy can serve from copies that these purges end.
+    async fn purge(&self, purges: Vec<Aged>) {
+        self.proxies.push(&News::Purges(purges));
+        if !self.proxies.purged(APPLY).await {
+            self.proxies.drop_behind();
+            // No lease is granted to whoever is off the list.
+            let _ = self.proxies.purged(LEASES_END).await;
+        }
+    }
+}
+
 impl Known {
     /// Takes what control tells of the fleet; gives what the proxy has to be told of it.
     fn take_fleet(&mut self, told: Told) -> Result<Option<Told>, Gap> {
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -3,6 +3,7 @@
 
 mod api;
 pub mod backup;
+mod lease;
 mod peers;
 pub mod purge_log;
 pub mod store;
@@ -29,7 +30,8 @@
 use crate::boot::Boot;
 use crate::link::{self, Frames, Outbox};
 use crate::serve;
-use crate::sessions::Sessions;
+use crate::sessions::{Reach, Sessions};
+use lease::Leases;
 use peers::Peers;
 use purge_log::PurgeLog;
 use store::Found;
@@ -85,6 +87,7 @@
     /// Tells this process from the last at its address.
     life: u64,
     sessions: Sessions,
+    leases: Leases,
     peers: Peers,
     fleet: RefCell<Numbered>,
     /// The members with their sessions here, as peers have been told.
@@ -125,6 +128,7 @@
             Start::Wiped
         }
     };
+    let leases = Leases::new(matches!(start, Start::Fresh(_)));
     let terms = Terms { losses: boot.survive.hosts, eligible: boot.voter, sync: boot.sync_ms() };
     let (purge_log, written) = PurgeLog::open(&folder)?;
     let mut remembered = Purges::default();
@@ -145,6 +149,7 @@
         vouches: Cell::new(false),
         life,
         sessions: Sessions::default(),
+        leases,
         peers: Peers::new(me, life),
         fleet: RefCell::default(),
         told_members: RefCell::default(),
@@ -250,8 +255,9 @@
                     // It can't fail while this node is here.
                     let _ = cut_off.wait_for(|cut_off| *cut_off && !beside).await;
                 };
+                let reach = if beside { Reach::SameMachine } else { Reach::Network };
                 tokio::select! {
-                    () = self.sessions.serve(frames, Outbox::start(write), greet, proved, changed) => {}
+                    () = self.sessions.serve(reach, frames, Outbox::start(write), greet, proved, changed) => {}
                     () = kept => tracing::warn!("session ended: this node does not reach a majority"),
                 }
             }
@@ -281,6 +287,7 @@
             let now = self.now();
             let outputs = self.chain.borrow_mut().tick(now);
             self.carry_out(outputs);
+            self.renew_leases();
             // Seen here also where no session asks.
             self.cut_off();
             if expire.elapsed() >= EXPIRE {
@@ -494,7 +501,7 @@
     /// sessions, hears from none of a majority, and turns its sessions away or hears of it when it does again.
     async fn told_all(&self, question: impl Fn(CallId) -> Peer, most: Duration) -> bool {
         let up = self.peers.up();
-        self.peers.ask(&up, question, most).await && self.chain.borrow().is_quorum(&up)
+        self.peers.ask(&up, question, most).await.is_some() && self.chain.borrow().is_quorum(&up)
     }
 
     /// Tells all control nodes, and proxies, that a server leaves.
@@ -531,25 +538,35 @@
         }
     }
 
-    /// Ends all copies that a purge names, wherever they are. False where not all who may hold some were
-    /// reached.
+    /// Ends all copies that a purge names, wherever they are. False where not all who may serve from some were reached
+    /// or had lost their leases in time.
     async fn purge(&self, purge: Purge) -> bool {
         let number = self.next_purge.replace(self.next_purge.get() + 1);
         let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
         let written = self.take_purges(vec![stamped.clone()]);
-        let purges = vec![stamped];
-        let peers =
-            self.told_all(|id| Peer::Purges { id: Some(id), purges: purges.clone(), pass_on: true }, PURGE);
+        let asked = self.peers.instances();
+        let up: Vec<Ipv4Addr> = asked.iter().map(|instance| instance.ip).collect();
+        let question =
+            |id| Peer::Purges { id: Some(id), purges: vec![stamped.clone()], asked: Some(asked.clone()) };
+        let peers = self.peers.ask(&up, question, PURGE);
         let written = async {
             if let Some(written) = written {
                 let _ = timeout(WRITTEN, written).await;
             }
         };
-        let (peers, applied, ()) = tokio::join!(peers, self.sessions.applied(PURGE), written);
-        if !applied {
+        let others = self.no_lease_but_of(&asked, PURGE);
+        let (complete, purged, others, ()) = tokio::join!(peers, self.purge_sessions(PURGE), others, written);
+        others && purged && complete.is_some_and(|complete| self.bars_leases(&complete))
+    }
+
+    /// Waits until no session that has a lease of this node can serve from copies that a purge ended; false where that
+    /// takes longer. Those that are late are let go of: they get no other lease, and their last one ends soon.
+    async fn purge_sessions(&self, most: Duration) -> bool {
+        let purged = self.sessions.purged(most).await;
+        if !purged {
             self.sessions.drop_behind();
         }
-        peers
+        purged
     }
 
     /// Takes purges, and passes on those that are new; what this gives ends once they are on disk.
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use glenfall_plane::fleet::Members;
-use glenfall_plane::messages::{CallId, Member, Open, Peer, Proxy};
+use glenfall_plane::messages::{CallId, Instance, Member, Open, Peer, Proxy, Stamped};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
@@ -30,17 +30,25 @@
     outbox: Option<Outbox<Peer>>,
     /// The connection that the peer opened last and speaks on.
     hears: Option<u64>,
+    /// Of the process that opened it.
+    life: u64,
     up: bool,
     members: Vec<Member>,
     lost: Option<Instant>,
 }
 
+/// A question, by who has not answered it and who has answered for others as well.
+struct Asked {
+    left: BTreeSet<Ipv4Addr>,
+    complete: Vec<Ipv4Addr>,
+}
+
 pub struct Peers {
     me: Ipv4Addr,
     life: u64,
     links: RefCell<BTreeMap<Ipv4Addr, Link>>,
-    /// What was asked of whom: those who have not answered yet. What one of them was lost over is not here any more.
-    asked: RefCell<BTreeMap<u64, BTreeSet<Ipv4Addr>>>,
+    /// What was asked and not answered by all yet. What one of those asked was lost over is not here any more.
+    asked: RefCell<BTreeMap<u64, Asked>>,
     next: Cell<u64>,
     answered: Notify,
     /// A peer speaks or stopped speaking: whoever waits to open a connection looks again.
@@ -69,6 +77,19 @@
         self.links.borrow().iter().filter(|(_, link)| link.up).map(|(ip, _)| *ip).collect()
     }
 
+    /// The processes that are up.
+    pub fn instances(&self) -> Vec<Instance> {
+        let links = self.links.borrow();
+        let up = links.iter().filter(|(_, link)| link.up);
+        up.map(|(ip, link)| Instance { ip: *ip, life: link.life }).collect()
+    }
+
+    /// The process of a peer that is up.
+    pub fn instance(&self, ip: Ipv4Addr) -> Option<Instance> {
+        let links = self.links.borrow();
+        links.get(&ip).filter(|link| link.up).map(|link| Instance { ip, life: link.life })
+    }
+
     pub fn send(&self, to: Ipv4Addr, message: Peer) {
         if let Some(outbox) = self.links.borrow().get(&to).and_then(|link| link.outbox.as_ref()) {
             // A link that takes nothing more is found lost by its own task.
@@ -82,10 +103,17 @@
         }
     }
 
-    /// Asks these peers and waits until each has answered this very call. False where one was lost, or took too long.
-    pub async fn ask(&self, whom: &[Ipv4Addr], question: impl Fn(CallId) -> Peer, most: Duration) -> bool {
+    /// Asks these peers and waits until each has answered this very call; gives those whose answers were complete.
+    /// `None` where one was lost, or took too long.
+    pub async fn ask(
+        &self,
+        whom: &[Ipv4Addr],
+        question: impl Fn(CallId) -> Peer,
+        most: Duration,
+    ) -> Option<Vec<Ipv4Addr>> {
         let id = self.next.replace(self.next.get() + 1);
-        self.asked.borrow_mut().insert(id, whom.iter().copied().collect());
+        let asked = Asked { left: whom.iter().copied().collect(), complete: Vec::new() };
+        self.asked.borrow_mut().insert(id, asked);
         for ip in whom {
             self.send(*ip, question(CallId { life: self.life, number: id }));
         }
@@ -93,25 +121,27 @@
             loop {
                 let answered = self.answered.notified();
                 match self.asked.borrow().get(&id) {
-                    Some(left) if left.is_empty() => return true,
+                    Some(asked) if asked.left.is_empty() => return,
                     Some(_) => {}
-                    None => return false,
+                    None => return,
                 }
                 answered.await;
             }
         };
-        let all = timeout(most, done).await.unwrap_or(false);
-        self.asked.borrow_mut().remove(&id);
-        all
+        let _ = timeout(most, done).await;
+        let asked = self.asked.borrow_mut().remove(&id);
+        asked.filter(|asked| asked.left.is_empty()).map(|asked| asked.complete)
     }
 
-    fn answer(&self, from: Ipv4Addr, id: CallId) {
+    fn answer(&self, from: Ipv4Addr, id: CallId, complete: bool) {
         if id.life != self.life {
             tracing::debug!(peer = %from, "answers what the last process here asked");
             return;
         }
-        if let Some(left) = self.asked.borrow_mut().get_mut(&id.number) {
-            left.remove(&from);
+        if let Some(asked) = self.asked.borrow_mut().get_mut(&id.number) {
+            if asked.left.remove(&from) && complete {
+                asked.complete.push(from);
+            }
         }
         self.answered.notify_waiters();
     }
@@ -198,6 +228,9 @@
         // It has opened a new one; what was said on the old one may be lost.
         lost(control, ip);
     }
+    if let Some(link) = control.peers.links.borrow_mut().get_mut(&ip) {
+        link.life = life;
+    }
     tracing::debug!(peer = %ip, life, "peer speaks");
     control.peers.changed.notify_waiters();
     both_up(control, ip);
@@ -242,7 +275,7 @@
     let peers = &control.peers;
     peers.send(ip, Peer::Sessions(Members::whole(&control.told_members.borrow())));
     peers.send(ip, Peer::Servers(control.registry.borrow().all(now)));
-    peers.send(ip, Peer::Purges { id: None, purges: control.purges.borrow().all(now), pass_on: false });
+    peers.send(ip, Peer::Purges { id: None, purges: control.purges.borrow().all(now), asked: None });
     control.sessions.tell(&glenfall_plane::messages::Down::Controls(peers.all()));
     let outputs = control.chain.borrow_mut().peer_up(now, ip);
     control.carry_out(outputs);
@@ -262,7 +295,7 @@
     }
     tracing::warn!(peer = %ip, "peer lost");
     // It may have sessions, and has not said that they know.
-    control.peers.asked.borrow_mut().retain(|_, left| !left.contains(&ip));
+    control.peers.asked.borrow_mut().retain(|_, asked| !asked.left.contains(&ip));
     control.peers.answered.notify_waiters();
     // What is purged until it is back it has to tell of then.
     control.told_purges.borrow_mut().remove(&ip);
@@ -308,9 +341,9 @@
                 control.push_fleet_now();
             }
             let on = move |id| Peer::Urgent { id, entry: entry.clone(), pass_on: false };
-            confirm(control, (from, id), DRAIN * 3 / 4, false, pass_on.then_some(on));
+            confirm_urgent(control, (from, id), pass_on.then_some(on));
         }
-        Peer::Purges { id, purges, pass_on } => {
+        Peer::Purges { id, purges, asked } => {
             // Whoever asked waits for its own disk only.
             drop(control.take_purges(purges.clone()));
             match id {
@@ -318,48 +351,77 @@
                     control.told_purges.borrow_mut().insert(from);
                     control.vouch();
                 }
-                Some(id) => {
-                    // A little less than the peer waits, so that its answer still comes in time.
-                    let on = move |id| Peer::Purges { id: Some(id), purges: purges.clone(), pass_on: false };
-                    confirm(control, (from, id), PURGE * 4 / 5, true, pass_on.then_some(on));
-                }
+                Some(id) => confirm_purges(control, (from, id), purges, asked),
             }
         }
-        Peer::Done { id } => control.peers.answer(from, id),
+        Peer::Done { id, complete } => control.peers.answer(from, id, complete),
+        Peer::Renew { id } => control.grant_lease(from, id),
+        Peer::Granted { id, lasts } => control.lease_granted(from, id, lasts),
+        Peer::Released => control.lease_released(from),
         Peer::Alive => {}
     }
 }
 
 /// Tells a peer once all sessions here have applied what they were sent, or have had so long to, and those that this
-/// node reaches and the peer does not know it as well. Sessions that have not are let go of where what they hold must not
-/// be used any more.
-fn confirm(
+/// node reaches and the peer does not know it as well.
+fn confirm_urgent(
     control: &Rc<Control>,
-    (to, asked): (Ipv4Addr, CallId),
-    most: Duration,
-    strict: bool,
+    (to, id): (Ipv4Addr, CallId),
     on: Option<impl Fn(CallId) -> Peer + 'static>,
 ) {
     let control = Rc::clone(control);
     // By what the peer heard when it asked: it tells those itself that come up later.
     let beyond = beyond(&control, to);
     spawn_local(async move {
+        let most = DRAIN * 3 / 4;
         // A little less for what has been passed on, so that its answer still comes in time.
-        let applied = async {
-            let most = if on.is_some() { most } else { most * 3 / 4 };
-            if !control.sessions.applied(most).await && strict {
-                control.sessions.drop_behind();
-            }
-        };
+        let applied = control.sessions.applied(if on.is_some() { most } else { most * 3 / 4 });
         let told = async {
             match &on {
-                Some(on) if !beyond.is_empty() => control.peers.ask(&beyond, on, most).await,
+                Some(on) if !beyond.is_empty() => control.peers.ask(&beyond, on, most).await.is_some(),
                 _ => true,
             }
         };
-        let ((), told) = tokio::join!(applied, told);
+        let (_applied, told) = tokio::join!(applied, told);
         if told {
-            control.peers.send(to, Peer::Done { id: asked });
+            control.peers.send(to, Peer::Done { id, complete: true });
+        }
+    });
+}
+
+/// Tells a peer once no session here can serve from copies that purges ended, nor any at those that this node reaches
+/// and the peer has not asked.
+fn confirm_purges(
+    control: &Rc<Control>,
+    (to, id): (Ipv4Addr, CallId),
+    purges: Vec<Stamped>,
+    asked: Option<Vec<Instance>>,
+) {
+    let control = Rc::clone(control);
+    // A little less than the peer waits, so that its answer still comes in time.
+    let most = PURGE * 4 / 5;
+    let Some(mut told) = asked else {
+        spawn_local(async move {
+            if control.purge_sessions(most * 3 / 4).await {
+                control.peers.send(to, Peer::Done { id, complete: false });
+            }
+        });
+        return;
+    };
+    let beyond: Vec<Instance> =
+        control.peers.instances().into_iter().filter(|peer| peer.ip != to && !told.contains(peer)).collect();
+    told.extend(control.peers.instance(to));
+    told.extend(&beyond);
+    let beyond: Vec<Ipv4Addr> = beyond.iter().map(|instance| instance.ip).collect();
+    spawn_local(async move {
+        let on = |id| Peer::Purges { id: Some(id), purges: purges.clone(), asked: None };
+        let (passed_on, purged, complete) = tokio::join!(
+            control.peers.ask(&beyond, on, most),
+            control.purge_sessions(most),
+            control.no_lease_but_of(&told, most)
+        );
+        if passed_on.is_some() && purged {
+            control.peers.send(to, Peer::Done { id, complete });
         }
     });
 }
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -26,7 +26,7 @@
 use crate::latency::Latency;
 use crate::pool::{Pool, Reply, Trust};
 use crate::serve::{passed_on, plain, refused, Answer, Handler, Whole, DEADLINE};
-use crate::shield::{object_draw, object_hash, AGAIN, BEHIND, REV, SHIELD};
+use crate::shield::{object_draw, object_hash, AGAIN, BEHIND, REV, SHIELD, UNVOUCHED};
 
 /// What a request has spent on its way here since the client's clock started, and what its answer needs back.
 const TRANSIT: Duration = Duration::from_millis(12);
@@ -212,7 +212,7 @@
         };
         let object = ObjectKey { service: service.into(), host: host.into(), path: path.into() };
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
-        let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
+        let own = self.copies.borrow_mut().get(&object).filter(|_| self.feed.vouches());
         if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.own_copies.add();
             return Asked::Answered(passed_back(copy.answer(headers), &Method::GET));
@@ -260,7 +260,12 @@
                 self.direct.pool.exchange(addr, request, attempt, Trust::Ours, || true).await
             };
             let reply = ended.ok().filter(|reply| reply.headers.contains_key(SHIELD));
-            let behind = reply.as_ref().is_some_and(|reply| reply.headers.get(SHIELD) == Some(&BEHIND));
+            let behind = reply.as_ref().is_some_and(|reply| {
+                let said = reply.headers.get(SHIELD);
+                // A purge may have been acknowledged to whoever vouches for copies, and not be known there.
+                let unvouched = said.is_some_and(|said| said == UNVOUCHED);
+                said == Some(&BEHIND) || unvouched && self.feed.vouches()
+            });
             let reply = reply.filter(|_| !behind);
             self.shields.borrow_mut().heard(self.now(), &shield, sent, reply.is_none());
             if let Some(reply) = reply {
@@ -297,7 +302,7 @@
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
     fn keep(&self, object: &ObjectKey, reply: &Reply, asked: Instant) {
         let Some(born) = Copy::handed_on(reply, asked) else { return };
-        let Some(copy) = Copy::of(reply, born).filter(|_| self.in_touch.get()) else { return };
+        let Some(copy) = Copy::of(reply, born).filter(|_| self.feed.vouches()) else { return };
         let mut purged = self.purged.borrow_mut();
         while purged.front().is_some_and(|(at, _)| at.elapsed() >= PURGED) {
             purged.pop_front();
@@ -465,6 +470,12 @@
         Edge::new(&boot, feed, Pool::new(8, Room::new(1 << 20)))
     }
 
+    fn in_touch(edge: &Edge) {
+        let news = glenfall_plane::messages::News::InTouch(true);
+        assert!(edge.feed.hear(glenfall_plane::messages::Down::Push { number: 1, news }, edge));
+        assert!(edge.feed.hear(glenfall_plane::messages::Down::Granted { sent: 0, lasts: 600_000 }, edge));
+    }
+
     fn object(path: &str) -> ObjectKey {
         ObjectKey { service: "s".into(), host: "h".into(), path: path.into() }
     }
@@ -487,7 +498,7 @@
     async fn a_purge_ends_copies_and_bars_what_it_names_for_a_while() {
         tokio::time::advance(Duration::from_secs(10)).await;
         let edge = edge();
-        edge.in_touch(true);
+        in_touch(&edge);
         edge.keep(&object("/a"), &from_shield("t"), Instant::now());
         edge.keep(&object("/b"), &from_shield("u"), Instant::now());
         let age = edge.copies.borrow_mut().get(&object("/a")).map(|copy| copy.age());
@@ -511,7 +522,7 @@
         let edge = edge();
         edge.keep(&object("/a"), &from_shield("t"), Instant::now());
         assert!(!kept(&edge, "/a"));
-        edge.in_touch(true);
+        in_touch(&edge);
         let purges: Vec<Purge> = (0..2 * MOST_PURGED).map(|n| Purge::Label(n.to_string())).collect();
         for purge in purges {
             edge.purge(&[Aged { purge, age_ms: 0 }]);
--- a/glenfall/src/feed.rs
+++ b/glenfall/src/feed.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::boot::Boot;
+use crate::lease::HeldLease;
 use crate::link::{self, Frames, Outbox};
 use crate::sessions;
 
@@ -38,6 +39,9 @@
     changed: Notify,
     /// The version in force, for those who wait for one.
     rev: watch::Sender<u64>,
+    /// Control has told all that was missed.
+    in_touch: Cell<bool>,
+    lease: HeldLease,
 }
 
 impl Feed {
@@ -51,6 +55,8 @@
             leaving: Cell::new(false),
             changed: Notify::new(),
             rev: watch::Sender::new(0),
+            in_touch: Cell::new(false),
+            lease: HeldLease::default(),
         })
     }
 
@@ -69,6 +75,11 @@
         self.config.borrow().is_some() && self.fleet_known.get() && !self.leaving.get()
     }
 
+    /// Whether no purge can have been acknowledged that this process has not taken: looked at whenever a copy is served.
+    pub fn vouches(&self) -> bool {
+        self.in_touch.get() && self.lease.stands()
+    }
+
     pub fn leaving(&self) -> bool {
         self.leaving.get()
     }
@@ -94,7 +105,27 @@
         Up::Hello { node: self.boot.node.clone(), member: Some(member) }
     }
 
-    /// Takes what the agent tells; false where it does not build on what is known.
+    /// Takes what the agent says; false where it does not build on what is known.
+    pub fn hear(&self, down: Down, follower: &impl Follower) -> bool {
+        match down {
+            Down::Push { news, .. } => self.take(news, follower),
+            Down::Granted { sent, lasts } => {
+                self.lease.renew(sent, lasts);
+                true
+            }
+            Down::Controls(_) | Down::Leaving | Down::Ping => true,
+        }
+    }
+
+    /// Without contact there is no lease: another one is granted after all that was missed.
+    fn touch(&self, yes: bool, follower: &impl Follower) {
+        if !yes {
+            self.lease.end();
+        }
+        self.in_touch.set(yes);
+        follower.in_touch(yes);
+    }
+
     fn take(&self, news: News, follower: &impl Follower) -> bool {
         let was_ready = self.ready();
         match news {
@@ -108,7 +139,7 @@
                 self.fleet_known.set(true);
             }
             News::Purges(purges) => follower.purge(&purges),
-            News::InTouch(yes) => follower.in_touch(yes),
+            News::InTouch(yes) => self.touch(yes, follower),
         }
         if self.ready() != was_ready {
             self.changed.notify_one();
@@ -138,10 +169,8 @@
         loop {
             if let Ok((read, write)) = link::open(self.boot.feed(), &Open::Session).await {
                 let outbox = Outbox::start(write);
-                let take = async |down| match down {
-                    Down::Push { news, .. } => self.take(news, follower),
-                    _ => true,
-                };
+                let take = async |down| self.hear(down, follower);
+                let (hello, now) = (|| self.hello(), || self.lease.now());
                 let reports = async {
                     loop {
                         sleep(REPORT).await;
@@ -152,10 +181,11 @@
                     }
                 };
                 tokio::select! {
-                    () = sessions::follow(Frames::new(read), outbox.clone(), || self.hello(), &self.changed, take) => {}
+                    () = sessions::follow(Frames::new(read), outbox.clone(), hello, now, &self.changed, take) => {}
                     () = reports => {}
                 }
-                follower.in_touch(false);
+                // Before anything else runs in this process: that the connection is closed says that no copy is served.
+                self.touch(false, follower);
                 tracing::warn!("agent lost");
             }
             sleep(AGAIN).await;
--- /dev/null
+++ b/glenfall/src/lease.rs
@@ -0,0 +1,44 @@
+//! The lease that a process holds on copies: by its own steady clock, and looked at whenever a copy is served.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use glenfall_plane::lease::Lease;
+use glenfall_plane::Millis;
+use tokio::time::Instant;
+
+pub struct HeldLease {
+    began: Instant,
+    lease: Cell<Lease>,
+}
+
+impl Default for HeldLease {
+    fn default() -> Self {
+        HeldLease { began: Instant::now(), lease: Cell::default() }
+    }
+}
+
+impl HeldLease {
+    /// What a request for a renewal has to name.
+    pub fn now(&self) -> Millis {
+        self.began.elapsed().as_millis() as Millis
+    }
+
+    pub fn renew(&self, sent: Millis, lasts: Millis) {
+        let mut lease = self.lease.get();
+        lease.renew(self.now(), sent, lasts);
+        self.lease.set(lease);
+    }
+
+    pub fn end(&self) {
+        self.lease.set(Lease::default());
+    }
+
+    pub fn until(&self) -> Instant {
+        self.began + Duration::from_millis(self.lease.get().until())
+    }
+
+    pub fn stands(&self) -> bool {
+        self.lease.get().stands(self.now())
+    }
+}
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -16,6 +16,7 @@
 mod feed;
 pub mod kept;
 mod latency;
+pub mod lease;
 mod limit;
 pub mod link;
 pub mod local;
--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -1,21 +1,27 @@
 //! Sessions: an agent or a control node pushes numbered changes to those below it and counts what they have
-//! applied.
+//! applied. It grants them leases on copies out of its own, and keeps in mind what it has granted also once a session is
+//! lost: until then its other side may serve from copies.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io;
 use std::pin::pin;
 use std::time::Duration;
 
+use glenfall_plane::lease::Grants;
 use glenfall_plane::messages::{Down, Member, News, Up};
+use glenfall_plane::Millis;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{interval, timeout, MissedTickBehavior};
+use tokio::time::{interval, timeout, timeout_at, Instant, MissedTickBehavior};
 
 use crate::link::{Frames, Outbox, PING};
 
 /// Sessions that one node holds at most: all proxies of a large system.
 const MOST: usize = 1024;
+/// A session that ends for another reason is looked at for so long: its other side may have closed it.
+const CLOSING: Duration = Duration::from_millis(50);
 
 struct Session {
     outbox: Outbox<Down>,
@@ -28,6 +34,32 @@
     sent: u64,
     applied: u64,
     report: Vec<(String, u64)>,
+    /// The last reading of the other side's clock, and when it came.
+    renewal: Option<Renewal>,
+}
+
+#[derive(Clone, Copy)]
+struct Renewal {
+    sent: Millis,
+    received: Millis,
+}
+
+/// Where the other side of a session is.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// On this machine, whose kernel closes a connection only where the process at the other side has closed it or has
+    /// ended.
+    SameMachine,
+    Network,
+}
+
+/// Why a session ended.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    /// The other side closed the connection, or is no more.
+    Closed,
+    /// Anything else: it may be there and not know yet.
+    Lost,
 }
 
 /// What `status` tells of a session.
@@ -39,21 +71,79 @@
     pub report: Vec<(String, u64)>,
 }
 
-#[derive(Default)]
 pub struct Sessions {
     all: RefCell<BTreeMap<u64, Session>>,
     next: Cell<u64>,
     applied: Notify,
     /// What was waited for in vain, by session.
     overdue: RefCell<BTreeMap<u64, u64>>,
+    began: Instant,
+    /// Until when this process may grant leases.
+    vouches_until: Cell<Millis>,
+    /// Leases are granted anew whenever that moves, not when the other side asks.
+    relays: bool,
+    /// Leases by session, also of those that have ended.
+    grants: RefCell<Grants<u64>>,
+}
+
+impl Default for Sessions {
+    fn default() -> Self {
+        Sessions {
+            all: RefCell::default(),
+            next: Cell::new(0),
+            applied: Notify::new(),
+            overdue: RefCell::default(),
+            began: Instant::now(),
+            vouches_until: Cell::new(0),
+            relays: false,
+            grants: RefCell::default(),
+        }
+    }
 }
 
 impl Sessions {
+    /// Sessions on the same machine, whose leases follow each renewal of this process's own at once.
+    pub fn relaying() -> Self {
+        Sessions { relays: true, ..Sessions::default() }
+    }
+
+    fn now(&self) -> Millis {
+        self.began.elapsed().as_millis() as Millis
+    }
+
+    /// This process's own lease lasts until then: leases of sessions are part of it. A moment and not a time that is left,
+    /// so that a pause of the process before this call makes no lease longer.
+    pub fn vouch_until(&self, until: Instant) {
+        self.vouches_until.set(until.saturating_duration_since(self.began).as_millis() as Millis);
+        if self.relays {
+            for (id, session) in self.all.borrow().iter() {
+                let _ = self.grant(*id, session);
+            }
+        }
+    }
+
+    /// Grants a session a lease upon its last request; false where it has not asked, or none can be granted.
+    fn grant(&self, id: u64, session: &Session) -> bool {
+        let Some(Renewal { sent, received }) = session.renewal else { return false };
+        let until = self.vouches_until.get();
+        let granted = self.grants.borrow_mut().grant_part(self.now(), id, received, until);
+        let Some(lasts) = granted else { return false };
+        session.outbox.send(Down::Granted { sent, lasts })
+    }
+
+    /// When the last lease that sessions have is over; `None` where none has one.
+    pub fn last_lease_ends(&self) -> Option<Duration> {
+        let now = self.now();
+        let end = self.grants.borrow().last_end(now, |_| true);
+        end.map(|end| Duration::from_millis(end - now))
+    }
+
     /// Serves one session until it is lost. `greet` is what the other side has to know first. It is told of
     /// configurations once `proved` has ended, beginning with what that gives; where it gives nothing, the session ends.
     /// `changed` is called whenever members come, change or go.
     pub async fn serve(
         &self,
+        reach: Reach,
         mut frames: Frames,
         outbox: Outbox<Down>,
         greet: impl FnOnce() -> (Vec<Down>, Vec<News>),
@@ -67,7 +157,7 @@
         }
         let id = self.next.replace(self.next.get() + 1);
         let (first, news) = greet();
-        let (stands, mut ended) = oneshot::channel();
+        let (stands, ended) = oneshot::channel();
         let mut session = Session {
             outbox: outbox.clone(),
             _stands: stands,
@@ -77,6 +167,7 @@
             sent: 0,
             applied: 0,
             report: Vec::new(),
+            renewal: None,
         };
         let greeted =
             first.into_iter().all(|down| outbox.send(down)) && news.into_iter().all(|n| session.push(n));
@@ -87,43 +178,81 @@
         self.all.borrow_mut().insert(id, session);
         let _guard = Guard { sessions: self, id, changed: &changed };
         changed();
-        let mut ping = interval(PING);
-        ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let served = self.serve_listed(id, &mut frames, &outbox, proved, ended, &changed).await;
+        if reach == Reach::SameMachine && (served == Ended::Closed || closed_in_time(&mut frames).await) {
+            self.grants.borrow_mut().release(&id);
+        }
+    }
+
+    /// Serves a session that is on the list until it ends.
+    async fn serve_listed(
+        &self,
+        id: u64,
+        frames: &mut Frames,
+        outbox: &Outbox<Down>,
+        proved: impl Future<Output = Option<Vec<News>>>,
+        mut dropped: oneshot::Receiver<Infallible>,
+        changed: &impl Fn(),
+    ) -> Ended {
         let mut proved = pin!(proved);
         let mut waits = true;
+        let mut ping = interval(PING);
+        ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 news = &mut proved, if waits => {
                     waits = false;
-                    let Some(news) = news else { return };
-                    if let Some(session) = self.all.borrow_mut().get_mut(&id) {
-                        session.proved = true;
-                        if !news.into_iter().all(|news| session.push(news)) {
-                            return;
-                        }
+                    if !self.prove(id, news) {
+                        return Ended::Lost;
                     }
                 }
-                up = frames.next_in_time() => {
-                    let Ok(up) = up else { return };
-                    self.hear(id, up, &changed);
-                }
+                up = frames.next_in_time() => match up {
+                    Ok(up) => {
+                        if self.hear(id, up, changed) {
+                            ping.reset();
+                        }
+                    }
+                    Err(error) => return Ended::by(&error),
+                },
                 _ = ping.tick() => {
                     if !outbox.send(Down::Ping) {
-                        return;
+                        return Ended::Lost;
                     }
                 }
-                () = outbox.closed() => return,
+                () = outbox.closed() => return Ended::Lost,
                 // Off the list it would be told nothing more, and still take itself for in touch.
-                _ = &mut ended => return,
+                _ = &mut dropped => return Ended::Lost,
+            }
+        }
+    }
+
+    /// Tells a session of configurations from now on, beginning with these; false where it ends.
+    fn prove(&self, id: u64, news: Option<Vec<News>>) -> bool {
+        let Some(news) = news else { return false };
+        match self.all.borrow_mut().get_mut(&id) {
+            Some(session) => {
+                session.proved = true;
+                news.into_iter().all(|news| session.push(news))
             }
+            None => true,
         }
     }
 
-    fn hear(&self, id: u64, up: Up, changed: &impl Fn()) {
+    /// Takes what a session says; true where it was answered with a lease.
+    fn hear(&self, id: u64, up: Up, changed: &impl Fn()) -> bool {
         let mut all = self.all.borrow_mut();
-        let Some(session) = all.get_mut(&id) else { return };
+        let Some(session) = all.get_mut(&id) else { return false };
         match up {
             Up::Ping => {}
+            Up::Renew { sent } => {
+                let asked_before = session.renewal.replace(Renewal { sent, received: self.now() }).is_some();
+                return !(self.relays && asked_before) && self.grant(id, session);
+            }
+            Up::Released => {
+                session.renewal = None;
+                self.grants.borrow_mut().release(&id);
+                self.applied.notify_waiters();
+            }
             Up::Report(report) => session.report = report,
             Up::Applied(number) => {
                 session.applied = session.applied.max(number);
@@ -135,6 +264,7 @@
                 changed();
             }
         }
+        false
     }
 
     /// Pushes a change to all.
@@ -167,12 +297,56 @@
             }
         };
         let all = timeout(most, wait).await.is_ok();
+        self.note_overdue(&due);
+        all
+    }
+
+    /// Waits until nobody who was ever granted a lease here can serve from copies that a purge pushed before ends: each
+    /// has applied what it was sent, or its lease is over; false where that takes longer than `most`.
+    pub async fn purged(&self, most: Duration) -> bool {
+        let until = Instant::now() + most;
+        let mut due = self.holders();
+        loop {
+            let applied = self.applied.notified();
+            let now = self.now();
+            self.let_go_of_done_or_ended(now, &mut due);
+            let Some((last, _)) = due.last() else { return true };
+            let end = self.grants.borrow().ends(now, last).unwrap_or(now);
+            let end = Instant::now() + Duration::from_millis(end - now);
+            if timeout_at(end.min(until), applied).await.is_err() && Instant::now() >= until {
+                self.let_go_of_done_or_ended(self.now(), &mut due);
+                due.retain(|(id, sent)| !self.is_purged(self.now(), *id, *sent));
+                self.note_overdue(&due);
+                return due.is_empty();
+            }
+        }
+    }
+
+    /// The sessions that have leases, ended ones too, each with what it was sent.
+    fn holders(&self) -> Vec<(u64, u64)> {
+        let all = self.all.borrow();
+        let mut grants = self.grants.borrow_mut();
+        let now = self.now();
+        grants.forget_ended(now);
+        grants.holders(now).map(|id| (id, all.get(&id).map_or(u64::MAX, |session| session.sent))).collect()
+    }
+
+    fn is_purged(&self, now: Millis, id: u64, sent: u64) -> bool {
+        let applied = self.all.borrow().get(&id).is_some_and(|session| session.applied >= sent);
+        applied || self.grants.borrow().ends(now, &id).is_none()
+    }
+
+    fn let_go_of_done_or_ended(&self, now: Millis, due: &mut Vec<(u64, u64)>) {
+        while due.pop_if(|(id, sent)| self.is_purged(now, *id, *sent)).is_some() {}
+    }
+
+    fn note_overdue(&self, due: &[(u64, u64)]) {
+        let all = self.all.borrow();
         let mut overdue = self.overdue.borrow_mut();
-        for (id, sent) in due {
-            let number = overdue.entry(id).or_default();
-            *number = sent.max(*number);
+        for (id, sent) in due.iter().filter(|(id, _)| all.contains_key(id)) {
+            let number = overdue.entry(*id).or_default();
+            *number = (*sent).max(*number);
         }
-        all
     }
 
     /// Takes off the end of a list of sessions, each with what it was sent, those that have applied it or are gone.
@@ -218,6 +392,28 @@
     }
 }
 
+impl Ended {
+    fn by(error: &io::Error) -> Self {
+        use io::ErrorKind::{BrokenPipe, ConnectionReset, UnexpectedEof};
+        match error.kind() {
+            UnexpectedEof | ConnectionReset | BrokenPipe => Ended::Closed,
+            _ => Ended::Lost,
+        }
+    }
+}
+
+/// Whether the other side turns out to have closed a connection on which nothing can be said any more.
+async fn closed_in_time(frames: &mut Frames) -> bool {
+    let read_out = async {
+        loop {
+            if let Err(error) = frames.next::<Up>().await {
+                return Ended::by(&error) == Ended::Closed;
+            }
+        }
+    };
+    timeout(CLOSING, read_out).await.unwrap_or(false)
+}
+
 /// Takes a session off the list however it ends.
 struct Guard<'a, F: Fn()> {
     sessions: &'a Sessions,
@@ -236,12 +432,14 @@
     }
 }
 
-/// The lower side of a session: says hello, hands each change to `take`, and tells that it is applied. Returns when
-/// the session is lost, the other side leaves, or `take` says that what came can't be built on: it begins anew then.
+/// The lower side of a session: says hello, hands each change and grant to `take`, and tells that a change is applied.
+/// `now` is the clock by which it holds its lease. Returns when the session is lost, the other side leaves, or `take` says
+/// that what came can't be built on: it begins anew then.
 pub async fn follow(
     mut frames: Frames,
     outbox: Outbox<Up>,
     hello: impl Fn() -> Up,
+    now: impl Fn() -> Millis,
     changed: &Notify,
     mut take: impl AsyncFnMut(Down) -> bool,
 ) {
@@ -272,7 +470,7 @@
                 }
             }
             _ = ping.tick() => {
-                if !outbox.send(Up::Ping) {
+                if !outbox.send(Up::Renew { sent: now() }) {
                     return;
                 }
             }
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -40,6 +40,8 @@
 
 /// What a shield says that does not have the edge's version yet, and has asked no server: another one may have it.
 pub const BEHIND: HeaderValue = HeaderValue::from_static("behind");
+/// What a shield says of an answer from copies, or from a fetch begun before the request, that it can't vouch for.
+pub const UNVOUCHED: &str = "unvouched";
 /// A version is waited for so long. Pushes to machines of a region are milliseconds apart, between regions a way; one that
 /// takes longer may not come, as control beside is cut off.
 const PUSH: Duration = Duration::from_millis(100);
@@ -203,19 +205,20 @@
         let key = ObjectKey { service: service.into(), host: whole.host().into(), path: path.into() };
         let old = self.cache.borrow_mut().get(&key);
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
+        let vouched = |said| if self.feed.vouches() { said } else { UNVOUCHED };
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.hits.add();
-            return Ok(Read::of(copy, &whole.head.headers, "hit"));
+            return Ok(Read::of(copy, &whole.head.headers, vouched("hit")));
         }
         let joined = self.fetching.borrow().get(&key).map(|fetch| fetch.done.clone());
-        let mut done = match joined {
+        let (mut done, said) = match joined {
             Some(done) => {
                 self.counters.joined.add();
-                done
+                (done, vouched("miss"))
             }
             None => {
                 let fetch = self.fetch(&config, route, key, &whole.head.headers, whole.head.uri.clone(), old);
-                fetch.map_err(|NoRoom| self.refuse(NONE))?
+                (fetch.map_err(|NoRoom| self.refuse(NONE))?, "miss")
             }
         };
         let fetched = match timeout_at(until, done.wait_for(|fetched| fetched.is_some())).await {
@@ -224,7 +227,7 @@
             Err(_) => Fetched::TimedOut,
         };
         match fetched {
-            Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, "miss")),
+            Fetched::Copy(copy) => Ok(Read::of(&copy, &whole.head.headers, said)),
             Fetched::Other(reply) => {
                 let headers = passed_on(&reply.headers);
                 let reply = Reply { status: reply.status, headers, body: reply.body.clone() };
@@ -412,8 +415,7 @@
         }
     }
 
-    /// Whoever reaches this shield is out of touch as well where control beside it is, so that its own copies stay in
-    /// use.
+    /// Without control its copies stay in use, and are marked: edges that are out of touch as well take them.
     fn in_touch(&self, yes: bool) {
         if yes {
             self.told_all.set(true);
--- a/glenfall/tests/contact.rs
+++ b/glenfall/tests/contact.rs
@@ -54,10 +54,12 @@
     }
 }
 
-/// An agent that says that it is there, and applies nothing.
+/// An agent that says that it is there, asks for leases, and applies nothing.
 struct Agent {
     end: End,
     heard: Vec<News>,
+    /// Of the leases granted, each as long as the longest.
+    leases: usize,
 }
 
 impl Agent {
@@ -65,13 +67,15 @@
         let mut stream = TcpStream::connect(addr).unwrap();
         stream.write_all(&frame(&Open::Session)).unwrap();
         stream.write_all(&frame(&Up::Hello { node: "a".into(), member: None })).unwrap();
-        Agent { end: End::of(stream), heard: Vec::new() }
+        Agent { end: End::of(stream), heard: Vec::new(), leases: 0 }
     }
 
     fn hear(&mut self) {
-        for down in self.end.hear(&Up::Ping) {
-            if let Down::Push { news, .. } = down {
-                self.heard.push(news);
+        for down in self.end.hear(&Up::Renew { sent: 0 }) {
+            match down {
+                Down::Push { news, .. } => self.heard.push(news),
+                Down::Granted { .. } => self.leases += 1,
+                _ => {}
             }
         }
     }
@@ -161,21 +165,38 @@
     await_that("all goes on", || calls.map(ask) == [412, 400, 200, 200, 200, 200, 200, 409]);
 }
 
+/// An agent that applies nothing asks for leases while a purge is asked for; what that is answered.
+fn purge_beside(core: &System, agent: &mut Agent) -> Option<u16> {
+    std::thread::scope(|scope| {
+        let purge = || request(core.control_addr(1), "POST /api/purge", "Host: c\r\n", r#"{"label": "l"}"#);
+        let purge = scope.spawn(purge);
+        while !purge.is_finished() {
+            agent.hear();
+        }
+        purge.join().unwrap().map(|heard| heard.0)
+    })
+}
+
 #[test]
-fn a_session_that_does_not_apply_a_purge_is_ended_and_not_left_without_news() {
+fn a_session_that_does_not_apply_a_purge_is_ended_and_the_purge_waits_for_its_lease() {
     let core = core();
     let mut agent = Agent::open(core.session_addrs(1)[0]);
-    await_that("it is told", || {
-        agent.hear();
-        agent.configured()
+    // Not where this process was stopped for longer than a lease lasts.
+    await_that("a purge meets a lease that stands, and is not acknowledged", || {
+        agent = Agent::open(core.session_addrs(1)[0]);
+        await_that("a lease is granted", || {
+            agent.hear();
+            agent.leases > 0
+        });
+        purge_beside(&core, &mut agent) == Some(503)
     });
-    let purge = || request(core.control_addr(1), "POST /api/purge", "Host: c\r\n", r#"{"label": "l"}"#);
-    assert_eq!(purge().map(|heard| heard.0), Some(200));
     await_that("the session ends", || {
         agent.hear();
         agent.end.ended
     });
     assert_eq!(core.agents_at(1), Some(0));
+    let after = || request(core.control_addr(1), "POST /api/purge", "Host: c\r\n", r#"{"label": "l"}"#);
+    await_that("no lease stands any more", || after().map(|heard| heard.0) == Some(200));
 }
 
 /// What a control node that was asked that a server leaves does.
@@ -224,7 +245,7 @@
                 let Peer::Urgent { id, .. } = message else { continue };
                 times += 1;
                 if asked == Asked::Answers {
-                    back.stream.write_all(&frame(&Peer::Done { id })).unwrap();
+                    back.stream.write_all(&frame(&Peer::Done { id, complete: true })).unwrap();
                 }
             }
         }
--- a/glenfall/tests/lives.rs
+++ b/glenfall/tests/lives.rs
@@ -81,7 +81,7 @@
                 request(core.control_addr(1), "POST /api/purge", "Host: c\r\n", r#"{"label": "x"}"#)
             });
             let id = asked.recv_timeout(Duration::from_secs(10)).ok().map(|(_, id)| id);
-            id.and_then(|id| say(&stream, &Peer::Done { id: change(id) }));
+            id.and_then(|id| say(&stream, &Peer::Done { id: change(id), complete: true }));
             (id, told.join().unwrap().map(|heard| heard.0))
         })
     };
--- a/glenfall/tests/sessions.rs
+++ b/glenfall/tests/sessions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use glenfall::link::{self, Frames, Outbox};
-use glenfall::sessions::Sessions;
+use glenfall::sessions::{Reach, Sessions};
 use glenfall_plane::messages::{Down, News, Open, Up};
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, LocalSet};
@@ -27,7 +27,9 @@
         let mut frames = Frames::new(read);
         frames.next::<Open>().await.unwrap();
         let greet = || (Vec::new(), Vec::new());
-        serving.serve(frames, Outbox::start(write), greet, ready(Some(Vec::new())), || {}).await;
+        serving
+            .serve(Reach::Network, frames, Outbox::start(write), greet, ready(Some(Vec::new())), || {})
+            .await;
     });
     let (read, write) = link::open(addr, &Open::Session).await.unwrap();
     let outbox = Outbox::start(write);
--- a/lab/src/hollow/growth.rs
+++ b/lab/src/hollow/growth.rs
@@ -49,7 +49,7 @@
 /// A column of the tables: its name, and its figure.
 type Column = (&'static str, fn(&Phase) -> f64);
 
-const COLUMNS: [Column; 22] = [
+const COLUMNS: [Column; 23] = [
     ("seconds", |p| p.seconds),
     ("control cores", |p| p.control_cores),
     ("control cores, most", |p| p.control_cores_most),
@@ -70,6 +70,7 @@
     ("in force most ms", |p| p.in_force.most),
     ("failed", |p| f64::from(p.failed)),
     ("early", |p| f64::from(p.early)),
+    ("early in touch", |p| f64::from(p.early_in_touch)),
     ("sessions lost", |p| f64::from(p.lost_sessions)),
     ("beats failed", |p| f64::from(p.failed_beats)),
 ];
--- a/lab/src/hollow/load.rs
+++ b/lab/src/hollow/load.rs
@@ -13,7 +13,7 @@
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{interval, sleep, Instant, MissedTickBehavior};
 
-use super::nodes::{Seen, LABEL};
+use super::nodes::{Early, Seen, LABEL};
 use crate::origin;
 
 /// How often servers say that they are there, as the sites have it.
@@ -92,8 +92,8 @@
     pub in_force: Vec<f64>,
     /// Not acknowledged; or acknowledged and not everywhere in `IN_FORCE`.
     pub failed: u32,
-    /// Acknowledgements of purges that a node in touch had not taken, and how many such nodes.
-    pub early: u32,
+    /// Acknowledgements of purges that nodes had not taken: how many such nodes, over all.
+    pub early: Early,
 }
 
 /// Changes one route after another, at even times; each is waited for at all nodes.
@@ -152,16 +152,15 @@
             let body = json!({ "label": format!("{LABEL}{number}") }).to_string();
             let called = Instant::now();
             let done = origin::call(&pool, &controls, Method::POST, "/api/purge", body.into()).await;
-            let in_touch = seen.in_touch.load(std::sync::atomic::Ordering::Relaxed);
-            let early = in_touch.saturating_sub(seen.took_purge(number));
-            (done, called.elapsed(), early)
+            (done, called.elapsed(), seen.early(number))
         }));
     }
     for call in under_way {
         match call.await {
             Ok((true, took, early)) => {
                 told.acknowledged.push(took.as_secs_f64() * 1000.0);
-                told.early += early;
+                told.early.leased += early.leased;
+                told.early.in_touch += early.in_touch;
             }
             Ok((false, ..)) | Err(_) => told.failed += 1,
         }
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -135,7 +135,9 @@
     pub acknowledged: Times,
     pub in_force: Times,
     pub failed: u32,
+    /// Purges acknowledged that a node had not taken which could serve from copies; which took its session for alive.
     pub early: u32,
+    pub early_in_touch: u32,
     pub lost_sessions: u32,
     pub failed_beats: u32,
 }
@@ -233,7 +235,7 @@
     let document = load::document(plan.routes).to_string();
     let document_bytes = document.len();
     put(&controls, document).await?;
-    let seen = Seen::new(plan.servers, nodes + u32::from(EDGES));
+    let seen = Seen::new(plan.servers, nodes, nodes + u32::from(EDGES));
     let failed_beats = Rc::new(Cell::new(0));
     let addr = SocketAddrV4::new(local.machine(SERVERS), FIRST_PORT);
     let servers = load::servers(plan.servers, &controls, addr, &failed_beats);
@@ -428,7 +430,8 @@
             acknowledged: Times::of(told.acknowledged),
             in_force: Times::of(told.in_force),
             failed: told.failed,
-            early: told.early,
+            early: told.early.leased,
+            early_in_touch: told.early.in_touch,
             lost_sessions: after.lost - before.lost,
             failed_beats: after.failed_beats - before.failed_beats,
         }
--- a/lab/src/hollow/nodes.rs
+++ b/lab/src/hollow/nodes.rs
@@ -2,13 +2,13 @@
 //! pushed, says what it has applied, and turns to another control node when its own is lost. Many to a thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use glenfall::lease::HeldLease;
 use glenfall::link::{self, Outbox};
 use glenfall::sessions;
 use glenfall_plane::fleet::{edge_mark, Numbered};
@@ -40,22 +40,43 @@
     pub know_all: AtomicU32,
     /// Sessions lost since the start.
     pub lost: AtomicU32,
-    /// How many nodes have taken each purge.
-    purges: Vec<AtomicU32>,
+    /// Which nodes have taken each purge: a bit for each.
+    purges: Vec<Vec<AtomicU64>>,
+    contacts: Vec<Contact>,
     /// Versions as they were taken, and when, in seconds of the run.
     applied: Mutex<Vec<(u64, f64)>>,
     servers: usize,
     edges: usize,
 }
 
+/// What a node knows of its own contact.
+#[derive(Default)]
+struct Contact {
+    /// It takes its session for alive.
+    in_touch: AtomicBool,
+    /// Until when it may serve from copies, in microseconds of the run.
+    lease_until: AtomicU64,
+}
+
+/// Nodes that had not taken a purge when it was acknowledged.
+#[derive(Clone, Copy, Default)]
+pub struct Early {
+    /// They could serve from copies.
+    pub leased: u32,
+    /// They took their sessions for alive, whatever their leases.
+    pub in_touch: u32,
+}
+
 impl Seen {
-    pub fn new(servers: u32, edges: u32) -> Arc<Seen> {
+    pub fn new(servers: u32, nodes: u32, edges: u32) -> Arc<Seen> {
+        let words = nodes.div_ceil(u64::BITS);
         Arc::new(Seen {
             began: Instant::now(),
             in_touch: AtomicU32::new(0),
             know_all: AtomicU32::new(0),
             lost: AtomicU32::new(0),
-            purges: (0..MOST_PURGES).map(|_| AtomicU32::new(0)).collect(),
+            purges: (0..MOST_PURGES).map(|_| (0..words).map(|_| AtomicU64::new(0)).collect()).collect(),
+            contacts: (0..nodes).map(|_| Contact::default()).collect(),
             applied: Mutex::default(),
             servers: servers as usize,
             edges: edges as usize,
@@ -67,9 +88,29 @@
         self.began.elapsed().as_secs_f64()
     }
 
-    /// Nodes that have taken a purge.
-    pub fn took_purge(&self, number: usize) -> u32 {
-        self.purges.get(number).map_or(0, |count| count.load(Ordering::Relaxed))
+    fn microseconds(&self, at: Instant) -> u64 {
+        at.saturating_duration_since(self.began).as_micros() as u64
+    }
+
+    /// Counts nodes that have not taken a purge that has just been acknowledged. Contact is read before what was taken,
+    /// as nodes write it after.
+    pub fn early(&self, number: usize) -> Early {
+        let mut early = Early::default();
+        let now = self.microseconds(Instant::now());
+        for (node, contact) in self.contacts.iter().enumerate() {
+            let in_touch = contact.in_touch.load(Ordering::SeqCst);
+            let leased = in_touch && now < contact.lease_until.load(Ordering::SeqCst);
+            if in_touch && !self.took_purge(number, node) {
+                early.in_touch += 1;
+                early.leased += u32::from(leased);
+            }
+        }
+        early
+    }
+
+    fn took_purge(&self, number: usize, node: usize) -> bool {
+        let taken = self.purges.get(number).and_then(|nodes| nodes.get(node / u64::BITS as usize));
+        taken.is_some_and(|word| word.load(Ordering::SeqCst) >> (node % u64::BITS as usize) & 1 == 1)
     }
 
     /// When nodes took a version.
@@ -78,14 +119,14 @@
         applied.iter().filter(|(taken, _)| *taken == rev).map(|(_, at)| *at).collect()
     }
 
-    /// Counts what a node takes, once however often it is told.
-    fn purged(&self, purges: &[Aged], taken: &mut HashSet<usize>) {
+    /// Notes what a node takes.
+    fn purged(&self, purges: &[Aged], node: usize) {
         for aged in purges {
             let Purge::Label(label) = &aged.purge else { continue };
             let number = label.strip_prefix(LABEL).and_then(|number| number.parse::<usize>().ok());
-            let count = number.and_then(|number| self.purges.get(number).filter(|_| taken.insert(number)));
-            if let Some(count) = count {
-                count.fetch_add(1, Ordering::Relaxed);
+            let nodes = number.and_then(|number| self.purges.get(number));
+            if let Some(word) = nodes.and_then(|nodes| nodes.get(node / u64::BITS as usize)) {
+                word.fetch_or(1 << (node % u64::BITS as usize), Ordering::SeqCst);
             }
         }
     }
@@ -139,13 +180,13 @@
 }
 
 struct Node {
+    number: usize,
     name: String,
     zone: String,
     control: Control,
     seen: Arc<Seen>,
     known: RefCell<Known>,
-    /// Purges that it has taken, also before it was started again.
-    taken: RefCell<HashSet<usize>>,
+    lease: HeldLease,
     changed: Notify,
     restart: Notify,
     moved: Cell<bool>,
@@ -154,12 +195,13 @@
 impl Node {
     fn new(number: u32, control: Control, seen: Arc<Seen>) -> Node {
         Node {
+            number: number as usize,
             name: format!("hollow-{number:04}"),
             zone: format!("zone-{}", number % u32::from(control.zones.max(1)) + 1),
             control,
             seen,
             known: RefCell::default(),
-            taken: RefCell::default(),
+            lease: HeldLease::default(),
             changed: Notify::new(),
             restart: Notify::new(),
             moved: Cell::new(false),
@@ -205,13 +247,16 @@
                 };
                 let take = async |down| self.take(down);
                 let frames = link::Frames::new(read);
+                let (hello, now) = (|| self.hello(), || self.lease.now());
                 tokio::select! {
                     () = self.moves(addr) => {}
-                    () = sessions::follow(frames, outbox.clone(), || self.hello(), &self.changed, take) => {}
+                    () = sessions::follow(frames, outbox.clone(), hello, now, &self.changed, take) => {}
                     () = reports => {}
                 }
                 self.seen.lost.fetch_add(1, Ordering::Relaxed);
                 self.count_lost();
+                // Nothing below it serves from copies.
+                let _ = outbox.send(Up::Released);
                 turn = if self.control.spread { 0 } else { turn + step + 1 };
                 break;
             }
@@ -280,9 +325,10 @@
                 known.fleet_known = true;
             }
             Down::Push { news: News::Purges(purges), .. } => {
-                self.seen.purged(&purges, &mut self.taken.borrow_mut());
+                self.seen.purged(&purges, self.number);
             }
             Down::Push { news: News::InTouch(yes), .. } => known.in_touch = yes,
+            Down::Granted { sent, lasts } => self.lease.renew(sent, lasts),
             Down::Push { .. } | Down::Leaving | Down::Ping => {}
         }
         if !was_ready && known.rev > 0 && known.fleet_known {
@@ -305,11 +351,17 @@
         set(&self.seen.in_touch, known.counted.0, in_touch);
         set(&self.seen.know_all, known.counted.1, know_all);
         known.counted = (in_touch, know_all);
+        if let Some(contact) = self.seen.contacts.get(self.number) {
+            let until = self.seen.microseconds(self.lease.until().into_std());
+            contact.lease_until.store(until, Ordering::SeqCst);
+            contact.in_touch.store(in_touch, Ordering::SeqCst);
+        }
     }
 
     fn count_lost(&self) {
         let mut known = self.known.borrow_mut();
         known.in_touch = false;
+        self.lease.end();
         self.count(&mut known);
     }
 }
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod chain;
 pub mod config;
 pub mod fleet;
+pub mod lease;
 pub mod messages;
 pub mod orders;
 pub mod purges;
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -12,6 +12,7 @@
 use crate::chain;
 use crate::fleet;
 use crate::registry::Entry;
+use crate::Millis;
 
 /// Longest frame: a configuration of many hundred routes, and room.
 pub const LONGEST_FRAME: usize = 4 << 20;
@@ -47,6 +48,12 @@
     Applied(u64),
     /// Counters since the start, for `status`.
     Report(Vec<(String, u64)>),
+    /// Asks for a lease on copies; `sent` is a reading of the sender's clock, for the grant to name.
+    Renew {
+        sent: Millis,
+    },
+    /// The sender, and whoever had a lease from it, serve from copies no more.
+    Released,
     Ping,
 }
 
@@ -105,6 +112,11 @@
         number: u64,
         news: News,
     },
+    /// A lease on copies, from the moment that the request gave as `sent`.
+    Granted {
+        sent: Millis,
+        lasts: Millis,
+    },
     /// The sender stops soon: turn to another now.
     Leaving,
     Ping,
@@ -118,6 +130,13 @@
     pub number: u64,
 }
 
+/// A process of control: a restarted one has another life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Instance {
+    pub ip: Ipv4Addr,
+    pub life: u64,
+}
+
 /// Between control nodes, each on the connection that it opened; the other side only says that it is there.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Peer {
@@ -133,16 +152,29 @@
         entry: Entry,
         pass_on: bool,
     },
-    /// Purges, each with its number at its origin. The sender waits where there is an id.
+    /// Purges, each with its number at its origin. The sender waits where there is an id; with `asked` it has asked these
+    /// itself, and the receiver passes the purges on to those that it reaches beyond them.
     Purges {
         id: Option<CallId>,
         purges: Vec<Stamped>,
-        pass_on: bool,
+        asked: Option<Vec<Instance>>,
     },
-    /// What `Urgent` or `Purges` asked for is done at the sender and its sessions.
+    /// What `Urgent` or `Purges` asked for is done at the sender and its sessions. `complete`: of a purge, whoever else
+    /// may still use a lease that the sender granted has taken it as well.
     Done {
         id: CallId,
+        complete: bool,
+    },
+    /// Asks a voter for a lease; the number is a reading of the sender's clock.
+    Renew {
+        id: CallId,
+    },
+    Granted {
+        id: CallId,
+        lasts: Millis,
     },
+    /// The sender and its sessions use the leases granted to it no more, and it asks for none.
+    Released,
     /// From the side that was called.
     Alive,
 }
--- /dev/null
+++ b/plane/tests/lease_world/control.rs
@@ -0,0 +1,248 @@
+//! Control nodes, all of them voters: purges, and leases between them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use glenfall_plane::lease::{waits_for, Grants, VoterLeases, VOTER_LEASE};
+use glenfall_plane::messages::Instance;
+use glenfall_plane::Millis;
+use rand::Rng;
+
+use super::{Message, TakenOut, World, CONTROLS};
+
+/// How long a purge is waited for, in milliseconds: by whom it was asked of, and by the others.
+const PURGE: Millis = 750;
+const CONFIRM: Millis = 600;
+
+pub fn address(control: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, control as u8)
+}
+
+fn control_at(address: Ipv4Addr) -> usize {
+    usize::from(address.octets()[3])
+}
+
+struct Link {
+    connection: usize,
+    life: u64,
+    up: bool,
+}
+
+/// A purge that somebody waits for.
+struct Waiting {
+    purge: u32,
+    due: Vec<(usize, u64)>,
+    /// Whose leases need not be over.
+    told: Vec<Instance>,
+    left: BTreeSet<usize>,
+    complete: Vec<Ipv4Addr>,
+    until: Millis,
+    /// The control node that asked, with its name for it; nobody where an operator did.
+    asker: Option<(usize, u64)>,
+    /// This node answers for others as well.
+    first: bool,
+}
+
+#[derive(Default)]
+pub struct Control {
+    held: VoterLeases,
+    granted: Grants<Instance>,
+    unknown_until: Millis,
+    links: BTreeMap<usize, Link>,
+    waiting: BTreeMap<u64, Waiting>,
+    next: u64,
+}
+
+impl Control {
+    pub fn started(now: Millis) -> Control {
+        Control { unknown_until: now + waits_for(VOTER_LEASE), ..Control::default() }
+    }
+
+    fn up(&self) -> impl Iterator<Item = (usize, &Link)> {
+        self.links.iter().filter(|(_, link)| link.up).map(|(control, link)| (*control, link))
+    }
+
+    fn instances(&self) -> Vec<Instance> {
+        self.up().map(|(control, link)| Instance { ip: address(control), life: link.life }).collect()
+    }
+}
+
+fn is_majority(others: &[Ipv4Addr]) -> bool {
+    (others.len() + 1) * 2 > CONTROLS
+}
+
+impl World {
+    fn life(&self, control: usize) -> u64 {
+        if self.out == TakenOut::Lives {
+            1
+        } else {
+            self.processes[control].life
+        }
+    }
+
+    pub fn vouches(&self, control: usize) -> bool {
+        (self.processes[control].control.up().count() + 1) * 2 > CONTROLS
+    }
+
+    pub fn tick_control(&mut self, me: usize) {
+        let (life, sent) = (self.life(me), self.clock(me));
+        for peer in (0..CONTROLS).filter(|peer| *peer != me) {
+            let link = self.processes[me].control.links.get(&peer).map(|link| (link.connection, link.up));
+            match link {
+                Some((connection, true)) => self.say(me, connection, Message::PeerRenew { life, sent }),
+                Some(_) => {}
+                None if me < peer && self.reaches(me, peer) => {
+                    let purges = self.processes[me].purges.clone();
+                    let connection = self.connect(me, peer, Message::Open { life, purges, back: false });
+                    let link = Link { connection, life: 0, up: false };
+                    self.processes[me].control.links.insert(peer, link);
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// An operator asks any control node for a purge.
+    pub fn ask_purge(&mut self) {
+        let me = self.rng.random_range(0..CONTROLS);
+        if self.processes[me].paused_until > self.now {
+            return;
+        }
+        let purge = self.asked;
+        self.asked += 1;
+        let asked = self.processes[me].control.instances();
+        let question = |id| Message::Purge { id, purge, asked: Some(asked.clone()) };
+        let peers = asked.iter().map(|instance| control_at(instance.ip)).collect();
+        self.wait(me, purge, (peers, question), asked.clone(), None, true);
+    }
+
+    fn wait(
+        &mut self,
+        me: usize,
+        purge: u32,
+        (peers, question): (BTreeSet<usize>, impl Fn(u64) -> Message),
+        told: Vec<Instance>,
+        asker: Option<(usize, u64)>,
+        first: bool,
+    ) {
+        self.processes[me].purges.insert(purge);
+        self.push(me, &BTreeSet::from([purge]), true);
+        let most = if asker.is_some() { CONFIRM } else { PURGE };
+        let (due, until) = (self.due(me), self.clock(me) + most);
+        let control = &mut self.processes[me].control;
+        control.next += 1;
+        let id = control.next;
+        let said: Vec<usize> =
+            peers.iter().filter_map(|peer| control.links.get(peer)).map(|link| link.connection).collect();
+        let waiting = Waiting { purge, due, told, left: peers, complete: Vec::new(), until, asker, first };
+        control.waiting.insert(id, waiting);
+        said.into_iter().for_each(|connection| self.say(me, connection, question(id)));
+    }
+
+    pub fn hear_control(&mut self, me: usize, connection: usize, from: usize, message: Message) {
+        let (now, life) = (self.clock(me), self.life(me));
+        if let Message::Open { life: theirs, purges, back } = message {
+            let link = Link { connection, life: theirs, up: true };
+            self.processes[me].control.links.insert(from, link);
+            self.processes[me].purges.extend(&purges);
+            self.push(me, &purges, true);
+            // It is told all that is known at the moment from which on it is asked.
+            let purges = self.processes[me].purges.clone();
+            let told =
+                if back { Message::Purges(purges) } else { Message::Open { life, purges, back: true } };
+            return self.say(me, connection, told);
+        }
+        let control = &mut self.processes[me].control;
+        let Some(link) = control.links.get(&from).filter(|link| link.connection == connection && link.up)
+        else {
+            return;
+        };
+        let peer = Instance { ip: address(from), life: link.life };
+        match message {
+            Message::Purges(purges) => {
+                self.processes[me].purges.extend(&purges);
+                self.push(me, &purges, true);
+            }
+            Message::PeerRenew { life: theirs, sent } if theirs == peer.life => {
+                control.granted.grant(peer, now, VOTER_LEASE);
+                self.say(me, connection, Message::PeerGranted { life: theirs, sent, lasts: VOTER_LEASE });
+            }
+            Message::PeerGranted { life: mine, sent, lasts } if mine == life => {
+                control.held.renew(now, peer.ip, sent, lasts);
+                let until = control.held.until(now, is_majority);
+                self.vouch_until(me, until);
+            }
+            Message::Purge { id, purge, asked: None } => {
+                let nobody = (BTreeSet::new(), |_| Message::Hello);
+                self.wait(me, purge, nobody, Vec::new(), Some((from, id)), false);
+            }
+            Message::Purge { id, purge, asked: Some(mut told) } => {
+                let beyond: Vec<Instance> = control
+                    .instances()
+                    .into_iter()
+                    .filter(|other| *other != peer && !told.contains(other))
+                    .collect();
+                told.push(peer);
+                told.extend(&beyond);
+                let peers = beyond.iter().map(|instance| control_at(instance.ip)).collect();
+                let on = |id| Message::Purge { id, purge, asked: None };
+                self.wait(me, purge, (peers, on), told, Some((from, id)), true);
+            }
+            Message::Done { id, complete } => {
+                if let Some(waiting) = control.waiting.get_mut(&id) {
+                    if waiting.left.remove(&from) && complete {
+                        waiting.complete.push(peer.ip);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Answers what is done, and gives up what took too long.
+    pub fn settle(&mut self, me: usize) {
+        let ids: Vec<u64> = self.processes[me].control.waiting.keys().copied().collect();
+        for id in ids {
+            let Some(waiting) = self.processes[me].control.waiting.remove(&id) else { continue };
+            let now = self.clock(me);
+            let late = now >= waiting.until;
+            let purged = self.is_purged(me, &waiting.due);
+            let complete = waiting.first && self.no_lease_but_of(me, &waiting.told);
+            let answers = purged && waiting.left.is_empty();
+            match waiting.asker {
+                None if answers && complete && is_majority(&waiting.complete) => {
+                    self.acknowledged.insert(waiting.purge);
+                }
+                Some((asker, theirs)) if answers && (complete || late || !waiting.first) => {
+                    let link = self.processes[me].control.links.get(&asker).map(|link| link.connection);
+                    if let Some(connection) = link {
+                        self.say(me, connection, Message::Done { id: theirs, complete });
+                    }
+                }
+                _ if late => self.drop_behind(me, &waiting.due),
+                _ => {
+                    self.processes[me].control.waiting.insert(id, waiting);
+                }
+            }
+        }
+    }
+
+    fn no_lease_but_of(&self, me: usize, told: &[Instance]) -> bool {
+        let now = self.clock(me);
+        let control = &self.processes[me].control;
+        let peers = control.granted.last_end(now, |holder| !told.contains(holder)).is_none();
+        let known = now >= control.unknown_until;
+        (peers || self.out == TakenOut::WaitForPeers) && (known || self.out == TakenOut::WaitAfterStart)
+    }
+
+    /// The link to a peer ended: what it has not answered is not answered.
+    pub fn link_closed(&mut self, me: usize, connection: usize) {
+        let control = &mut self.processes[me].control;
+        let lost =
+            control.links.iter().find(|(_, link)| link.connection == connection).map(|(peer, _)| *peer);
+        if let Some(peer) = lost {
+            control.links.remove(&peer);
+            control.waiting.retain(|_, waiting| !waiting.left.contains(&peer));
+        }
+    }
+}
--- /dev/null
+++ b/plane/tests/lease_world/sessions.rs
@@ -0,0 +1,250 @@
+//! Sessions: control nodes over agents, agents over proxies.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use glenfall_plane::lease::{Grants, Lease, SESSION_LEASE};
+use glenfall_plane::Millis;
+use rand::Rng;
+
+use super::{Message, TakenOut, World, AGENTS, CONTROLS};
+
+/// A session as its upper side has it.
+#[derive(Default)]
+struct Session {
+    sent: u64,
+    applied: u64,
+    /// The last reading of the lower side's clock, and when it came.
+    renewal: Option<(Millis, Millis)>,
+}
+
+/// The upper side of sessions, by connection.
+#[derive(Default)]
+pub struct Sessions {
+    all: BTreeMap<usize, Session>,
+    grants: Grants<usize>,
+    until: Millis,
+}
+
+impl World {
+    fn is_agent(process: usize) -> bool {
+        (CONTROLS..CONTROLS + AGENTS).contains(&process)
+    }
+
+    /// Calls whoever feeds this process, or asks it for a lease.
+    pub fn tick_lower(&mut self, process: usize) {
+        let sent = self.clock(process);
+        if let Some(connection) = self.processes[process].up {
+            return self.say(process, connection, Message::Renew { sent });
+        }
+        if self.processes[process].releasing.take().is_some() {
+            return;
+        }
+        let upper =
+            if Self::is_agent(process) { self.rng.random_range(0..CONTROLS) } else { process - AGENTS };
+        if self.reaches(process, upper) && self.processes[process].waiting.is_empty() {
+            self.processes[process].up = Some(self.connect(process, upper, Message::Hello));
+        }
+    }
+
+    /// An agent turns to another control node of its own accord.
+    pub fn move_agent(&mut self, agent: usize) {
+        let Some(connection) = self.processes[agent].up.take() else { return };
+        self.lose_contact(agent);
+        self.processes[agent].waiting.clear();
+        self.processes[agent].applying = None;
+        self.processes[agent].releasing = Some((connection, self.due(agent)));
+    }
+
+    fn settle_release(&mut self, agent: usize) {
+        let Some((connection, due)) = self.processes[agent].releasing.take() else { return };
+        if self.is_purged(agent, &due) {
+            self.say(agent, connection, Message::Released);
+        } else {
+            self.processes[agent].releasing = Some((connection, due));
+        }
+    }
+
+    pub fn lose_contact(&mut self, process: usize) {
+        self.processes[process].in_touch = false;
+        if self.out != TakenOut::EndWithContact {
+            self.processes[process].lease = Lease::default();
+        }
+        if Self::is_agent(process) {
+            self.processes[process].sessions.until = 0;
+            self.push(process, &BTreeSet::new(), false);
+        }
+    }
+
+    pub fn vouch_until(&mut self, upper: usize, until: Millis) {
+        self.processes[upper].sessions.until = until;
+        if Self::is_agent(upper) {
+            let connections: Vec<usize> = self.processes[upper].sessions.all.keys().copied().collect();
+            connections.into_iter().for_each(|connection| self.grant(upper, connection));
+        }
+    }
+
+    fn grant(&mut self, upper: usize, connection: usize) {
+        let now = self.clock(upper);
+        let full = self.out == TakenOut::PartOfOwn;
+        let sessions = &mut self.processes[upper].sessions;
+        let Some((sent, received)) = sessions.all.get(&connection).and_then(|session| session.renewal) else {
+            return;
+        };
+        let until = if full && now < sessions.until { now + SESSION_LEASE } else { sessions.until };
+        if let Some(lasts) = sessions.grants.grant_part(now, connection, received, until) {
+            self.say(upper, connection, Message::Granted { sent, lasts });
+        }
+    }
+
+    pub fn push(&mut self, upper: usize, purges: &BTreeSet<u32>, in_touch: bool) {
+        let connections: Vec<usize> = self.processes[upper].sessions.all.keys().copied().collect();
+        for connection in connections {
+            self.push_to(upper, connection, purges.clone(), in_touch);
+        }
+    }
+
+    fn push_to(&mut self, upper: usize, connection: usize, purges: BTreeSet<u32>, in_touch: bool) {
+        let Some(session) = self.processes[upper].sessions.all.get_mut(&connection) else { return };
+        session.sent += 1;
+        let number = session.sent;
+        self.say(upper, connection, Message::Push { number, purges, in_touch });
+    }
+
+    /// Who has a lease, and what it was sent.
+    pub fn due(&self, upper: usize) -> Vec<(usize, u64)> {
+        let sessions = &self.processes[upper].sessions;
+        let holders = sessions.grants.holders(self.clock(upper));
+        holders.map(|holder| (holder, sessions.all.get(&holder).map_or(u64::MAX, |s| s.sent))).collect()
+    }
+
+    pub fn is_purged(&self, upper: usize, due: &[(usize, u64)]) -> bool {
+        let (now, sessions) = (self.clock(upper), &self.processes[upper].sessions);
+        due.iter().all(|(connection, sent)| match sessions.all.get(connection) {
+            Some(session) if session.applied >= *sent => true,
+            Some(_) => sessions.grants.ends(now, connection).is_none(),
+            None if self.out == TakenOut::WaitForSessions => true,
+            None => sessions.grants.ends(now, connection).is_none(),
+        })
+    }
+
+    /// Lets go of sessions that a purge waited for in vain.
+    pub fn drop_behind(&mut self, upper: usize, due: &[(usize, u64)]) {
+        for (connection, sent) in due {
+            let all = &mut self.processes[upper].sessions.all;
+            if all.get(connection).is_some_and(|session| session.applied < *sent) {
+                all.remove(connection);
+                self.end(*connection, None);
+            }
+        }
+    }
+
+    /// What the upper side of a session hears.
+    pub fn hear_lower(&mut self, upper: usize, connection: usize, message: Message) {
+        let (now, purges) = (self.clock(upper), self.processes[upper].purges.clone());
+        match message {
+            Message::Hello if upper < CONTROLS => {
+                if !self.vouches(upper) {
+                    return self.end(connection, None);
+                }
+                self.processes[upper].sessions.all.insert(connection, Session::default());
+                self.push_to(upper, connection, purges, true);
+            }
+            Message::Hello => {
+                // A proxy of this agent drops all copies at first.
+                let in_touch = self.processes[upper].in_touch;
+                self.processes[upper].sessions.all.insert(connection, Session::default());
+                self.push_to(upper, connection, (0..self.asked).collect(), in_touch);
+            }
+            Message::Renew { sent } => {
+                let Some(session) = self.processes[upper].sessions.all.get_mut(&connection) else { return };
+                session.renewal = Some((sent, now));
+                self.grant(upper, connection);
+            }
+            Message::Applied(number) => {
+                if let Some(session) = self.processes[upper].sessions.all.get_mut(&connection) {
+                    session.applied = session.applied.max(number);
+                }
+            }
+            Message::Released => {
+                self.processes[upper].sessions.all.remove(&connection);
+                self.processes[upper].sessions.grants.release(&connection);
+                self.end(connection, None);
+            }
+            _ => {}
+        }
+    }
+
+    /// What the lower side of a session hears; an agent hears nothing else while its proxies apply a purge.
+    pub fn hear_upper(&mut self, lower: usize, connection: usize, message: Message) {
+        if self.processes[lower].up != Some(connection) {
+            return;
+        }
+        if self.processes[lower].applying.is_some() {
+            return self.processes[lower].waiting.push_back(message);
+        }
+        match message {
+            Message::Granted { sent, lasts } => {
+                let now = self.clock(lower);
+                let sent = if self.out == TakenOut::SentMoment { now } else { sent };
+                self.processes[lower].lease.renew(now, sent, lasts);
+                if Self::is_agent(lower) {
+                    let until = self.processes[lower].lease.until();
+                    self.vouch_until(lower, until);
+                }
+            }
+            Message::Push { number, purges, in_touch } => {
+                if !in_touch {
+                    self.lose_contact(lower);
+                }
+                self.processes[lower].in_touch = in_touch;
+                self.processes[lower].purges.extend(&purges);
+                if Self::is_agent(lower) {
+                    self.push(lower, &purges, in_touch);
+                    self.processes[lower].applying = Some((number, self.due(lower)));
+                } else {
+                    self.say(lower, connection, Message::Applied(number));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Agents whose proxies have taken a purge say so, and go on.
+    pub fn settle_agents(&mut self) {
+        for agent in CONTROLS..CONTROLS + AGENTS {
+            if self.processes[agent].paused_until > self.now {
+                continue;
+            }
+            self.settle_release(agent);
+            while let Some((number, due)) = self.processes[agent].applying.take() {
+                if !self.is_purged(agent, &due) {
+                    self.processes[agent].applying = Some((number, due));
+                    break;
+                }
+                let Some(connection) = self.processes[agent].up else { break };
+                self.say(agent, connection, Message::Applied(number));
+                while self.processes[agent].applying.is_none() {
+                    let Some(next) = self.processes[agent].waiting.pop_front() else { break };
+                    self.hear_upper(agent, connection, next);
+                }
+            }
+        }
+    }
+
+    /// The connection of a session ended.
+    pub fn session_closed(&mut self, connection: usize, at: usize) {
+        if self.processes[at].up == Some(connection) {
+            self.processes[at].up = None;
+            self.processes[at].applying = None;
+            self.processes[at].waiting.clear();
+            self.lose_contact(at);
+        }
+        let lower = self.connections[connection].ends[0];
+        if self.processes[at].sessions.all.remove(&connection).is_some() && Self::is_agent(at) {
+            // The proxy has closed it or is no more, unless this agent let go of it.
+            if self.processes[lower].up != Some(connection) {
+                self.processes[at].sessions.grants.release(&connection);
+            }
+        }
+    }
+}
