--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -30,7 +30,7 @@
 use crate::boot::Boot;
 use crate::link::{self, Frames, Outbox};
 use crate::serve;
-use crate::sessions::{Reach, Sessions};
+use crate::sessions::{Reach, Sessions, LONGEST_BEHIND};
 use lease::Leases;
 use peers::Peers;
 use purge_log::PurgeLog;
@@ -560,12 +560,10 @@
     }
 
     /// Waits until no session that has a lease of this node can serve from copies that a purge ended; false where that
-    /// takes longer. Those that are late are let go of: they get no other lease, and their last one ends soon.
+    /// takes longer.
     async fn purge_sessions(&self, most: Duration) -> bool {
         let purged = self.sessions.purged(most).await;
-        if !purged {
-            self.sessions.drop_behind();
-        }
+        self.sessions.drop_behind(LONGEST_BEHIND);
         purged
     }
 
--- a/glenfall/src/sessions.rs
+++ b/glenfall/src/sessions.rs
@@ -20,6 +20,8 @@
 
 /// Sessions that one node holds at most: all proxies of a large system.
 const MOST: usize = 1024;
+/// A session that has not applied for so long what was waited for ends: it begins anew.
+pub const LONGEST_BEHIND: Duration = Duration::from_secs(5);
 /// A session that ends for another reason is looked at for so long: its other side may have closed it.
 const CLOSING: Duration = Duration::from_millis(50);
 
@@ -44,6 +46,14 @@
     received: Millis,
 }
 
+/// Changes that a session has not applied though they were waited for.
+struct Overdue {
+    /// The first of them, and since when.
+    first: u64,
+    since: Instant,
+    last: u64,
+}
+
 /// Where the other side of a session is.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
@@ -75,8 +85,8 @@
     all: RefCell<BTreeMap<u64, Session>>,
     next: Cell<u64>,
     applied: Notify,
-    /// What was waited for in vain, by session.
-    overdue: RefCell<BTreeMap<u64, u64>>,
+    /// What was waited for in vain, by session: until it is applied, no lease is granted.
+    overdue: RefCell<BTreeMap<u64, Overdue>>,
     began: Instant,
     /// Until when this process may grant leases.
     vouches_until: Cell<Millis>,
@@ -125,6 +135,9 @@
     /// Grants a session a lease upon its last request; false where it has not asked, or none can be granted.
     fn grant(&self, id: u64, session: &Session) -> bool {
         let Some(Renewal { sent, received }) = session.renewal else { return false };
+        if self.overdue.borrow().contains_key(&id) {
+            return false;
+        }
         let until = self.vouches_until.get();
         let granted = self.grants.borrow_mut().grant_part(self.now(), id, received, until);
         let Some(lasts) = granted else { return false };
@@ -256,6 +269,7 @@
             Up::Report(report) => session.report = report,
             Up::Applied(number) => {
                 session.applied = session.applied.max(number);
+                self.note_applied(id, session.applied);
                 self.applied.notify_waiters();
             }
             Up::Hello { node, member } => {
@@ -302,7 +316,8 @@
     }
 
     /// Waits until nobody who was ever granted a lease here can serve from copies that a purge pushed before ends: each
-    /// has applied what it was sent, or its lease is over; false where that takes longer than `most`.
+    /// has applied what it was sent, or its lease is over; false where that takes longer than `most`. Those that are late
+    /// get no other lease until they have applied it, so that the next one who waits does not wait for them for long.
     pub async fn purged(&self, most: Duration) -> bool {
         let until = Instant::now() + most;
         let mut due = self.holders();
@@ -343,9 +358,21 @@
     fn note_overdue(&self, due: &[(u64, u64)]) {
         let all = self.all.borrow();
         let mut overdue = self.overdue.borrow_mut();
-        for (id, sent) in due.iter().filter(|(id, _)| all.contains_key(id)) {
-            let number = overdue.entry(*id).or_default();
-            *number = (*sent).max(*number);
+        let is_behind = |id: &u64, sent: u64| all.get(id).is_some_and(|session| session.applied < sent);
+        for (id, sent) in due.iter().filter(|(id, sent)| is_behind(id, *sent)) {
+            let now = Instant::now();
+            let known = overdue.entry(*id).or_insert(Overdue { first: *sent, since: now, last: *sent });
+            known.last = known.last.max(*sent);
+        }
+    }
+
+    fn note_applied(&self, id: u64, applied: u64) {
+        let mut all = self.overdue.borrow_mut();
+        let Some(overdue) = all.get_mut(&id) else { return };
+        if applied >= overdue.last {
+            all.remove(&id);
+        } else if applied >= overdue.first {
+            (overdue.first, overdue.since) = (overdue.last, Instant::now());
         }
     }
 
@@ -355,17 +382,17 @@
         while due.pop_if(|(id, sent)| all.get(id).is_none_or(|s| s.applied >= *sent)).is_some() {}
     }
 
-    /// Ends the sessions that have not applied what was waited for in vain: what they hold can't be vouched for. What
-    /// they were sent meanwhile is on its way, and says nothing against them.
-    pub fn drop_behind(&self) {
+    /// Ends the sessions that have not applied for so long what was waited for in vain. What they were sent meanwhile is on
+    /// its way, and says nothing against them.
+    pub fn drop_behind(&self, behind_for: Duration) {
         let mut all = self.all.borrow_mut();
-        for (id, number) in self.overdue.take() {
-            if all.get(&id).is_some_and(|session| session.applied < number) {
-                if let Some(session) = all.remove(&id) {
-                    tracing::warn!(node = %session.node, "session ended: it does not apply what it is sent");
-                }
+        self.overdue.borrow_mut().retain(|id, overdue| {
+            let keeps = overdue.since.elapsed() < behind_for;
+            if let Some(session) = (!keeps).then(|| all.remove(id)).flatten() {
+                tracing::warn!(node = %session.node, "session ended: it does not apply what it is sent");
             }
-        }
+            keeps
+        });
     }
 
     pub fn members(&self) -> Vec<Member> {
--- a/glenfall/tests/contact.rs
+++ b/glenfall/tests/contact.rs
@@ -178,7 +178,7 @@
 }
 
 #[test]
-fn a_session_that_does_not_apply_a_purge_is_ended_and_the_purge_waits_for_its_lease() {
+fn a_purge_waits_for_the_lease_of_a_session_that_does_not_apply_it_and_that_session_ends_if_it_never_does() {
     let core = core();
     let mut agent = Agent::open(core.session_addrs(1)[0]);
     // Not where this process was stopped for longer than a lease lasts.
@@ -190,13 +190,13 @@
         });
         purge_beside(&core, &mut agent) == Some(503)
     });
-    await_that("the session ends", || {
-        agent.hear();
+    // It goes on asking for leases.
+    await_that("its lease is over", || purge_beside(&core, &mut agent) == Some(200));
+    await_that("it ends", || {
+        purge_beside(&core, &mut agent);
         agent.end.ended
     });
-    assert_eq!(core.agents_at(1), Some(0));
-    let after = || request(core.control_addr(1), "POST /api/purge", "Host: c\r\n", r#"{"label": "l"}"#);
-    await_that("no lease stands any more", || after().map(|heard| heard.0) == Some(200));
+    await_that("no session stands", || core.agents_at(1) == Some(0));
 }
 
 /// What a control node that was asked that a server leaves does.
--- a/glenfall/tests/sessions.rs
+++ b/glenfall/tests/sessions.rs
@@ -69,11 +69,11 @@
         assert!(!sessions.applied(VAIN).await);
         // On its way to both when the one that is behind is let go of.
         sessions.push(&News::InTouch(true));
-        sessions.drop_behind();
+        sessions.drop_behind(Duration::ZERO);
         assert_eq!(names(&sessions), ["well"]);
         assert!(says.send(Up::Applied(2)));
         assert!(sessions.applied(PATIENCE).await);
-        sessions.drop_behind();
+        sessions.drop_behind(Duration::ZERO);
         assert_eq!(names(&sessions), ["well"]);
     });
 }
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod chain;
 pub mod config;
 pub mod fleet;
+pub mod ids;
 pub mod lease;
 pub mod messages;
 pub mod orders;
 pub mod purges;
+pub mod record;
 pub mod registry;
 pub mod subset;
 
--- a/plane/tests/lease_world/control.rs
+++ b/plane/tests/lease_world/control.rs
@@ -219,7 +219,7 @@
                         self.say(me, connection, Message::Done { id: theirs, complete });
                     }
                 }
-                _ if late => self.drop_behind(me, &waiting.due),
+                _ if late => self.note_overdue(me, &waiting.due),
                 _ => {
                     self.processes[me].control.waiting.insert(id, waiting);
                 }
--- a/plane/tests/lease_world/sessions.rs
+++ b/plane/tests/lease_world/sessions.rs
@@ -15,6 +15,8 @@
     applied: u64,
     /// The last reading of the lower side's clock, and when it came.
     renewal: Option<(Millis, Millis)>,
+    /// No lease is granted before this is applied: it was waited for in vain.
+    overdue: u64,
 }
 
 /// The upper side of sessions, by connection.
@@ -87,9 +89,8 @@
         let now = self.clock(upper);
         let full = self.out == TakenOut::PartOfOwn;
         let sessions = &mut self.processes[upper].sessions;
-        let Some((sent, received)) = sessions.all.get(&connection).and_then(|session| session.renewal) else {
-            return;
-        };
+        let session = sessions.all.get(&connection).filter(|session| session.applied >= session.overdue);
+        let Some((sent, received)) = session.and_then(|session| session.renewal) else { return };
         let until = if full && now < sessions.until { now + SESSION_LEASE } else { sessions.until };
         if let Some(lasts) = sessions.grants.grant_part(now, connection, received, until) {
             self.say(upper, connection, Message::Granted { sent, lasts });
@@ -127,13 +128,11 @@
         })
     }
 
-    /// Lets go of sessions that a purge waited for in vain.
-    pub fn drop_behind(&mut self, upper: usize, due: &[(usize, u64)]) {
+    /// Withholds leases from sessions that a purge waited for in vain.
+    pub fn note_overdue(&mut self, upper: usize, due: &[(usize, u64)]) {
         for (connection, sent) in due {
-            let all = &mut self.processes[upper].sessions.all;
-            if all.get(connection).is_some_and(|session| session.applied < *sent) {
-                all.remove(connection);
-                self.end(*connection, None);
+            if let Some(session) = self.processes[upper].sessions.all.get_mut(connection) {
+                session.overdue = session.overdue.max(*sent);
             }
         }
     }
