--- a/plane/src/lease.rs
+++ b/plane/src/lease.rs
@@ -46,10 +46,12 @@
         }
     }
 
+    /// When it is over.
     pub fn until(&self) -> Millis {
         self.until
     }
 
+    /// Whether copies may be served: the answer holds for this moment only.
     pub fn stands(&self, now: Millis) -> bool {
         now < self.until
     }
@@ -104,6 +106,7 @@
         self.until.iter().filter(move |(_, until)| now < **until).map(|(holder, _)| *holder)
     }
 
+    /// Forgets leases that are over.
     pub fn forget_ended(&mut self, now: Millis) {
         self.until.retain(|_, until| now < *until);
     }
@@ -116,6 +119,7 @@
 }
 
 impl VoterLeases {
+    /// Takes a voter's grant.
     pub fn renew(&mut self, now: Millis, voter: Ipv4Addr, sent: Millis, lasts: Millis) {
         self.held.entry(voter).or_default().renew(now, sent, lasts);
     }
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -15,8 +15,8 @@
 #[allow(missing_docs)]
 pub mod fleet;
 pub mod ids;
-#[allow(missing_docs)]
 pub mod lease;
+#[allow(missing_docs)]
 pub mod messages;
 pub mod nodes;
 pub mod orders;
