Lease: a shield or an edge whose feed is frozen serves no purged copy, at processes

Two tests over real processes: control beside a shield, and the agent beside an edge, are stopped (SIGSTOP), a purge is asked for until it is acknowledged, and what is read right after must be new.

--- a/glenfall/tests/system.rs
+++ b/glenfall/tests/system.rs
@@ -413,3 +413,63 @@
     await_that("it ends", || path.system.ended(EDGE, "edge").is_some());
     assert_eq!(runs(&servers), before + 1, "it went to one server");
 }
+
+impl Path {
+    /// Reads these until each comes from a copy that was there; what the copies hold.
+    fn copies(&self, lines: &[String]) -> Vec<String> {
+        let mut bodies = Vec::new();
+        await_that("copies of all", || {
+            let before: Vec<String> = lines.iter().map(|line| self.body(line)).collect();
+            bodies = lines.iter().map(|line| self.body(line)).collect();
+            before == bodies
+        });
+        bodies
+    }
+
+    /// How many answers the edge says that it has given from copies of its own.
+    fn own_copies(&self) -> u64 {
+        let counts = (1..=3).filter_map(|n| self.system.status(n)).flat_map(|status| {
+            let sessions = status["sessions"].as_array().cloned().unwrap_or_default();
+            sessions.into_iter().filter_map(|session| session["counters"]["own_copies"].as_u64())
+        });
+        counts.sum()
+    }
+
+    /// Has all copies purged, as soon as that is acknowledged, and reads again: which are still what they were.
+    fn stale_after_purge(&self, lines: &[String], before: &[String]) -> usize {
+        let purge =
+            || request(self.system.control_addr(3), "POST /api/purge", "Host: c\r\n", r#"{"label":"label"}"#);
+        await_that("the purge is acknowledged", || purge().is_some_and(|heard| heard.0 == 200));
+        lines.iter().zip(before).filter(|(line, before)| self.body(line) == **before).count()
+    }
+}
+
+#[test]
+fn a_shield_whose_control_is_frozen_serves_no_copy_that_a_purge_has_ended() {
+    let (mut path, _servers) = Path::start();
+    let lines: Vec<String> = (0..24).map(|n| format!("GET /r/frozen-{n}")).collect();
+    let before = path.copies(&lines);
+    path.system.signal(1, "control", "-STOP");
+    assert_eq!(path.stale_after_purge(&lines, &before), 0);
+}
+
+#[test]
+fn an_edge_whose_agent_is_frozen_serves_no_copy_that_a_purge_has_ended() {
+    let (mut path, _servers) = Path::start();
+    path.system.edit_settings(EDGE, &[("zone = \"z\"", "zone = \"y\"")]);
+    for role in ["agent", "edge"] {
+        path.system.kill(EDGE, role);
+        path.system.start_again(EDGE, role);
+    }
+    path.system.await_ready();
+    let lines: Vec<String> = (0..8).map(|n| format!("GET /r/agent-{n}")).collect();
+    await_that("it is served again", || path.ask(&lines[0]).is_some_and(|heard| heard.0 == 200));
+    // For a while after its start it keeps none.
+    await_that("the edge serves copies of its own", || {
+        path.copies(&lines);
+        path.own_copies() > 0
+    });
+    let before = path.copies(&lines);
+    path.system.signal(EDGE, "agent", "-STOP");
+    assert_eq!(path.stale_after_purge(&lines, &before), 0);
+}
