--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod lease;
 mod peers;
 pub mod purge_log;
+mod purging;
 pub mod store;
 mod taken;
 
@@ -18,7 +19,7 @@
 
 use glenfall_plane::chain::{Call, Chain, Durable, Outcome, Output, Record, Start, Terms};
 use glenfall_plane::fleet::{edge_mark, Fleet, Members, Numbered};
-use glenfall_plane::messages::{CallId, Down, Member, News, Open, Peer, Proxy, Purge, Stamped};
+use glenfall_plane::messages::{CallId, Down, Member, News, Open, Peer, Proxy};
 use glenfall_plane::purges::{Purges, REMEMBERED};
 use glenfall_plane::registry::{Entry, EntryStatus, Heard, Registry};
 use glenfall_plane::Millis;
@@ -30,7 +31,7 @@
 use crate::boot::Boot;
 use crate::link::{self, Frames, Outbox};
 use crate::serve;
-use crate::sessions::{Reach, Sessions, LONGEST_BEHIND};
+use crate::sessions::{Reach, Sessions};
 use lease::Leases;
 use peers::Peers;
 use purge_log::PurgeLog;
@@ -44,12 +45,7 @@
 const EXPIRE: Duration = Duration::from_millis(250);
 /// Changes of the fleet within this time are pushed as one.
 const GATHER: Duration = Duration::from_millis(10);
-/// A purge waits this long at most for all who may hold copies; whoever has not applied it by then is cut off
-/// and begins anew. Operators move on after a second.
-const PURGE: Duration = Duration::from_millis(750);
-/// It waits this long at most to be on the disk of this node: that is for the loss of all control nodes at once.
-const WRITTEN: Duration = Duration::from_millis(150);
-/// The same for the word of a server that leaves.
+/// How long the word of a server that leaves waits for all who have to know it.
 const DRAIN: Duration = Duration::from_millis(400);
 /// A node that has run for so many beats has heard of every server that there is.
 const BEATS_TO_HEAR_ALL: u32 = 4;
@@ -523,59 +519,6 @@
         }
         told
     }
-
-    // ---- Purges ----
-
-    /// Tells sessions once nothing that was purged can have been missed here.
-    fn vouch(&self) {
-        let told = self.told_purges.borrow();
-        let me = self.boot.bind_ip;
-        let vouches = self.chain.borrow().members().majority(|node| *node == me || told.contains(node));
-        // Sessions that were told so keep to it until they are turned away: a mend of the chain costs no copies.
-        let before = self.vouches.replace(vouches);
-        if vouches && !before {
-            self.sessions.push(&News::InTouch(true));
-        }
-    }
-
-    /// Ends all copies that a purge names, wherever they are. False where not all who may serve from some were reached
-    /// or had lost their leases in time.
-    async fn purge(&self, purge: Purge) -> bool {
-        let number = self.next_purge.replace(self.next_purge.get() + 1);
-        let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
-        let written = self.take_purges(vec![stamped.clone()]);
-        let asked = self.peers.instances();
-        let up: Vec<Ipv4Addr> = asked.iter().map(|instance| instance.ip).collect();
-        let question =
-            |id| Peer::Purges { id: Some(id), purges: vec![stamped.clone()], asked: Some(asked.clone()) };
-        let peers = self.peers.ask(&up, question, PURGE);
-        let written = async {
-            if let Some(written) = written {
-                let _ = timeout(WRITTEN, written).await;
-            }
-        };
-        let others = self.no_lease_but_of(&asked, PURGE);
-        let (complete, purged, others, ()) = tokio::join!(peers, self.purge_sessions(PURGE), others, written);
-        others && purged && complete.is_some_and(|complete| self.bars_leases(&complete))
-    }
-
-    /// Waits until no session that has a lease of this node can serve from copies that a purge ended; false where that
-    /// takes longer.
-    async fn purge_sessions(&self, most: Duration) -> bool {
-        let purged = self.sessions.purged(most).await;
-        self.sessions.drop_behind(LONGEST_BEHIND);
-        purged
-    }
-
-    /// Takes purges, and passes on those that are new; what this gives ends once they are on disk.
-    fn take_purges(&self, purges: Vec<Stamped>) -> Option<oneshot::Receiver<()>> {
-        let fresh = self.purges.borrow_mut().take(self.now(), purges);
-        if fresh.is_empty() {
-            return None;
-        }
-        self.sessions.push(&News::Purges(fresh.iter().map(Stamped::aged).collect()));
-        Some(self.purge_log.write(fresh))
-    }
 }
 
 fn config_news(record: &Record) -> News {
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -13,7 +13,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::{Control, DRAIN, PURGE};
+use super::purging::PURGE;
+use super::{Control, DRAIN};
 use crate::link::{self, Frames, Outbox, PING};
 
 /// Pause before a peer is called again.
