--- a/glenfall/src/feed.rs
+++ b/glenfall/src/feed.rs
@@ -126,7 +126,8 @@
         follower.in_touch(yes);
     }
 
-    fn take(&self, news: News, follower: &impl Follower) -> bool {
+    /// Takes what the agent tells; false where it does not build on what is known.
+    pub fn take(&self, news: News, follower: &impl Follower) -> bool {
         let was_ready = self.ready();
         match news {
             News::Config { rev, document } => self.take_config(rev, &document, follower),
