--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -3,8 +3,10 @@
 
 mod api;
 pub mod backup;
+mod lease;
 mod peers;
 pub mod purge_log;
+mod purging;
 pub mod relay;
 pub mod store;
 mod taken;
@@ -18,7 +20,7 @@
 
 use glenfall_plane::chain::{Call, Chain, Durable, Message, Outcome, Output, Record, Start};
 use glenfall_plane::fleet::{edge_mark, Fleet, Members, Numbered};
-use glenfall_plane::messages::{CallId, Down, Member, News, Open, Peer, Proxy, Purge, Stamped};
+use glenfall_plane::messages::{CallId, Down, Member, News, Open, Peer, Proxy};
 use glenfall_plane::purges::{Purges, REMEMBERED};
 use glenfall_plane::registry::{Entry, EntryStatus, Heard, Registry};
 use glenfall_plane::Millis;
@@ -30,7 +32,8 @@
 use crate::boot::Boot;
 use crate::link::{self, Frames, Outbox};
 use crate::serve;
-use crate::sessions::Sessions;
+use crate::sessions::{Reach, Sessions};
+use lease::Leases;
 use peers::Peers;
 use purge_log::PurgeLog;
 use relay::BeatRelay;
@@ -44,12 +47,7 @@
 const EXPIRE: Duration = Duration::from_millis(250);
 /// Changes of the fleet within this time are pushed as one.
 const GATHER: Duration = Duration::from_millis(10);
-/// A purge waits this long at most for all who may hold copies; whoever has not applied it by then is cut off
-/// and begins anew. Operators move on after a second.
-const PURGE: Duration = Duration::from_millis(750);
-/// It waits this long at most to be on the disk of this node: that is for the loss of all control nodes at once.
-const WRITTEN: Duration = Duration::from_millis(150);
-/// The same for the word of a server that leaves.
+/// How long the word of a server that leaves waits for all who have to know it.
 const DRAIN: Duration = Duration::from_millis(400);
 /// A node that has run for so many beats has heard of every server that there is.
 const BEATS_TO_HEAR_ALL: u32 = 4;
@@ -88,6 +86,7 @@
     /// Tells this process from the last at its address.
     life: u64,
     sessions: Sessions,
+    leases: Leases,
     peers: Peers,
     fleet: RefCell<Numbered>,
     /// The members with their sessions here, as peers have been told.
@@ -129,6 +128,7 @@
             Start::Wiped
         }
     };
+    let leases = Leases::new(matches!(start, Start::Fresh(_)));
     let (purge_log, written) = PurgeLog::open(&folder)?;
     let mut remembered = Purges::default();
     remembered.take(BEFORE, written);
@@ -149,6 +149,7 @@
         vouches: Cell::new(false),
         life,
         sessions: Sessions::default(),
+        leases,
         peers: Peers::new(me, life),
         fleet: RefCell::default(),
         told_members: RefCell::default(),
@@ -254,8 +255,9 @@
                     // It can't fail while this node is here.
                     let _ = cut_off.wait_for(|cut_off| *cut_off && !beside).await;
                 };
+                let reach = if beside { Reach::SameMachine } else { Reach::Network };
                 tokio::select! {
-                    () = self.sessions.serve(frames, Outbox::start(write), greet, proved, changed) => {}
+                    () = self.sessions.serve(reach, frames, Outbox::start(write), greet, proved, changed) => {}
                     () = kept => tracing::warn!("session ended: this node does not reach a majority"),
                 }
             }
@@ -289,6 +291,7 @@
                 self.relay.take(now).iter().for_each(|beats| self.peers.tell(beats));
             }
             self.carry_out(outputs);
+            self.renew_leases();
             // Seen here also where no session asks.
             self.cut_off();
             if expire.elapsed() >= EXPIRE {
@@ -502,7 +505,7 @@
     /// sessions, hears from none of a majority, and turns its sessions away or hears of it when it does again.
     async fn told_all(&self, question: impl Fn(CallId) -> Peer, most: Duration) -> bool {
         let up = self.peers.up();
-        self.peers.ask(&up, question, most).await && self.chain.borrow().is_quorum(&up)
+        self.peers.ask(&up, question, most).await.is_some() && self.chain.borrow().is_quorum(&up)
     }
 
     /// Tells all control nodes, and proxies, that a server leaves.
@@ -524,51 +527,6 @@
         }
         told
     }
-
-    // ---- Purges ----
-
-    /// Tells sessions once nothing that was purged can have been missed here.
-    fn vouch(&self) {
-        let told = self.told_purges.borrow();
-        let me = self.boot.bind_ip;
-        let vouches = self.chain.borrow().members().majority(|node| *node == me || told.contains(node));
-        // Sessions that were told so keep to it until they are turned away: a mend of the chain costs no copies.
-        let before = self.vouches.replace(vouches);
-        if vouches && !before {
-            self.sessions.push(&News::InTouch(true));
-        }
-    }
-
-    /// Ends all copies that a purge names, wherever they are. False where not all who may hold some were
-    /// reached.
-    async fn purge(&self, purge: Purge) -> bool {
-        let number = self.next_purge.replace(self.next_purge.get() + 1);
-        let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
-        let written = self.take_purges(vec![stamped.clone()]);
-        let purges = vec![stamped];
-        let peers =
-            self.told_all(|id| Peer::Purges { id: Some(id), purges: purges.clone(), pass_on: true }, PURGE);
-        let written = async {
-            if let Some(written) = written {
-                let _ = timeout(WRITTEN, written).await;
-            }
-        };
-        let (peers, applied, ()) = tokio::join!(peers, self.sessions.applied(PURGE), written);
-        if !applied {
-            self.sessions.drop_behind();
-        }
-        peers
-    }
-
-    /// Takes purges, and passes on those that are new; what this gives ends once they are on disk.
-    fn take_purges(&self, purges: Vec<Stamped>) -> Option<oneshot::Receiver<()>> {
-        let fresh = self.purges.borrow_mut().take(self.now(), purges);
-        if fresh.is_empty() {
-            return None;
-        }
-        self.sessions.push(&News::Purges(fresh.iter().map(Stamped::aged).collect()));
-        Some(self.purge_log.write(fresh))
-    }
 }
 
 fn config_news(record: &Record) -> News {
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -188,7 +188,7 @@
     /// Keeps what a shield gave from a copy of its own, unless a purge of late names it.
     pub fn keep(&self, object: &ObjectKey, reply: &ServerResponse, asked: Instant) {
         let Some(born) = Copy::handed_on(reply, asked) else { return };
-        let Some(copy) = Copy::of(reply, born).filter(|_| self.in_touch.get()) else { return };
+        let Some(copy) = Copy::of(reply, born).filter(|_| self.feed.vouches()) else { return };
         let mut purged = self.purged.borrow_mut();
         while purged.front().is_some_and(|(at, _)| at.elapsed() >= PURGED) {
             purged.pop_front();
--- a/glenfall/src/edge/read.rs
+++ b/glenfall/src/edge/read.rs
@@ -56,7 +56,7 @@
     pub(super) async fn read(&self, read: Read<'_>) -> ProxyResponse {
         let object = read.object();
         let max_age = Duration::from_secs_f64(read.route.max_age_s.clamp(0.0, 1e6));
-        let own = self.copies.borrow_mut().get(&object).filter(|_| self.in_touch.get());
+        let own = self.copies.borrow_mut().get(&object).filter(|_| self.feed.vouches());
         if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.own_copies.add();
             return copy.answer(read.headers).into();
@@ -245,7 +245,12 @@
         }
         let reached = !matches!(ended, Err(Trouble::Unsent));
         let reply = ended.ok().filter(|reply| reply.shield_source().is_some());
-        let behind = reply.as_ref().is_some_and(|reply| reply.shield_source() == Some(ShieldSource::Behind));
+        let behind = reply.as_ref().is_some_and(|reply| match reply.shield_source() {
+            Some(ShieldSource::Behind) => true,
+            // A purge may have been acknowledged to whoever vouches for copies, and not be known there.
+            Some(ShieldSource::Unvouched) => self.edge.feed.vouches(),
+            _ => false,
+        });
         let reply = reply.filter(|_| !behind);
         let is_late = self.unresponsive.contains(&shield);
         let mut shields = self.edge.shields.borrow_mut();
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod feed;
 pub mod kept;
 pub mod latency;
+pub mod lease;
 pub mod limit;
 pub mod link;
 pub mod local;
--- a/glenfall/src/response.rs
+++ b/glenfall/src/response.rs
@@ -236,6 +236,8 @@
     Hit,
     /// A copy that it fetched.
     Miss,
+    /// A copy, or a fetch begun before the request, while it holds no lease: purges may have been missed.
+    Unvouched,
     /// A server's response that can't be kept.
     Passed,
     /// The shield itself.
@@ -245,9 +247,10 @@
 }
 
 impl ShieldSource {
-    const ALL: [ShieldSource; 5] = [
+    const ALL: [ShieldSource; 6] = [
         ShieldSource::Hit,
         ShieldSource::Miss,
+        ShieldSource::Unvouched,
         ShieldSource::Passed,
         ShieldSource::Local,
         ShieldSource::Behind,
@@ -257,6 +260,7 @@
         match self {
             ShieldSource::Hit => "hit",
             ShieldSource::Miss => "miss",
+            ShieldSource::Unvouched => "unvouched",
             ShieldSource::Passed => "pass",
             ShieldSource::Local => "own",
             ShieldSource::Behind => "behind",
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -174,14 +174,18 @@
         }
         let old = self.cache.borrow_mut().get(&key);
         let max_age = Duration::from_secs_f64(route.max_age_s.clamp(0.0, 1e6));
+        let vouched = |source| if self.feed.vouches() { source } else { ShieldSource::Unvouched };
         if let Some(copy) = old.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.hits.add();
-            return Read::of(copy, &whole.head.headers, ShieldSource::Hit);
+            return Read::of(copy, &whole.head.headers, vouched(ShieldSource::Hit));
         }
         let joined = self.flights.borrow().get(&key).map(|flight| flight.done.clone());
         if let Some(done) = joined {
             self.counters.joined.add();
-            return self.await_joined(done, until, whole).await;
+            // Seen when it joins: a fetch begun before a purge may bring what that ended.
+            let source = vouched(ShieldSource::Miss);
+            let read = self.await_joined(done, until, whole).await;
+            return if read.source == ShieldSource::Miss { Read { source, ..read } } else { read };
         }
         let allowance = Allowance::of_request(&whole.head.headers, route.tries);
         if allowance.sends == 0 {
@@ -352,8 +356,7 @@
         }
     }
 
-    /// Whoever reaches this shield is out of touch as well where control beside it is, so that its own copies stay in
-    /// use.
+    /// Without control its copies stay in use, and are marked: edges that are out of touch as well take them.
     fn in_touch(&self, yes: bool) {
         if yes {
             self.told_all.set(true);
--- a/glenfall/tests/unit/edge.rs
+++ b/glenfall/tests/unit/edge.rs
@@ -9,17 +9,23 @@
 use glenfall::pool::Pool;
 use glenfall::response::ServerResponse;
 use glenfall::room::Room;
-use glenfall_plane::messages::{Aged, Proxy, Purge};
+use glenfall_plane::messages::{Aged, Down, News, Proxy, Purge};
 use hyper::header::HeaderValue;
 use hyper::Response;
 use tokio::time::Instant;
 
 use crate::support::{object, settings};
 
-fn edge() -> Rc<Edge> {
+fn edge() -> (Rc<Edge>, Rc<Feed>) {
     let boot = Rc::new(settings(""));
     let feed = Feed::new(Rc::clone(&boot), Proxy::Edge);
-    Edge::new(&boot, feed, Pool::new(8, Room::new(1 << 20)))
+    (Edge::new(&boot, Rc::clone(&feed), Pool::new(8, Room::new(1 << 20))), feed)
+}
+
+/// In touch, and with a lease that lasts so long from the start of the test on.
+fn in_touch(edge: &Edge, feed: &Feed, lasts: Duration) {
+    assert!(feed.hear(Down::Push { number: 1, news: News::InTouch(true) }, edge));
+    assert!(feed.hear(Down::Granted { sent: 0, lasts: lasts.as_millis() as u64 }, edge));
 }
 
 fn from_shield(tags: &'static str) -> ServerResponse {
@@ -38,8 +44,8 @@
 #[tokio::test(start_paused = true)]
 async fn a_purge_ends_copies_and_bars_what_it_names_for_a_while() {
     tokio::time::advance(Duration::from_secs(10)).await;
-    let edge = edge();
-    edge.in_touch(true);
+    let (edge, feed) = edge();
+    in_touch(&edge, &feed, Duration::from_secs(600));
     edge.keep(&object("/a"), &from_shield("t"), Instant::now());
     edge.keep(&object("/b"), &from_shield("u"), Instant::now());
     let age = edge.copy(&object("/a")).map(|copy| copy.age());
@@ -60,10 +66,10 @@
 #[tokio::test(start_paused = true)]
 async fn out_of_touch_nothing_is_kept_and_a_stream_of_purges_is_bounded() {
     tokio::time::advance(Duration::from_secs(10)).await;
-    let edge = edge();
+    let (edge, feed) = edge();
     edge.keep(&object("/a"), &from_shield("t"), Instant::now());
     assert!(!kept(&edge, "/a"));
-    edge.in_touch(true);
+    in_touch(&edge, &feed, Duration::from_secs(600));
     let purges: Vec<Purge> = (0..2 * MOST_PURGED).map(|n| Purge::Label(n.to_string())).collect();
     for purge in purges {
         edge.purge(&[Aged { purge, age_ms: 0 }]);
@@ -72,3 +78,25 @@
     edge.keep(&object("/a"), &from_shield("t"), Instant::now());
     assert!(!kept(&edge, "/a"), "more were purged than are remembered");
 }
+
+#[tokio::test(start_paused = true)]
+async fn without_a_lease_nothing_is_kept_and_one_that_ended_comes_back_with_the_next_grant() {
+    let (edge, feed) = edge();
+    assert!(feed.hear(Down::Push { number: 1, news: News::InTouch(true) }, &*edge));
+    edge.keep(&object("/a"), &from_shield("t"), Instant::now());
+    assert!(!kept(&edge, "/a") && !feed.vouches(), "in touch, and no lease");
+    in_touch(&edge, &feed, Duration::from_millis(1200));
+    edge.keep(&object("/a"), &from_shield("t"), Instant::now());
+    assert!(kept(&edge, "/a") && feed.vouches());
+    // A frozen process resumes: nothing has told it yet that its lease is over.
+    tokio::time::advance(Duration::from_millis(1200)).await;
+    assert!(!feed.vouches());
+    // A grant that waited meanwhile is as old as its request.
+    assert!(feed.hear(Down::Granted { sent: 100, lasts: 1100 }, &*edge));
+    assert!(!feed.vouches());
+    assert!(feed.hear(Down::Granted { sent: 1200, lasts: 1000 }, &*edge));
+    assert!(feed.vouches());
+    assert!(feed.hear(Down::Push { number: 2, news: News::InTouch(false) }, &*edge));
+    assert!(feed.hear(Down::Push { number: 3, news: News::InTouch(true) }, &*edge));
+    assert!(!feed.vouches(), "a lease from before contact was lost");
+}
--- a/glenfall/tests/unit/proxies.rs
+++ b/glenfall/tests/unit/proxies.rs
@@ -16,7 +16,7 @@
 use glenfall::serve::{serve_at, Terms, Whole};
 use glenfall::shield::{self, Shield};
 use glenfall_plane::fleet::{Fleet, Told};
-use glenfall_plane::messages::{Member, News, Proxy, Server};
+use glenfall_plane::messages::{Down, Member, News, Proxy, Server};
 use hyper::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -143,6 +143,7 @@
     assert!(feed.take(News::Config { rev: 1, document: document() }, follower));
     assert!(feed.take(News::Fleet(Told::Whole { number: 1, fleet: fleet.clone() }), follower));
     assert!(feed.take(News::InTouch(true), follower));
+    assert!(feed.hear(Down::Granted { sent: 0, lasts: 600_000 }, follower));
 }
 
 /// A pool with room for all answers of a test.
