--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -7,8 +7,8 @@
 use std::io::{self, BufRead, Write};
 use std::process::ExitCode;
 
-use mallowpaddle::{Action, Balancer, Event};
-use mallowpaddle_settings::Names;
+use glenfall_balancer::{Action, Balancer, Event};
+use glenfall_settings::Names;
 use wire::Line;
 
 struct Instance {
@@ -81,7 +81,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
-            eprintln!("mallowpaddle-adapter: {what}");
+            eprintln!("glenfall-adapter: {what}");
             ExitCode::FAILURE
         }
     }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -3,8 +3,8 @@
 use std::fmt::Write;
 use std::io::BufRead;
 
-use mallowpaddle::*;
-use mallowpaddle_settings::Names;
+use glenfall_balancer::*;
+use glenfall_settings::Names;
 
 /// Input lines and the number of the last one read.
 pub struct Lines<R> {
@@ -118,7 +118,7 @@
             return Ok(Line::Attach {
                 node,
                 seed,
-                settings: mallowpaddle_settings::parse(&setup).map_err(|e| e.to_string())?,
+                settings: glenfall_settings::parse(&setup).map_err(|e| e.to_string())?,
             });
         }
         "down" => return Ok(Line::Down { node }),
@@ -168,7 +168,7 @@
                 Some(3) => Some(CacheNote::MissFetching),
                 _ => None,
             };
-            let load = f.text().and_then(|report| mallowpaddle_settings::load(report, ':'));
+            let load = f.text().and_then(|report| glenfall_settings::load(report, ':'));
             Event::Outcome(Outcome { request, attempt, status, elapsed, finished, note, load })
         }
         "withdrawn" => Event::Withdrawn(RequestId(f.need("request id")?)),
--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn run(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_mallowpaddle-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_glenfall-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -9,13 +9,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use glenfall_balancer::{ServerId, Shields};
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
-use mallowpaddle::{ServerId, Shields};
 use tokio::time::Instant;
 
 use self::read::Read;
--- a/glenfall/src/edge/read.rs
+++ b/glenfall/src/edge/read.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenfall_balancer::{Key, Seconds, ServerId};
 use glenfall_plane::config::{Config, Route};
 use http_body_util::Full;
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, StatusCode};
-use mallowpaddle::{Key, Seconds, ServerId};
 use tokio::time::{timeout_at, Instant};
 
 use super::{Edge, UNREADY};
--- a/glenfall/src/origins.rs
+++ b/glenfall/src/origins.rs
@@ -5,10 +5,10 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
+use glenfall_balancer::mix;
 use glenfall_plane::fleet::edge_mark;
 use glenfall_plane::messages::Server;
 use glenfall_plane::subset;
-use mallowpaddle::mix;
 use tokio::time::Instant;
 
 /// How long a server is left alone that gave no connection or no answer.
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -8,13 +8,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use glenfall_balancer::mix;
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Proxy, Purge};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::Method;
-use mallowpaddle::mix;
 use tokio::task::spawn_local;
 use tokio::time::{timeout_at, Instant};
 
--- a/glenfall/tests/unit/limit.rs
+++ b/glenfall/tests/unit/limit.rs
@@ -26,7 +26,7 @@
     let (mut owed, mut good, mut refused) = ([0.0; 2], [0.0; 2], [0.0; 2]);
     let mut seed = 7u64;
     let mut draw = || {
-        seed = mallowpaddle::mix(seed);
+        seed = glenfall_balancer::mix(seed);
         seed
     };
     for n in 0..20 * per_s {
--- a/lab/src/fleet/reads.rs
+++ b/lab/src/fleet/reads.rs
@@ -3,8 +3,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use glenfall_balancer::{mix, Key, ServerId, Shields};
 use glenfall_plane::ceiling::{Bound, Ceiling, Holder};
-use mallowpaddle::{mix, Key, ServerId, Shields};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::{Distribution, Exp, Zipf};
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -41,9 +41,9 @@
 /// The body of an object's version: its name, so that it can be told apart, and filled up.
 pub fn body(path: &str, version: u64, length: usize) -> Bytes {
     let mut body = format!("{path} v{version}\n").into_bytes();
-    let mut fill = mallowpaddle::mix(version ^ path.len() as u64);
+    let mut fill = glenfall_balancer::mix(version ^ path.len() as u64);
     while body.len() < length {
-        fill = mallowpaddle::mix(fill);
+        fill = glenfall_balancer::mix(fill);
         body.extend_from_slice(&fill.to_le_bytes());
     }
     body.truncate(length);
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use mallowpaddle::{RosterEntry, Seconds, ServerId, ServerState, Settings};
+use glenfall_balancer::{RosterEntry, Seconds, ServerId, ServerState, Settings};
 use serde_json::Value;
 
 /// Descriptors kept for all but clients and upstreams: standard streams, the reactor, signals, the listener,
@@ -57,7 +57,7 @@
             let text = var(variable).or_else(|| json[name].as_str().map(str::to_owned));
             text.ok_or_else(|| wrong(format!("{name} is missing")))
         };
-        let settings = mallowpaddle_settings::parse(&json["settings"]).map_err(wrong)?;
+        let settings = glenfall_settings::parse(&json["settings"]).map_err(wrong)?;
         let listed = |name: &str| match &json[name] {
             Value::Null => Ok(None),
             value => address(name, value.as_str().unwrap_or_default()).map(Some),
--- a/node/src/host.rs
+++ b/node/src/host.rs
@@ -8,11 +8,11 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hyper::header::HeaderValue;
-use mallowpaddle::{
+use glenfall_balancer::{
     Action, AttemptId, Balancer, ClassId, Event, Key, NewRequest, Outcome, RequestId, RosterNews, Seconds,
     ServerId, Status, TenantId, TimerToken,
 };
+use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -1,4 +1,4 @@
-//! tackstage: one load balancer node on real sockets. It starts, serves until a signal, answers what it has
+//! glenfall-node: one load balancer node on real sockets. It starts, serves until a signal, answers what it has
 //! taken and exits.
 
 #![forbid(unsafe_code)]
@@ -32,7 +32,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             // One line, whatever the cause was worded like.
-            log(format_args!("tackstage: {}", what.to_string().replace('\n', " ")));
+            log(format_args!("glenfall-node: {}", what.to_string().replace('\n', " ")));
             ExitCode::FAILURE
         }
     }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,5 +5,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    tackstage::main()
+    glenfall_node::main()
 }
--- a/node/src/peers.rs
+++ b/node/src/peers.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use mallowpaddle::Event;
+use glenfall_balancer::Event;
 use tokio::net::UdpSocket;
 
 use crate::config::Config;
--- a/node/src/reply.rs
+++ b/node/src/reply.rs
@@ -1,12 +1,12 @@
 //! What the answer of a server means: read whole, or found spoilt.
 
 use bytes::Bytes;
+use glenfall_balancer::{CacheNote, Load, Status};
 use glenfall_http::tells_its_end;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{header, Response, StatusCode};
-use mallowpaddle::{CacheNote, Load, Status};
 
 use crate::upstream::LONGEST_BODY;
 
@@ -53,8 +53,7 @@
     };
     let reply = (status == Status::Success)
         .then(|| Reply { content_type: head.headers.get(header::CONTENT_TYPE).cloned(), body });
-    let load =
-        head.headers.get(LOAD).and_then(|value| mallowpaddle_settings::load(value.to_str().ok()?, '='));
+    let load = head.headers.get(LOAD).and_then(|value| glenfall_settings::load(value.to_str().ok()?, '='));
     Ended { status, note: note_of(&head.headers), load, reply }
 }
 
--- a/node/src/request.rs
+++ b/node/src/request.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
+use glenfall_balancer::{Key, Seconds, Settings};
+use glenfall_settings::Names;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{header, Method, Request, StatusCode};
-use mallowpaddle::{Key, Seconds, Settings};
-use mallowpaddle_settings::Names;
 use tokio::time::timeout;
 
 use crate::host::Arrival;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -8,11 +8,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use glenfall_balancer::{Limits, ServerId, ServerState, Status};
 use glenfall_http::{Connection, Failed, OpenSocket, Sent};
 use http_body_util::Full;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{header, Method, Request, StatusCode, Uri};
-use mallowpaddle::{Limits, ServerId, ServerState, Status};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -231,7 +231,7 @@
 impl ConfigFile {
     pub fn new(text: &str) -> ConfigFile {
         static NEXT: AtomicU64 = AtomicU64::new(0);
-        let name = format!("tackstage-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let name = format!("glenfall-node-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, text).expect("a temporary file");
         ConfigFile(path)
@@ -245,7 +245,7 @@
 }
 
 pub fn command(config: &ConfigFile) -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_tackstage"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_glenfall-node"));
     command.env_clear().env("LB_CONFIG", &config.0).stdout(Stdio::piped()).stderr(Stdio::piped());
     command
 }
--- a/node/tests/upstream.rs
+++ b/node/tests/upstream.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use glenfall_balancer::{CacheNote, Limits, RosterEntry, ServerId, ServerState, Status};
 use glenfall_http::Sent;
+use glenfall_node::config::List;
+use glenfall_node::upstream::{Payload, Upstreams};
 use hyper::header::HeaderValue;
 use hyper::{Method, Uri};
-use mallowpaddle::{CacheNote, Limits, RosterEntry, ServerId, ServerState, Status};
-use tackstage::config::List;
-use tackstage::upstream::{Payload, Upstreams};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
--- a/plane/src/fleet.rs
+++ b/plane/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
-use mallowpaddle::mix;
+use glenfall_balancer::mix;
 use serde::{Deserialize, Serialize};
 
 use crate::nodes::{Member, Server};
--- a/plane/src/subset.rs
+++ b/plane/src/subset.rs
@@ -14,7 +14,7 @@
 
 use std::collections::BTreeMap;
 
-use mallowpaddle::mix;
+use glenfall_balancer::mix;
 
 use crate::fleet::edge_mark;
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -11,14 +11,14 @@
 cargo test --workspace --locked
 
 # The adapter answers an empty batch with an empty reply.
-reply=$(printf 'sync 1.5\ngo\n' | target/release/mallowpaddle-adapter)
+reply=$(printf 'sync 1.5\ngo\n' | target/release/glenfall-adapter)
 [ "$reply" = ack ] || { echo "adapter: 'ack' expected, got '$reply'" >&2; exit 1; }
 echo "adapter answers an empty batch"
 
 # The node, on ports of its own, until it says that it is ready; then SIGTERM ends it with success.
 out=$(mktemp)
 LB_NAME=n0 LB_LISTEN=127.0.0.1:0 LB_DISCOVERY=127.0.0.1:1 LB_CONFIG=deploy/example.json \
-    target/release/tackstage >"$out" 2>/dev/null &
+    target/release/glenfall-node >"$out" 2>/dev/null &
 node=$!
 trap 'kill "$node" 2>/dev/null || true; rm -f "$out"' EXIT
 ready() {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 
-use mallowpaddle::*;
+use glenfall_balancer::*;
 use serde_json::{Map, Value};
 
 /// Where the names of an instance's classes and tenants stand in its settings.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`Action`]s that it answers. It has no clock, no threads and no I/O; the same events give the same actions.
 //!
 //! ```
-//! use mallowpaddle::*;
+//! use glenfall_balancer::*;
 //!
 //! # fn main() -> Result<(), SettingsError> {
 //! let read = Class {
--- a/tests/balance.rs
+++ b/tests/balance.rs
@@ -16,7 +16,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use mallowpaddle::*;
+use glenfall_balancer::*;
 
 fn fleet(n: u64) -> Vec<RosterEntry> {
     (1..=n).map(entry).collect()
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use mallowpaddle::*;
+use glenfall_balancer::*;
 
 pub const READ: ClassId = ClassId(0);
 pub const KEYED: ClassId = ClassId(1);
--- a/tests/growth.rs
+++ b/tests/growth.rs
@@ -6,7 +6,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use common::{entry, read, settings, Node};
-use mallowpaddle::*;
+use glenfall_balancer::*;
 
 struct Counting;
 
--- a/tests/random.rs
+++ b/tests/random.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use common::*;
-use mallowpaddle::*;
+use glenfall_balancer::*;
 
 struct Rng(u64);
 
--- a/tests/shields.rs
+++ b/tests/shields.rs
@@ -1,6 +1,6 @@
 //! The edge's decision: RJ-CH over the ready shields, and what departs from it.
 
-use mallowpaddle::{mix, Key, ServerId, Shields};
+use glenfall_balancer::{mix, Key, ServerId, Shields};
 
 fn id(n: u64) -> ServerId {
     ServerId(format!("10.0.0.{n}:7721").as_str().into())
