Node's tests: a server's close is sent at once, and refusing ports stay bound

Change: the stand-in server shuts a connection down before it tells that it has ended, and tells which paths it carried: the test now also asserts that one connection carried both requests. refusing() keeps its socket bound and never listens.

--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
+use socket2::{Domain, Socket, Type};
 
 /// Longest wait for anything; a machine under load must not fail a test.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -93,7 +94,8 @@
 pub struct Server {
     pub addr: SocketAddr,
     pub requests: Receiver<Message>,
-    pub ended: Receiver<()>,
+    /// The paths of the requests that a connection carried, once it has ended.
+    pub ended: Receiver<Vec<String>>,
 }
 
 impl Server {
@@ -106,8 +108,8 @@
             for stream in listener.incoming().flatten() {
                 let (reply, seen, end) = (Arc::clone(&reply), seen.clone(), end.clone());
                 thread::spawn(move || {
-                    attend(stream, &*reply, &seen);
-                    let _ = end.send(());
+                    let paths = attend(stream, &*reply, &seen);
+                    let _ = end.send(paths);
                 });
             }
         });
@@ -119,10 +121,13 @@
     }
 }
 
-fn attend(mut stream: TcpStream, reply: &dyn Fn(&Message) -> Reply, seen: &Sender<Message>) {
+/// Serves a connection until it ends; the paths of its requests.
+fn attend(mut stream: TcpStream, reply: &dyn Fn(&Message) -> Reply, seen: &Sender<Message>) -> Vec<String> {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut paths = Vec::new();
     while let Some(request) = Message::read(&mut reader) {
         let _ = seen.send(request.clone());
+        paths.push(request.path().to_owned());
         let reply = reply(&request);
         let text = match &reply {
             Reply::Keep(text) | Reply::Close(text) => text.as_str(),
@@ -134,14 +139,25 @@
             Reply::Silence => "",
         };
         if stream.write_all(text.as_bytes()).is_err() || matches!(reply, Reply::Close(_)) {
-            return;
+            break;
         }
     }
+    // A child that another test is starting holds a copy of every descriptor until it has run its program: dropping
+    // this one alone would close the connection only then.
+    let _ = stream.shutdown(Shutdown::Both);
+    paths
 }
 
-/// An address at which connections are refused.
+/// An address at which connections are refused. Its port stays bound, and nobody listens there: a port that is given
+/// back may be another test's server a moment later.
 pub fn refusing() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    static BOUND: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+    socket.bind(&any_port.into()).expect("a free port");
+    let addr = socket.local_addr().unwrap().as_socket().unwrap();
+    BOUND.lock().unwrap().push(socket);
+    addr
 }
 
 // ---- Discovery ------------------------------------------------------------------------------------------
--- a/node/tests/node.rs
+++ b/node/tests/node.rs
@@ -75,7 +75,8 @@
     let node = Node::start(&config);
     assert_eq!(node.get("/read/a").status(), 200);
     assert_eq!(node.get("/read/last").status(), 200);
-    cache.ended.recv_timeout(PATIENCE).expect("the first connection carried both requests");
+    let carried = cache.ended.recv_timeout(PATIENCE).expect("the server closes it");
+    assert_eq!(carried, ["/read/a", "/read/last"], "the first connection carried both requests");
     assert_eq!(node.get("/read/b").status(), 200);
 }
 
