Answers without a length are taken; servers get no more time than clients and the grace have

Servers may not be handed over half a second more than the client has: a shield's fetch got the route's whole deadline. A request that comes late after SIGTERM must not be cut in the grace.

Change: BodyEnd in place of tells_its_end; a fetch ends 0.4 s after its read at the latest; an edge that leaves ends what comes after the signal 0.2 s before the end of its grace; servers are told 15 ms less, so that their own word comes in time.

--- a/glenfall/src/direct.rs
+++ b/glenfall/src/direct.rs
@@ -30,6 +30,8 @@
 
 const WANT_SERVER: HeaderName = HeaderName::from_static("x-glenfall-want-server");
 
+/// A server is to end its work this long before its answer would come too late, so that its own word comes in time.
+const WAY_BACK: Duration = Duration::from_millis(15);
 /// When to come back to a service whose servers are full: about when one of their requests ends.
 const FULL: Duration = Duration::from_millis(100);
 /// When to come back to one that has no server, or is above its ceiling.
@@ -267,7 +269,8 @@
             *request.method_mut() = job.method.clone();
             *request.uri_mut() = job.uri.clone();
             *request.headers_mut() = job.headers.clone();
-            let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            let left = until.saturating_duration_since(Instant::now()).saturating_sub(WAY_BACK);
+            let left = left.as_millis() as u64;
             request.headers_mut().insert(DEADLINE, HeaderValue::from(left.max(1)));
             request
         };
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -40,6 +40,8 @@
 pub const PURGED: Duration = Duration::from_secs(3);
 /// Purges remembered for that.
 pub const MOST_PURGED: usize = 1024;
+/// An edge that is told to stop has its answers ready so long before it gives up what is left.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
 /// When to come back to a node that is not ready yet.
 const UNREADY: Duration = Duration::from_millis(300);
 
@@ -132,7 +134,7 @@
             self.counters.no_route.add();
             return LocalResponse::no_route().into();
         };
-        let until = deadline(route, &whole);
+        let until = self.deadline(route, &whole);
         let is_read =
             route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
         let draw = match is_read {
@@ -154,6 +156,17 @@
         self.response_to(outcome, route, &whole.head.method)
     }
 
+    /// When a request must be answered: the one deadline of all that it waits for, from when it has been read. It is the
+    /// client's or the route's, whichever is earlier. One that comes after the signal to stop ends within the grace:
+    /// its server is told how much time there is, and answers in it.
+    fn deadline(&self, route: &Route, whole: &Whole) -> Instant {
+        let stated = whole.head.headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
+        let wait = stated.map_or(route.deadline_ms, |ms: u64| ms.min(route.deadline_ms));
+        let until = Instant::now() + Duration::from_millis(wait).saturating_sub(TRANSIT);
+        let last = self.feed.grace_ends().map(|end| end - LAST_ANSWERS);
+        last.map_or(until, |last| until.min(last))
+    }
+
     /// A client's request as it goes to servers.
     fn job<'a>(
         &self,
@@ -234,14 +247,6 @@
     }
 }
 
-/// When a request must be answered: the one deadline of all that it waits for, from when it has been read. It is the
-/// client's or the route's, whichever is earlier.
-fn deadline(route: &Route, whole: &Whole) -> Instant {
-    let stated = whole.head.headers.get(DEADLINE).and_then(|value| value.to_str().ok()?.parse().ok());
-    let wait = stated.map_or(route.deadline_ms, |ms: u64| ms.min(route.deadline_ms));
-    Instant::now() + Duration::from_millis(wait).saturating_sub(TRANSIT)
-}
-
 impl Follower for Edge {
     fn config(&self, _config: &Arc<Config>) {}
 
--- a/glenfall/src/feed.rs
+++ b/glenfall/src/feed.rs
@@ -9,7 +9,7 @@
 use glenfall_plane::fleet::{Fleet, Numbered};
 use glenfall_plane::messages::{Aged, Down, Member, News, Open, Proxy, Up};
 use tokio::sync::{watch, Notify};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 use crate::boot::Boot;
 use crate::lease::HeldLease;
@@ -35,7 +35,8 @@
     config: RefCell<Option<Arc<Config>>>,
     fleet: RefCell<Numbered>,
     fleet_known: Cell<bool>,
-    leaving: Cell<bool>,
+    /// Once the process is told to stop: when it gives up what is not answered.
+    grace_ends: Cell<Option<Instant>>,
     changed: Notify,
     /// The version in force, for those who wait for one.
     rev: watch::Sender<u64>,
@@ -52,7 +53,7 @@
             config: RefCell::default(),
             fleet: RefCell::default(),
             fleet_known: Cell::new(false),
-            leaving: Cell::new(false),
+            grace_ends: Cell::new(None),
             changed: Notify::new(),
             rev: watch::Sender::new(0),
             in_touch: Cell::new(false),
@@ -72,7 +73,7 @@
 
     /// Knows enough to serve, and does not leave.
     pub fn ready(&self) -> bool {
-        self.config.borrow().is_some() && self.fleet_known.get() && !self.leaving.get()
+        self.config.borrow().is_some() && self.fleet_known.get() && !self.leaving()
     }
 
     /// Whether no purge can have been acknowledged that this process has not taken: looked at whenever a copy is served.
@@ -80,13 +81,19 @@
         self.in_touch.get() && self.lease.stands()
     }
 
+    /// The process has been told to stop.
     pub fn leaving(&self) -> bool {
-        self.leaving.get()
+        self.grace_ends.get().is_some()
+    }
+
+    /// When a process that has been told to stop gives up what is not answered.
+    pub fn grace_ends(&self) -> Option<Instant> {
+        self.grace_ends.get()
     }
 
     /// The process stops soon: members are told, new work goes elsewhere.
     pub fn leave(&self) {
-        self.leaving.set(true);
+        self.grace_ends.set(Some(Instant::now() + self.boot.grace()));
         self.changed.notify_one();
     }
 
--- a/glenfall/src/pool.rs
+++ b/glenfall/src/pool.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use glenfall_http::send::{self, Event, Fate};
-use glenfall_http::{tells_its_end, Connection, Failed, OpenSocket, Progress, Sent};
+use glenfall_http::{BodyEnd, Connection, Failed, OpenSocket, Progress, Sent};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap};
@@ -260,7 +260,8 @@
     }
     let bodiless =
         method == Method::HEAD || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-    if !(bodiless || tells_its_end(&head.headers)) || body.size_hint().lower() > LARGEST as u64 {
+    let has_end = bodiless || BodyEnd::of(&head.headers) != BodyEnd::Unclear;
+    if !has_end || body.size_hint().lower() > LARGEST as u64 {
         return None;
     }
     let body = read_body(body, room, waiting).await?;
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -192,7 +192,7 @@
             let report = SendReport { used: 0, short: true };
             return Read { report, ..Read::local(LocalResponse::gateway_timeout()) };
         }
-        let fetch = FetchRequest::new(&config, route, key, &whole.head, old, allowance);
+        let fetch = FetchRequest::new(&config, route, key, &whole.head, old, allowance, until);
         match self.begin_fetch(fetch) {
             Ok(done) => self.await_own(done, until, allowance, whole).await,
             Err(TooManyFetches) => self.refuse(NONE),
--- a/glenfall/src/shield/fetch.rs
+++ b/glenfall/src/shield/fetch.rs
@@ -20,6 +20,9 @@
 use crate::send_budget::{Allowance, SendReport};
 use crate::serve::passed_on;
 
+/// A fetch may outlive the read that began it by so long: what it brings serves the next read. Servers are handed no more
+/// time than that beyond what the client has left.
+const BEYOND_ITS_READ: Duration = Duration::from_millis(400);
 /// Fetches under way at most; what misses beyond is told to come back.
 const MOST_FETCHES: usize = 1024;
 
@@ -86,6 +89,8 @@
     /// Another shield may have counted the request and asked a server.
     again: bool,
     allowance: Allowance,
+    /// When the read that begins it is given up.
+    read_until: Instant,
     terms: RouteTerms,
 }
 
@@ -119,6 +124,7 @@
         request: &hyper::http::request::Parts,
         old: Option<Rc<Copy>>,
         allowance: Allowance,
+        read_until: Instant,
     ) -> Self {
         let mut headers = passed_on(&request.headers);
         for name in [header::RANGE, header::IF_RANGE, header::IF_NONE_MATCH, header::IF_MODIFIED_SINCE] {
@@ -129,7 +135,7 @@
         }
         let again = request.headers.contains_key(AGAIN);
         let terms = RouteTerms::of(config, route, &key.service);
-        FetchRequest { key, uri: request.uri.clone(), headers, old, again, allowance, terms }
+        FetchRequest { key, uri: request.uri.clone(), headers, old, again, allowance, read_until, terms }
     }
 }
 
@@ -156,7 +162,7 @@
     /// Fetches an object, and keeps what it brings unless a purge named it meanwhile.
     async fn fetch(&self, request: FetchRequest, purges: &Rc<PurgesMeanwhile>) -> FetchEnd {
         let began = Instant::now();
-        let FetchRequest { key, uri, headers, old, again, allowance, terms } = request;
+        let FetchRequest { key, uri, headers, old, again, allowance, read_until, terms } = request;
         let job = Job {
             service: &key.service,
             method: &Method::GET,
@@ -166,7 +172,7 @@
             repeatable: true,
             tries: terms.tries,
             again,
-            until: began + terms.deadline,
+            until: (began + terms.deadline).min(read_until + BEYOND_ITS_READ),
             aim: terms.aim,
             rank: terms.rank,
             per_s: terms.per_s,
--- a/glenfall/tests/unit/pool.rs
+++ b/glenfall/tests/unit/pool.rs
@@ -108,6 +108,30 @@
     });
 }
 
+/// What the end of a connection makes of an answer without a length on it.
+#[test]
+fn an_answer_without_a_length_is_whole_once_its_connection_has_ended_in_order() {
+    run_local(async {
+        for (end, got) in [("close", Ok("first".to_owned())), ("reset", Err(Trouble::Unknown))] {
+            let connection = move |mut stream: TcpStream| async move {
+                let mut heard = Vec::new();
+                while !heard.ends_with(b"\r\n\r\n") && stream.read_buf(&mut heard).await.is_ok_and(|n| n > 0)
+                {
+                }
+                let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\n\r\nfirst").await;
+                // The bytes come before the end does.
+                sleep(Duration::from_millis(50)).await;
+                if end == "reset" {
+                    let _ = socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                }
+            };
+            let (pool, addr) = (pool(), stand_in(connection).await.into());
+            assert_eq!(exchanged(&pool, addr, Method::GET, "", Trust::Wary).await, got, "{end}");
+            assert!(!pool.is_warm(addr), "{end}: its connection is over");
+        }
+    });
+}
+
 /// A server that forgets connections without a word: what comes after its first answer is reset, once a few bytes
 /// of it are there. Counts the requests that reached it whole.
 async fn forgetful(whole: Rc<Cell<u32>>) -> SocketAddr {
--- a/http/src/connection.rs
+++ b/http/src/connection.rs
@@ -117,16 +117,29 @@
     }
 }
 
-/// Whether an answer's head tells where its body ends. With two lengths the two sides may not mean the same end; with none,
-/// or a coding other than `chunked`, only a close would be the end, and an early one looks the same.
-pub fn tells_its_end(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(header::TRANSFER_ENCODING);
-    let mut codings = codings.iter().map(|coding| coding.as_bytes().trim_ascii());
-    match codings.next() {
-        None => headers.contains_key(header::CONTENT_LENGTH),
-        Some(coding) => {
-            let alone = codings.next().is_none() && !headers.contains_key(header::CONTENT_LENGTH);
-            alone && coding.eq_ignore_ascii_case(b"chunked")
+/// How the end of a response's body is known (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyEnd {
+    /// By its length, or by its last chunk.
+    Stated,
+    /// By the orderly close of the connection. After a reset the body is incomplete.
+    Close,
+    /// With two lengths the two sides may not mean the same end; with a coding other than `chunked` the bytes are not the
+    /// body's own.
+    Unclear,
+}
+
+impl BodyEnd {
+    /// What the head of a response says of the end of its body.
+    pub fn of(headers: &HeaderMap) -> Self {
+        let codings = headers.get_all(header::TRANSFER_ENCODING);
+        let mut codings = codings.iter().map(|coding| coding.as_bytes().trim_ascii());
+        let has_length = headers.contains_key(header::CONTENT_LENGTH);
+        match (codings.next(), codings.next()) {
+            (None, _) if has_length => BodyEnd::Stated,
+            (None, _) => BodyEnd::Close,
+            (Some(coding), None) if !has_length && coding.eq_ignore_ascii_case(b"chunked") => BodyEnd::Stated,
+            _ => BodyEnd::Unclear,
         }
     }
 }
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod send;
 mod socket;
 
-pub use connection::{tells_its_end, unreadable, Connection, Failed};
+pub use connection::{unreadable, BodyEnd, Connection, Failed};
 pub use socket::{OpenSocket, Progress, Sent, Socket};
--- a/node/src/reply.rs
+++ b/node/src/reply.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use glenfall_balancer::{CacheNote, Load, Status};
-use glenfall_http::tells_its_end;
+use glenfall_http::BodyEnd;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -43,7 +43,7 @@
         return Ended::without_reply(Status::Spoilt);
     };
     // A length beyond any answer is not waited for.
-    if !tells_its_end(&head.headers) || body.size_hint().lower() > LONGEST_BODY as u64 {
+    if BodyEnd::of(&head.headers) != BodyEnd::Stated || body.size_hint().lower() > LONGEST_BODY as u64 {
         return Ended::without_reply(Status::Spoilt);
     }
     let body = match Limited::new(body, LONGEST_BODY).collect().await {
