--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -11,6 +11,7 @@
 mod declare;
 mod direct;
 mod edge;
+mod gone;
 mod handed;
 mod kept;
 mod latency;
--- a/glenfall/tests/unit/proxies.rs
+++ b/glenfall/tests/unit/proxies.rs
@@ -120,20 +120,24 @@
 
 const SETTINGS: &str = "[timing]\nretryWindowS = 0.05\nretrySlack = 1000\n";
 
-/// Routes for reads with 1, 2 and 3 tries, one for writes, and one of a service under a ceiling that leaves nothing.
+/// Routes for reads with 1, 2 and 3 tries, one for writes, one for requests that may be repeated, and two of services under
+/// a ceiling: one that leaves nothing, and one at which requests wait for their turns.
 fn document() -> Arc<Vec<u8>> {
     let route = |name: &str, kind: &str, service: &str, tries: u32| {
         let deadline = DEADLINE.as_millis();
         format!(
             r#"{{"name": "{name}", "hostname": "h", "pathPrefix": "/{name}/", "type": "{kind}", "deadlineMs": {deadline},
-            "backend": "{service}", "tries": {tries}, "maxAgeS": 60}}"#
+            "backend": "{service}", "tries": {tries}, "maxAgeS": 60, "targetMs": 9000}}"#
         )
     };
     let mut routes: Vec<String> =
         (1..=3).map(|tries| route(&tries.to_string(), "cacheable", "s", tries)).collect();
     routes.push(route("w", "mutating", "s", 2));
+    routes.push(route("i", "idempotent", "s", 3));
     routes.push(route("c", "cacheable", "ceiling", 2));
-    let services = r#"{"name": "s"}, {"name": "ceiling", "ratePerS": 0.001}"#;
+    routes.push(route("waits", "idempotent", "turns", 2));
+    let services =
+        r#"{"name": "s"}, {"name": "ceiling", "ratePerS": 0.001}, {"name": "turns", "ratePerS": 40}"#;
     let text = format!(r#"{{"rev": 1, "paths": [{}], "backends": [{services}]}}"#, routes.join(","));
     Arc::new(text.into_bytes())
 }
