--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -51,6 +51,8 @@
     told: Numbered,
     /// What the proxy goes by: nothing yet, or that and what is known from others.
     relayed: Option<Numbered>,
+    /// Both are the same fleet, so that a change of one is a change of the other.
+    in_step: bool,
 }
 
 struct Agent {
@@ -259,11 +261,20 @@
 
     /// Takes what control tells of the fleet; gives what the proxy has to be told of it.
     pub fn take(&mut self, told: Told) -> Result<Option<Told>, Gap> {
+        if let (true, Told::Change(change), Some(relayed)) = (self.in_step, &told, &mut self.relayed) {
+            // Without putting the two together: with thousands of servers that is most of what a change costs.
+            if change.is_complete() || change.takes_none_off() {
+                let change = change.clone();
+                self.told.take(told)?;
+                return Ok(Some(relayed.take_over(&change)));
+            }
+        }
         self.told.take(told)?;
         let first = self.relayed.is_none();
         let fleet = self.relayed.get_or_insert_default();
         let next = merged(fleet.fleet(), self.told.fleet().clone());
         let told = fleet.become_next(next);
+        self.in_step = fleet.fleet() == self.told.fleet();
         Ok(if first { Some(fleet.whole()) } else { told })
     }
 }
--- a/glenfall/src/control/membership.rs
+++ b/glenfall/src/control/membership.rs
@@ -9,7 +9,7 @@
 use glenfall_plane::registry::{Entry, EntryStatus, Heard};
 use tokio::time::{sleep, timeout};
 
-use super::{Control, BEATS_TO_HEAR_ALL, DRAIN, GATHER};
+use super::{Control, BEATS_TO_HEAR_ALL, DRAIN, GATHER, GATHER_FOR_EACH};
 
 impl Control {
     pub(super) fn complete(&self) -> bool {
@@ -44,7 +44,8 @@
     pub(super) async fn push_fleet(self: Rc<Self>) {
         loop {
             self.fleet_changed.notified().await;
-            sleep(GATHER).await;
+            let entries = self.fleet.borrow().fleet().entries();
+            sleep(GATHER + GATHER_FOR_EACH * entries as u32).await;
             self.push_fleet_now();
         }
     }
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -47,8 +47,10 @@
 const BEFORE: Millis = 10 * REMEMBERED;
 /// How often silent servers are looked for.
 const EXPIRE: Duration = Duration::from_millis(250);
-/// Changes of the fleet within this time are pushed as one.
+/// Changes of the fleet within this time are pushed as one, and within so much more for each server and member: what a
+/// change costs its receivers grows with the fleet, and at a start there is one after another.
 const GATHER: Duration = Duration::from_millis(10);
+const GATHER_FOR_EACH: Duration = Duration::from_micros(50);
 /// How long the word of a server that leaves waits for all who have to know it.
 const DRAIN: Duration = Duration::from_millis(400);
 /// A node that has run for so many beats has heard of every server that there is.
@@ -114,73 +116,32 @@
     random ^ since.as_nanos() as u64
 }
 
-pub async fn run(boot: Rc<Boot>) -> Result<(), Box<dyn std::error::Error>> {
-    let listen = boot.need("controlAddr", |listeners| listeners.control_addr)?;
-    let core = boot.core()?;
-    let me = boot.bind_ip;
-    let seeds: Vec<Ipv4Addr> = boot.seed_nodes.iter().map(|seed| *seed.ip()).collect();
-    let folder = boot.state_dir.clone().ok_or("stateDir: missing; control keeps its state there")?;
-    let (store, found) = store::Store::open(&folder)?;
-    let start = match found {
+/// What the chain begins with, by what was found on disk.
+fn start_of(found: Found, bootstrap: bool, seeds: &[Ipv4Addr]) -> Start {
+    match found {
         Found::Kept(kept) => Start::Kept(kept),
-        Found::Nothing if boot.bootstrap => Start::Fresh(seeds.clone()),
+        Found::Nothing if bootstrap => Start::Fresh(seeds.to_vec()),
         Found::Nothing => Start::Wiped,
         Found::Damaged(why) => {
             tracing::error!(%why, "state set aside; it comes from the chain again, and until then there is no vote");
             Start::Wiped
         }
-    };
-    let leases = Leases::new(matches!(start, Start::Fresh(_)));
-    let (purge_log, written) = PurgeLog::open(&folder)?;
-    let mut remembered = Purges::default();
-    remembered.take(BEFORE, written);
-    let (synced, mut syncs) = mpsc::unbounded_channel();
-    let life = life();
-    let control = Rc::new(Control {
-        began: Instant::now(),
-        chain: RefCell::new(Chain::new(me, core, start).in_life(life)),
-        writes: store::start(store, synced)?,
-        calls: RefCell::default(),
-        next_call: Cell::new(0),
-        registry: RefCell::new(Registry::new(boot.beat_ms)),
-        relay: BeatRelay::default(),
-        purges: RefCell::new(remembered),
-        purge_log,
-        next_purge: Cell::new(0),
-        told_purges: RefCell::default(),
-        vouches: Cell::new(false),
-        life,
-        sessions: Sessions::default(),
-        leases,
-        peers: Peers::new(me, life),
-        fleet: RefCell::default(),
-        told_members: RefCell::default(),
-        fleet_changed: Notify::new(),
-        stop: watch::Sender::new(false),
-        reached: Cell::new(Instant::now()),
-        cut_off: watch::Sender::new(false),
-        asked_newest: Cell::new(0),
-        newest_known: watch::Sender::new(0),
-        newest_wanted: Notify::new(),
-        told_view: Cell::new(0),
-        boot: Rc::clone(&boot),
-    });
-    let links = TcpListener::bind(boot.link(me)).await?;
+    }
+}
+
+/// Runs a control node until it is told to stop.
+pub async fn run(boot: Rc<Boot>) -> Result<(), Box<dyn std::error::Error>> {
+    let listen = boot.need("controlAddr", |listeners| listeners.control_addr)?;
+    let seeds: Vec<Ipv4Addr> = boot.seed_nodes.iter().map(|seed| *seed.ip()).collect();
+    let (synced, syncs) = mpsc::unbounded_channel();
+    let control = Rc::new(Control::open(Rc::clone(&boot), &seeds, synced)?);
+    let links = TcpListener::bind(boot.link(boot.bind_ip)).await?;
     let feed = TcpListener::bind(boot.feed()).await?;
     for (listener, beside) in [(links, false), (feed, true)] {
         spawn_local(Rc::clone(&control).accept(listener, beside));
     }
     peers::know(&control, &seeds);
-    spawn_local({
-        let control = Rc::clone(&control);
-        async move {
-            while let Some(number) = syncs.recv().await {
-                let now = control.now();
-                let outputs = control.chain.borrow_mut().synced(now, number);
-                control.carry_out(outputs);
-            }
-        }
-    });
+    spawn_local(Rc::clone(&control).take_syncs(syncs));
     spawn_local(Rc::clone(&control).tick());
     spawn_local(Rc::clone(&control).push_fleet());
     spawn_local(Rc::clone(&control).follow_newest());
@@ -192,29 +153,86 @@
         grace: boot.grace(),
     };
     let serving = serve::serve(terms, Rc::new(api::Api(Rc::clone(&control))), control.stop.subscribe());
-    let leaving = async {
+    let (served, ()) = tokio::join!(serving, control.leave());
+    Ok(served?)
+}
+
+impl Control {
+    /// A control node with the state that lies in its folder. `synced` hears of each write that is on disk.
+    fn open(
+        boot: Rc<Boot>,
+        seeds: &[Ipv4Addr],
+        synced: mpsc::UnboundedSender<u64>,
+    ) -> Result<Control, Box<dyn std::error::Error>> {
+        let core = boot.core()?;
+        let me = boot.bind_ip;
+        let folder = boot.state_dir.clone().ok_or("stateDir: missing; control keeps its state there")?;
+        let (store, found) = store::Store::open(&folder)?;
+        let start = start_of(found, boot.bootstrap, seeds);
+        let leases = Leases::new(matches!(start, Start::Fresh(_)));
+        let (purge_log, written) = PurgeLog::open(&folder)?;
+        let mut remembered = Purges::default();
+        remembered.take(BEFORE, written);
+        let life = life();
+        Ok(Control {
+            began: Instant::now(),
+            chain: RefCell::new(Chain::new(me, core, start).in_life(life)),
+            writes: store::start(store, synced)?,
+            calls: RefCell::default(),
+            next_call: Cell::new(0),
+            registry: RefCell::new(Registry::new(boot.beat_ms)),
+            relay: BeatRelay::default(),
+            purges: RefCell::new(remembered),
+            purge_log,
+            next_purge: Cell::new(0),
+            told_purges: RefCell::default(),
+            vouches: Cell::new(false),
+            life,
+            sessions: Sessions::default(),
+            leases,
+            peers: Peers::new(me, life),
+            fleet: RefCell::default(),
+            told_members: RefCell::default(),
+            fleet_changed: Notify::new(),
+            stop: watch::Sender::new(false),
+            reached: Cell::new(Instant::now()),
+            cut_off: watch::Sender::new(false),
+            asked_newest: Cell::new(0),
+            newest_known: watch::Sender::new(0),
+            newest_wanted: Notify::new(),
+            told_view: Cell::new(0),
+            boot,
+        })
+    }
+
+    /// Tells the chain which of its writes are on disk.
+    async fn take_syncs(self: Rc<Self>, mut syncs: mpsc::UnboundedReceiver<u64>) {
+        while let Some(number) = syncs.recv().await {
+            let now = self.now();
+            let outputs = self.chain.borrow_mut().synced(now, number);
+            self.carry_out(outputs);
+        }
+    }
+
+    /// Waits for the signal to stop, and until the others do without this node.
+    async fn leave(&self) {
         crate::signals::terminated().await;
         tracing::info!("leaving");
         let outputs = {
-            let now = control.now();
-            control.chain.borrow_mut().leave(now)
+            let now = self.now();
+            self.chain.borrow_mut().leave(now)
         };
-        control.carry_out(outputs);
-        control.sessions.tell(&Down::Leaving);
-        control.stop.send_replace(true);
-        // Until the others have mended the chain.
+        self.carry_out(outputs);
+        self.sessions.tell(&Down::Leaving);
+        self.stop.send_replace(true);
         let mended = async {
-            while control.chain.borrow().is_needed() {
+            while self.chain.borrow().is_needed() {
                 sleep(TICK).await;
             }
         };
-        let _ = timeout(boot.grace(), mended).await;
-    };
-    let (served, ()) = tokio::join!(serving, leaving);
-    Ok(served?)
-}
+        let _ = timeout(self.boot.grace(), mended).await;
+    }
 
-impl Control {
     fn now(&self) -> Millis {
         BEFORE + self.began.elapsed().as_millis() as Millis
     }
--- a/glenfall/src/proxy/origins.rs
+++ b/glenfall/src/proxy/origins.rs
@@ -1,5 +1,7 @@
 //! The servers as one process sees them, and the choice among those of a service. Callers say what time it is.
 
+mod own_subsets;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashSet};
 use std::net::{SocketAddr, SocketAddrV4};
@@ -8,9 +10,10 @@
 use glenfall_balancer::mix;
 use glenfall_plane::fleet::edge_mark;
 use glenfall_plane::messages::Server;
-use glenfall_plane::subset;
 use tokio::time::Instant;
 
+use self::own_subsets::OwnSubsets;
+
 /// How long a server is left alone that gave no connection or no answer.
 pub const REST: Duration = Duration::from_millis(1500);
 /// The same for one that was full: a place is free again about when a request ends.
@@ -49,8 +52,6 @@
     /// Part of the requests that it failed of late, as it was at `blamed`.
     failing: f64,
     blamed: Instant,
-    /// One of this machine's subset of the servers of its service.
-    own: bool,
 }
 
 impl Known {
@@ -66,13 +67,6 @@
     }
 }
 
-/// What the subsets follow from: the edges, and the names and places of a service's servers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Basis {
-    edges: Vec<u64>,
-    servers: Vec<(String, u32)>,
-}
-
 /// Where a request may go.
 #[derive(Clone, Debug)]
 pub struct Chosen {
@@ -95,11 +89,8 @@
     zone: String,
     /// Prefers servers of its own zone: what it fetches is large.
     near: bool,
-    /// What this machine is among the edges.
-    mark: u64,
     known: RefCell<BTreeMap<String, Known>>,
-    /// By service, what the subsets were last worked out from.
-    bases: RefCell<BTreeMap<String, Basis>>,
+    own_subsets: RefCell<OwnSubsets>,
     rng: RefCell<u64>,
 }
 
@@ -108,8 +99,8 @@
     pub fn new(zone: &str, near: bool, node: &str) -> Self {
         let mark = edge_mark(node);
         let zone = zone.to_owned();
-        let (known, bases) = (RefCell::default(), RefCell::default());
-        Origins { zone, near, mark, known, bases, rng: RefCell::new(mark) }
+        let own_subsets = RefCell::new(OwnSubsets::new(mark));
+        Origins { zone, near, known: RefCell::default(), own_subsets, rng: RefCell::new(mark) }
     }
 
     /// Takes the servers of a fleet and the edges that share them; returns the addresses that take nothing more.
@@ -132,7 +123,6 @@
                 rests_until: now,
                 failing: 0.0,
                 blamed: now,
-                own: true,
             };
             let k = known.entry(server.id.clone()).or_insert_with(fresh);
             // How warm it is was told when it came or changed, and runs off since.
@@ -140,39 +130,13 @@
                 (k.server, k.warm_at) = (server.clone(), warm_at);
             }
         }
-        self.divide(&mut known, edges);
+        self.own_subsets.borrow_mut().changed(edges);
         let open: HashSet<SocketAddrV4> =
             known.values().filter(|k| k.server.ready).map(|k| k.server.addr).collect();
         closed.retain(|addr| !open.contains(addr));
         closed
     }
 
-    /// Works out this machine's subset of each service whose servers or sharers are others now.
-    fn divide(&self, known: &mut BTreeMap<String, Known>, edges: &[u64]) {
-        let mut bases: BTreeMap<String, Basis> = BTreeMap::new();
-        for (id, k) in known.iter().filter(|(_, k)| k.server.ready) {
-            let basis = bases.entry(k.server.backend.clone()).or_default();
-            basis.servers.push((id.clone(), k.server.capacity));
-        }
-        let mut old = self.bases.borrow_mut();
-        for (service, basis) in &mut bases {
-            basis.edges = edges.to_vec();
-            if old.get(service) == Some(basis) {
-                continue;
-            }
-            let servers: Vec<(&str, u32)> =
-                basis.servers.iter().map(|(id, places)| (&id[..], *places)).collect();
-            // Control may not have heard of this machine yet: it takes any of them until then.
-            let own = subset::subsets(edges, &servers).remove(&self.mark);
-            for (at, (id, _)) in servers.iter().enumerate() {
-                if let Some(k) = known.get_mut(*id) {
-                    k.own = own.as_ref().is_none_or(|own| own.contains(&at));
-                }
-            }
-        }
-        *old = bases;
-    }
-
     /// A server of the service that takes requests, none of those `tried`: one of this machine's subset where one of
     /// them has room. `warm` says whether a connection to a server lies idle.
     pub fn choose(
@@ -188,8 +152,16 @@
             .filter(|k| k.server.ready && k.server.backend == service && !tried.contains(&k.server.id))
             .collect();
         let has_room = |k: &&Known| k.rests_until <= now && k.in_flight < k.server.capacity.max(1);
-        if open.iter().any(|k| k.own && has_room(k)) {
-            open.retain(|k| k.own);
+        let mut own_subsets = self.own_subsets.borrow_mut();
+        let own = own_subsets.of(now, service, || {
+            let ready = known.values().filter(|k| k.server.ready && k.server.backend == service);
+            ready.map(|k| (k.server.id.clone(), k.server.capacity)).collect()
+        });
+        if let Some(own) = own {
+            let is_own = |k: &&Known| own.contains(&k.server.id);
+            if open.iter().any(|k| is_own(k) && has_room(k)) {
+                open.retain(is_own);
+            }
         }
         // Where all rest, each is as good as the next.
         let awake = open.iter().any(|k| k.rests_until <= now);
--- a/glenfall/src/proxy/pool.rs
+++ b/glenfall/src/proxy/pool.rs
@@ -171,61 +171,31 @@
         still: impl Fn() -> bool,
     ) -> Result<ServerResponse, Trouble> {
         loop {
-            let (mut connection, reused) = match self.take_idle(addr, trust) {
-                Some(connection) => (connection, true),
-                None => match timeout_at(until, self.connect(addr)).await {
-                    Ok(Some(connection)) => (connection, false),
-                    _ => return Err(Trouble::Unsent),
-                },
-            };
+            let (mut connection, reused) = self.connection(addr, until, trust).await?;
             if !still() {
                 return Err(Trouble::Unsent);
             }
             let sent = Sent::default();
-            let request = request();
-            let method = request.method().clone();
-            let progress = Rc::clone(&connection.progress);
-            // What waits for memory of ours is no fault of the server's.
-            let waiting = Cell::new(false);
-            let exchange = async {
-                match connection.send(request, Some(&TRY_ID), &sent).await {
-                    Ok(response) => {
-                        read(response, &method, &self.memory, &waiting).await.ok_or((Event::Noise, false))
-                    }
-                    // It had been closed, or something came on it unasked; the server has seen nothing.
-                    Err(Failed::Unsent) => Err((Event::Broken, reused)),
-                    Err(Failed::Broken(_)) => Err((Event::Broken, false)),
-                    Err(Failed::Foreign) => Err((Event::Foreign, false)),
-                }
-            };
-            let ended = tokio::select! {
-                biased;
-                ended = exchange => ended,
-                () = stalled(&progress, whole_within, &waiting) => Err((Event::Noise, false)),
-                () = tokio::time::sleep_until(until) => Err((Event::Silence, false)),
-            };
+            let ended = self.exchange_on(&mut connection, request(), &sent, whole_within, until).await;
             match ended {
-                Ok((reply, kept)) => {
-                    if let Some(kept) = kept {
-                        if connection.is_free().await {
-                            let since = Instant::now();
-                            let idle = Idle { connection, since, until: since + kept };
-                            self.idle.borrow_mut().entry(addr).or_default().push(idle);
-                            self.rested.notify_one();
-                        }
+                Ok(Answered { reply, kept_for }) => {
+                    if let Some(kept_for) = kept_for {
+                        self.keep(addr, connection, kept_for).await;
                     }
                     return Ok(reply);
                 }
-                // Nothing is read or written on it any more.
-                Err((event, again)) => {
+                Err(event) => {
                     let stage = sent.stage();
+                    // Nothing is read or written on it any more.
                     drop(connection);
                     if event == Event::Foreign {
                         // What else the server says on connections that it had before may be as wrong.
                         self.forget(addr);
                     }
+                    // It had been closed, or something came on it unasked; the server has seen nothing.
+                    let was_stale = reused && event == Event::Broken;
                     match send::fate(stage, event, false) {
-                        Fate::NotRun if again => {}
+                        Fate::NotRun if was_stale => {}
                         Fate::NotRun => return Err(Trouble::Unsent),
                         _ if event == Event::Silence => return Err(Trouble::TimedOut),
                         _ => return Err(Trouble::Unknown),
@@ -234,6 +204,60 @@
             }
         }
     }
+
+    /// An idle connection to a server, or a new one; and whether it was used before.
+    async fn connection(
+        &self,
+        addr: SocketAddr,
+        until: Instant,
+        trust: Trust,
+    ) -> Result<(Connection, bool), Trouble> {
+        if let Some(idle) = self.take_idle(addr, trust) {
+            return Ok((idle, true));
+        }
+        match timeout_at(until, self.connect(addr)).await {
+            Ok(Some(new)) => Ok((new, false)),
+            _ => Err(Trouble::Unsent),
+        }
+    }
+
+    /// One exchange on a connection: its answer, or what came in place of one.
+    async fn exchange_on(
+        &self,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+        sent: &Sent,
+        whole_within: Option<Duration>,
+        until: Instant,
+    ) -> Result<Answered, Event> {
+        let method = request.method().clone();
+        let progress = Rc::clone(&connection.progress);
+        // What waits for memory of ours is no fault of the server's.
+        let waiting = Cell::new(false);
+        let exchange = async {
+            match connection.send(request, Some(&TRY_ID), sent).await {
+                Ok(response) => read(response, &method, &self.memory, &waiting).await.ok_or(Event::Noise),
+                Err(Failed::Unsent | Failed::Broken(_)) => Err(Event::Broken),
+                Err(Failed::Foreign) => Err(Event::Foreign),
+            }
+        };
+        tokio::select! {
+            biased;
+            ended = exchange => ended,
+            () = stalled(&progress, whole_within, &waiting) => Err(Event::Noise),
+            () = tokio::time::sleep_until(until) => Err(Event::Silence),
+        }
+    }
+
+    /// Keeps a connection whose answer has been read whole, if it can go on.
+    async fn keep(&self, addr: SocketAddr, mut connection: Connection, kept_for: Duration) {
+        if connection.is_free().await {
+            let since = Instant::now();
+            let idle = Idle { connection, since, until: since + kept_for };
+            self.idle.borrow_mut().entry(addr).or_default().push(idle);
+            self.rested.notify_one();
+        }
+    }
 }
 
 /// Ends when an answer has begun and does not come whole in time, though there is memory for it.
@@ -247,13 +271,19 @@
     }
 }
 
-/// Reads an answer whole, and for how long its connection may be kept. `None` where it is no whole answer.
+/// A whole answer, and for how long its connection may be kept.
+struct Answered {
+    reply: ServerResponse,
+    kept_for: Option<Duration>,
+}
+
+/// Reads an answer whole. `None` where it is no whole answer.
 async fn read(
     response: Response<Incoming>,
     method: &Method,
     memory: &MemoryBudget,
     waiting: &Cell<bool>,
-) -> Option<(ServerResponse, Option<Duration>)> {
+) -> Option<Answered> {
     let (head, body) = response.into_parts();
     if head.status == StatusCode::SWITCHING_PROTOCOLS {
         return None;
@@ -265,8 +295,8 @@
         return None;
     }
     let body = read_body(body, memory, waiting).await?;
-    let kept = kept_for(&head.headers);
-    Some((ServerResponse::new(head, body), kept))
+    let kept_for = kept_for(&head.headers);
+    Some(Answered { reply: ServerResponse::new(head, body), kept_for })
 }
 
 /// Reads a body for which there is memory, or will be.
--- a/glenfall/tests/unit/agent.rs
+++ b/glenfall/tests/unit/agent.rs
@@ -4,6 +4,10 @@
 use glenfall_plane::fleet::{Fleet, Numbered, Told};
 use glenfall_plane::messages::Server;
 
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
 use crate::support;
 
 fn server(id: &str, port: u16, ready: bool) -> Server {
@@ -56,3 +60,54 @@
     let late = control.become_next(fleet(true, Vec::new())).unwrap();
     assert!(relayed.take(late).is_err());
 }
+
+/// A control node's fleet after something has happened to it.
+fn altered(fleet: &Fleet, rng: &mut ChaCha8Rng) -> Fleet {
+    let mut next = fleet.clone();
+    for _ in 0..rng.random_range(1..4) {
+        let number = rng.random_range(0..12);
+        match rng.random_range(0..6) {
+            0 | 1 => {
+                next.servers.insert(0, server(&format!("i-{number}"), 1 + number / 2, rng.random_bool(0.8)))
+            }
+            2 => next.servers.retain(|server| server.id != format!("i-{number}")),
+            3 => next.edges.push(u64::from(number)),
+            4 => next.edges.retain(|edge| *edge != u64::from(number)),
+            _ => next.complete |= rng.random_bool(0.2),
+        }
+    }
+    next.sort();
+    next
+}
+
+/// What is relayed change by change is what follows from being told all each time, whichever control node tells it.
+#[test]
+fn a_relayed_change_comes_to_the_same_as_being_told_all() {
+    for seed in 0..2000 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut by_changes, mut by_wholes) = (RelayedFleet::default(), RelayedFleet::default());
+        let (mut proxy, mut reference) = (Numbered::default(), Numbered::default());
+        let mut controls = [Numbered::default(), Numbered::default()];
+        for control in &mut controls {
+            control.become_next(altered(&fleet(false, Vec::new()), &mut rng));
+        }
+        let mut at = usize::MAX;
+        for step in 0..30 {
+            let told = if at == usize::MAX || rng.random_bool(0.1) {
+                at = *[0, 1].choose(&mut rng).expect("two");
+                Some(controls[at].whole())
+            } else {
+                let next = altered(controls[at].fleet(), &mut rng);
+                controls[at].become_next(next)
+            };
+            let Some(told) = told else { continue };
+            if let Some(told) = by_changes.take(told).expect("it builds on what is there") {
+                proxy.take(told).expect("it builds on what is there");
+            }
+            if let Some(told) = by_wholes.take(controls[at].whole()).expect("all of it") {
+                reference.take(told).expect("it builds on what is there");
+            }
+            assert_eq!(proxy.fleet(), reference.fleet(), "seed {seed}, step {step}");
+        }
+    }
+}
--- a/glenfall/tests/unit/origins.rs
+++ b/glenfall/tests/unit/origins.rs
@@ -54,6 +54,28 @@
     assert!(!drawn(&origins, |_| false).contains(&first));
 }
 
+/// While servers come one after another, an edge keeps its subset for a while, and goes to no server that is gone.
+#[tokio::test(start_paused = true)]
+async fn a_subset_is_worked_out_anew_once_a_second_at_most() {
+    let origins = Origins::new("z", false, "edge-7");
+    let fleet = |count: u16| (1..=count).map(server).collect::<Vec<_>>();
+    origins.update(Instant::now(), &fleet(49), &marks());
+    let first = drawn(&origins, |_| false);
+    for count in 50..=200 {
+        origins.update(Instant::now(), &fleet(count), &marks());
+        assert_eq!(drawn(&origins, |_| false), first, "{count} servers");
+        tokio::time::advance(Duration::from_millis(5)).await;
+    }
+    let left: Vec<Server> = fleet(200).into_iter().filter(|server| !first.contains(&server.id)).collect();
+    origins.update(Instant::now(), &left, &marks());
+    assert!(drawn(&origins, |_| false).is_disjoint(&first), "all of its subset are gone: any other");
+    tokio::time::advance(Duration::from_secs(1)).await;
+    origins.update(Instant::now(), &fleet(200), &marks());
+    let later = drawn(&origins, |_| false);
+    assert_eq!(later.len(), subset::size(90, 200));
+    assert_ne!(later, first);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_machine_that_is_no_known_edge_goes_to_all() {
     let origins = Origins::new("z", false, "shield-1");
--- a/plane/src/fleet.rs
+++ b/plane/src/fleet.rs
@@ -29,6 +29,11 @@
 }
 
 impl Fleet {
+    /// Servers, shields and edges together.
+    pub fn entries(&self) -> usize {
+        self.servers.len() + self.shields.len() + self.edges.len()
+    }
+
     /// Brings what was put together from several lists into order; of two that have the same name the first stays.
     pub fn sort(&mut self) {
         self.servers.sort_by(|a, b| a.id.cmp(&b.id));
@@ -47,8 +52,8 @@
     gone: Vec<N>,
 }
 
-impl<T: Clone, N: Ord> Difference<T, N> {
-    fn between(old: &[T], new: &[T], name: impl Fn(&T) -> N, same: impl Fn(&T, &T) -> bool) -> Self {
+impl<T: Clone, N: Clone + Ord> Difference<T, N> {
+    fn between(old: &[T], new: &[T], name: impl Fn(&T) -> &N, same: impl Fn(&T, &T) -> bool) -> Self {
         let (mut put, mut gone) = (Vec::new(), Vec::new());
         let (mut old, mut new) = (old.iter().peekable(), new.iter().peekable());
         loop {
@@ -56,12 +61,12 @@
                 (None, None) => return Difference { put, gone },
                 (Some(_), None) => Ordering::Less,
                 (None, Some(_)) => Ordering::Greater,
-                (Some(a), Some(b)) => name(a).cmp(&name(b)),
+                (Some(a), Some(b)) => name(a).cmp(name(b)),
             };
             let before = if order.is_le() { old.next() } else { None };
             let after = if order.is_ge() { new.next() } else { None };
             match (before, after) {
-                (Some(before), None) => gone.push(name(before)),
+                (Some(before), None) => gone.push(name(before).clone()),
                 (Some(before), Some(after)) if same(before, after) => {}
                 (_, Some(after)) => put.push(after.clone()),
                 (None, None) => {}
@@ -69,13 +74,13 @@
         }
     }
 
-    fn apply(&self, list: &mut Vec<T>, name: impl Fn(&T) -> N) {
+    fn apply(&self, list: &mut Vec<T>, name: impl Fn(&T) -> &N) {
         if !self.gone.is_empty() {
             let gone: BTreeSet<&N> = self.gone.iter().collect();
-            list.retain(|entry| !gone.contains(&name(entry)));
+            list.retain(|entry| !gone.contains(name(entry)));
         }
         for entry in &self.put {
-            match list.binary_search_by(|known| name(known).cmp(&name(entry))) {
+            match list.binary_search_by(|known| name(known).cmp(name(entry))) {
                 Ok(at) => list[at] = entry.clone(),
                 Err(at) => list.insert(at, entry.clone()),
             }
@@ -99,6 +104,18 @@
     edges: Difference<u64, u64>,
 }
 
+impl Change {
+    /// Whether it only adds or replaces entries.
+    pub fn takes_none_off(&self) -> bool {
+        self.servers.gone.is_empty() && self.shields.gone.is_empty() && self.edges.gone.is_empty()
+    }
+
+    /// Whether its teller has heard of all there are.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+}
+
 /// What is told of a fleet.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Told {
@@ -143,9 +160,9 @@
             number: self.number + 1,
             complete: next.complete,
             cores: next.cores,
-            servers: Difference::between(&old.servers, &next.servers, |s| s.id.clone(), warmth_aside),
-            shields: Difference::between(&old.shields, &next.shields, |m| m.node.clone(), |a, b| a == b),
-            edges: Difference::between(&old.edges, &next.edges, |edge| *edge, |a, b| a == b),
+            servers: Difference::between(&old.servers, &next.servers, |s| &s.id, warmth_aside),
+            shields: Difference::between(&old.shields, &next.shields, |m| &m.node, |a, b| a == b),
+            edges: Difference::between(&old.edges, &next.edges, |edge| edge, |a, b| a == b),
         };
         let nothing = change.servers.is_empty() && change.shields.is_empty() && change.edges.is_empty();
         if nothing && (old.complete, old.cores) == (next.complete, next.cores) {
@@ -155,6 +172,14 @@
         Some(Told::Change(change))
     }
 
+    /// Takes a change that another one numbers, of the very fleet that is here; gives what those who know the last one
+    /// have to be told.
+    pub fn take_over(&mut self, change: &Change) -> Told {
+        let change = Change { builds_on: self.number, number: self.number + 1, ..change.clone() };
+        self.apply(&change);
+        Told::Change(change)
+    }
+
     /// Takes what was told.
     pub fn take(&mut self, told: Told) -> Result<(), Gap> {
         match told {
@@ -163,15 +188,19 @@
                 if change.builds_on != self.number {
                     return Err(Gap { expected: change.builds_on, here: self.number });
                 }
-                change.servers.apply(&mut self.fleet.servers, |server| server.id.clone());
-                change.shields.apply(&mut self.fleet.shields, |member| member.node.clone());
-                change.edges.apply(&mut self.fleet.edges, |edge| *edge);
-                (self.fleet.complete, self.fleet.cores) = (change.complete, change.cores);
-                self.number = change.number;
+                self.apply(&change);
             }
         }
         Ok(())
     }
+
+    fn apply(&mut self, change: &Change) {
+        change.servers.apply(&mut self.fleet.servers, |server| &server.id);
+        change.shields.apply(&mut self.fleet.shields, |member| &member.node);
+        change.edges.apply(&mut self.fleet.edges, |edge| edge);
+        (self.fleet.complete, self.fleet.cores) = (change.complete, change.cores);
+        self.number = change.number;
+    }
 }
 
 /// Members with their sessions at one control node, as it tells its peers: whole when a link comes up, and by what
@@ -196,7 +225,7 @@
 
     /// `None` where nothing has changed.
     pub fn between(old: &[Member], new: &[Member]) -> Option<Self> {
-        let difference = Difference::between(old, new, |member| member.node.clone(), |a, b| a == b);
+        let difference = Difference::between(old, new, |member| &member.node, |a, b| a == b);
         (!difference.is_empty()).then_some(Members { whole: false, difference })
     }
 
@@ -204,6 +233,6 @@
         if self.whole {
             members.clear();
         }
-        self.difference.apply(members, |member| member.node.clone());
+        self.difference.apply(members, |member| &member.node);
     }
 }
