--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -101,6 +101,55 @@
     }
 }
 
+/// A list, or a part of one: its entries stand on the lines that follow.
+fn roster<R: BufRead>(f: &mut Fields, lines: &mut Lines<R>) -> Result<RosterNews, String> {
+    let mode = f.text();
+    f.opt::<u64>("list version")?;
+    let count = f.opt::<usize>("number of entries")?.unwrap_or(0);
+    let mut entries = Vec::new();
+    for _ in 0..count {
+        entries.push(entry(&lines.next()?.ok_or("a list entry expected")?)?);
+    }
+    Ok(match mode {
+        Some("delta") => RosterNews::Delta(entries),
+        Some("full") => RosterNews::Full(entries),
+        Some("cached") => RosterNews::Cached(entries),
+        Some("failed") => RosterNews::Failed,
+        _ => return Err("delta, full, cached or failed expected".into()),
+    })
+}
+
+fn arrival(f: &mut Fields, names: &Names) -> Result<NewRequest, String> {
+    let id = RequestId(f.need("request id")?);
+    let left = f.seconds("time left")?.unwrap_or(0.0);
+    let work = f.seconds("work hint")?;
+    let bits = f.opt::<u64>("bitmap")?.unwrap_or(0);
+    let tenant = f.text().and_then(|name| names.tenant(name));
+    let class = f.text().and_then(|name| names.class(name));
+    f.seconds("object size")?;
+    let key = f.opt("key")?.map(Key);
+    let work = work.filter(|_| bits & 1 != 0);
+    Ok(NewRequest { id, left, class, tenant, key, write: bits & 4 != 0, work })
+}
+
+fn outcome(f: &mut Fields) -> Result<Outcome, String> {
+    let request = RequestId(f.need("request id")?);
+    let elapsed = f.seconds("time spent")?.unwrap_or(0.0);
+    let finished = f.opt::<u8>("0 or 1")?.unwrap_or(0) != 0;
+    f.server()?;
+    let attempt = AttemptId(f.need("attempt number")?);
+    let status = status(f.text());
+    let note = match f.opt::<u64>("remark")? {
+        Some(1) => Some(CacheNote::Hit),
+        Some(2) => Some(CacheNote::Miss),
+        Some(3) => Some(CacheNote::MissFetching),
+        _ => None,
+    };
+    let load = f.text().and_then(|report| glenfall_settings::load(report, ':'));
+    Ok(Outcome { request, attempt, status, elapsed, finished, note, load })
+}
+
+/// Reads a message; the entries of a list are taken from the lines that follow.
 pub fn parse<'n, R: BufRead>(
     line: &str,
     lines: &mut Lines<R>,
@@ -122,55 +171,13 @@
             });
         }
         "down" => return Ok(Line::Down { node }),
-        "roster_change" => {
-            let mode = f.text();
-            f.opt::<u64>("list version")?;
-            let count = f.opt::<usize>("number of entries")?.unwrap_or(0);
-            let mut entries = Vec::new();
-            for _ in 0..count {
-                entries.push(entry(&lines.next()?.ok_or("a list entry expected")?)?);
-            }
-            Event::Roster(match mode {
-                Some("delta") => RosterNews::Delta(entries),
-                Some("full") => RosterNews::Full(entries),
-                Some("cached") => RosterNews::Cached(entries),
-                Some("failed") => RosterNews::Failed,
-                _ => return Err("delta, full, cached or failed expected".into()),
-            })
-        }
-        "arrival" => {
-            let id = RequestId(f.need("request id")?);
-            let left = f.seconds("time left")?.unwrap_or(0.0);
-            let work = f.seconds("work hint")?;
-            let bits = f.opt::<u64>("bitmap")?.unwrap_or(0);
-            let names = names()?;
-            let tenant = f.text().and_then(|name| names.tenant(name));
-            let class = f.text().and_then(|name| names.class(name));
-            f.seconds("object size")?;
-            let key = f.opt("key")?.map(Key);
-            let work = work.filter(|_| bits & 1 != 0);
-            Event::Request(NewRequest { id, left, class, tenant, key, write: bits & 4 != 0, work })
-        }
+        "roster_change" => Event::Roster(roster(&mut f, lines)?),
+        "arrival" => Event::Request(arrival(&mut f, names()?)?),
         "head_received" => Event::StreamStarted {
             request: RequestId(f.need("request id")?),
             attempt: AttemptId(f.need("attempt number")?),
         },
-        "outcome" => {
-            let request = RequestId(f.need("request id")?);
-            let elapsed = f.seconds("time spent")?.unwrap_or(0.0);
-            let finished = f.opt::<u8>("0 or 1")?.unwrap_or(0) != 0;
-            f.server()?;
-            let attempt = AttemptId(f.need("attempt number")?);
-            let status = status(f.text());
-            let note = match f.opt::<u64>("remark")? {
-                Some(1) => Some(CacheNote::Hit),
-                Some(2) => Some(CacheNote::Miss),
-                Some(3) => Some(CacheNote::MissFetching),
-                _ => None,
-            };
-            let load = f.text().and_then(|report| glenfall_settings::load(report, ':'));
-            Event::Outcome(Outcome { request, attempt, status, elapsed, finished, note, load })
-        }
+        "outcome" => Event::Outcome(outcome(&mut f)?),
         "withdrawn" => Event::Withdrawn(RequestId(f.need("request id")?)),
         "ring" => Event::Timer(TimerToken(f.need("timer label")?)),
         "checked" => {
--- a/lab/src/fleet/reads.rs
+++ b/lab/src/fleet/reads.rs
@@ -33,6 +33,22 @@
     reads: u64,
 }
 
+impl Shield {
+    /// An empty one of so many.
+    fn one_of(count: usize, rng: &mut ChaCha8Rng) -> Shield {
+        let mut ceiling = Ceiling::new(BOUND, rng.random());
+        ceiling.hold(0, Holder::Shield { of: count });
+        Shield { ceiling, copies: HashMap::new(), reads: 0 }
+    }
+}
+
+/// An edge's choice among these shields.
+fn chooser(ids: &[ServerId]) -> Shields {
+    let mut shields = Shields::default();
+    shields.update(ids);
+    shields
+}
+
 pub fn play(plan: &FleetPlan, edges: u32) -> Reads {
     let mut rng = ChaCha8Rng::seed_from_u64(plan.seed ^ 1);
     let laws = (
@@ -42,21 +58,8 @@
     let (Ok(pause), Ok(objects)) = laws else { return Reads::default() };
     let ids: Vec<ServerId> =
         (0..plan.cores).map(|n| ServerId(format!("10.3.0.{n}:1").as_str().into())).collect();
-    let mut shields: Vec<Shield> = ids
-        .iter()
-        .map(|_| {
-            let mut ceiling = Ceiling::new(BOUND, rng.random());
-            ceiling.hold(0, Holder::Shield { of: ids.len() });
-            Shield { ceiling, copies: HashMap::new(), reads: 0 }
-        })
-        .collect();
-    let mut choosers: Vec<Shields> = (0..edges)
-        .map(|_| {
-            let mut shields = Shields::default();
-            shields.update(&ids);
-            shields
-        })
-        .collect();
+    let mut shields: Vec<Shield> = ids.iter().map(|_| Shield::one_of(ids.len(), &mut rng)).collect();
+    let mut choosers: Vec<Shields> = (0..edges).map(|_| chooser(&ids)).collect();
     let rate = plan.reads.rate_per_s * f64::from(edges);
     let allowed = rate * BOUND.over * BOUND.window as f64 / 1000.0 + FEW;
     let mut window: VecDeque<u64> = VecDeque::new();
--- a/lab/src/fleet/writes.rs
+++ b/lab/src/fleet/writes.rs
@@ -183,11 +183,8 @@
     }
 }
 
-pub fn play(plan: &FleetPlan, edges: u32) -> Writes {
-    // Any moment: the play only adds to it.
-    let began = Instant::now();
-    let count = plan.servers(edges);
-    let server = |n: u32| Server {
+fn server(plan: &FleetPlan, n: u32) -> Server {
+    Server {
         id: format!("i-{n}"),
         backend: SERVICE.into(),
         addr: addr(n),
@@ -195,8 +192,13 @@
         capacity: plan.writes.slots,
         ready: true,
         warmup_left_ms: 0,
-    };
-    let servers: Vec<Server> = (0..count).map(server).collect();
+    }
+}
+
+pub fn play(plan: &FleetPlan, edges: u32) -> Writes {
+    // Any moment: the play only adds to it.
+    let began = Instant::now();
+    let servers: Vec<Server> = (0..plan.servers(edges)).map(|n| server(plan, n)).collect();
     let names: Vec<String> = (0..edges).map(|n| format!("edge-{n}")).collect();
     let mut marks: Vec<u64> = names.iter().map(|name| edge_mark(name)).collect();
     marks.sort_unstable();
@@ -242,20 +244,27 @@
         play.now = when;
         play.event(event);
     }
-    let served = play.servers.iter().map(|server| server.served);
-    let (most, all) = (served.clone().max().unwrap_or(0), served.sum::<u64>());
-    let places = servers.iter().map(|server| (&server.id[..], server.capacity)).collect::<Vec<_>>();
-    let mut holders = vec![0u32; servers.len()];
-    subset::subsets(&marks, &places).values().flatten().for_each(|at| holders[*at] += 1);
-    let mean = |sum: f64| sum / servers.len() as f64;
-    let of_all = |part: u64| part as f64 / play.found.writes.max(1) as f64;
-    Writes {
-        opened_per_write: of_all(play.opened),
-        turned_away: of_all(play.turned_away),
-        not_served: of_all(play.lost),
-        busiest: most as f64 / mean(all as f64).max(1e-9),
-        subset_most: f64::from(holders.iter().copied().max().unwrap_or(0))
-            / mean(holders.iter().map(|holders| f64::from(*holders)).sum()).max(1e-9),
-        ..play.found
+    play.found(&servers, &marks)
+}
+
+impl Play<'_> {
+    /// What the play came to.
+    fn found(&self, servers: &[Server], marks: &[u64]) -> Writes {
+        let served = self.servers.iter().map(|server| server.served);
+        let (most, all) = (served.clone().max().unwrap_or(0), served.sum::<u64>());
+        let places = servers.iter().map(|server| (&server.id[..], server.capacity)).collect::<Vec<_>>();
+        let mut holders = vec![0u32; servers.len()];
+        subset::subsets(marks, &places).values().flatten().for_each(|at| holders[*at] += 1);
+        let mean = |sum: f64| sum / servers.len() as f64;
+        let of_all = |part: u64| part as f64 / self.found.writes.max(1) as f64;
+        Writes {
+            opened_per_write: of_all(self.opened),
+            turned_away: of_all(self.turned_away),
+            not_served: of_all(self.lost),
+            busiest: most as f64 / mean(all as f64).max(1e-9),
+            subset_most: f64::from(holders.iter().copied().max().unwrap_or(0))
+                / mean(holders.iter().map(|holders| f64::from(*holders)).sum()).max(1e-9),
+            ..self.found.clone()
+        }
     }
 }
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -154,6 +154,9 @@
     pub phases: Vec<Phase>,
 }
 
+/// The control node that is killed. The first seed: the head of the chain as a rule, and where sessions pile up if they do.
+const LOST: &str = "core-1";
+
 /// Plays all sizes, one after the other.
 pub async fn play(plan: &HollowPlan, program: &Path) -> Result<HollowReport, LabError> {
     let mut sizes = Vec::new();
@@ -243,94 +246,93 @@
     let (seeds, port) = local.links();
     let mut run = Run { local, controls, seen, nodes, failed_beats };
     let lasts = Duration::from_secs(plan.seconds);
-    let mut phases = Vec::new();
-
-    let before = run.sample();
-    let (link_before, began) = (run.link_bytes().await, Instant::now());
-    let threads =
-        Threads::start(&nodes::Control { seeds, port, zones: 3, spread: plan.spread }, &run.seen, nodes);
-    let started = async {
-        let in_touch = load::until(UP, || run.in_touch()).await;
+
+    let control = nodes::Control { seeds, port, zones: 3, spread: plan.spread };
+    let (threads, started) = run.start(&control).await;
+    let mut phases = vec![started];
+    if plan.spread {
+        sleep(nodes::MOVES * 2).await;
         load::until(UP, || run.know_all()).await;
+    }
+    let (sessions_most, sessions_least) = run.spread().await;
+    phases.push(run.measured("rest", run.rest(lasts)).await);
+    phases.push(run.measured("changes", run.change(plan.changes, lasts)).await);
+    let purge = Cell::new(0);
+    let purging = load::purge(&run.controls, &run.seen, &purge, plan.purges, lasts);
+    phases.push(run.measured("purges", purging).await);
+    phases.push(run.measured("restarts", run.restart(&threads, plan.restarts, lasts)).await);
+    phases.push(run.measured("loss", run.lose_a_control(&purge, plan.purges, lasts)).await);
+    run.local.start_again(LOST)?;
+    let all_in_touch = load::until(UP, || run.in_touch()).await.is_some();
+    servers.iter().for_each(tokio::task::JoinHandle::abort);
+    drop(threads);
+    Ok(Size { nodes, document_bytes, sessions_most, sessions_least, all_in_touch, phases })
+}
+
+/// The phases of a size.
+impl Run {
+    /// Starts all nodes at once, and waits until each knows of all.
+    async fn start(&self, control: &nodes::Control) -> (Threads, Phase) {
+        let before = self.sample();
+        let (link_before, began) = (self.link_bytes().await, Instant::now());
+        let threads = Threads::start(control, &self.seen, self.nodes);
+        let in_touch = load::until(UP, || self.in_touch()).await;
+        load::until(UP, || self.know_all()).await;
         let know_all = began.elapsed().as_secs_f64() * 1000.0;
-        let failed = u32::from(!run.know_all());
-        Told {
+        let told = Told {
             acknowledged: in_touch.into_iter().collect(),
             in_force: vec![know_all],
-            failed,
+            failed: u32::from(!self.know_all()),
             ..Told::default()
-        }
-    };
-    let told = started.await;
-    phases.push(run.phase("start", &before, link_before, told).await);
-    if plan.spread {
-        sleep(nodes::MOVES * 2).await;
-        load::until(UP, || run.know_all()).await;
+        };
+        (threads, self.phase("start", &before, link_before, told).await)
     }
-    let (sessions_most, sessions_least) = run.spread().await;
 
-    let idle = async {
+    async fn rest(&self, lasts: Duration) -> Told {
         sleep(lasts).await;
         Told::default()
-    };
-    phases.push(run.measured("rest", idle).await);
-    let rev = Cell::new(1);
-    let changing = load::change(&run.controls, &run.seen, nodes, &rev, plan.changes, lasts);
-    let mut broken = None;
-    let changing = async {
+    }
+
+    async fn change(&self, per_s: f64, lasts: Duration) -> Told {
+        let rev = Cell::new(1);
+        let changing = load::change(&self.controls, &self.seen, self.nodes, &rev, per_s, lasts);
         changing.await.unwrap_or_else(|error| {
-            broken = Some(error);
+            eprintln!("{} nodes: a change failed: {error}", self.nodes);
             Told { failed: 1, ..Told::default() }
         })
-    };
-    phases.push(run.measured("changes", changing).await);
-    if let Some(error) = broken {
-        eprintln!("{nodes} nodes: a change failed: {error}");
     }
-    let purge = Cell::new(0);
-    let purging = load::purge(&run.controls, &run.seen, &purge, plan.purges, lasts);
-    phases.push(run.measured("purges", purging).await);
-    let restarting = async {
-        let gap = Duration::from_secs_f64(1.0 / plan.restarts);
+
+    async fn restart(&self, threads: &Threads, per_s: f64, lasts: Duration) -> Told {
+        let gap = Duration::from_secs_f64(1.0 / per_s);
         let began = Instant::now();
         // Spread over all nodes, whatever their number.
-        for number in (0..nodes).step_by(7) {
+        for number in (0..self.nodes).step_by(7) {
             if began.elapsed() >= lasts {
                 break;
             }
             threads.restart(number);
             sleep(gap).await;
         }
-        Told {
-            acknowledged: load::until(UP, || run.in_touch()).await.into_iter().collect(),
-            ..Told::default()
-        }
-    };
-    phases.push(run.measured("restarts", restarting).await);
+        let in_touch = load::until(UP, || self.in_touch()).await;
+        Told { acknowledged: in_touch.into_iter().collect(), ..Told::default() }
+    }
 
-    // The first seed: the head of the chain as a rule, and where sessions pile up if they do.
-    let lost = run.local.pids("core-1", Some("control"));
-    let losing = async {
-        let purging = load::purge(&run.controls, &run.seen, &purge, plan.purges, lasts);
+    /// Kills a control process amid purges, and waits until its sessions are elsewhere.
+    async fn lose_a_control(&self, purge: &Cell<usize>, purges: f64, lasts: Duration) -> Told {
+        let purging = load::purge(&self.controls, &self.seen, purge, purges, lasts);
         let moving = async {
-            let sessions = run.seen.lost.load(Ordering::Relaxed);
-            for pid in lost {
+            let sessions = self.seen.lost.load(Ordering::Relaxed);
+            for pid in self.local.pids(LOST, Some("control")) {
                 // Gone already where it is not there.
                 let _ = kill(Pid::from_raw(pid as i32), Signal::SIGKILL);
             }
             let began = Instant::now();
-            load::until(BEAT, || run.seen.lost.load(Ordering::Relaxed) > sessions).await;
-            load::until(UP, || run.in_touch()).await.map(|_| began.elapsed().as_secs_f64() * 1000.0)
+            load::until(BEAT, || self.seen.lost.load(Ordering::Relaxed) > sessions).await;
+            load::until(UP, || self.in_touch()).await.map(|_| began.elapsed().as_secs_f64() * 1000.0)
         };
         let (told, moved) = tokio::join!(purging, moving);
         Told { in_force: moved.into_iter().collect(), ..told }
-    };
-    phases.push(run.measured("loss", losing).await);
-    run.local.start_again("core-1")?;
-    let all_in_touch = load::until(UP, || run.in_touch()).await.is_some();
-    servers.iter().for_each(tokio::task::JoinHandle::abort);
-    drop(threads);
-    Ok(Size { nodes, document_bytes, sessions_most, sessions_least, all_in_touch, phases })
+    }
 }
 
 async fn put(controls: &Controls, document: String) -> Result<(), LabError> {
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -151,6 +151,11 @@
     },
 }
 
+fn within(what: &str, value: f64, least: f64, most: f64) -> Result<(), String> {
+    let fits = value >= least && value <= most;
+    fits.then_some(()).ok_or_else(|| format!("{what}: {least} to {most} expected, got {value}"))
+}
+
 impl Plan {
     pub fn load(path: &Path) -> Result<Plan, PlanError> {
         let text =
@@ -170,14 +175,20 @@
     }
 
     fn check(&self) -> Result<(), String> {
-        let within = |what: &str, value: f64, least: f64, most: f64| {
-            let fits = value >= least && value <= most;
-            fits.then_some(()).ok_or_else(|| format!("{what}: {least} to {most} expected, got {value}"))
-        };
         within("seconds", self.seconds, 1.0, 3600.0)?;
         within("system.cores", self.system.cores.into(), 1.0, 9.0)?;
         within("system.edges", self.system.edges.into(), 1.0, 40.0)?;
         within("system.zones", self.system.zones.into(), 1.0, 9.0)?;
+        let services = self.check_services()?;
+        self.check_classes(&services)?;
+        for phase in &self.phases {
+            within("phase: factor", phase.factor, 0.0, 100.0)?;
+        }
+        self.check_faults(&services)
+    }
+
+    /// Gives the services' names.
+    fn check_services(&self) -> Result<BTreeSet<&str>, String> {
         let mut services = BTreeSet::new();
         for service in &self.services {
             let at = |field: &str| format!("service {:?}: {field}", service.name);
@@ -193,6 +204,10 @@
         if self.services.iter().map(|service| u32::from(service.servers)).sum::<u32>() > 100 {
             return Err("services: 100 servers at most".into());
         }
+        Ok(services)
+    }
+
+    fn check_classes(&self, services: &BTreeSet<&str>) -> Result<(), String> {
         let mut classes = BTreeSet::new();
         for class in &self.classes {
             let at = |field: &str| format!("class {:?}: {field}", class.name);
@@ -211,9 +226,10 @@
             within(&at("retries"), class.retries.into(), 0.0, 10.0)?;
             within(&at("changes_per_s"), class.changes_per_s, 0.0, 20.0)?;
         }
-        for phase in &self.phases {
-            within("phase: factor", phase.factor, 0.0, 100.0)?;
-        }
+        Ok(())
+    }
+
+    fn check_faults(&self, services: &BTreeSet<&str>) -> Result<(), String> {
         let last = self.system.cores + self.system.edges;
         let nodes: BTreeSet<String> = (1..=last)
             .map(|n| match n.checked_sub(self.system.cores) {
