A full listener closes the connection that has rested longest; control takes more callers

Control held 512 callers' connections at most, and 600 servers to a control node keep theirs between heartbeats, so that the operator waited in the accept queue.

Change: at its limit a listener closes the connection that has rested longest in favour of a new one; control's limit follows from its descriptors (2,596 of 4,096). Test in unit/serve.rs: a resting one goes, one that waits for its answer stays.

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -64,8 +64,10 @@
 /// An agent waits so long for what it is told to be proved the newest: the first view after the loss of all control
 /// nodes takes 0.2 to 0.7 s, a mend of the chain 1.2 s. Then it had better try another node.
 const OPENING: Duration = Duration::from_millis(1500);
-/// Connections of servers and operators held at most.
-const MOST_CALLERS: usize = 512;
+/// Descriptors that a control node keeps for sessions, peers and files; callers have the rest. Servers keep their connections
+/// between heartbeats, so that few places would have them opened anew each time.
+const OTHER_DESCRIPTORS: usize = 1500;
+const LEAST_CALLERS: usize = 256;
 /// Bytes of documents under way: some of the largest that are taken.
 const MOST_BODIES: usize = 32 << 20;
 /// After the signal to stop: calls still come for a moment, and the chain is mended meanwhile.
@@ -147,7 +149,7 @@
     spawn_local(Rc::clone(&control).follow_newest());
     let terms = serve::Terms {
         listen,
-        most: MOST_CALLERS,
+        most: boot.req_limits.max_fds.saturating_sub(OTHER_DESCRIPTORS).max(LEAST_CALLERS),
         most_bodies: MOST_BODIES,
         still_accepting: LEAVING,
         grace: boot.grace(),
--- a/glenfall/src/proxy/client_timeouts.rs
+++ b/glenfall/src/proxy/client_timeouts.rs
@@ -84,6 +84,11 @@
         Busy(self)
     }
 
+    /// Nothing has come of the next request.
+    pub fn is_resting(&self) -> bool {
+        self.phase.get() == Phase::Idle
+    }
+
     fn due(&self) -> Option<Instant> {
         let Limits { head, idle } = self.now.get();
         match self.phase.get() {
--- a/glenfall/src/proxy/serve.rs
+++ b/glenfall/src/proxy/serve.rs
@@ -1,6 +1,7 @@
 //! The client side of a proxy: accepts connections, reads requests whole, and ends in order.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -122,18 +123,57 @@
 struct Clients {
     open: Cell<usize>,
     most: usize,
+    /// Those that have been answered and rest, the longest first; each hears when it is to make way for a new one.
+    resting: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    rests: Cell<u64>,
     /// Bytes of bodies under way, and how many there may be.
     bodies: Cell<usize>,
     most_bodies: usize,
     closed: Notify,
 }
 
-struct Client(Rc<Clients>);
+impl Clients {
+    /// Closes the connection that has rested longest: its other side opens a new one when it has something to say.
+    fn evict(&self) {
+        if let Some((_, evicted)) = self.resting.borrow_mut().pop_first() {
+            evicted.notify_one();
+        }
+    }
+}
+
+/// A connection of a client, counted until this is dropped.
+struct Client {
+    clients: Rc<Clients>,
+    /// Its place among those that rest.
+    rest: Cell<Option<u64>>,
+    evicted: Rc<Notify>,
+}
+
+impl Client {
+    fn new(clients: &Rc<Clients>) -> Self {
+        clients.open.set(clients.open.get() + 1);
+        Client { clients: Rc::clone(clients), rest: Cell::new(None), evicted: Rc::default() }
+    }
+
+    fn begins(&self) {
+        if let Some(rest) = self.rest.take() {
+            self.clients.resting.borrow_mut().remove(&rest);
+        }
+    }
+
+    fn rests(&self) {
+        let rest = self.clients.rests.get() + 1;
+        self.clients.rests.set(rest);
+        self.rest.set(Some(rest));
+        self.clients.resting.borrow_mut().insert(rest, Rc::clone(&self.evicted));
+    }
+}
 
 impl Drop for Client {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.closed.notify_waiters();
+        self.begins();
+        self.clients.open.set(self.clients.open.get() - 1);
+        self.clients.closed.notify_waiters();
     }
 }
 
@@ -162,7 +202,7 @@
 /// How a proxy takes clients.
 pub struct Terms {
     pub listen: SocketAddrV4,
-    /// Most connections held open.
+    /// Most connections held open. With one more the one that has rested longest is closed.
     pub most: usize,
     /// Most bytes of request bodies held, of all connections together.
     pub most_bodies: usize,
@@ -196,6 +236,8 @@
     let clients = Rc::new(Clients {
         open: Cell::new(0),
         most: terms.most,
+        resting: RefCell::default(),
+        rests: Cell::new(0),
         bodies: Cell::new(0),
         most_bodies: terms.most_bodies,
         closed: Notify::new(),
@@ -228,13 +270,14 @@
     stopping: &watch::Receiver<bool>,
 ) {
     loop {
-        while clients.open.get() >= clients.most {
-            clients.closed.notified().await;
-        }
         match listener.accept().await {
             Ok((stream, _)) => {
-                clients.open.set(clients.open.get() + 1);
-                let client = Client(Rc::clone(clients));
+                while clients.open.get() >= clients.most {
+                    clients.evict();
+                    // One that is evicted as its next request comes stays, and another one is asked.
+                    let _ = timeout(ACCEPT_PAUSE, clients.closed.notified()).await;
+                }
+                let client = Client::new(clients);
                 spawn_local(connection(stream, Rc::clone(handler), client, stopping.clone()));
             }
             Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -263,20 +306,22 @@
     let served = Cell::new(false);
     let respond = service_fn(|request: Request<Incoming>| {
         served.set(true);
-        let (handler, clients, timeouts) = (&handler, &client.0, &timeouts);
+        let (handler, client, timeouts) = (&handler, &client, &timeouts);
         async move {
             let _busy = timeouts.busy();
+            client.begins();
             // Beside `Transfer-Encoding` hyper hides a length; the two may disagree on where the next
             // request begins, so that nothing more is read on the connection.
             let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
             let limits = handler.limits();
-            let (mut answer, understood) = match read_whole(request, &limits, clients).await {
+            let (mut answer, understood) = match read_whole(request, &limits, &client.clients).await {
                 Ok((whole, _room)) => (handler.answer(whole).await, true),
                 Err(local) => (Answer::from(local), false),
             };
             if chunked || !understood || handler.leaving() {
                 answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
+            client.rests();
             Ok::<_, Infallible>(answer)
         }
     });
@@ -284,10 +329,16 @@
         .header_read_timeout(None)
         .max_buf_size(limits.max_header_bytes.max(LEAST_HEAD))
         .serve_connection(TokioIo::new(TimedStream::new(stream, &timeouts)), respond);
-    let ended = tokio::select! {
-        // An error is the client's, who has gone or has been told.
-        ended = timeouts.keep(&mut serving) => Some(ended),
-        () = signalled(stopping) => None,
+    let ended = loop {
+        tokio::select! {
+            // An error is the client's, who has gone or has been told.
+            ended = timeouts.keep(&mut serving) => break Some(ended),
+            () = signalled(stopping.clone()) => break None,
+            () = client.evicted.notified() => if timeouts.is_resting() {
+                Pin::new(&mut serving).graceful_shutdown();
+                break Some(timeouts.keep(&mut serving).await);
+            }
+        }
     };
     let ended = match ended {
         Some(ended) => ended,
--- a/glenfall/tests/unit/serve.rs
+++ b/glenfall/tests/unit/serve.rs
@@ -194,3 +194,43 @@
         assert!(asked(&mut stream).await.is_none());
     });
 }
+
+/// Asks for something small on an open connection; the status line of what comes back.
+async fn status(stream: &mut TcpStream) -> Option<String> {
+    stream.write_all(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n").await.ok()?;
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n\r\n") {
+        if stream.read_buf(&mut answer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    Some(String::from_utf8_lossy(&answer).lines().next().unwrap_or_default().to_owned())
+}
+
+/// Two connections are all that there is room for.
+#[test]
+fn a_new_client_takes_the_place_of_the_one_that_has_rested_longest_and_of_none_that_waits() {
+    run_local(async {
+        let limits = ReqLimits { idle_timeout_ms: 60_000, ..LIMITS };
+        let (handler, addr, _stop) = serving(limits).await;
+        let connect = || async { TcpStream::connect(addr).await.expect("a connection") };
+        let ok = Some("HTTP/1.1 200 OK".to_owned());
+        let (mut first, mut second) = (connect().await, connect().await);
+        assert_eq!(status(&mut first).await, ok);
+        assert_eq!(status(&mut second).await, ok);
+        // It has rested for a shorter time now.
+        assert_eq!(status(&mut first).await, ok);
+        let mut third = connect().await;
+        assert_eq!(status(&mut third).await, ok, "it is served at once");
+        assert_eq!(second.read(&mut [0]).await.expect("an end in order"), 0);
+        assert_eq!(status(&mut first).await, ok, "the other one stays");
+        // One waits for its answer: the next client takes the place of the other.
+        first.write_all(post("/held", "Content-Length: 1", "b").as_bytes()).await.expect("a request");
+        handler.held.notified().await;
+        let mut fourth = connect().await;
+        assert_eq!(status(&mut fourth).await, ok);
+        assert_eq!(third.read(&mut [0]).await.expect("an end in order"), 0);
+        let open = tokio::time::timeout(Duration::from_millis(50), first.read(&mut [0])).await;
+        assert!(open.is_err(), "it still waits");
+    });
+}
