--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -32,8 +32,6 @@
 const LEASES_END: Duration = Duration::from_millis(waits_for(SESSION_LEASE) + 100);
 /// Proxies have so long to say that they serve from copies no more.
 const RELEASE: Duration = Duration::from_millis(200);
-/// How often counters go on to control.
-const REPORT: Duration = Duration::from_secs(5);
 
 #[derive(Default)]
 struct Known {
@@ -131,21 +129,15 @@
                 met = true;
                 let outbox = Outbox::start(write);
                 let take = async |down| self.take(down).await;
-                let reports = async {
-                    loop {
-                        sleep(REPORT).await;
-                        let report = self.proxies.seen().into_iter().flat_map(|seen| seen.report);
-                        let report = report.chain(link::report("agent_")).collect();
-                        if !outbox.send(Up::Report(report)) {
-                            return;
-                        }
-                    }
+                let report = || {
+                    let proxies = self.proxies.seen().into_iter().flat_map(|seen| seen.report);
+                    proxies.chain(link::report("agent_")).collect()
                 };
                 tracing::info!(control = %addr, "control found");
                 let (hello, now) = (|| self.hello(), || self.lease.now());
                 tokio::select! {
                     () = subscriber::follow(Frames::new(read), outbox.clone(), hello, now, &self.changed, take) => {}
-                    () = reports => {}
+                    () = subscriber::send_reports(&outbox, report) => {}
                 }
                 tracing::warn!(control = %addr, "control lost");
                 self.release(&outbox).await;
--- a/glenfall/src/proxy/feed.rs
+++ b/glenfall/src/proxy/feed.rs
@@ -179,18 +179,10 @@
                 let outbox = Outbox::start(write);
                 let take = async |down| self.hear(down, follower);
                 let (hello, now) = (|| self.hello(), || self.lease.now());
-                let reports = async {
-                    loop {
-                        sleep(REPORT).await;
-                        let report = follower.report().into_iter().chain(link::report(""));
-                        if !outbox.send(Up::Report(report.collect())) {
-                            return;
-                        }
-                    }
-                };
+                let report = || follower.report().into_iter().chain(link::report("")).collect();
                 tokio::select! {
                     () = subscriber::follow(Frames::new(read), outbox.clone(), hello, now, &self.changed, take) => {}
-                    () = reports => {}
+                    () = subscriber::send_reports(&outbox, report) => {}
                 }
                 // Before anything else runs in this process: that the connection is closed says that no copy is served.
                 self.touch(false, follower);
@@ -200,6 +192,3 @@
         }
     }
 }
-
-/// Counters are for people to look at.
-const REPORT: Duration = Duration::from_secs(5);
--- a/glenfall/src/session/subscriber.rs
+++ b/glenfall/src/session/subscriber.rs
@@ -1,12 +1,27 @@
 //! The lower side of a session: takes what is pushed, acknowledges it, and asks for its lease to be renewed.
 
+use std::time::Duration;
+
 use glenfall_plane::messages::{Down, Up};
 use glenfall_plane::Millis;
 use tokio::sync::Notify;
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::{interval, sleep, MissedTickBehavior};
 
 use crate::session::link::{Frames, Outbox, PING};
 
+/// How often counters go up: they are for people to look at.
+const REPORT: Duration = Duration::from_secs(5);
+
+/// Sends counters for as long as the session takes them.
+pub async fn send_reports(outbox: &Outbox<Up>, report: impl Fn() -> Vec<(String, u64)>) {
+    loop {
+        sleep(REPORT).await;
+        if !outbox.send(Up::Report(report())) {
+            return;
+        }
+    }
+}
+
 /// Says hello, hands each change and grant to `take`, and tells that a change is applied.
 /// `now` is the clock by which it holds its lease. Returns when the session is lost, the other side leaves, or `take` says
 /// that what came can't be built on: it begins anew then.
--- a/lab/src/hollow/nodes.rs
+++ b/lab/src/hollow/nodes.rs
@@ -20,7 +20,6 @@
 /// Pauses before control is called again, and how often counters go up: as an agent has them.
 const PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-const REPORT: Duration = Duration::from_secs(5);
 /// Counters of an edge and its agent, about so many.
 const COUNTERS: usize = 40;
 /// Nodes that share themselves out move within this time.
@@ -237,21 +236,13 @@
                 let Ok((read, write)) = link::open(addr, &Open::Session).await else { continue };
                 met = true;
                 let outbox = Outbox::start(write);
-                let reports = async {
-                    loop {
-                        sleep(REPORT).await;
-                        if !outbox.send(Up::Report(report())) {
-                            return;
-                        }
-                    }
-                };
                 let take = async |down| self.take(down);
                 let frames = link::Frames::new(read);
                 let (hello, now) = (|| self.hello(), || self.lease.now());
                 tokio::select! {
                     () = self.moves(addr) => {}
                     () = subscriber::follow(frames, outbox.clone(), hello, now, &self.changed, take) => {}
-                    () = reports => {}
+                    () = subscriber::send_reports(&outbox, report) => {}
                 }
                 self.seen.lost.fetch_add(1, Ordering::Relaxed);
                 self.count_lost();
