--- a/lab/src/hollow/nodes.rs
+++ b/lab/src/hollow/nodes.rs
@@ -17,7 +17,7 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
-/// Pauses before control is called again, and how often counters go up: as an agent has them.
+/// Pauses before control is called again, as an agent has them.
 const PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// Counters of an edge and its agent, about so many.
