--- a/http/src/connection.rs
+++ b/http/src/connection.rs
@@ -28,7 +28,9 @@
 
 /// An open connection. Dropping it closes it, whatever is out on it.
 pub struct Connection {
+    /// The server's address.
     pub addr: SocketAddr,
+    /// How far the request on it has come.
     pub progress: Rc<Progress>,
     /// How long it took to open.
     opened_in: Duration,
@@ -106,6 +108,7 @@
         self.progress.be_wary((self.opened_in * RESET_BACK + WAKE_UP).min(LONGEST_PAUSE));
     }
 
+    /// Whether the other side has closed it, as far as this one has seen.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
     }
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -2,6 +2,7 @@
 //! and never takes what came unasked for an answer.
 
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 mod connection;
 pub mod send;
--- a/http/src/send.rs
+++ b/http/src/send.rs
@@ -25,6 +25,7 @@
 }
 
 impl Stage {
+    /// All stages, in their order.
     pub const ALL: [Stage; 6] = [
         Stage::Unconnected,
         Stage::Untouched,
@@ -68,6 +69,7 @@
 }
 
 impl Event {
+    /// All events.
     pub const ALL: [Event; 11] = [
         Event::NoConnection,
         Event::Broken,
--- a/http/src/socket.rs
+++ b/http/src/socket.rs
@@ -89,6 +89,7 @@
 pub struct Sent(RefCell<Option<Rc<Progress>>>);
 
 impl Sent {
+    /// A request begins on the connection with this progress.
     pub fn begin(&self, progress: &Rc<Progress>) {
         progress.written.set(Written::Nothing);
         progress.informed.store(false, Ordering::Relaxed);
@@ -97,6 +98,7 @@
         self.0.replace(Some(Rc::clone(progress)));
     }
 
+    /// Whether the request was written whole.
     pub fn whole(&self) -> bool {
         self.stage().is_sent()
     }
@@ -124,6 +126,7 @@
 }
 
 impl Socket {
+    /// A socket on an open stream, and the progress of what is sent on it.
     pub fn new(stream: TcpStream, open: OpenSocket) -> (Self, Rc<Progress>) {
         let progress = Rc::new(Progress::new());
         let socket =
@@ -245,6 +248,7 @@
 pub struct OpenSocket(Rc<Cell<usize>>);
 
 impl OpenSocket {
+    /// Counts one more, for as long as what this gives is held.
     pub fn claim(open: &Rc<Cell<usize>>) -> Self {
         open.set(open.get() + 1);
         OpenSocket(Rc::clone(open))
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -33,18 +33,27 @@
 
 /// All that the node is told.
 pub struct Config {
+    /// The node's own name among its peers.
     pub name: String,
+    /// Where it takes clients.
     pub listen: SocketAddr,
+    /// Where lists of servers come from.
     pub discovery: SocketAddr,
+    /// What its random numbers follow from.
     pub seed: u64,
-    /// Connections that upstreams may hold, and clients.
+    /// Connections that upstreams may hold.
     pub upstream_sockets: usize,
+    /// Connections that clients may hold.
     pub client_sockets: usize,
+    /// Where it hears its peers, by datagrams.
     pub peer_listen: Option<SocketAddr>,
     /// By node number.
     pub peers: Vec<SocketAddr>,
+    /// Where what is sent reaches all peers at once.
     pub peers_all: Option<SocketAddr>,
+    /// The list that it begins with.
     pub known: Option<List>,
+    /// What the balancer goes by.
     pub settings: Settings,
 }
 
@@ -125,11 +134,13 @@
 }
 
 impl Clock {
+    /// A clock that shows the time of day from now on, and is never set back.
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
         Clock { started: Instant::now(), unix: unix.as_secs_f64() }
     }
 
+    /// Seconds since 1970.
     pub fn now(&self) -> Seconds {
         self.unix + self.started.elapsed().as_secs_f64()
     }
@@ -138,6 +149,7 @@
 /// A list of servers in discovery's form.
 #[derive(Debug)]
 pub struct List {
+    /// Rises with each change of the list.
     pub version: u64,
     /// The whole list, or the changed entries only.
     pub full: bool,
--- a/node/src/lib.rs
+++ b/node/src/lib.rs
@@ -2,6 +2,7 @@
 //! taken and exits.
 
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod config;
 mod discovery;
--- a/node/src/reply.rs
+++ b/node/src/reply.rs
@@ -16,20 +16,26 @@
 
 /// A whole answer of a server.
 pub struct Reply {
+    /// As the server gave it.
     pub content_type: Option<HeaderValue>,
+    /// All of it.
     pub body: Bytes,
 }
 
 /// How an attempt ended.
 pub struct Ended {
+    /// What it tells of the server.
     pub status: Status,
+    /// Whether a cache had the object.
     pub note: Option<CacheNote>,
+    /// How busy the server says that it is.
     pub load: Option<Load>,
     /// Only with a success.
     pub reply: Option<Reply>,
 }
 
 impl Ended {
+    /// An end without a whole answer, or with one that is no success.
     pub fn without_reply(status: Status) -> Self {
         Ended { status, note: None, load: None, reply: None }
     }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -19,8 +19,11 @@
 use crate::config::List;
 use crate::reply::{self, Ended};
 
+/// A request's id, the same at each server.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+/// How long its sender waits, in milliseconds.
 pub const DEADLINE_MS: HeaderName = HeaderName::from_static("x-deadline-ms");
+/// By it a server recognises a write that it has done.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
 /// Longest body of any message.
@@ -49,11 +52,15 @@
 
 /// A client's request as it goes on to servers.
 pub struct Payload {
+    /// As the client sent it.
     pub method: Method,
     /// Path and query.
     pub uri: Uri,
+    /// The client's id of the request.
     pub id: HeaderValue,
+    /// The client's key, where it sent one.
     pub idempotency_key: Option<HeaderValue>,
+    /// All of it.
     pub body: Bytes,
 }
 
@@ -206,10 +213,12 @@
         }
     }
 
+    /// Whether some server takes requests.
     pub fn any_ready(&self) -> bool {
         self.servers.borrow().values().any(|server| server.ready)
     }
 
+    /// Closes the idle connections to a server.
     pub fn close_idle(&self, server: &ServerId) {
         if let Some(server) = self.servers.borrow_mut().get_mut(server) {
             server.idle.clear();
--- a/plane/src/lease.rs
+++ b/plane/src/lease.rs
@@ -7,7 +7,7 @@
 //! node have run out.
 //!
 //! No clock is compared with another. A holder counts from the moment when it *sent* its request, the granter from the
-//! moment when it *received* it, which is later; the granter adds [`CLOCK_RATE_SHARE`] for clocks that run at different
+//! moment when it *received* it, which is later; the granter adds `CLOCK_RATE_SHARE` for clocks that run at different
 //! rates. A grant names the request by the holder's own clock reading, so that neither side remembers requests.
 
 use std::collections::BTreeMap;
--- a/sim/src/losses.rs
+++ b/sim/src/losses.rs
@@ -49,7 +49,7 @@
     }
 
     /// Machines that may be lost now as the users' pages count them, whatever the voters are: one is lost while a fault
-    /// meets it and for [`SYNC`] after that, and one that was removed until its successor has had that time.
+    /// meets it and for `SYNC` after that, and one that was removed until its successor has had that time.
     pub fn machines_to_lose(&self) -> usize {
         let has_successor = |removed_at: Millis| {
             self.machines
