--- a/glenfall/src/backlog.rs
+++ b/glenfall/src/backlog.rs
@@ -7,9 +7,11 @@
 
 /// The count of a backlog's units, which threads share.
 pub trait SharedCount {
+    /// The count as it is now.
     fn load(&self) -> usize;
     /// Replaces a count that is still what it was when it was read; else gives the count as it is now.
     fn replace(&self, read: usize, by: usize) -> Result<(), usize>;
+    /// Takes units off.
     fn subtract(&self, units: usize);
 }
 
@@ -34,6 +36,7 @@
 }
 
 impl Backlog {
+    /// An empty one in which so many units may wait.
     pub fn new(most: usize) -> Backlog {
         Backlog::counted_by(Arc::default(), most)
     }
@@ -46,6 +49,7 @@
 }
 
 impl<C: SharedCount> Backlog<C> {
+    /// The same with a count of another kind.
     pub fn counted_by(waiting: Arc<C>, most: usize) -> Self {
         Backlog { waiting, most }
     }
--- a/glenfall/src/control/backup.rs
+++ b/glenfall/src/control/backup.rs
@@ -11,29 +11,40 @@
 /// The format in which taken orders were known by weak prints, which are not read any more.
 const PRINTS: &str = "glenfall-state-1";
 
+/// Why a file is no backup that can be restored.
 #[derive(Debug, thiserror::Error)]
 pub enum BackupError {
+    /// It is not JSON, or fields are missing.
     #[error("not a backup: {0}")]
     Unreadable(#[from] serde_json::Error),
+    /// It has another format.
     #[error("format {FORMAT:?} or {PRINTS:?} expected, got {0:?}")]
     Format(String),
+    /// Its checksum is another one.
     #[error("checksum does not match: the file is not what was exported")]
     Checksum,
+    /// It names no voters.
     #[error("voters: one address at least expected, got none")]
     NoVoters,
+    /// Its configuration is invalid.
     #[error("document: {0}")]
     Document(#[from] glenfall_plane::config::Invalid),
+    /// Its idempotency keys are out of order.
     #[error("{0}")]
     Taken(#[from] Unsound),
 }
 
+/// The state of control in a file.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub struct Backup {
     format: String,
+    /// Who voted.
     pub voters: Vec<Ipv4Addr>,
     /// The view that stood.
     view: u64,
+    /// Log index of the last change.
     pub seq: u64,
+    /// Version of the configuration.
     pub rev: u64,
     /// As the operator sent it, byte for byte.
     document: String,
@@ -68,6 +79,7 @@
 }
 
 impl Backup {
+    /// A backup of a record as it stands in a view.
     pub fn of(voters: &[Ipv4Addr], view: u64, record: &Record) -> Backup {
         let mut backup = Backup {
             format: FORMAT.into(),
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -73,6 +73,7 @@
 /// After the signal to stop: calls still come for a moment, and the chain is mended meanwhile.
 const LEAVING: Duration = Duration::from_millis(600);
 
+/// A control node.
 pub struct Control {
     boot: Rc<Boot>,
     began: Instant,
--- a/glenfall/src/control/store.rs
+++ b/glenfall/src/control/store.rs
@@ -34,16 +34,22 @@
 /// Tells that there was a store here: without one beside it, the store is lost, and this is no first start.
 const WAS_MADE: &str = "state.made";
 
+/// Why state can't be read or written.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
+    /// The database refused something.
     #[error("state on disk: {0}")]
     Sqlite(#[from] rusqlite::Error),
+    /// So did the disk.
     #[error("state on disk: {0}")]
     Io(#[from] std::io::Error),
+    /// A row does not hold what it should.
     #[error("state on disk: row can't be read: {0}")]
     Row(#[from] postcard::Error),
+    /// What is there does not match its checksum, or is incomplete.
     #[error("state on disk: {0}")]
     Damaged(String),
+    /// A file that was set aside earlier lies where this one should go.
     #[error("{} is in the way: state is put only where there is none", .0.display())]
     InTheWay(PathBuf),
 }
@@ -67,7 +73,9 @@
 /// What was on disk at the start.
 #[derive(Debug, PartialEq)]
 pub enum Found {
+    /// No state was ever written here.
     Nothing,
+    /// The last state that was written whole.
     Kept(Durable),
     /// Something that is no state; it was set aside.
     Damaged(String),
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -97,6 +97,7 @@
 }
 
 impl Edge {
+    /// An edge that is fed by `feed` and sends through `pool`.
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
         Rc::new(Edge {
             feed,
--- a/glenfall/src/edge/read_plan.rs
+++ b/glenfall/src/edge/read_plan.rs
@@ -14,9 +14,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
     /// Ask a shield, and call [`ReadPlan::asked`], or [`ReadPlan::no_shield`] where none is likely to answer.
-    AskShield { allowance: Allowance },
+    AskShield {
+        /// What the shield may send for this try.
+        allowance: Allowance,
+    },
     /// Send to servers, and call [`ReadPlan::asked`].
-    AskServers { allowance: Allowance },
+    AskServers {
+        /// What may be sent for this try.
+        allowance: Allowance,
+    },
     /// Wait for what is under way.
     Wait,
     /// Nothing is under way and nothing is left to try.
@@ -68,6 +74,7 @@
 }
 
 impl ReadPlan {
+    /// The plan of a read that may be sent to so many servers.
     pub fn new(tries: u32) -> Self {
         ReadPlan {
             budget: SendBudget::new(tries),
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -2,14 +2,17 @@
 //! `GLENFALL_CONFIG`.
 
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 pub mod agent;
 pub mod backlog;
+#[allow(missing_docs)]
 pub mod boot;
 pub mod control;
 mod disk;
 pub mod edge;
 pub mod metrics;
+#[allow(missing_docs)]
 pub mod operator;
 pub mod proxy;
 pub mod session;
--- a/glenfall/src/proxy/cache.rs
+++ b/glenfall/src/proxy/cache.rs
@@ -27,10 +27,13 @@
 /// A whole answer that may be given again.
 #[derive(Debug)]
 pub struct Copy {
+    /// The server's, without those of one connection.
     pub headers: HeaderMap,
+    /// All of the object.
     pub body: Bytes,
     /// When the fetch was sent: it is no younger than that.
     pub born: Cell<Instant>,
+    /// By which it can be purged.
     pub labels: Vec<Box<str>>,
 }
 
@@ -72,10 +75,12 @@
         self.body.len() + OVERHEAD
     }
 
+    /// How long ago its fetch was sent.
     pub fn age(&self) -> Duration {
         self.born.get().elapsed()
     }
 
+    /// Whether it bears a label.
     pub fn labelled(&self, label: &str) -> bool {
         self.labels.iter().any(|own| **own == *label)
     }
@@ -124,7 +129,9 @@
 /// What a copy is known by: service, host, path and query.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct ObjectKey {
+    /// The service of its servers.
     pub service: Arc<str>,
+    /// As the client named it.
     pub host: Arc<str>,
     /// Path and query.
     pub path: Arc<str>,
@@ -138,6 +145,7 @@
     }
 }
 
+/// Copies, by object and by label.
 pub struct Cache {
     copies: LruCache<ObjectKey, Rc<Copy>>,
     labels: HashMap<Box<str>, HashSet<ObjectKey>>,
@@ -151,6 +159,7 @@
         Cache { copies: LruCache::unbounded(), labels: HashMap::new(), bytes: 0, most }
     }
 
+    /// A copy, which counts as used now.
     pub fn get(&mut self, key: &ObjectKey) -> Option<Rc<Copy>> {
         self.copies.get(key).cloned()
     }
--- a/glenfall/src/proxy/client_timeouts.rs
+++ b/glenfall/src/proxy/client_timeouts.rs
@@ -27,6 +27,7 @@
     Busy,
 }
 
+/// What a connection waits for, and until when.
 pub struct ClientTimeouts {
     phase: Cell<Phase>,
     /// Since when; while idle, since the client last took something.
@@ -42,7 +43,9 @@
 /// How long a client may take for a head, and stay idle.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
+    /// From its first byte until it is whole.
     pub head: Duration,
+    /// Between an answer and the next request.
     pub idle: Duration,
 }
 
@@ -65,6 +68,7 @@
 }
 
 impl ClientTimeouts {
+    /// For a connection that opens now, under limits that may change.
     pub fn new(limits: impl Fn() -> Limits + 'static) -> Rc<Self> {
         let (at, now) = (Instant::now(), Cell::new(limits()));
         let (since, answered) = (Cell::new(at), Cell::new(at));
@@ -131,6 +135,7 @@
     }
 }
 
+/// A request is being answered until this is dropped.
 pub struct Busy<'a>(&'a ClientTimeouts);
 
 impl Drop for Busy<'_> {
@@ -150,6 +155,7 @@
 }
 
 impl TimedStream {
+    /// The socket of a client that has just come.
     pub fn new(stream: TcpStream, timeouts: &Rc<ClientTimeouts>) -> Self {
         TimedStream { stream, timeouts: Rc::clone(timeouts), at_end: false }
     }
--- a/glenfall/src/proxy/feed.rs
+++ b/glenfall/src/proxy/feed.rs
@@ -21,14 +21,19 @@
 
 /// What follows from news, for the proxy that it concerns.
 pub trait Follower {
+    /// A configuration is in force.
     fn config(&self, config: &Arc<Config>);
+    /// The servers, shields and edges are these.
     fn fleet(&self, fleet: &Fleet);
+    /// Copies that these purges name are no longer good.
     fn purge(&self, purges: &[Aged]);
+    /// Whether control tells of all that happens.
     fn in_touch(&self, yes: bool);
     /// Counters for `status`.
     fn report(&self) -> Vec<(String, u64)>;
 }
 
+/// What a proxy has been told.
 pub struct Feed {
     boot: Rc<Boot>,
     proxy: Proxy,
@@ -46,6 +51,7 @@
 }
 
 impl Feed {
+    /// A proxy that knows nothing yet.
     pub fn new(boot: Rc<Boot>, proxy: Proxy) -> Rc<Self> {
         Rc::new(Feed {
             boot,
@@ -61,6 +67,7 @@
         })
     }
 
+    /// The configuration in force; `None` until one is known.
     pub fn config(&self) -> Option<Arc<Config>> {
         self.config.borrow().clone()
     }
--- a/glenfall/src/proxy/forward.rs
+++ b/glenfall/src/proxy/forward.rs
@@ -39,11 +39,15 @@
 
 /// A request for a server.
 pub struct UpstreamRequest<'a> {
+    /// The service of its route.
     pub service: &'a str,
+    /// As the client sent it.
     pub method: &'a Method,
+    /// Path and query.
     pub uri: &'a Uri,
     /// As they go on; `Host` among them.
     pub headers: HeaderMap,
+    /// All of it; empty where there is none.
     pub body: Bytes,
     /// May it run again?
     pub repeatable: bool,
@@ -51,6 +55,7 @@
     pub tries: u32,
     /// It may have reached a server already, on another way.
     pub again: bool,
+    /// When it has to be answered.
     pub until: Instant,
     /// The time within which its answer earns its full worth.
     pub aim: Duration,
@@ -72,8 +77,11 @@
     TimedOut,
 }
 
+/// Sends requests to servers.
 pub struct Forwarder {
+    /// Connections to them.
     pub pool: Rc<Pool>,
+    /// Which there are, and how they do.
     pub origins: Origins,
     /// Retries that the service may still be sent.
     retry_budget: RefCell<Budget>,
@@ -95,6 +103,7 @@
 }
 
 impl Forwarder {
+    /// A forwarder for one of the edges, or one of the shields.
     pub fn new(pool: Rc<Pool>, boot: &Boot, sharers: Proxy) -> Self {
         // What a shield fetches is large.
         let origins = Origins::new(&boot.zone, sharers == Proxy::Shield, &boot.node);
--- a/glenfall/src/proxy/memory_budget.rs
+++ b/glenfall/src/proxy/memory_budget.rs
@@ -42,6 +42,7 @@
 }
 
 impl MemoryBudget {
+    /// A budget of so many bytes.
     pub fn new(bytes: usize) -> Self {
         let all = (bytes / UNIT).clamp(1, Semaphore::MAX_PERMITS);
         MemoryBudget { left: Arc::new(Semaphore::new(all)), all }
@@ -71,6 +72,7 @@
 }
 
 impl Reservation {
+    /// How much is reserved.
     pub fn bytes(&self) -> usize {
         self.permit.num_permits() * UNIT
     }
--- a/glenfall/src/proxy/origins.rs
+++ b/glenfall/src/proxy/origins.rs
@@ -70,21 +70,26 @@
 /// Where a request may go.
 #[derive(Clone, Debug)]
 pub struct Chosen {
+    /// The server's id.
     pub id: String,
+    /// Where it is reached.
     pub addr: SocketAddrV4,
 }
 
 /// How a request ended at a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
+    /// With a success, or an error that is the client's.
     Answered,
     /// Answered with an error of its own. That says nothing of its speed: a server that fails all may do so at once.
     Erred,
     /// Turned away: full, or not the one that was meant.
     TurnedAway,
+    /// No connection, or no answer that could be read.
     Failed,
 }
 
+/// The servers that are known, and how each has done.
 pub struct Origins {
     zone: String,
     /// Prefers servers of its own zone: what it fetches is large.
@@ -276,6 +281,7 @@
 }
 
 impl InFlight<'_> {
+    /// It has ended like this.
     pub fn ended(self, end: End) {
         let now = Instant::now();
         self.origins.heard(now, self.id, end, now - self.began);
--- a/glenfall/src/proxy/pool.rs
+++ b/glenfall/src/proxy/pool.rs
@@ -80,6 +80,7 @@
 }
 
 impl Pool {
+    /// A pool of so many connections at most.
     pub fn new(most: usize, memory: MemoryBudget) -> Rc<Self> {
         Rc::new(Pool {
             idle: RefCell::default(),
--- a/glenfall/src/proxy/response.rs
+++ b/glenfall/src/proxy/response.rs
@@ -78,14 +78,17 @@
         ServerResponse { status: head.status, headers: head.headers, body }
     }
 
+    /// The server's status.
     pub fn status(&self) -> StatusCode {
         self.status
     }
 
+    /// All of its headers.
     pub fn headers(&self) -> &HeaderMap {
         &self.headers
     }
 
+    /// Its whole body.
     pub fn body(&self) -> &Bytes {
         &self.body
     }
@@ -155,14 +158,17 @@
         CachedResponse { status: StatusCode::RANGE_NOT_SATISFIABLE, headers, body: Bytes::new() }
     }
 
+    /// 200, 206, 304 or 416.
     pub fn status(&self) -> StatusCode {
         self.status
     }
 
+    /// The copy's headers, and what the status needs.
     pub fn headers(&self) -> &HeaderMap {
         &self.headers
     }
 
+    /// The part of the copy that is asked for.
     pub fn body(&self) -> &Bytes {
         &self.body
     }
@@ -187,6 +193,7 @@
         LocalResponse { retry_after: seconds, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
 
+    /// 404: no route takes the request.
     pub fn no_route() -> Self {
         Self::new(StatusCode::NOT_FOUND, "no such route")
     }
@@ -201,14 +208,17 @@
         Self::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
     }
 
+    /// 400: the request is not understood.
     pub fn bad_request(reason: &'static str) -> Self {
         Self::new(StatusCode::BAD_REQUEST, reason)
     }
 
+    /// 413: the body is longer than is taken.
     pub fn payload_too_large() -> Self {
         Self::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
     }
 
+    /// 408: the request did not come whole in time, and has not run.
     pub fn request_timeout() -> Self {
         Self::new(StatusCode::REQUEST_TIMEOUT, "body took too long")
     }
@@ -284,10 +294,12 @@
         ProxyResponse(response)
     }
 
+    /// As the client gets it.
     pub fn status(&self) -> StatusCode {
         self.0.status()
     }
 
+    /// As the client gets them.
     pub fn headers(&self) -> &HeaderMap {
         self.0.headers()
     }
--- a/glenfall/src/proxy/send_budget.rs
+++ b/glenfall/src/proxy/send_budget.rs
@@ -28,6 +28,7 @@
         Allowance { sends: tries.max(1), held_back: 0 }
     }
 
+    /// The value of its header.
     pub fn encode(self) -> HeaderValue {
         header_value(&format!("allowed={}, held-back={}", self.sends, self.held_back))
     }
@@ -54,6 +55,7 @@
 }
 
 impl SendReport {
+    /// The value of its header.
     pub fn encode(self) -> HeaderValue {
         let short = if self.short { ", short" } else { "" };
         header_value(&format!("used={}{short}", self.used))
@@ -102,6 +104,7 @@
 pub struct Loan(u32);
 
 impl SendBudget {
+    /// The budget of a try that may be sent to so many servers.
     pub fn new(tries: u32) -> Self {
         SendBudget { left: tries.max(1) }
     }
--- a/glenfall/src/proxy/serve.rs
+++ b/glenfall/src/proxy/serve.rs
@@ -30,7 +30,9 @@
 /// A whole answer, of whatever origin: proxies make theirs as [`ProxyResponse`](crate::proxy::response::ProxyResponse).
 pub type Answer = Response<Full<Bytes>>;
 
+/// The id of a try, as its client gave it.
 pub const TRY_ID: HeaderName = HeaderName::from_static("x-glenfall-try-id");
+/// How long the sender of a request waits, in milliseconds.
 pub const DEADLINE: HeaderName = HeaderName::from_static("x-glenfall-deadline");
 /// What begins the names that are the system's own.
 const OWN: &str = "x-glenfall-";
@@ -48,7 +50,9 @@
 
 /// Answers requests that have been read whole.
 pub trait Handler: 'static {
+    /// Answers a request that was read whole. Dropped where its client goes.
     fn answer(&self, request: Whole) -> impl Future<Output = Answer>;
+    /// What clients have to keep to.
     fn limits(&self) -> ReqLimits;
     /// Answers close their connections: the process leaves.
     fn leaving(&self) -> bool;
@@ -56,7 +60,9 @@
 
 /// A request and all of its body.
 pub struct Whole {
+    /// Method, path, headers.
     pub head: hyper::http::request::Parts,
+    /// All of it.
     pub body: Bytes,
 }
 
@@ -66,6 +72,7 @@
         self.head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("")
     }
 
+    /// As the request line had it.
     pub fn path_and_query(&self) -> &str {
         self.head.uri.path_and_query().map_or("/", |path| path.as_str())
     }
@@ -201,6 +208,7 @@
 
 /// How a proxy takes clients.
 pub struct Terms {
+    /// Where clients connect.
     pub listen: SocketAddrV4,
     /// Most connections held open. With one more the one that has rested longest is closed.
     pub most: usize,
@@ -258,6 +266,7 @@
     let _ = timeout(terms.grace.saturating_sub(terms.still_accepting), none_left).await;
 }
 
+/// Ends once the process is told to stop.
 pub async fn signalled(mut stopping: watch::Receiver<bool>) {
     // An error means that nobody is left to signal, which ends the process as well.
     let _ = stopping.wait_for(|stop| *stop).await;
--- a/glenfall/src/session/link.rs
+++ b/glenfall/src/session/link.rs
@@ -20,6 +20,7 @@
 /// Silence on a link after which the other side is taken for lost, and how often something is said. A dark
 /// machine answers nothing, not even a reset.
 pub const SILENCE: Duration = Duration::from_millis(1500);
+/// How often something is said on a link, so that it does not count as lost.
 pub const PING: Duration = Duration::from_millis(500);
 /// Frames that may wait to be written; a reader that is further behind than this is cut off, and catches up
 /// on a new link.
@@ -121,6 +122,7 @@
 }
 
 impl Frames {
+    /// The reading side of a link.
     pub fn new(read: OwnedReadHalf) -> Self {
         Frames { read, buffer: BytesMut::new(), heard: Instant::now() }
     }
@@ -164,6 +166,7 @@
 }
 
 impl<T: Serialize + 'static> Outbox<T> {
+    /// The sending side of a link.
     pub fn start(write: OwnedWriteHalf) -> Self {
         let (sender, waiting) = mpsc::channel(WAITING);
         spawn_local(send_all(write, waiting));
--- a/glenfall/src/session/publisher.rs
+++ b/glenfall/src/session/publisher.rs
@@ -60,6 +60,7 @@
     /// On this machine, whose kernel closes a connection only where the process at the other side has closed it or has
     /// ended.
     SameMachine,
+    /// On another one: a connection may end while its other side goes on.
     Network,
 }
 
@@ -74,13 +75,19 @@
 
 /// What `status` tells of a session.
 pub struct Seen {
+    /// The subscriber's name.
     pub node: String,
+    /// The proxy that it speaks for.
     pub member: Option<Member>,
+    /// Changes pushed.
     pub sent: u64,
+    /// Changes that it has acknowledged.
     pub applied: u64,
+    /// Its counters.
     pub report: Vec<(String, u64)>,
 }
 
+/// The sessions of one publisher.
 pub struct Sessions {
     all: RefCell<BTreeMap<u64, Session>>,
     next: Cell<u64>,
@@ -289,6 +296,7 @@
         self.all.borrow_mut().retain(|_, session| !told(session) || session.push(news.clone()));
     }
 
+    /// Says something to all that is no change.
     pub fn tell(&self, down: &Down) {
         for session in self.all.borrow().values() {
             let _ = session.outbox.send(down.clone());
@@ -395,10 +403,12 @@
         });
     }
 
+    /// The proxies of all sessions.
     pub fn members(&self) -> Vec<Member> {
         self.all.borrow().values().filter_map(|session| session.member.clone()).collect()
     }
 
+    /// All sessions, for `status`.
     pub fn seen(&self) -> Vec<Seen> {
         let all = self.all.borrow();
         let seen = |s: &Session| Seen {
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -75,6 +75,7 @@
     fetch: Latency,
 }
 
+/// A shield: its copies, and the fetches under way.
 pub struct Shield {
     feed: Rc<Feed>,
     forwarder: Forwarder,
@@ -95,6 +96,7 @@
 }
 
 impl Shield {
+    /// A shield that is fed by `feed` and fetches through `pool`.
     pub fn new(boot: &Rc<Boot>, feed: Rc<Feed>, pool: Rc<Pool>) -> Rc<Self> {
         let most = boot.memory_part(COPIES);
         let opened = boot.state_dir.as_ref().and_then(|folder| {
--- a/glenfall/src/shield/disk_cache.rs
+++ b/glenfall/src/shield/disk_cache.rs
@@ -49,9 +49,13 @@
 
 /// A copy as it lies on disk.
 pub struct Row {
+    /// What it is a copy of.
     pub key: ObjectKey,
+    /// The server's, as they are kept.
     pub headers: HeaderMap,
+    /// By which it can be purged.
     pub labels: Vec<Box<str>>,
+    /// All of the object.
     pub body: Bytes,
     /// How old it is.
     pub age: Duration,
