--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -112,13 +112,6 @@
     told_view: Cell<u64>,
 }
 
-/// Anything that differs from one life of a process to the next.
-fn life() -> u64 {
-    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
-    let random = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), since.as_nanos());
-    random ^ since.as_nanos() as u64
-}
-
 /// What the chain begins with, by what was found on disk.
 fn start_of(found: Found, bootstrap: bool, seeds: &[Ipv4Addr]) -> Start {
     match found {
@@ -176,7 +169,7 @@
         let (purge_log, written) = PurgeLog::open(&folder)?;
         let mut remembered = Purges::default();
         remembered.take(BEFORE, written);
-        let life = life();
+        let life = crate::session::incarnation();
         Ok(Control {
             began: Instant::now(),
             chain: RefCell::new(Chain::new(me, core, start).in_life(life)),
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -5,7 +5,7 @@
 pub mod read_plan;
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,7 +14,7 @@
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
-use glenfall_plane::messages::{Aged, Proxy, Purge};
+use glenfall_plane::messages::{Aged, Member, Proxy, Purge};
 use hyper::header::HeaderMap;
 use hyper::{Method, StatusCode};
 use tokio::time::Instant;
@@ -67,6 +67,8 @@
     feed: Rc<Feed>,
     forwarder: Forwarder,
     shields: RefCell<Shields>,
+    /// The processes of the ready shields, as last told.
+    incarnations: RefCell<BTreeMap<ServerId, u64>>,
     /// Shields of the own zone.
     near: RefCell<Vec<ServerId>>,
     copies: RefCell<Cache>,
@@ -103,6 +105,7 @@
             feed,
             forwarder: Forwarder::new(pool, boot, Proxy::Edge),
             shields: RefCell::default(),
+            incarnations: RefCell::default(),
             near: RefCell::default(),
             copies: RefCell::new(Cache::new(boot.memory_part(COPIES))),
             purged: RefCell::default(),
@@ -158,6 +161,18 @@
         self.response_to(outcome, route, &whole.head.method)
     }
 
+    /// What a shield's last process failed says nothing of the next one: control tells that it is ready.
+    fn forgive_restarted(&self, incarnations: BTreeMap<ServerId, u64>) {
+        let now = self.now();
+        let known = self.incarnations.replace(incarnations);
+        let mut shields = self.shields.borrow_mut();
+        for (shield, incarnation) in self.incarnations.borrow().iter() {
+            if known.get(shield).is_some_and(|known| known != incarnation) {
+                shields.heard(now, shield, now, false);
+            }
+        }
+    }
+
     /// When a request must be answered: the one deadline of all that it waits for, from when it has been read. It is the
     /// client's or the route's, whichever is earlier. One that comes after the signal to stop ends within the grace:
     /// its server is told how much time there is, and answers in it.
@@ -249,17 +264,24 @@
     }
 }
 
+/// What a shield is known by: where it takes reads.
+fn shield_id(member: &Member) -> ServerId {
+    ServerId(member.http.to_string().as_str().into())
+}
+
 impl Follower for Edge {
     fn config(&self, _config: &Arc<Config>) {}
 
     fn fleet(&self, fleet: &Fleet) {
         self.forwarder.update(fleet);
         let ready = fleet.shields.iter().filter(|member| member.ready && member.proxy == Proxy::Shield);
-        let ready: Vec<ServerId> =
-            ready.map(|member| ServerId(member.http.to_string().as_str().into())).collect();
+        let incarnations: BTreeMap<ServerId, u64> =
+            ready.map(|member| (shield_id(member), member.incarnation)).collect();
+        let ready: Vec<ServerId> = incarnations.keys().cloned().collect();
         let near = fleet.shields.iter().filter(|member| member.zone == self.zone);
-        self.near.replace(near.map(|member| ServerId(member.http.to_string().as_str().into())).collect());
+        self.near.replace(near.map(shield_id).collect());
         self.shields.borrow_mut().update(&ready);
+        self.forgive_restarted(incarnations);
         self.edges.set(fleet.edges.len().max(1) as u32);
         self.shielded.set(!ready.is_empty());
         self.hold();
--- a/glenfall/src/proxy/feed.rs
+++ b/glenfall/src/proxy/feed.rs
@@ -37,6 +37,7 @@
 pub struct Feed {
     boot: Rc<Boot>,
     proxy: Proxy,
+    incarnation: u64,
     config: RefCell<Option<Arc<Config>>>,
     fleet: RefCell<Numbered>,
     fleet_known: Cell<bool>,
@@ -56,6 +57,7 @@
         Rc::new(Feed {
             boot,
             proxy,
+            incarnation: crate::session::incarnation(),
             config: RefCell::default(),
             fleet: RefCell::default(),
             fleet_known: Cell::new(false),
@@ -115,6 +117,7 @@
             proxy: self.proxy,
             http,
             ready: self.ready(),
+            incarnation: self.incarnation,
         };
         Up::Hello { node: self.boot.node.clone(), member: Some(member) }
     }
--- a/glenfall/tests/unit/proxies.rs
+++ b/glenfall/tests/unit/proxies.rs
@@ -275,6 +275,7 @@
         proxy: Proxy::Shield,
         http: *http,
         ready: true,
+        incarnation: 1,
     };
     let shields = shields.iter().enumerate().map(member).collect();
     Fleet { complete: true, servers: servers.to_vec(), shields, edges: vec![1], cores: 2 }
--- a/lab/src/fleet/telling.rs
+++ b/lab/src/fleet/telling.rs
@@ -61,7 +61,7 @@
 fn edge(n: u32) -> Member {
     let http = SocketAddrV4::new(Ipv4Addr::from(0x0a01_0000 + n), 8161);
     let zone = format!("zone-{}", n % 4);
-    Member { node: format!("edge-{zone}-{n}"), zone, proxy: Proxy::Edge, http, ready: true }
+    Member { node: format!("edge-{zone}-{n}"), zone, proxy: Proxy::Edge, http, ready: true, incarnation: 1 }
 }
 
 fn server(n: u32, status: EntryStatus, call_seq: u64) -> Entry {
--- a/lab/src/hollow/nodes.rs
+++ b/lab/src/hollow/nodes.rs
@@ -295,6 +295,7 @@
             // Nobody calls it.
             http: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1),
             ready: known.rev > 0 && known.fleet_known,
+            incarnation: 1,
         };
         Up::Hello { node: self.name.clone(), member: Some(member) }
     }
--- a/plane/src/nodes.rs
+++ b/plane/src/nodes.rs
@@ -27,6 +27,8 @@
     pub http: SocketAddrV4,
     /// It takes requests.
     pub ready: bool,
+    /// Tells this process from the last one on its machine.
+    pub incarnation: u64,
 }
 
 /// An origin server, as proxies know it.
--- a/plane/tests/unit/fleet.rs
+++ b/plane/tests/unit/fleet.rs
@@ -21,7 +21,7 @@
 
 fn member(n: u16, ready: bool) -> Member {
     let http = SocketAddrV4::new([127, 0, 0, 1].into(), n);
-    Member { node: format!("m{n}"), zone: "z".into(), proxy: Proxy::Shield, http, ready }
+    Member { node: format!("m{n}"), zone: "z".into(), proxy: Proxy::Shield, http, ready, incarnation: 1 }
 }
 
 fn drawn(rng: &mut ChaCha8Rng) -> Fleet {
