--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use glenfall_balancer::{ServerId, Shields};
+use glenfall_balancer::{Seconds, ServerId, Shields};
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
@@ -173,6 +173,19 @@
         }
     }
 
+    /// A shield has answered what was sent to it at this time. Where all had failed, the others are likely to be back as
+    /// well: while they rest, it would be asked for all that they hold.
+    fn shield_answers(&self, shield: &ServerId, sent: Seconds) {
+        let now = self.now();
+        let mut shields = self.shields.borrow_mut();
+        if shields.all_fail(now) {
+            for other in self.incarnations.borrow().keys() {
+                shields.heard(now, other, now, false);
+            }
+        }
+        shields.heard(now, shield, sent, false);
+    }
+
     /// When a request must be answered: the one deadline of all that it waits for, from when it has been read. It is the
     /// client's or the route's, whichever is earlier. One that comes after the signal to stop ends within the grace:
     /// its server is told how much time there is, and answers in it.
--- a/glenfall/src/edge/read.rs
+++ b/glenfall/src/edge/read.rs
@@ -253,11 +253,11 @@
         });
         let reply = reply.filter(|_| !behind);
         let is_late = self.unresponsive.contains(&shield);
-        let mut shields = self.edge.shields.borrow_mut();
-        if reply.is_some() || !is_late {
-            shields.heard(self.edge.now(), &shield, asked_s, reply.is_none());
+        if reply.is_some() {
+            self.edge.shield_answers(&shield, asked_s);
+        } else if !is_late {
+            self.edge.shields.borrow_mut().heard(self.edge.now(), &shield, asked_s, true);
         }
-        drop(shields);
         let Some(reply) = reply else {
             let end = if behind || !reached { AskEnd::NotAsked } else { AskEnd::Lost };
             self.plan.ended(number, end);
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -23,6 +23,7 @@
 mod proxies;
 mod purge_log;
 mod relay;
+mod restarted;
 mod serve;
 mod store;
 mod tries;
--- a/glenfall/tests/unit/proxies.rs
+++ b/glenfall/tests/unit/proxies.rs
@@ -19,7 +19,7 @@
 use glenfall_plane::messages::{Down, Member, News, Proxy, Server};
 use hyper::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
@@ -201,13 +201,47 @@
         tell(&feed, &*shield, &fleet(servers, &[]));
     }
     let (listener, address) = listener().await;
-    let (still_accepting, grace) = (Duration::ZERO, Duration::ZERO);
-    let terms = Terms { listen: address, most: 64, most_bodies: 0, still_accepting, grace };
-    let serving = serve_at(listener, terms, Rc::new(shield::Serving(shield)), stopping.clone());
-    spawn_local(serving);
+    serve_shield(shield, listener, address, stopping);
     address
 }
 
+fn serve_shield(
+    shield: Rc<Shield>,
+    listener: TcpListener,
+    listen: SocketAddrV4,
+    stopping: &watch::Receiver<bool>,
+) {
+    let (still_accepting, grace) = (Duration::ZERO, Duration::ZERO);
+    let terms = Terms { listen, most: 64, most_bodies: 0, still_accepting, grace };
+    spawn_local(serve_at(listener, terms, Rc::new(shield::Serving(shield)), stopping.clone()));
+}
+
+/// A shield that is down, and can be started at the address that it had.
+pub struct DownShield {
+    socket: TcpSocket,
+    pub address: SocketAddrV4,
+}
+
+impl DownShield {
+    pub fn new() -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a free port");
+        let address = socket.local_addr().expect("its address").to_string();
+        DownShield { socket, address: address.parse().expect("an address of version 4") }
+    }
+
+    /// Starts it; what it gives holds its counters.
+    pub fn start(self, servers: &[Server], stopping: &watch::Receiver<bool>) -> Rc<Shield> {
+        let boot = Rc::new(settings(SETTINGS));
+        let feed = Feed::new(Rc::clone(&boot), Proxy::Shield);
+        let shield = Shield::new(&boot, Rc::clone(&feed), pool());
+        tell(&feed, &*shield, &fleet(servers, &[]));
+        let listener = self.socket.listen(64).expect("it listens");
+        serve_shield(Rc::clone(&shield), listener, self.address, stopping);
+        shield
+    }
+}
+
 /// Starts what stands for shields, and returns where they take reads.
 pub async fn start_shields(
     acts: &[ShieldActs],
@@ -269,13 +303,18 @@
 }
 
 fn fleet(servers: &[Server], shields: &[SocketAddrV4]) -> Fleet {
+    fleet_of(1, servers, shields)
+}
+
+/// A fleet whose shields are processes of one incarnation.
+pub fn fleet_of(incarnation: u64, servers: &[Server], shields: &[SocketAddrV4]) -> Fleet {
     let member = |(number, http): (usize, &SocketAddrV4)| Member {
         node: format!("shield-{number}"),
         zone: "other".into(),
         proxy: Proxy::Shield,
         http: *http,
         ready: true,
-        incarnation: 1,
+        incarnation,
     };
     let shields = shields.iter().enumerate().map(member).collect();
     Fleet { complete: true, servers: servers.to_vec(), shields, edges: vec![1], cores: 2 }
--- /dev/null
+++ b/glenfall/tests/unit/restarted.rs
@@ -0,0 +1,82 @@
+//! Shields that come back: an edge that had given them up asks them again as soon as it may know.
+
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use glenfall::edge::{self, Edge};
+use glenfall::proxy::feed::Follower;
+use glenfall::proxy::serve::Handler;
+use glenfall::shield::Shield;
+use glenfall_plane::fleet::Told;
+use glenfall_plane::messages::News;
+use hyper::StatusCode;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::proxies::{
+    fleet_of, pool, request, start_edge_with, start_servers, DownShield, Reached, ServerActs,
+};
+use crate::support::run_local;
+use crate::tries::path_at_first;
+
+/// An edge asks one shield now and then while all have failed; longer than the pause between.
+const TRIAL: Duration = Duration::from_millis(600);
+
+/// How many reads a shield has had.
+fn reads(shield: &Rc<Shield>) -> u64 {
+    let counters = shield.report();
+    let count = |name: &str| counters.iter().find(|(known, _)| known == name).map_or(0, |(_, count)| *count);
+    count("hits") + count("misses") + count("joined")
+}
+
+async fn read(edge: &Rc<Edge>, path: &str) -> StatusCode {
+    edge::Serving(Rc::clone(edge)).answer(request("GET", path, "t")).await.status()
+}
+
+/// A path whose home is the second of two shields.
+fn path_at_second(shields: [SocketAddrV4; 2]) -> String {
+    path_at_first(&[shields[1], shields[0]], 2)
+}
+
+#[test]
+fn a_restarted_shield_is_asked_as_soon_as_control_tells_of_it() {
+    run_local(async {
+        let (_running, stopping) = watch::channel(false);
+        let servers = start_servers(ServerActs::Answers, &Reached::default()).await;
+        let (first, second) = (DownShield::new(), DownShield::new());
+        let shields = [first.address, second.address];
+        let second = second.start(&servers, &stopping);
+        let (edge, feed) = start_edge_with("", &servers, &shields, pool()).await;
+        let path = path_at_first(&shields, 2);
+        assert_eq!(read(&edge, &path).await, StatusCode::OK, "by the second one");
+        let first = first.start(&servers, &stopping);
+        assert_eq!(read(&edge, &path).await, StatusCode::OK);
+        assert_eq!((reads(&first), reads(&second)), (0, 2), "it has just failed");
+        let fleet = fleet_of(2, &servers, &shields);
+        assert!(feed.take(News::Fleet(Told::Whole { number: 2, fleet }), &*edge));
+        assert_eq!(read(&edge, &path).await, StatusCode::OK);
+        assert_eq!((reads(&first), reads(&second)), (1, 2), "another process, which is ready");
+    });
+}
+
+#[test]
+fn where_all_shields_had_failed_one_that_answers_lets_all_be_asked_again() {
+    run_local(async {
+        let (_running, stopping) = watch::channel(false);
+        let servers = start_servers(ServerActs::Answers, &Reached::default()).await;
+        let down = [DownShield::new(), DownShield::new()];
+        let shields = [down[0].address, down[1].address];
+        let (edge, _feed) = start_edge_with("", &servers, &shields, pool()).await;
+        let paths = [path_at_first(&shields, 2), path_at_second(shields)];
+        assert_eq!(read(&edge, &paths[0]).await, StatusCode::OK, "by the servers");
+        let started = down.map(|shield| shield.start(&servers, &stopping));
+        sleep(TRIAL).await;
+        assert_eq!(read(&edge, &paths[0]).await, StatusCode::OK);
+        assert_eq!(started.iter().map(reads).sum::<u64>(), 1, "one is tried");
+        for path in &paths {
+            assert_eq!(read(&edge, path).await, StatusCode::OK);
+        }
+        assert!(started.iter().all(|shield| reads(shield) > 0), "each has the reads whose home it is");
+    });
+}
--- a/glenfall/tests/unit/tries.rs
+++ b/glenfall/tests/unit/tries.rs
@@ -20,7 +20,7 @@
 use crate::support::run_local;
 
 /// A path of the route with as many tries, whose home is the first of two shields.
-fn path_at_first(shields: &[SocketAddrV4], tries: u32) -> String {
+pub fn path_at_first(shields: &[SocketAddrV4], tries: u32) -> String {
     let ids: Vec<ServerId> = shields.iter().map(|http| ServerId(http.to_string().as_str().into())).collect();
     let mut array = Shields::default();
     array.update(&ids);
