--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -1,5 +1,6 @@
 //! What servers and operators call.
 
+use std::cell::RefCell;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use glenfall_plane::registry::{Beat, Entry, Heard};
 use http_body_util::Full;
 use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use serde::Deserialize;
 use serde_json::json;
@@ -18,6 +20,7 @@
 
 use super::backup::Backup;
 use super::Control;
+use crate::metrics::log_limit::LogLimit;
 use crate::proxy::serve::{Answer, Handler, Whole};
 
 /// How long it may take to prove what is the newest; callers move on after a second.
@@ -30,7 +33,41 @@
 /// Longest host, path or label of a purge.
 const LONGEST: usize = 8 << 10;
 
-pub struct Api(pub Rc<Control>);
+/// Lines about refused calls that may be written at once, and from then on in a second.
+const LINES_AT_ONCE: f64 = 64.0;
+const LINES_PER_S: f64 = 2.0;
+
+/// The calls of servers and operators at a control node.
+pub struct Api {
+    control: Rc<Control>,
+    refusals: RefCell<LogLimit>,
+}
+
+/// Why a call was refused, for the log.
+#[derive(Clone)]
+struct Reason(String);
+
+impl Api {
+    /// The calls that this node answers.
+    pub fn new(control: Rc<Control>) -> Self {
+        Api { control, refusals: RefCell::new(LogLimit::new(LINES_AT_ONCE, LINES_PER_S)) }
+    }
+
+    /// Writes a line for a call that is refused.
+    fn note_refusal(&self, head: &Parts, answer: &Answer, began: Instant) {
+        let Some(not_logged) = self.refusals.borrow_mut().admit(Instant::now()) else { return };
+        let reason = answer.extensions().get::<Reason>().map_or("", |reason| &reason.0);
+        tracing::warn!(
+            method = %head.method,
+            path = ?head.uri.path(),
+            status = answer.status().as_u16(),
+            reason,
+            after_ms = began.elapsed().as_millis() as u64,
+            not_logged,
+            "call refused"
+        );
+    }
+}
 
 fn answer(status: StatusCode, body: serde_json::Value) -> Answer {
     raw(status, Bytes::from(body.to_string()))
@@ -50,7 +87,12 @@
         why.truncate(why.floor_char_boundary(LONGEST_WHY));
         why.push('…');
     }
-    answer(status, json!({ "error": why }))
+    with_reason(answer(status, json!({ "error": why })), why)
+}
+
+fn with_reason(mut answer: Answer, why: String) -> Answer {
+    answer.extensions_mut().insert(Reason(why));
+    answer
 }
 
 /// The order may have been applied before the horizon of the deduplication table: no node will ever tell, and sending it
@@ -61,7 +103,10 @@
          force: read it back, and do not send this again"
     );
     let body = json!({ "error": why, "current": current, "forgottenUpTo": up_to, "readBack": "/api/config" });
-    answer(StatusCode::SERVICE_UNAVAILABLE, body)
+    with_reason(
+        answer(StatusCode::SERVICE_UNAVAILABLE, body),
+        format!("versions up to {up_to} are forgotten"),
+    )
 }
 
 fn out_of_touch() -> Answer {
@@ -70,17 +115,41 @@
 
 impl Handler for Api {
     async fn answer(&self, whole: Whole) -> Answer {
+        let began = Instant::now();
+        let answer = self.dispatch(&whole).await;
+        if answer.status().is_client_error() || answer.status().is_server_error() {
+            self.note_refusal(&whole.head, &answer, began);
+        }
+        answer
+    }
+
+    fn limits(&self) -> ReqLimits {
+        ReqLimits {
+            max_header_bytes: 16 << 10,
+            max_body_bytes: LARGEST,
+            header_timeout_ms: 5000,
+            idle_timeout_ms: 20_000,
+        }
+    }
+
+    fn leaving(&self) -> bool {
+        *self.control.stop.borrow()
+    }
+}
+
+impl Api {
+    async fn dispatch(&self, whole: &Whole) -> Answer {
         let path = whole.head.uri.path();
         match (whole.head.method.as_str(), path) {
             ("GET", "/api/config") => self.read().await,
-            ("PUT", "/api/config") => self.change(&whole, Change::Put).await,
-            ("PATCH", "/api/config") => self.change(&whole, Change::Patch).await,
+            ("PUT", "/api/config") => self.change(whole, Change::Put).await,
+            ("PATCH", "/api/config") => self.change(whole, Change::Patch).await,
             ("POST", "/api/purge") => self.purge(&whole.body).await,
             ("GET", "/api/state") => self.export().await,
             ("GET", "/api/core") => answer(StatusCode::OK, self.core()),
             ("POST", "/api/core") => self.seat(&whole.body).await,
             ("GET", "/api/status") => answer(StatusCode::OK, self.status()),
-            ("GET", "/api/ready") if self.0.cut_off() => out_of_touch(),
+            ("GET", "/api/ready") if self.control.cut_off() => out_of_touch(),
             ("GET", "/api/ready") => answer(StatusCode::OK, json!({})),
             (method, path) => match (method, path.strip_prefix("/api/servers/")) {
                 ("PUT", Some(id)) => self.beat(id, &whole.body).await,
@@ -98,23 +167,8 @@
         }
     }
 
-    fn limits(&self) -> ReqLimits {
-        ReqLimits {
-            max_header_bytes: 16 << 10,
-            max_body_bytes: LARGEST,
-            header_timeout_ms: 5000,
-            idle_timeout_ms: 20_000,
-        }
-    }
-
-    fn leaving(&self) -> bool {
-        *self.0.stop.borrow()
-    }
-}
-
-impl Api {
     async fn read(&self) -> Answer {
-        match self.0.call(Call::Read).await {
+        match self.control.call(Call::Read).await {
             Outcome::Document(record) if record.rev == 0 => {
                 wrong(StatusCode::NOT_FOUND, "no configuration yet")
             }
@@ -130,10 +184,10 @@
     /// The newest acknowledged state, as a backup keeps it. A read down the chain makes it consistent, whatever
     /// goes on meanwhile.
     async fn export(&self) -> Answer {
-        let Outcome::Document(record) = self.0.call(Call::Read).await else {
+        let Outcome::Document(record) = self.control.call(Call::Read).await else {
             return wrong(StatusCode::SERVICE_UNAVAILABLE, "no view stands");
         };
-        let chain = self.0.chain.borrow();
+        let chain = self.control.chain.borrow();
         let view = chain.view().map_or(0, |view| view.number);
         match serde_json::to_value(Backup::of(&chain.members().voters, view, &record)) {
             Ok(backup) => answer(StatusCode::OK, backup),
@@ -143,7 +197,7 @@
 
     /// Who votes, who stands by, and what may be lost.
     fn core(&self) -> serde_json::Value {
-        let chain = self.0.chain.borrow();
+        let chain = self.control.chain.borrow();
         let members = chain.members();
         let voters: Vec<_> = members
             .voters
@@ -154,14 +208,14 @@
             })
             .collect();
         json!({
-            "node": self.0.boot.bind_ip,
+            "node": self.control.boot.bind_ip,
             "view": chain.view().map(|view| view.name()),
             "voters": voters,
             "outgoingVoters": members.before,
             // The name before version 0.4.
             "lettingGoOf": members.before,
             "standingBy": chain.standing_by(),
-            "losses": self.0.boot.survive.hosts,
+            "losses": self.control.boot.survive.hosts,
             "outlivesLosses": chain.outlives_losses(),
             "inMajority": chain.in_majority(),
         })
@@ -181,7 +235,7 @@
             Ok(Body { add: None, remove: Some(node) }) => Seat::Remove(node),
             Ok(_) => return wrong(StatusCode::BAD_REQUEST, "add or remove expected, with an address"),
         };
-        let control = &self.0;
+        let control = &self.control;
         // What is refused is judged by the newest set of voters, as far as a majority knows it.
         if timeout(NEWEST, control.knows_newest()).await.is_err() {
             return wrong(StatusCode::SERVICE_UNAVAILABLE, Refused::NoView);
@@ -220,11 +274,14 @@
             );
         };
         let change = change(whole.body.to_vec());
-        match self.0.call(Call::Change { builds_on, change }).await {
+        match self.control.call(Call::Change { builds_on, change }).await {
             Outcome::Done { rev } => answer(StatusCode::OK, json!({ "rev": rev })),
-            Outcome::Conflict { current } => answer(
-                StatusCode::PRECONDITION_FAILED,
-                json!({ "error": "another version is current", "current": current }),
+            Outcome::Conflict { current } => with_reason(
+                answer(
+                    StatusCode::PRECONDITION_FAILED,
+                    json!({ "error": "another version is current", "current": current }),
+                ),
+                format!("version {current} is current, not {builds_on}"),
             ),
             Outcome::Invalid(why) => wrong(StatusCode::BAD_REQUEST, why),
             Outcome::Forgotten { up_to, current } => forgotten(up_to, current),
@@ -255,7 +312,7 @@
             }
             Ok(_) => return wrong(StatusCode::BAD_REQUEST, "hostname and urlPath, or label, expected"),
         };
-        if self.0.in_majority() && self.0.purge(purge).await {
+        if self.control.in_majority() && self.control.purge(purge).await {
             answer(StatusCode::OK, json!({}))
         } else {
             out_of_touch()
@@ -270,10 +327,10 @@
         let Some(entry) = Entry::of(id, beat) else {
             return wrong(StatusCode::BAD_REQUEST, "names of 1 to 128 bytes expected");
         };
-        if !self.0.in_majority() {
+        if !self.control.in_majority() {
             return out_of_touch();
         }
-        match self.0.heard(entry).await {
+        match self.control.heard(entry).await {
             Some(Heard::Full) => wrong(StatusCode::INSUFFICIENT_STORAGE, "no room for more servers"),
             Some(Heard::Changed | Heard::Alive | Heard::Late) => answer(StatusCode::OK, json!({})),
             None => wrong(StatusCode::SERVICE_UNAVAILABLE, "not all control nodes know it yet: say it again"),
@@ -281,10 +338,10 @@
     }
 
     async fn goodbye(&self, id: &str) -> Answer {
-        if !self.0.in_majority() {
+        if !self.control.in_majority() {
             return out_of_touch();
         }
-        if self.0.said_goodbye(id).await {
+        if self.control.said_goodbye(id).await {
             answer(StatusCode::OK, json!({}))
         } else {
             wrong(StatusCode::SERVICE_UNAVAILABLE, "not all control nodes know it yet: say it again")
@@ -292,7 +349,7 @@
     }
 
     fn status(&self) -> serde_json::Value {
-        let control = &self.0;
+        let control = &self.control;
         let chain = control.chain.borrow();
         let sessions: Vec<_> = control
             .sessions
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -148,7 +148,7 @@
         still_accepting: LEAVING,
         grace: boot.grace(),
     };
-    let serving = serve::serve(terms, Rc::new(api::Api(Rc::clone(&control))), control.stop.subscribe());
+    let serving = serve::serve(terms, Rc::new(api::Api::new(Rc::clone(&control))), control.stop.subscribe());
     let (served, ()) = tokio::join!(serving, control.leave());
     Ok(served?)
 }
@@ -393,7 +393,16 @@
             self.reached.set(Instant::now());
         }
         let cut_off = self.reached.get().elapsed() >= CUT_OFF;
-        self.cut_off.send_if_modified(|known| std::mem::replace(known, cut_off) != cut_off);
+        if self.cut_off.send_if_modified(|known| std::mem::replace(known, cut_off) != cut_off) {
+            let peers = self.peers.up();
+            match cut_off {
+                true => tracing::warn!(
+                    ?peers,
+                    "no majority is reached: servers, operators and agents are turned away"
+                ),
+                false => tracing::info!(?peers, "a majority is reached again"),
+            }
+        }
         cut_off
     }
 }
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -1,6 +1,7 @@
 //! The edge: takes clients' requests, decides, and forwards: reads to the shield that RJ-CH names, all else
 //! straight to a server.
 
+mod ask_log;
 mod read;
 pub mod read_plan;
 
@@ -15,7 +16,8 @@
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
 use glenfall_plane::messages::{Aged, Member, Proxy, Purge};
-use hyper::header::HeaderMap;
+use hyper::header::{self, HeaderMap};
+use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use tokio::time::Instant;
 
@@ -24,11 +26,12 @@
 use crate::metrics::counter::Counter;
 use crate::metrics::latency::Latency;
 use crate::proxy::cache::{Cache, Copy, ObjectKey};
+use crate::proxy::failure::{Cause, FailedRequest, Failure, FailureLog};
 use crate::proxy::feed::{Feed, Follower};
 use crate::proxy::forward::{Forwarder, Outcome, UpstreamRequest};
 use crate::proxy::pool::Pool;
 use crate::proxy::response::{LocalResponse, ProxyResponse, ServerResponse};
-use crate::proxy::serve::{passed_on, plain, Answer, Handler, Whole, DEADLINE};
+use crate::proxy::serve::{passed_on, plain, Answer, Handler, Whole, DEADLINE, TRY_ID};
 use crate::shield::object_draw;
 
 /// What a request has spent on its way here since the client's clock started, and what its answer needs back.
@@ -80,6 +83,8 @@
     shielded: Cell<bool>,
     began: Instant,
     counters: Counters,
+    failures: FailureLog,
+    asks: ask_log::AskCounts,
 }
 
 /// A request that is counted at a shield until this is dropped, also where its client has gone.
@@ -115,6 +120,8 @@
             shielded: Cell::new(false),
             began: Instant::now(),
             counters: Counters::default(),
+            failures: FailureLog::default(),
+            asks: ask_log::AskCounts::default(),
         })
     }
 
@@ -130,16 +137,16 @@
         self.forwarder.hold(Holder::Edge { of: self.edges.get() as usize, alone });
     }
 
-    async fn serve(&self, whole: Whole) -> ProxyResponse {
+    async fn serve(&self, whole: &Whole) -> ProxyResponse {
         self.counters.requests.add();
         let Some(config) = self.feed.config() else {
-            return LocalResponse::refused("not ready", UNREADY).into();
+            return LocalResponse::refused(Cause::NoConfiguration, UNREADY).into();
         };
         let Some(route) = config.route(whole.host(), whole.head.uri.path()) else {
             self.counters.no_route.add();
             return LocalResponse::no_route().into();
         };
-        let until = self.deadline(route, &whole);
+        let until = self.deadline(route, whole);
         let is_read =
             route.kind == Kind::Cacheable && whole.head.method == Method::GET && whole.body.is_empty();
         let draw = match is_read {
@@ -147,18 +154,18 @@
             false => self.forwarder.origins.draw(),
         };
         let Some(service) = route.service(draw) else {
-            return LocalResponse::refused("no service", UNREADY).into();
+            return LocalResponse::refused(Cause::NoService, UNREADY).into();
         };
         let headers = passed_on(&whole.head.headers);
         if is_read {
             self.counters.reads.add();
-            let (config, whole, headers) = (&config, &whole, &headers);
+            let (config, headers) = (&config, &headers);
             return self.read(Read { config, route, service, whole, headers, until }).await;
         }
         self.forwarder.count(service);
-        let job = UpstreamRequest { until, ..self.job(&config, route, service, &whole, headers) };
+        let job = UpstreamRequest { until, ..self.job(&config, route, service, whole, headers) };
         let outcome = self.forwarder.send(job).await;
-        self.response_to(outcome, route, &whole.head.method)
+        self.response_to(outcome, &whole.head.method)
     }
 
     /// What a shield's last process failed says nothing of the next one: control tells that it is ready.
@@ -257,24 +264,44 @@
     }
 
     /// What a client gets of what came of its request at servers.
-    fn response_to(&self, outcome: Outcome, route: &Route, method: &Method) -> ProxyResponse {
+    fn response_to(&self, outcome: Outcome, method: &Method) -> ProxyResponse {
         match outcome {
             Outcome::Answered(reply) => reply.forward(method),
-            Outcome::NotRun(after) => {
+            Outcome::NotRun(refusal) => {
                 self.counters.refused.add();
-                tracing::debug!(route = %route.name, "refused");
-                LocalResponse::refused("not run", after).into()
+                LocalResponse::refused(refusal.failure, refusal.retry_after).into()
             }
-            Outcome::Unknown => {
+            Outcome::Unknown(failure) => {
                 self.counters.unknown.add();
-                LocalResponse::bad_gateway().into()
+                LocalResponse::bad_gateway(failure).into()
             }
-            Outcome::TimedOut => {
+            Outcome::TimedOut(failure) => {
                 self.counters.timed_out.add();
-                LocalResponse::gateway_timeout().into()
+                LocalResponse::gateway_timeout(failure).into()
             }
         }
     }
+
+    /// Counts and logs a request that failed. The route is the one that would take it now.
+    fn note_failure(&self, failure: &Failure, head: &Parts, status: StatusCode, began: Instant) {
+        let config = self.feed.config();
+        self.failures.note(failure, || {
+            let text = |name| head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or("");
+            let host = text(header::HOST);
+            let route = config.as_ref().and_then(|config| config.route(host, head.uri.path()));
+            FailedRequest {
+                try_id: text(TRY_ID),
+                method: head.method.as_str(),
+                host,
+                path: head.uri.path_and_query().map_or("", |path| path.as_str()),
+                route: route.map_or("", |route| &route.name),
+                status: status.as_u16(),
+                rev: config.as_ref().map_or(0, |config| config.rev),
+                in_touch: self.feed.vouches(),
+                began,
+            }
+        });
+    }
 }
 
 /// What a shield is known by: where it takes reads.
@@ -338,6 +365,8 @@
         .into_iter()
         .chain(self.forwarder.report())
         .map(|(name, value)| (name.to_owned(), value))
+        .chain(self.failures.report())
+        .chain(self.asks.report())
         .chain(c.read.report("read"))
         .chain(c.write.report("write"))
         .collect()
@@ -351,7 +380,10 @@
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
         let read = whole.head.method == Method::GET;
-        let answer = self.0.serve(whole).await;
+        let answer = self.0.serve(&whole).await;
+        if let Some(failure) = answer.failure() {
+            self.0.note_failure(failure, &whole.head, answer.status(), began);
+        }
         let counters = &self.0.counters;
         if read { &counters.read } else { &counters.write }.add(began.elapsed());
         answer.into()
@@ -364,6 +396,15 @@
     fn leaving(&self) -> bool {
         self.0.feed.leaving()
     }
+
+    fn turned_away(&self, head: &Parts, response: &LocalResponse, began: Instant) {
+        self.0.note_failure(response.failure(), head, response.status(), began);
+    }
+
+    fn head_too_slow(&self) {
+        let (head, _) = hyper::Request::new(()).into_parts();
+        self.0.note_failure(&Cause::HeadTooSlow.into(), &head, StatusCode::REQUEST_TIMEOUT, Instant::now());
+    }
 }
 
 /// Tells whoever asks whether new clients should come here.
--- a/glenfall/src/edge/read.rs
+++ b/glenfall/src/edge/read.rs
@@ -15,9 +15,11 @@
 use hyper::{Method, Request, StatusCode};
 use tokio::time::{timeout_at, Instant};
 
+use super::ask_log::{AskLog, AskOutcome};
 use super::{Edge, UNREADY};
 use crate::edge::read_plan::{AskEnd, Next, ReadPlan, Verdict};
 use crate::proxy::cache::{Copy, ObjectKey};
+use crate::proxy::failure::Cause;
 use crate::proxy::forward::Outcome;
 use crate::proxy::pool::{Trouble, Trust};
 use crate::proxy::response::{LocalResponse, ProxyResponse, ServerResponse, ShieldSource};
@@ -63,7 +65,7 @@
         }
         if !self.forwarder.pool.memory.is_free() {
             self.counters.refused.add();
-            return LocalResponse::refused("no room", UNREADY).into();
+            return LocalResponse::refused(Cause::NoMemory, UNREADY).into();
         }
         // What is not fresh any more is asked for again, whole; it comes only if it has changed.
         let mut headers = read.headers.clone();
@@ -80,6 +82,7 @@
             headers: Rc::new(headers),
             plan: ReadPlan::new(read.route.tries),
             unresponsive: Vec::new(),
+            ask_log: AskLog::default(),
             asks: Vec::new(),
             silent_at: None,
             fallback: None,
@@ -121,6 +124,7 @@
     plan: ReadPlan,
     /// Shields that gave no answer to this read, or none so far.
     unresponsive: Vec<ServerId>,
+    ask_log: AskLog,
     asks: Vec<Ask<'a>>,
     /// The shield asked last, and when it counts as silent.
     silent_at: Option<(ServerId, Seconds, Instant)>,
@@ -130,6 +134,14 @@
 
 impl<'a> Reading<'a> {
     async fn run(mut self) -> ProxyResponse {
+        let answer = self.answer().await;
+        if answer.failure().is_none() {
+            return answer;
+        }
+        answer.preceded_by(&self.ask_log.describe())
+    }
+
+    async fn answer(&mut self) -> ProxyResponse {
         loop {
             if Instant::now() >= self.read.until && self.plan.may_be_counted() {
                 return self.time_is_up();
@@ -153,16 +165,16 @@
                     }
                 }
                 Next::GiveUp => {
-                    let no_answer = || LocalResponse::bad_gateway().into();
-                    return self.fallback.unwrap_or_else(no_answer);
+                    let no_answer = || LocalResponse::bad_gateway(Cause::NoShield).into();
+                    return self.fallback.take().unwrap_or_else(no_answer);
                 }
             }
         }
     }
 
-    fn time_is_up(self) -> ProxyResponse {
+    fn time_is_up(&mut self) -> ProxyResponse {
         self.edge.counters.timed_out.add();
-        self.fallback.unwrap_or_else(|| LocalResponse::gateway_timeout().into())
+        self.fallback.take().unwrap_or_else(|| LocalResponse::gateway_timeout(Cause::NoAnswer).into())
     }
 
     /// Shields that may still answer, beside those found unresponsive.
@@ -233,6 +245,7 @@
         if let Some((shield, asked_s, _)) = self.silent_at.take() {
             self.edge.shields.borrow_mut().heard(self.edge.now(), &shield, asked_s, true);
             self.edge.counters.shield_failed.add();
+            self.ask_log.note(&self.edge.asks, &shield, AskOutcome::Silent);
             self.unresponsive.push(shield);
         }
     }
@@ -243,15 +256,8 @@
         if self.silent_at.as_ref().is_some_and(|(silent, ..)| *silent == shield) {
             self.silent_at = None;
         }
-        let reached = !matches!(ended, Err(Trouble::Unsent));
-        let reply = ended.ok().filter(|reply| reply.shield_source().is_some());
-        let behind = reply.as_ref().is_some_and(|reply| match reply.shield_source() {
-            Some(ShieldSource::Behind) => true,
-            // A purge may have been acknowledged to whoever vouches for copies, and not be known there.
-            Some(ShieldSource::Unvouched) => self.edge.feed.vouches(),
-            _ => false,
-        });
-        let reply = reply.filter(|_| !behind);
+        let (outcome, reply) = self.edge.outcome_of_ask(ended);
+        self.ask_log.note(&self.edge.asks, &shield, outcome);
         let is_late = self.unresponsive.contains(&shield);
         if reply.is_some() {
             self.edge.shield_answers(&shield, asked_s);
@@ -259,7 +265,7 @@
             self.edge.shields.borrow_mut().heard(self.edge.now(), &shield, asked_s, true);
         }
         let Some(reply) = reply else {
-            let end = if behind || !reached { AskEnd::NotAsked } else { AskEnd::Lost };
+            let end = if outcome == AskOutcome::Lost { AskEnd::Lost } else { AskEnd::NotAsked };
             self.plan.ended(number, end);
             if !is_late {
                 self.edge.counters.shield_failed.add();
@@ -288,7 +294,7 @@
     ) -> Option<ProxyResponse> {
         let verdict = self.plan.ended(number, AskEnd::Answered(report));
         let is_refusal = matches!(outcome, Outcome::NotRun(_));
-        let answer = self.edge.response_to(outcome, self.read.route, &Method::GET);
+        let answer = self.edge.response_to(outcome, &Method::GET);
         match verdict {
             // A silent shield may still answer.
             Verdict::Final if is_refusal && !self.asks.is_empty() => self.keep_fallback(answer, report),
@@ -331,6 +337,22 @@
 }
 
 impl Edge {
+    /// How an ask at a shield ended, and the answer, if it can be used.
+    fn outcome_of_ask(&self, ended: Result<ServerResponse, Trouble>) -> (AskOutcome, Option<ServerResponse>) {
+        let reply = match ended {
+            Ok(reply) => reply,
+            Err(Trouble::Unsent) => return (AskOutcome::Unreached, None),
+            Err(_) => return (AskOutcome::Lost, None),
+        };
+        match reply.shield_source() {
+            None => (AskOutcome::Lost, None),
+            Some(ShieldSource::Behind) => (AskOutcome::Behind, None),
+            // A purge may have been acknowledged to whoever vouches for copies, and not be known there.
+            Some(ShieldSource::Unvouched) if self.feed.vouches() => (AskOutcome::Unvouched, None),
+            Some(_) => (AskOutcome::Answered, Some(reply)),
+        }
+    }
+
     /// Asks one shield for an object.
     async fn ask_shield(
         &self,
--- a/glenfall/src/metrics.rs
+++ b/glenfall/src/metrics.rs
@@ -2,3 +2,4 @@
 
 pub mod counter;
 pub mod latency;
+pub mod log_limit;
--- a/glenfall/src/operator/demo.rs
+++ b/glenfall/src/operator/demo.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddrV4;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -91,11 +92,20 @@
         mem_mb: 256,
     };
     let program = std::env::current_exe()?;
-    let local = Local::start(layout, &program).await?;
+    let mut local = Local::start(layout, &program).await?;
+    let shown = show(&local, &program, once).await;
+    if shown.is_err() {
+        println!("logs:           {}", local.keep_folder().display());
+    }
+    shown
+}
+
+/// Shows each step of the path; then goes on until a signal, or ends if `once`.
+async fn show(local: &Local, program: &Path, once: bool) -> Result<(), DemoError> {
     let at = local.controls();
     let (_stop, stopping) = watch::channel(false);
     for number in 0..2 {
-        start_server(number, &local, stopping.clone()).await?;
+        start_server(number, local, stopping.clone()).await?;
     }
     put_config(&at).await?;
     println!("configuration 1 is in force at {}", at.controls[0]);
--- a/glenfall/src/operator/local_system.rs
+++ b/glenfall/src/operator/local_system.rs
@@ -37,13 +37,14 @@
     child: Child,
 }
 
-/// The processes end, and their folder goes, when this is dropped.
+/// The processes end, and their folder goes, when this is dropped; unless it is to be kept.
 pub struct Local {
     layout: Layout,
     program: PathBuf,
     base: u16,
     pub folder: PathBuf,
     processes: Vec<Process>,
+    keeps_folder: bool,
 }
 
 impl Drop for Local {
@@ -52,7 +53,9 @@
             let _ = process.child.kill();
             let _ = process.child.wait();
         }
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if !self.keeps_folder {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
@@ -81,7 +84,7 @@
         let folder = std::env::temp_dir().join(format!("glenfall-local-{}-{base}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let program = program.to_owned();
-        let mut local = Local { layout, program, base, folder, processes: Vec::new() };
+        let mut local = Local { layout, program, base, folder, processes: Vec::new(), keeps_folder: false };
         for number in 1..=layout.cores + layout.edges {
             let (node, roles) = (local.node(number), local.roles(number));
             std::fs::write(local.settings_file(&node), local.settings(&node, number))?;
@@ -93,6 +96,12 @@
         Ok(local)
     }
 
+    /// Leaves the folder with its logs and state where it is, for whoever looks into what went wrong.
+    pub fn keep_folder(&mut self) -> &Path {
+        self.keeps_folder = true;
+        &self.folder
+    }
+
     fn node(&self, number: u8) -> String {
         match number.checked_sub(self.layout.cores + 1) {
             None => format!("core-{number}"),
--- a/glenfall/src/proxy.rs
+++ b/glenfall/src/proxy.rs
@@ -3,6 +3,7 @@
 pub mod cache;
 pub mod client_timeouts;
 pub mod concurrency_limit;
+pub mod failure;
 pub mod feed;
 pub mod forward;
 pub mod memory_budget;
--- a/glenfall/src/proxy/feed.rs
+++ b/glenfall/src/proxy/feed.rs
@@ -127,7 +127,11 @@
         match down {
             Down::Push { news, .. } => self.take(news, follower),
             Down::Granted { sent, lasts } => {
+                let stood = self.lease.stands();
                 self.lease.renew(sent, lasts);
+                if !stood && self.lease.stands() {
+                    tracing::info!("lease on copies begins");
+                }
                 true
             }
             Down::Controls(_) | Down::Leaving | Down::Ping => true,
--- a/glenfall/src/proxy/forward.rs
+++ b/glenfall/src/proxy/forward.rs
@@ -3,7 +3,7 @@
 mod attempts;
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 use crate::boot::Boot;
 use crate::metrics::counter::Counter;
 use crate::proxy::concurrency_limit::ConcurrencyLimits;
+use crate::proxy::failure::{Cause, Failure};
 use crate::proxy::origins::{Chosen, Origins};
 use crate::proxy::pool::{Pool, Trouble, Trust, ANSWER_TIME};
 use crate::proxy::response::ServerResponse;
@@ -69,12 +70,28 @@
 pub enum Outcome {
     /// To be passed on.
     Answered(ServerResponse),
-    /// It has not run and will not; it may come again after so long.
-    NotRun(Duration),
+    /// It has not run and will not.
+    NotRun(Refusal),
     /// It may have run.
-    Unknown,
+    Unknown(Failure),
     /// The same, and time is up.
-    TimedOut,
+    TimedOut(Failure),
+}
+
+/// Why a request was sent to no server, or has run at none of them.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// What ended it.
+    pub failure: Failure,
+    /// It may come again after so long.
+    pub retry_after: Duration,
+}
+
+impl Refusal {
+    /// A refusal before anything was sent.
+    pub fn new(cause: Cause, retry_after: Duration) -> Self {
+        Refusal { failure: cause.into(), retry_after }
+    }
 }
 
 /// Sends requests to servers.
@@ -87,6 +104,8 @@
     retry_budget: RefCell<Budget>,
     ceiling: RefCell<Ceiling>,
     limits: ConcurrencyLimits,
+    /// Services that have servers which take requests.
+    served: RefCell<BTreeSet<String>>,
     /// Whose servers these are to share: the shields, or the edges.
     sharers: Proxy,
     began: Instant,
@@ -114,6 +133,7 @@
             retry_budget: RefCell::new(Budget::new(boot.further_tries())),
             ceiling: RefCell::new(Ceiling::new(boot.ceiling(), phase)),
             limits: ConcurrencyLimits::default(),
+            served: RefCell::default(),
             sharers,
             began: Instant::now(),
             further: Counter::default(),
@@ -162,6 +182,15 @@
             *shares.entry(server.backend.as_str()).or_insert(0.0) += share;
         }
         self.limits.update(&shares);
+        self.note_served(shares.into_keys().map(str::to_owned).collect());
+    }
+
+    /// Tells of services that have lost their last server, or have one again.
+    fn note_served(&self, served: BTreeSet<String>) {
+        let before = self.served.replace(served);
+        let served = self.served.borrow();
+        before.difference(&served).for_each(|service| tracing::warn!(?service, "service has no server left"));
+        served.difference(&before).for_each(|service| tracing::info!(?service, "service has servers"));
     }
 
     /// Counts a client's request for a service. Each is counted by one machine only.
@@ -213,17 +242,18 @@
     pub async fn send_within(&self, job: UpstreamRequest<'_>, allowance: Allowance) -> (Outcome, SendReport) {
         if !self.pool.memory.is_free() {
             self.no_room.add();
-            return (Outcome::NotRun(FULL), SendReport::default());
+            return (Outcome::NotRun(Refusal::new(Cause::NoMemory, FULL)), SendReport::default());
         }
         let Some(mut admitted) = self.limits.admit(job.service, job.rank, job.aim) else {
             self.limited.add();
-            return (Outcome::NotRun(FULL), SendReport::default());
+            return (Outcome::NotRun(Refusal::new(Cause::ConcurrencyLimit, FULL)), SendReport::default());
         };
         let (outcome, report) = self.send_admitted(job, allowance).await;
         match &outcome {
             Outcome::Answered(_) => admitted.answered(),
-            Outcome::NotRun(FULL) | Outcome::TimedOut => admitted.crowded(),
-            Outcome::NotRun(_) | Outcome::Unknown => {}
+            Outcome::NotRun(refusal) if refusal.failure.cause == Cause::ServersFull => admitted.crowded(),
+            Outcome::TimedOut(_) => admitted.crowded(),
+            Outcome::NotRun(_) | Outcome::Unknown(_) => {}
         }
         (outcome, report)
     }
@@ -235,9 +265,12 @@
     ) -> (Outcome, SendReport) {
         let mut attempts = Attempts::new(allowance.sends, job.repeatable);
         while attempts.sends.may_begin() {
-            let Some(server) = self.next_server(&job, &mut attempts).await else {
-                attempts.sends.settle();
-                break;
+            let server = match self.next_server(&job, &mut attempts).await {
+                Ok(server) => server,
+                Err(cause) => {
+                    attempts.not_sent(cause);
+                    break;
+                }
             };
             let Ok(want) = HeaderValue::from_str(&server.id) else { continue };
             job.headers.insert(WANT_SERVER, want);
@@ -247,24 +280,29 @@
             in_flight.ended(attempts.ended(ended));
         }
         let report = SendReport { used: attempts.sends.used(), short: attempts.sends.is_short() };
-        (attempts.fallback, report)
+        (attempts.into_outcome(), report)
     }
 
-    /// The server that a request goes to next, once the ceiling, the deadline and the retry budget allow it.
-    async fn next_server(&self, job: &UpstreamRequest<'_>, attempts: &mut Attempts) -> Option<Chosen> {
+    /// The server that a request goes to next, once the ceiling, the deadline and the retry budget allow it; else what
+    /// does not.
+    async fn next_server(&self, job: &UpstreamRequest<'_>, attempts: &mut Attempts) -> Result<Chosen, Cause> {
         let sends = attempts.sends.used();
         if !attempts.under_ceiling && !self.under_ceiling(job, sends == 0).await {
-            return None;
+            return Err(Cause::RateLimit);
         }
         attempts.under_ceiling = true;
         let warm = |addr| self.pool.is_warm(addr);
-        let server = self.origins.choose(Instant::now(), job.service, &attempts.tried, warm)?;
+        let server = self.origins.choose(Instant::now(), job.service, &attempts.tried, warm);
+        let server = server.ok_or(Cause::NoServer)?;
         attempts.tried.push(server.id.clone());
         if Instant::now() >= job.until {
-            return None;
+            return Err(Cause::DeadlineBeforeSend);
         }
         let is_retry = job.again || sends > 0;
-        (!is_retry || self.may_retry(job.service)).then_some(server)
+        if is_retry && !self.may_retry(job.service) {
+            return Err(Cause::RetryBudget);
+        }
+        Ok(server)
     }
 
     /// Sends a request to a server. Where another may be asked after it, this one must leave time for that; one that
--- a/glenfall/src/proxy/forward/attempts.rs
+++ b/glenfall/src/proxy/forward/attempts.rs
@@ -4,7 +4,8 @@
 use hyper::header::HeaderName;
 use hyper::StatusCode;
 
-use super::{Outcome, FULL, NONE};
+use super::{Outcome, Refusal, FULL, NONE};
+use crate::proxy::failure::{Cause, Failure};
 use crate::proxy::origins::End;
 use crate::proxy::pool::Trouble;
 use crate::proxy::response::ServerResponse;
@@ -16,16 +17,75 @@
     pub sends: Sends,
     /// Servers that were chosen.
     pub tried: Vec<String>,
+    /// How the sends to them ended, as the log tells it.
+    ends: Vec<SendEnd>,
+    /// What kept the request from going to another server.
+    stopped_by: Option<Cause>,
     /// It has its turn under the ceiling, and no server has had it since.
     pub under_ceiling: bool,
     /// What is known of the request, if it goes to no further server.
-    pub fallback: Outcome,
+    fallback: Outcome,
+}
+
+/// How a send ended: what happened, and the status of the answer, if any.
+struct SendEnd {
+    event: Event,
+    status: Option<StatusCode>,
+}
+
+impl SendEnd {
+    fn describe(&self) -> String {
+        let status = self.status.map_or(0, |status| status.as_u16());
+        match self.event {
+            Event::NoConnection => "no connection".into(),
+            Event::Silence => "no answer in time".into(),
+            Event::NotRun => format!("not run ({status})"),
+            _ if self.status.is_some() => format!("answered {status}"),
+            _ => "answer lost".into(),
+        }
+    }
 }
 
 impl Attempts {
     pub fn new(allowed: u32, repeatable: bool) -> Self {
-        let (sends, fallback) = (Sends::new(allowed, repeatable), Outcome::NotRun(NONE));
-        Attempts { sends, tried: Vec::new(), under_ceiling: false, fallback }
+        Attempts {
+            sends: Sends::new(allowed, repeatable),
+            tried: Vec::new(),
+            ends: Vec::new(),
+            stopped_by: None,
+            under_ceiling: false,
+            fallback: Outcome::NotRun(Refusal::new(Cause::NoConnection, NONE)),
+        }
+    }
+
+    /// It goes to no further server for this cause.
+    pub fn not_sent(&mut self, cause: Cause) {
+        self.sends.settle();
+        self.stopped_by = Some(cause);
+        if let Outcome::NotRun(refusal) = &mut self.fallback {
+            if self.ends.is_empty() {
+                refusal.failure = cause.into();
+            }
+        }
+    }
+
+    /// What came of the request, once it goes to no further server.
+    pub fn into_outcome(self) -> Outcome {
+        let Attempts { tried, ends, stopped_by, fallback, .. } = self;
+        let way = || describe(&tried, &ends, stopped_by);
+        let with_way = |failure: Failure| Failure::after(failure.cause, way());
+        match fallback {
+            Outcome::Answered(reply) if !reply.status().is_server_error() => Outcome::Answered(reply),
+            Outcome::Answered(mut reply) => {
+                reply.set_way(way());
+                Outcome::Answered(reply)
+            }
+            Outcome::NotRun(refusal) => {
+                Outcome::NotRun(Refusal { failure: with_way(refusal.failure), ..refusal })
+            }
+            Outcome::Unknown(failure) => Outcome::Unknown(with_way(failure)),
+            Outcome::TimedOut(failure) => Outcome::TimedOut(with_way(failure)),
+        }
     }
 
     /// Takes the end of a send, and says what it tells of the server.
@@ -41,12 +101,15 @@
         let status = ended.as_ref().ok().map(|reply| reply.status());
         let failure = status.is_some_and(|status| status.is_server_error());
         let fate = self.sends.ended(stage, event, failure);
+        self.ends.push(SendEnd { event, status });
         match (fate, ended) {
             // It has not been sent: what is known of it is what was known before.
             (Fate::NotRun, Err(_)) => {}
             (Fate::NotRun, Ok(_)) => self.turned_away(status),
             (Fate::Answered, Ok(reply)) => self.fallback = Outcome::Answered(reply),
-            _ => self.fallback = if event == Event::Silence { Outcome::TimedOut } else { Outcome::Unknown },
+            _ if event == Event::Silence => self.fallback = Outcome::TimedOut(Cause::NoAnswer.into()),
+            (_, Ok(_)) => self.fallback = Outcome::Unknown(Cause::UnprovenRefusal.into()),
+            (_, Err(_)) => self.fallback = Outcome::Unknown(Cause::AnswerLost.into()),
         }
         match event {
             Event::NotRun if status == Some(StatusCode::MISDIRECTED_REQUEST) => End::Failed,
@@ -65,11 +128,20 @@
             self.sends.settle();
         }
         if !matches!(self.fallback, Outcome::Answered(_)) {
-            self.fallback = Outcome::NotRun(if ceiling { NONE } else { FULL });
+            let (cause, retry_after) =
+                if ceiling { (Cause::ServerRateLimit, NONE) } else { (Cause::ServersFull, FULL) };
+            self.fallback = Outcome::NotRun(Refusal::new(cause, retry_after));
         }
     }
 }
 
+/// Whom a request was sent to, how that ended, and what kept it from going on.
+fn describe(tried: &[String], ends: &[SendEnd], stopped_by: Option<Cause>) -> String {
+    let sends = tried.iter().zip(ends).map(|(server, end)| format!("{server}: {}", end.describe()));
+    let stop = stopped_by.filter(|_| !ends.is_empty()).map(|cause| format!("stopped by {}", cause.name()));
+    sends.chain(stop).collect::<Vec<_>>().join(", ")
+}
+
 /// What a whole answer of a server says.
 fn event(reply: &ServerResponse) -> Event {
     let status = reply.status();
--- a/glenfall/src/proxy/response.rs
+++ b/glenfall/src/proxy/response.rs
@@ -52,6 +52,7 @@
 use hyper::http::response::Parts;
 use hyper::{Method, Response, StatusCode};
 
+use crate::proxy::failure::{Cause, Failure, FAILURE};
 use crate::proxy::send_budget::{SendReport, SENDS};
 use crate::proxy::serve::{passed_on, TRY_ID};
 
@@ -70,12 +71,27 @@
     status: StatusCode,
     headers: HeaderMap,
     body: Bytes,
+    /// Whom the request was sent to, where the response is a failure.
+    way: String,
 }
 
 impl ServerResponse {
     /// A response as it was read from one connection: its head and its whole body.
     pub fn new(head: Parts, body: Bytes) -> Self {
-        ServerResponse { status: head.status, headers: head.headers, body }
+        ServerResponse { status: head.status, headers: head.headers, body, way: String::new() }
+    }
+
+    /// Notes whom the request was sent to, for the log.
+    pub fn set_way(&mut self, way: String) {
+        self.way = way;
+    }
+
+    /// Why the request failed, where a server answered with an error of its own or its shield says so.
+    fn failure(&self) -> Option<Failure> {
+        if self.shield_source().is_some() {
+            return self.headers.get(FAILURE).map(|value| Failure::decode(Some(value)));
+        }
+        self.status.is_server_error().then(|| Failure::after(Cause::ServerError, self.way.clone()))
     }
 
     /// The server's status.
@@ -101,7 +117,7 @@
     /// A shield's response as its edge returns it: one that the shield made itself stays free of any server's seal.
     pub fn forward_from_shield(self) -> ProxyResponse {
         match self.shield_source() {
-            Some(ShieldSource::Local | ShieldSource::Behind) => LocalResponse::relayed(&self).into(),
+            Some(ShieldSource::Local | ShieldSource::Behind) => LocalResponse::relayed(self).into(),
             _ => self.forward(&Method::GET),
         }
     }
@@ -115,7 +131,8 @@
                 headers.insert(header::CONTENT_LENGTH, length.clone());
             }
         }
-        ProxyResponse::new(self.status, headers, self.body)
+        let failure = self.failure();
+        ProxyResponse::new(self.status, headers, self.body, failure)
     }
 }
 
@@ -180,63 +197,80 @@
     status: StatusCode,
     retry_after: Option<HeaderValue>,
     body: Bytes,
+    failure: Failure,
 }
 
 impl LocalResponse {
-    fn new(status: StatusCode, reason: &'static str) -> Self {
-        LocalResponse { status, retry_after: None, body: Bytes::from_static(reason.as_bytes()) }
+    /// A response whose body names the cause.
+    fn new(status: StatusCode, failure: impl Into<Failure>) -> Self {
+        let failure = failure.into();
+        let body = Bytes::from_static(failure.cause.name().as_bytes());
+        LocalResponse { status, retry_after: None, body, failure }
     }
 
     /// 503: the request has not run and never will; it may come again after this time.
-    pub fn refused(reason: &'static str, retry_after: Duration) -> Self {
+    pub fn refused(failure: impl Into<Failure>, retry_after: Duration) -> Self {
         let seconds = HeaderValue::from_str(&format!("{:.3}", retry_after.as_secs_f64())).ok();
-        LocalResponse { retry_after: seconds, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, reason) }
+        LocalResponse { retry_after: seconds, ..Self::new(StatusCode::SERVICE_UNAVAILABLE, failure) }
     }
 
     /// 404: no route takes the request.
     pub fn no_route() -> Self {
-        Self::new(StatusCode::NOT_FOUND, "no such route")
+        Self::new(StatusCode::NOT_FOUND, Cause::NoRoute)
     }
 
     /// 502: the request may have run, and nothing usable came back.
-    pub fn bad_gateway() -> Self {
-        Self::new(StatusCode::BAD_GATEWAY, "no answer")
+    pub fn bad_gateway(failure: impl Into<Failure>) -> Self {
+        Self::new(StatusCode::BAD_GATEWAY, failure)
     }
 
     /// 504: the same, as time ran out.
-    pub fn gateway_timeout() -> Self {
-        Self::new(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+    pub fn gateway_timeout(failure: impl Into<Failure>) -> Self {
+        Self::new(StatusCode::GATEWAY_TIMEOUT, failure)
     }
 
-    /// 400: the request is not understood.
+    /// 400: the request is not understood, for this reason.
     pub fn bad_request(reason: &'static str) -> Self {
-        Self::new(StatusCode::BAD_REQUEST, reason)
+        let failure = Failure { cause: Cause::BadRequest, way: reason.into() };
+        let body = Bytes::from_static(reason.as_bytes());
+        LocalResponse { body, ..Self::new(StatusCode::BAD_REQUEST, failure) }
     }
 
     /// 413: the body is longer than is taken.
     pub fn payload_too_large() -> Self {
-        Self::new(StatusCode::PAYLOAD_TOO_LARGE, "body too large")
+        Self::new(StatusCode::PAYLOAD_TOO_LARGE, Cause::BodyTooLarge)
     }
 
     /// 408: the request did not come whole in time, and has not run.
     pub fn request_timeout() -> Self {
-        Self::new(StatusCode::REQUEST_TIMEOUT, "body took too long")
+        Self::new(StatusCode::REQUEST_TIMEOUT, Cause::BodyTooSlow)
     }
 
     /// The failure of a server for those who waited for another request's response: it was not given to them, so that
     /// they get its status and nothing else of it.
     pub fn same_failure(failure: &ServerResponse) -> Self {
-        Self::new(failure.status, "the server failed")
+        Self::new(failure.status, Failure::after(Cause::ServerError, failure.way.clone()))
     }
 
     /// What a shield said itself, for the edge's client.
-    fn relayed(response: &ServerResponse) -> Self {
+    fn relayed(response: ServerResponse) -> Self {
         LocalResponse {
             status: response.status,
             retry_after: response.headers.get(header::RETRY_AFTER).cloned(),
-            body: response.body.clone(),
+            failure: Failure::decode(response.headers.get(FAILURE)),
+            body: response.body,
         }
     }
+
+    /// Why the request failed.
+    pub fn failure(&self) -> &Failure {
+        &self.failure
+    }
+
+    /// The status that the client gets.
+    pub fn status(&self) -> StatusCode {
+        self.status
+    }
 }
 
 /// Where a shield's response comes from.
@@ -284,34 +318,55 @@
 
 /// What a proxy hands to its client. Only headers between this system's own processes can still be set.
 #[derive(Debug)]
-pub struct ProxyResponse(Response<Full<Bytes>>);
+pub struct ProxyResponse {
+    response: Response<Full<Bytes>>,
+    failure: Option<Failure>,
+}
 
 impl ProxyResponse {
-    fn new(status: StatusCode, headers: HeaderMap, body: Bytes) -> Self {
+    fn new(status: StatusCode, headers: HeaderMap, body: Bytes, failure: Option<Failure>) -> Self {
         let mut response = Response::new(Full::new(body));
         *response.status_mut() = status;
         *response.headers_mut() = headers;
-        ProxyResponse(response)
+        ProxyResponse { response, failure }
     }
 
     /// As the client gets it.
     pub fn status(&self) -> StatusCode {
-        self.0.status()
+        self.response.status()
     }
 
     /// As the client gets them.
     pub fn headers(&self) -> &HeaderMap {
-        self.0.headers()
+        self.response.headers()
+    }
+
+    /// Why the request failed, if it did; for logs.
+    pub fn failure(&self) -> Option<&Failure> {
+        self.failure.as_ref()
+    }
+
+    /// Notes whom a request that failed was sent to before.
+    pub fn preceded_by(mut self, way: &str) -> Self {
+        self.failure = self.failure.map(|failure| failure.preceded_by(way));
+        self
+    }
+
+    /// Tells an edge why the request failed, if it did.
+    pub fn tell_failure(&mut self) {
+        if let Some(failure) = &self.failure {
+            self.response.headers_mut().insert(FAILURE, failure.encode());
+        }
     }
 
     /// Tells an edge where the response comes from.
     pub fn set_shield_source(&mut self, source: ShieldSource) {
-        self.0.headers_mut().insert(SHIELD, HeaderValue::from_static(source.name()));
+        self.response.headers_mut().insert(SHIELD, HeaderValue::from_static(source.name()));
     }
 
     /// Tells an edge what it needs to keep a copy.
     pub fn set_copy_details(&mut self, age: Duration, tags: &str) {
-        let headers = self.0.headers_mut();
+        let headers = self.response.headers_mut();
         headers.insert(AGE_MS, HeaderValue::from(age.as_millis() as u64));
         if let Ok(tags) = HeaderValue::from_str(tags) {
             headers.insert(TAGS, tags);
@@ -321,15 +376,15 @@
     /// Tells an edge what was used of the sends that it allowed; nothing where it used none.
     pub fn set_send_report(&mut self, report: SendReport) {
         if report != SendReport::default() {
-            self.0.headers_mut().insert(SENDS, report.encode());
+            self.response.headers_mut().insert(SENDS, report.encode());
         }
     }
 
     /// Names the request that this answers, as an edge knows it.
     pub fn set_try_id(&mut self, id: Option<&HeaderValue>) {
         match id {
-            Some(id) => self.0.headers_mut().insert(TRY_ID, id.clone()),
-            None => self.0.headers_mut().remove(TRY_ID),
+            Some(id) => self.response.headers_mut().insert(TRY_ID, id.clone()),
+            None => self.response.headers_mut().remove(TRY_ID),
         };
     }
 }
@@ -340,19 +395,19 @@
         if let Some(seconds) = local.retry_after {
             headers.insert(header::RETRY_AFTER, seconds);
         }
-        ProxyResponse::new(local.status, headers, local.body)
+        ProxyResponse::new(local.status, headers, local.body, Some(local.failure))
     }
 }
 
 impl From<CachedResponse> for ProxyResponse {
     fn from(cached: CachedResponse) -> Self {
-        ProxyResponse::new(cached.status, cached.headers, cached.body)
+        ProxyResponse::new(cached.status, cached.headers, cached.body, None)
     }
 }
 
 impl From<ProxyResponse> for Response<Full<Bytes>> {
     fn from(response: ProxyResponse) -> Self {
-        response.0
+        response.response
     }
 }
 
--- a/glenfall/src/proxy/serve.rs
+++ b/glenfall/src/proxy/serve.rs
@@ -14,6 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::{service_fn, HttpService};
 use hyper::{Request, Response, StatusCode};
@@ -25,6 +26,7 @@
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use crate::proxy::client_timeouts::{self, ClientTimeouts, Ended, TimedStream};
+use crate::proxy::failure::Cause;
 use crate::proxy::response::LocalResponse;
 
 /// A whole answer, of whatever origin: proxies make theirs as [`ProxyResponse`](crate::proxy::response::ProxyResponse).
@@ -56,12 +58,16 @@
     fn limits(&self) -> ReqLimits;
     /// Answers close their connections: the process leaves.
     fn leaving(&self) -> bool;
+    /// A request was turned away before it was read whole.
+    fn turned_away(&self, _head: &Parts, _response: &LocalResponse, _began: Instant) {}
+    /// A client took too long for the head of a request.
+    fn head_too_slow(&self) {}
 }
 
 /// A request and all of its body.
 pub struct Whole {
     /// Method, path, headers.
-    pub head: hyper::http::request::Parts,
+    pub head: Parts,
     /// All of it.
     pub body: Bytes,
 }
@@ -263,7 +269,9 @@
             clients.closed.notified().await;
         }
     };
-    let _ = timeout(terms.grace.saturating_sub(terms.still_accepting), none_left).await;
+    if timeout(terms.grace.saturating_sub(terms.still_accepting), none_left).await.is_err() {
+        tracing::warn!(connections = clients.open.get(), listen = %terms.listen, "given up as the grace ends");
+    }
 }
 
 /// Ends once the process is told to stop.
@@ -319,17 +327,7 @@
         async move {
             let _busy = timeouts.busy();
             client.begins();
-            // Beside `Transfer-Encoding` hyper hides a length; the two may disagree on where the next
-            // request begins, so that nothing more is read on the connection.
-            let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
-            let limits = handler.limits();
-            let (mut answer, understood) = match read_whole(request, &limits, &client.clients).await {
-                Ok((whole, _room)) => (handler.answer(whole).await, true),
-                Err(local) => (Answer::from(local), false),
-            };
-            if chunked || !understood || handler.leaving() {
-                answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-            }
+            let answer = respond_to(request, &**handler, &client.clients).await;
             client.rests();
             Ok::<_, Infallible>(answer)
         }
@@ -354,10 +352,32 @@
         None => close(&mut serving, &timeouts, &served, time(limits.header_timeout_ms.min(1000))).await,
     };
     if ended == Ended::SlowHead {
+        handler.head_too_slow();
         serving.into_parts().io.inner().last_word(SLOW_HEAD);
     }
 }
 
+/// Reads a request whole and answers it; the answer says whether another may follow on the connection.
+async fn respond_to<H: Handler>(request: Request<Incoming>, handler: &H, clients: &Clients) -> Answer {
+    // Beside `Transfer-Encoding` hyper hides a length; the two may disagree on where the next request begins, so that
+    // nothing more is read on the connection.
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    let limits = handler.limits();
+    let began = Instant::now();
+    let (head, body) = request.into_parts();
+    let (mut answer, understood) = match read_whole(&head, body, &limits, clients).await {
+        Ok((body, _room)) => (handler.answer(Whole { head, body }).await, true),
+        Err(local) => {
+            handler.turned_away(&head, &local, began);
+            (Answer::from(local), false)
+        }
+    };
+    if chunked || !understood || handler.leaving() {
+        answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
 /// Ends a connection in order, as the process leaves.
 async fn close<S>(
     serving: &mut http1::Connection<TokioIo<TimedStream>, S>,
@@ -390,12 +410,13 @@
     timeouts.keep(serving).await
 }
 
+/// Reads the body of a request whole, and holds the memory for it.
 async fn read_whole<'a>(
-    request: Request<Incoming>,
+    head: &Parts,
+    body: Incoming,
     limits: &ReqLimits,
     clients: &'a Clients,
-) -> Result<(Whole, BodyReservation<'a>), LocalResponse> {
-    let (head, body) = request.into_parts();
+) -> Result<(Bytes, BodyReservation<'a>), LocalResponse> {
     if head.uri.authority().is_some() || head.method == hyper::Method::CONNECT {
         return Err(LocalResponse::bad_request("a path expected"));
     }
@@ -410,11 +431,11 @@
         return Err(LocalResponse::payload_too_large());
     }
     if body.is_end_stream() {
-        return Ok((Whole { head, body: Bytes::new() }, BodyReservation(clients, 0)));
+        return Ok((Bytes::new(), BodyReservation(clients, 0)));
     }
     let mut reservation = BodyReservation(clients, 0);
     let body = read_body(body, stated, most, limits, &mut reservation).await?;
-    Ok((Whole { head, body }, reservation))
+    Ok((body, reservation))
 }
 
 async fn read_body(
@@ -427,7 +448,7 @@
     let began = Instant::now();
     let idle = Duration::from_millis(limits.idle_timeout_ms.max(1));
     // Of a stated length all is taken at once, else what has come and as much again.
-    let no_room = || LocalResponse::refused("no reservation for the body", Duration::from_millis(200));
+    let no_room = || LocalResponse::refused(Cause::NoBodyMemory, Duration::from_millis(200));
     if !reservation.make(stated) {
         return Err(no_room());
     }
--- a/glenfall/src/shield.rs
+++ b/glenfall/src/shield.rs
@@ -24,8 +24,9 @@
 use crate::metrics::counter::Counter;
 use crate::metrics::latency::Latency;
 use crate::proxy::cache::{Cache, Copy, ObjectKey};
+use crate::proxy::failure::Cause;
 use crate::proxy::feed::{Feed, Follower};
-use crate::proxy::forward::{Forwarder, NONE};
+use crate::proxy::forward::{Forwarder, Refusal, NONE};
 use crate::proxy::pool::Pool;
 use crate::proxy::response::{LocalResponse, ProxyResponse, ShieldSource};
 use crate::proxy::send_budget::{Allowance, SendReport};
@@ -193,22 +194,22 @@
         let allowance = Allowance::of_request(&whole.head.headers, route.tries);
         if allowance.sends == 0 {
             let report = SendReport { used: 0, short: true };
-            return Read { report, ..Read::local(LocalResponse::gateway_timeout()) };
+            return Read { report, ..Read::local(LocalResponse::gateway_timeout(Cause::NoSendLeft)) };
         }
         let fetch = FetchRequest::new(&config, route, key, &whole.head, old, allowance, until);
         match self.begin_fetch(fetch) {
             Ok(done) => self.await_own(done, until, allowance, whole).await,
-            Err(TooManyFetches) => self.refuse(NONE),
+            Err(TooManyFetches) => self.refuse(Refusal::new(Cause::TooManyFetches, NONE)),
         }
     }
 
     /// The configuration, once it is as new as the edge's; a refusal that says so where it does not come.
     async fn configuration(&self, rev: u64, until: Instant) -> Result<Arc<Config>, Read> {
-        let unready = || Read::local(LocalResponse::refused("not ready", Duration::from_millis(200)));
+        let unready = |cause| Read::local(LocalResponse::refused(cause, Duration::from_millis(200)));
         if timeout_at(until.min(Instant::now() + PUSH), self.feed.reaches(rev)).await.is_err() {
-            return Err(Read { source: ShieldSource::Behind, ..unready() });
+            return Err(Read { source: ShieldSource::Behind, ..unready(Cause::ShieldBehind) });
         }
-        self.feed.config().ok_or_else(unready)
+        self.feed.config().ok_or_else(|| unready(Cause::NoConfiguration))
     }
 
     /// Waits for the fetch that a read has begun, until the read's deadline.
@@ -250,15 +251,15 @@
                 source: ShieldSource::Passed,
                 report: SendReport::default(),
             },
-            Fetched::Refused(after) => self.refuse(after),
-            Fetched::Unknown => Read::local(LocalResponse::bad_gateway()),
-            Fetched::TimedOut => Read::local(LocalResponse::gateway_timeout()),
+            Fetched::Refused(refusal) => self.refuse(refusal),
+            Fetched::Unknown(failure) => Read::local(LocalResponse::bad_gateway(failure)),
+            Fetched::TimedOut(failure) => Read::local(LocalResponse::gateway_timeout(failure)),
         }
     }
 
-    fn refuse(&self, after: Duration) -> Read {
+    fn refuse(&self, refusal: Refusal) -> Read {
         self.counters.refused.add();
-        Read::local(LocalResponse::refused("service full", after))
+        Read::local(LocalResponse::refused(refusal.failure, refusal.retry_after))
     }
 
     /// Keeps a copy in memory and on disk.
@@ -289,9 +290,9 @@
 /// Waits for the end of a fetch; what is known without it, where it does not come by then.
 async fn await_end(mut done: FetchDone, until: Instant) -> Result<FetchEnd, Fetched> {
     match timeout_at(until, done.wait_for(|end| end.is_some())).await {
-        Ok(Ok(end)) => end.clone().ok_or(Fetched::Unknown),
-        Ok(Err(_)) => Err(Fetched::Unknown),
-        Err(_) => Err(Fetched::TimedOut),
+        Ok(Ok(end)) => end.clone().ok_or(Fetched::Unknown(Cause::AnswerLost.into())),
+        Ok(Err(_)) => Err(Fetched::Unknown(Cause::AnswerLost.into())),
+        Err(_) => Err(Fetched::TimedOut(Cause::NoAnswer.into())),
     }
 }
 
@@ -398,6 +399,7 @@
         let Read { mut response, source, report } = self.0.read(&whole).await;
         response.set_shield_source(source);
         response.set_send_report(report);
+        response.tell_failure();
         // By it the edge knows which request this answers.
         response.set_try_id(whole.head.headers.get(TRY_ID));
         self.0.counters.answer.add(began.elapsed());
--- a/glenfall/src/shield/fetch.rs
+++ b/glenfall/src/shield/fetch.rs
@@ -15,7 +15,8 @@
 
 use super::{Shield, AGAIN};
 use crate::proxy::cache::{Copy, ObjectKey};
-use crate::proxy::forward::{Outcome, UpstreamRequest};
+use crate::proxy::failure::Failure;
+use crate::proxy::forward::{Outcome, Refusal, UpstreamRequest};
 use crate::proxy::response::ServerResponse;
 use crate::proxy::send_budget::{Allowance, SendReport};
 use crate::proxy::serve::passed_on;
@@ -31,9 +32,9 @@
 pub(super) enum Fetched {
     Copy(Rc<Copy>),
     Other(ServerResponse),
-    Refused(Duration),
-    Unknown,
-    TimedOut,
+    Refused(Refusal),
+    Unknown(Failure),
+    TimedOut(Failure),
 }
 
 /// The end of a fetch, and what it used of the allowance of the read that began it.
@@ -180,9 +181,9 @@
         let (outcome, report) = self.forwarder.send_within(job, allowance).await;
         let fetched = match outcome {
             Outcome::Answered(reply) => self.take_reply(&key, reply, began, old.clone()),
-            Outcome::NotRun(after) => Fetched::Refused(after),
-            Outcome::Unknown => Fetched::Unknown,
-            Outcome::TimedOut => Fetched::TimedOut,
+            Outcome::NotRun(refusal) => Fetched::Refused(refusal),
+            Outcome::Unknown(failure) => Fetched::Unknown(failure),
+            Outcome::TimedOut(failure) => Fetched::TimedOut(failure),
         };
         self.counters.fetch.add(began.elapsed());
         self.fetches.set(self.fetches.get() - 1);
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -133,6 +133,17 @@
 
     /// The same, with more lines of settings.
     pub fn start_with(core: &[&'static str], edge: &[&'static str], settings: &str) -> System {
+        // Servers are not heard of again within a test.
+        System::start_beating(core, edge, 120_000, settings)
+    }
+
+    /// The same, where servers call this often.
+    pub fn start_beating(
+        core: &[&'static str],
+        edge: &[&'static str],
+        beat_ms: u64,
+        settings: &str,
+    ) -> System {
         let one = ONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         let base = free_ports();
         let folder = std::env::temp_dir().join(format!("glenfall-system-{}-{base}", std::process::id()));
@@ -142,9 +153,8 @@
         for n in 1..=EDGE {
             let ip = machine(n);
             let ports = [2, 3, 4, 5].map(|offset| base + offset);
-            // Servers are not heard of again within a test.
             let text = format!(
-                "node = \"node-{n}\"\nzone = \"z\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nbeatMs = 120000\nvoter = true\n\
+                "node = \"node-{n}\"\nzone = \"z\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\nbeatMs = {beat_ms}\nvoter = true\n\
                  portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\n\
                  [listeners]\ncontrolAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n{settings}",
                 ports[0],
--- a/glenfall/tests/hostile.rs
+++ b/glenfall/tests/hostile.rs
@@ -403,8 +403,8 @@
             "answered"
         }
         Outcome::NotRun(_) => "not run",
-        Outcome::Unknown => "unknown",
-        Outcome::TimedOut => "timed out",
+        Outcome::Unknown(_) => "unknown",
+        Outcome::TimedOut(_) => "timed out",
     };
     (told, repeatable)
 }
--- a/glenfall/tests/unit/forward.rs
+++ b/glenfall/tests/unit/forward.rs
@@ -77,8 +77,8 @@
         Outcome::Answered(reply) if reply.status().is_success() => "answered",
         Outcome::Answered(_) => "failure passed on",
         Outcome::NotRun(_) => "not run",
-        Outcome::Unknown => "unknown",
-        Outcome::TimedOut => "timed out",
+        Outcome::Unknown(_) => "unknown",
+        Outcome::TimedOut(_) => "timed out",
     };
     assert_eq!(direct.origins.in_flight(), 0);
     (told, arrivals.get())
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -12,6 +12,7 @@
 mod declare;
 mod disk_cache;
 mod edge;
+mod failure;
 mod forward;
 mod gone;
 mod handed;
