--- a/glenfall/tests/sessions.rs
+++ b/glenfall/tests/sessions.rs
@@ -9,7 +9,7 @@
 use glenfall_plane::messages::{Down, News, Open, Up};
 use tokio::net::TcpListener;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, Instant};
 
 /// Conditions are waited for so long, also on a busy machine.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -120,3 +120,27 @@
         assert!(last < most);
     });
 }
+
+#[test]
+fn a_lease_that_could_not_be_granted_is_granted_as_soon_as_the_granter_has_one() {
+    local(async {
+        let sessions = Rc::new(Sessions::default());
+        let (mut frames, says) = follower(&sessions, "early").await;
+        assert!(says.send(Up::Renew { sent: 7 }));
+        // What follows on the same connection has been taken after it.
+        assert!(says.send(Up::Report(vec![("marker".into(), 1)])));
+        until(|| sessions.seen().iter().any(|seen| !seen.report.is_empty())).await;
+        sessions.vouch_until(Instant::now() + PATIENCE);
+        // It asks no second time. Something is said on a link again and again, so that these waits end.
+        for _ in 0..3 {
+            match timeout(PATIENCE, frames.next::<Down>()).await.expect("it goes on").expect("a message") {
+                Down::Granted { sent, lasts } => {
+                    assert!(sent == 7 && lasts > 0, "{sent} {lasts}");
+                    return;
+                }
+                other => assert_eq!(other, Down::Ping),
+            }
+        }
+        panic!("nothing is granted before it asks again");
+    });
+}
