A lease that could not be granted is granted at once when it can be

Cause: a session's request for a lease that came before its control node had one was answered by the next one only, 0.5 s later. Meanwhile edges with a lease passed over the copies of that shield, fetched the object anew by another, and went on passing over it for 2 s as if it had failed: double fetches at each start and after each loss of control. The demo failed by it. Change: whoever gets a lease after having had none grants those that were asked for meanwhile, and a session that catches up gets the one that was held back; an edge asks a shield without a lease again with the next read. The model in plane/tests/lease_world grants the same way. status says who holds a lease, and the demo waits for it.

--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -361,6 +361,7 @@
                     "ready": seen.member.as_ref().is_some_and(|member| member.ready),
                     "pushed": seen.sent,
                     "applied": seen.applied,
+                    "leased": seen.leased,
                     "counters": seen.report.into_iter().collect::<std::collections::BTreeMap<_, _>>(),
                 })
             })
--- a/glenfall/src/edge/read.rs
+++ b/glenfall/src/edge/read.rs
@@ -261,7 +261,9 @@
         let is_late = self.unresponsive.contains(&shield);
         if reply.is_some() {
             self.edge.shield_answers(&shield, asked_s);
-        } else if !is_late {
+        } else if !is_late && outcome != AskOutcome::Unvouched {
+            // One without a lease is well otherwise, and holds one soon: what it has is not fetched anew by another for
+            // longer than that.
             self.edge.shields.borrow_mut().heard(self.edge.now(), &shield, asked_s, true);
         }
         let Some(reply) = reply else {
--- a/glenfall/src/operator/demo.rs
+++ b/glenfall/src/operator/demo.rs
@@ -211,7 +211,8 @@
     }
 }
 
-/// Waits until every control node knows all shields and servers, and every session has applied that.
+/// Waits until every control node knows all shields and servers, and every session has applied that and holds a lease:
+/// a shield without one has its copies passed over.
 async fn settled(at: &Controls) -> Result<(), DemoError> {
     let began = Instant::now();
     while began.elapsed() < STEP {
@@ -224,7 +225,10 @@
         };
         let applied = |node: &serde_json::Value| {
             let sessions = node["sessions"].as_array();
-            sessions.is_some_and(|all| all.iter().all(|session| session["applied"] == session["pushed"]))
+            let settled = |session: &serde_json::Value| {
+                session["applied"] == session["pushed"] && session["leased"] == true
+            };
+            sessions.is_some_and(|all| all.iter().all(settled))
         };
         let sessions: usize = seen.iter().filter_map(|node| Some(node["sessions"].as_array()?.len())).sum();
         let all = |node| listed(node, "shields", CORES.into()) && listed(node, "servers", 2) && applied(node);
--- a/glenfall/src/session/publisher.rs
+++ b/glenfall/src/session/publisher.rs
@@ -83,6 +83,8 @@
     pub sent: u64,
     /// Changes that it has acknowledged.
     pub applied: u64,
+    /// It holds a lease on copies.
+    pub leased: bool,
     /// Its counters.
     pub report: Vec<(String, u64)>,
 }
@@ -97,7 +99,7 @@
     began: Instant,
     /// Until when this process may grant leases.
     vouches_until: Cell<Millis>,
-    /// Leases are granted anew whenever that moves, not when the other side asks.
+    /// Leases are granted anew whenever that moves, not only when the other side asks.
     relays: bool,
     /// Leases by session, also of those that have ended.
     grants: RefCell<Grants<u64>>,
@@ -129,10 +131,13 @@
     }
 
     /// This process's own lease lasts until then: leases of sessions are part of it. A moment and not a time that is left,
-    /// so that a pause of the process before this call makes no lease longer.
+    /// so that a pause of the process before this call makes no lease longer. Where it had none, sessions that have asked
+    /// for theirs meanwhile get them now: until they ask again, edges with a lease could not use their copies.
     pub fn vouch_until(&self, until: Instant) {
+        let now = self.now();
+        let had_none = self.vouches_until.get() <= now;
         self.vouches_until.set(until.saturating_duration_since(self.began).as_millis() as Millis);
-        if self.relays {
+        if self.relays || had_none {
             for (id, session) in self.all.borrow().iter() {
                 let _ = self.grant(*id, session);
             }
@@ -276,7 +281,10 @@
             Up::Report(report) => session.report = report,
             Up::Applied(number) => {
                 session.applied = session.applied.max(number);
-                self.note_applied(id, session.applied);
+                if self.note_applied(id, session.applied) {
+                    // It asked for a lease meanwhile, and was to get none before.
+                    let _ = self.grant(id, session);
+                }
                 self.applied.notify_waiters();
             }
             Up::Hello { node, member } => {
@@ -374,14 +382,18 @@
         }
     }
 
-    fn note_applied(&self, id: u64, applied: u64) {
+    /// Whether a session that was behind has now applied all that was waited for.
+    fn note_applied(&self, id: u64, applied: u64) -> bool {
         let mut all = self.overdue.borrow_mut();
-        let Some(overdue) = all.get_mut(&id) else { return };
+        let Some(overdue) = all.get_mut(&id) else { return false };
         if applied >= overdue.last {
             all.remove(&id);
-        } else if applied >= overdue.first {
+            return true;
+        }
+        if applied >= overdue.first {
             (overdue.first, overdue.since) = (overdue.last, Instant::now());
         }
+        false
     }
 
     /// Takes off the end of a list of sessions, each with what it was sent, those that have applied it or are gone.
@@ -410,15 +422,16 @@
 
     /// All sessions, for `status`.
     pub fn seen(&self) -> Vec<Seen> {
-        let all = self.all.borrow();
-        let seen = |s: &Session| Seen {
+        let (all, grants, now) = (self.all.borrow(), self.grants.borrow(), self.now());
+        let seen = |(id, s): (&u64, &Session)| Seen {
             node: s.node.clone(),
             member: s.member.clone(),
             sent: s.sent,
             applied: s.applied,
+            leased: grants.ends(now, id).is_some(),
             report: s.report.clone(),
         };
-        all.values().map(seen).collect()
+        all.iter().map(seen).collect()
     }
 }
 
--- a/glenfall/tests/unit/proxies.rs
+++ b/glenfall/tests/unit/proxies.rs
@@ -39,6 +39,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ServerActs {
     Answers,
+    /// The same, with a seal: its answers may be kept.
+    Seals,
     Fails,
     Resets,
     Hangs,
@@ -91,6 +93,7 @@
         reached.borrow_mut().entry(id.clone()).or_default().insert(number);
         let (status, sent) = match acts {
             ServerActs::Answers => ("200 OK", BODY),
+            ServerActs::Seals => ("200 OK\r\nX-Glenfall-Seal: s", BODY),
             ServerActs::Fails => ("500 Failed", BODY),
             ServerActs::Stalls => ("200 OK", BODY / 2),
             ServerActs::Resets => return,
@@ -232,13 +235,18 @@
 
     /// Starts it; what it gives holds its counters.
     pub fn start(self, servers: &[Server], stopping: &watch::Receiver<bool>) -> Rc<Shield> {
+        self.start_fed(servers, stopping).0
+    }
+
+    /// The same, with what feeds it.
+    pub fn start_fed(self, servers: &[Server], stopping: &watch::Receiver<bool>) -> (Rc<Shield>, Rc<Feed>) {
         let boot = Rc::new(settings(SETTINGS));
         let feed = Feed::new(Rc::clone(&boot), Proxy::Shield);
         let shield = Shield::new(&boot, Rc::clone(&feed), pool());
         tell(&feed, &*shield, &fleet(servers, &[]));
         let listener = self.socket.listen(64).expect("it listens");
         serve_shield(Rc::clone(&shield), listener, self.address, stopping);
-        shield
+        (shield, feed)
     }
 }
 
--- a/glenfall/tests/unit/restarted.rs
+++ b/glenfall/tests/unit/restarted.rs
@@ -9,7 +9,7 @@
 use glenfall::proxy::serve::Handler;
 use glenfall::shield::Shield;
 use glenfall_plane::fleet::Told;
-use glenfall_plane::messages::News;
+use glenfall_plane::messages::{Down, News};
 use hyper::StatusCode;
 use tokio::sync::watch;
 use tokio::time::sleep;
@@ -80,3 +80,25 @@
         assert!(started.iter().all(|shield| reads(shield) > 0), "each has the reads whose home it is");
     });
 }
+
+#[test]
+fn a_shield_that_had_no_lease_is_asked_again_as_soon_as_it_has_one() {
+    run_local(async {
+        let (_running, stopping) = watch::channel(false);
+        let servers = start_servers(ServerActs::Seals, &Reached::default()).await;
+        let down = [DownShield::new(), DownShield::new()];
+        let shields = [down[0].address, down[1].address];
+        let [(first, fed), (second, _)] = down.map(|shield| shield.start_fed(&servers, &stopping));
+        // An edge that keeps no copies itself.
+        let (edge, _feed) = start_edge_with("[reqLimits]\nmemMb = 0\n", &servers, &shields, pool()).await;
+        let path = path_at_first(&shields, 2);
+        assert_eq!(read(&edge, &path).await, StatusCode::OK);
+        assert!(fed.take(News::InTouch(false), &*first));
+        assert_eq!(read(&edge, &path).await, StatusCode::OK);
+        assert_eq!((reads(&first), reads(&second)), (2, 1), "its copy is of no use");
+        assert!(fed.take(News::InTouch(true), &*first));
+        assert!(fed.hear(Down::Granted { sent: 0, lasts: 600_000 }, &*first));
+        assert_eq!(read(&edge, &path).await, StatusCode::OK);
+        assert_eq!((reads(&first), reads(&second)), (3, 1), "it has a lease");
+    });
+}
--- a/plane/tests/lease_world/sessions.rs
+++ b/plane/tests/lease_world/sessions.rs
@@ -78,8 +78,9 @@
     }
 
     pub fn vouch_until(&mut self, upper: usize, until: Millis) {
+        let had_none = self.processes[upper].sessions.until <= self.clock(upper);
         self.processes[upper].sessions.until = until;
-        if Self::is_agent(upper) {
+        if Self::is_agent(upper) || had_none {
             let connections: Vec<usize> = self.processes[upper].sessions.all.keys().copied().collect();
             connections.into_iter().for_each(|connection| self.grant(upper, connection));
         }
