Invariants: fourteen promises are checked in the code, counted, and on in all tests

plane/src/invariant.rs names them; each is checked where it could break, by another way than the mechanism that keeps it: order and documents of configurations, sends of what may run once, seals, servers that leave, copies and purges, leases, numbers on sessions. A violation is logged and counted as broken_NAME in status; the process goes on. Tests over processes look through all logs as they end, those in process at the count, and the demo and the lab's experiments fail by one.

--- a/glenfall/src/control/membership.rs
+++ b/glenfall/src/control/membership.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use glenfall_plane::fleet::{edge_mark, Fleet, Members};
+use glenfall_plane::invariant::Invariant;
 use glenfall_plane::messages::{CallId, News, Peer, Proxy};
 use glenfall_plane::registry::{Entry, EntryStatus, Heard};
 use tokio::time::{sleep, timeout};
@@ -108,6 +109,8 @@
         // and whoever is not turns to another node.
         let (told, _applied) = tokio::join!(peers, self.sessions.applied(DRAIN));
         if told {
+            let listed = self.fleet.borrow().fleet().servers.iter().any(|s| s.id == entry.id && s.ready);
+            Invariant::DrainIsTold.check(!listed, || entry.id.clone());
             self.registry.borrow_mut().spread(&entry.id, entry.status);
         } else {
             tracing::warn!(server = %entry.id, "not acknowledged that it leaves: not all control nodes know it yet");
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -22,6 +22,7 @@
 
 use glenfall_plane::chain::{Chain, Durable, Message, Outcome, Output, Record, Start};
 use glenfall_plane::fleet::Numbered;
+use glenfall_plane::invariant::Invariant;
 use glenfall_plane::messages::{Down, Member, News, Open, Peer};
 use glenfall_plane::purges::{Purges, REMEMBERED};
 use glenfall_plane::registry::Registry;
@@ -110,6 +111,8 @@
     newest_wanted: Notify,
     /// Number of the view last told of in the log; 0 where none stands.
     told_view: Cell<u64>,
+    /// What was committed here last.
+    published: RefCell<Option<Arc<Record>>>,
 }
 
 /// What the chain begins with, by what was found on disk.
@@ -197,6 +200,7 @@
             newest_known: watch::Sender::new(0),
             newest_wanted: Notify::new(),
             told_view: Cell::new(0),
+            published: RefCell::default(),
             boot,
         })
     }
@@ -349,6 +353,7 @@
                     }
                 }
                 Output::Publish(record) => {
+                    self.check_committed(&record);
                     if record.rev > 0 {
                         tracing::info!(rev = record.rev, seq = record.seq, "configuration committed");
                         self.sessions.push(&config_news(&record));
@@ -358,6 +363,16 @@
         }
     }
 
+    /// What is committed here follows what was, whichever views came between.
+    fn check_committed(&self, record: &Arc<Record>) {
+        let Some(before) = self.published.replace(Some(Arc::clone(record))) else { return };
+        let told = || format!("rev {}, seq {} after {}, {}", record.rev, record.seq, before.rev, before.seq);
+        let rises = (before.rev, before.seq) <= (record.rev, record.seq);
+        Invariant::CommittedOrder.check(rises, told);
+        let same = before.rev != record.rev || before.document == record.document;
+        Invariant::OneDocument.check(same, told);
+    }
+
     fn tell_view(&self) {
         let chain = self.chain.borrow();
         let number = chain.view().map_or(0, |view| view.number);
--- a/glenfall/src/control/purging.rs
+++ b/glenfall/src/control/purging.rs
@@ -3,6 +3,7 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
+use glenfall_plane::invariant::Invariant;
 use glenfall_plane::messages::{News, Peer, Purge, Stamped};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -35,6 +36,7 @@
         let number = self.next_purge.replace(self.next_purge.get() + 1);
         let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
         let written = self.take_purges(vec![stamped.clone()]);
+        let pushed = self.sessions.pushed();
         let asked = self.peers.instances();
         let up: Vec<Ipv4Addr> = asked.iter().map(|instance| instance.ip).collect();
         let question =
@@ -47,7 +49,12 @@
         };
         let others = self.no_lease_but_of(&asked, PURGE);
         let (complete, purged, others, ()) = tokio::join!(peers, self.purge_sessions(PURGE), others, written);
-        others && purged && complete.is_some_and(|complete| self.bars_leases(&complete))
+        let acknowledged = others && purged && complete.is_some_and(|complete| self.bars_leases(&complete));
+        if acknowledged {
+            let behind = self.sessions.holders_behind(&pushed);
+            Invariant::PurgeIsApplied.check(behind.is_empty(), || format!("{behind:?} have a lease"));
+        }
+        acknowledged
     }
 
     /// Waits until no session that has a lease of this node can serve from copies that a purge ended; false where that
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -15,6 +15,7 @@
 use glenfall_plane::ceiling::Holder;
 use glenfall_plane::config::{Config, Kind, ReqLimits, Route};
 use glenfall_plane::fleet::Fleet;
+use glenfall_plane::invariant::Invariant;
 use glenfall_plane::messages::{Aged, Member, Proxy, Purge};
 use hyper::header::{self, HeaderMap};
 use hyper::http::request::Parts;
@@ -30,7 +31,7 @@
 use crate::proxy::feed::{Feed, Follower};
 use crate::proxy::forward::{Forwarder, Outcome, UpstreamRequest};
 use crate::proxy::pool::Pool;
-use crate::proxy::response::{LocalResponse, ProxyResponse, ServerResponse};
+use crate::proxy::response::{LocalResponse, ProxyResponse, ServerResponse, SEAL};
 use crate::proxy::serve::{passed_on, plain, Answer, Handler, Whole, DEADLINE, TRY_ID};
 use crate::shield::object_draw;
 
@@ -42,6 +43,8 @@
 /// For so long after a purge nothing that it names is kept: a shield may hear of it later than this edge, and
 /// an answer from before it may be under way.
 pub const PURGED: Duration = Duration::from_secs(3);
+/// The newest of them that each copy is held against as it is served.
+const CHECKED_PURGES: usize = 8;
 /// Purges remembered for that.
 pub const MOST_PURGED: usize = 1024;
 /// An edge that is told to stop has its answers ready so long before it gives up what is left.
@@ -84,6 +87,8 @@
     began: Instant,
     counters: Counters,
     failures: FailureLog,
+    /// The newest version that a request was decided by.
+    decided: Cell<u64>,
     asks: ask_log::AskCounts,
 }
 
@@ -121,6 +126,7 @@
             began: Instant::now(),
             counters: Counters::default(),
             failures: FailureLog::default(),
+            decided: Cell::new(0),
             asks: ask_log::AskCounts::default(),
         })
     }
@@ -142,6 +148,8 @@
         let Some(config) = self.feed.config() else {
             return LocalResponse::refused(Cause::NoConfiguration, UNREADY).into();
         };
+        let before = self.decided.replace(config.rev);
+        Invariant::ConfigOrder.check(before <= config.rev, || format!("{} after {before}", config.rev));
         let Some(route) = config.route(whole.host(), whole.head.uri.path()) else {
             self.counters.no_route.add();
             return LocalResponse::no_route().into();
@@ -243,12 +251,7 @@
         while purged.front().is_some_and(|(at, _)| at.elapsed() >= PURGED) {
             purged.pop_front();
         }
-        let named = purged.iter().any(|(_, purge)| match purge {
-            Purge::Everything => true,
-            Purge::Label(label) => copy.labelled(label),
-            Purge::Object { hostname, path } => object.at(hostname, path),
-        });
-        if !named {
+        if !purged.iter().any(|(_, purge)| names(purge, object, &copy)) {
             self.copies.borrow_mut().insert(object.clone(), Rc::new(copy));
         }
     }
@@ -258,6 +261,14 @@
         self.copies.borrow_mut().get(object)
     }
 
+    /// What the newest purges name is not there any more, and has not been kept since.
+    fn check_not_purged(&self, object: &ObjectKey, copy: &Copy) {
+        let purged = self.purged.borrow();
+        let mut newest = purged.iter().rev().take(CHECKED_PURGES).filter(|(at, _)| at.elapsed() < PURGED);
+        let named = newest.any(|(_, purge)| names(purge, object, copy));
+        Invariant::CopyNotPurged.check(!named, || format!("{object:?}"));
+    }
+
     /// Purges of late that bar what they name.
     pub fn remembered_purges(&self) -> usize {
         self.purged.borrow().len()
@@ -304,6 +315,15 @@
     }
 }
 
+/// Whether a purge names a copy of an object.
+fn names(purge: &Purge, object: &ObjectKey, copy: &Copy) -> bool {
+    match purge {
+        Purge::Everything => true,
+        Purge::Label(label) => copy.labelled(label),
+        Purge::Object { hostname, path } => object.at(hostname, path),
+    }
+}
+
 /// What a shield is known by: where it takes reads.
 fn shield_id(member: &Member) -> ServerId {
     ServerId(member.http.to_string().as_str().into())
@@ -382,6 +402,9 @@
         let read = whole.head.method == Method::GET;
         let answer = self.0.serve(&whole).await;
         if let Some(failure) = answer.failure() {
+            let sealed = answer.headers().contains_key(SEAL);
+            let is_servers = failure.cause == Cause::ServerError;
+            Invariant::SealIsServers.check(!sealed || is_servers, || format!("{failure:?}"));
             self.0.note_failure(failure, &whole.head, answer.status(), began);
         }
         let counters = &self.0.counters;
--- a/glenfall/src/edge/read.rs
+++ b/glenfall/src/edge/read.rs
@@ -61,6 +61,7 @@
         let own = self.copies.borrow_mut().get(&object).filter(|_| self.feed.vouches());
         if let Some(copy) = own.as_ref().filter(|copy| copy.age() < max_age) {
             self.counters.own_copies.add();
+            self.check_not_purged(&object, copy);
             return copy.answer(read.headers).into();
         }
         if !self.forwarder.pool.memory.is_free() {
--- a/glenfall/src/operator/demo.rs
+++ b/glenfall/src/operator/demo.rs
@@ -42,6 +42,8 @@
     #[error("demo: {what} did not come within {} s", STEP.as_secs())]
     TooLate { what: &'static str },
     #[error("demo: {0}")]
+    Broken(String),
+    #[error("demo: {0}")]
     Ops(#[from] verbs::OpsError),
 }
 
@@ -130,6 +132,9 @@
     }
     let write = until("a write", || ask(edges[0], Method::POST, "/orders/1")).await?;
     print!("write:          {}", String::from_utf8_lossy(write.body()));
+    if let Some(broken) = local.broken_invariants().into_iter().next() {
+        return Err(DemoError::Broken(broken));
+    }
     if once {
         println!("the whole path works");
         return Ok(());
--- a/glenfall/src/operator/local_system.rs
+++ b/glenfall/src/operator/local_system.rs
@@ -5,6 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 
+use glenfall_plane::invariant::BROKEN;
 use tokio::net::TcpListener;
 
 use crate::boot::VARIABLE;
@@ -96,6 +97,17 @@
         Ok(local)
     }
 
+    /// What the logs tell of invariants that were broken, of processes that have ended as well.
+    pub fn broken_invariants(&self) -> Vec<String> {
+        let entries =
+            std::fs::read_dir(&self.folder).into_iter().flatten().flatten().map(|entry| entry.path());
+        let logs = entries.filter(|path| path.extension().is_some_and(|extension| extension == "log"));
+        let texts = logs.filter_map(|path| std::fs::read_to_string(path).ok());
+        let broken =
+            |text: String| text.lines().filter(|l| l.contains(BROKEN)).map(str::to_owned).collect::<Vec<_>>();
+        texts.flat_map(broken).collect()
+    }
+
     /// Leaves the folder with its logs and state where it is, for whoever looks into what went wrong.
     pub fn keep_folder(&mut self) -> &Path {
         self.keeps_folder = true;
--- a/glenfall/src/proxy/forward.rs
+++ b/glenfall/src/proxy/forward.rs
@@ -275,6 +275,7 @@
             let Ok(want) = HeaderValue::from_str(&server.id) else { continue };
             job.headers.insert(WANT_SERVER, want);
             let another = attempts.sends.another_may_follow() || job.repeatable && allowance.held_back > 0;
+            attempts.check_send();
             let in_flight = self.origins.begin(&server.id);
             let ended = self.exchange(&job, &server, another).await;
             in_flight.ended(attempts.ended(ended));
--- a/glenfall/src/proxy/forward/attempts.rs
+++ b/glenfall/src/proxy/forward/attempts.rs
@@ -1,6 +1,7 @@
 //! What a request's sends to servers have come to so far.
 
 use glenfall_http::send::{Event, Fate, Sends, Stage};
+use glenfall_plane::invariant::Invariant;
 use hyper::header::HeaderName;
 use hyper::StatusCode;
 
@@ -19,6 +20,10 @@
     pub tried: Vec<String>,
     /// How the sends to them ended, as the log tells it.
     ends: Vec<SendEnd>,
+    /// A server may have run it: it had all of the request, and has not said that it did not run it.
+    may_have_run: bool,
+    repeatable: bool,
+    allowed: u32,
     /// What kept the request from going to another server.
     stopped_by: Option<Cause>,
     /// It has its turn under the ceiling, and no server has had it since.
@@ -52,6 +57,9 @@
             sends: Sends::new(allowed, repeatable),
             tried: Vec::new(),
             ends: Vec::new(),
+            may_have_run: false,
+            repeatable,
+            allowed,
             stopped_by: None,
             under_ceiling: false,
             fallback: Outcome::NotRun(Refusal::new(Cause::NoConnection, NONE)),
@@ -69,8 +77,22 @@
         }
     }
 
+    /// What must hold as the request is sent to a server.
+    pub fn check_send(&self) {
+        let repeated = self.may_have_run && !self.repeatable;
+        Invariant::SingleRun.check(!repeated, || self.describe());
+        Invariant::SendsAllowed.check(self.sends.used() < self.allowed, || self.describe());
+    }
+
+    fn describe(&self) -> String {
+        describe(&self.tried, &self.ends, self.stopped_by)
+    }
+
     /// What came of the request, once it goes to no further server.
     pub fn into_outcome(self) -> Outcome {
+        let refused = matches!(self.fallback, Outcome::NotRun(_));
+        let promises = refused && !self.repeatable;
+        Invariant::RefusedNotRun.check(!(promises && self.may_have_run), || self.describe());
         let Attempts { tried, ends, stopped_by, fallback, .. } = self;
         let way = || describe(&tried, &ends, stopped_by);
         let with_way = |failure: Failure| Failure::after(failure.cause, way());
@@ -102,6 +124,10 @@
         let failure = status.is_some_and(|status| status.is_server_error());
         let fate = self.sends.ended(stage, event, failure);
         self.ends.push(SendEnd { event, status });
+        self.may_have_run |= match &ended {
+            Ok(reply) => !says_not_run(reply),
+            Err(trouble) => *trouble != Trouble::Unsent,
+        };
         match (fate, ended) {
             // It has not been sent: what is known of it is what was known before.
             (Fate::NotRun, Err(_)) => {}
@@ -142,11 +168,16 @@
     sends.chain(stop).collect::<Vec<_>>().join(", ")
 }
 
+/// Whether an answer says that the request has not run.
+fn says_not_run(reply: &ServerResponse) -> bool {
+    reply.headers().contains_key(NOT_RUN) || reply.status() == StatusCode::MISDIRECTED_REQUEST
+}
+
 /// What a whole answer of a server says.
 fn event(reply: &ServerResponse) -> Event {
     let status = reply.status();
     let failure = status.is_client_error() || status.is_server_error();
-    let said = reply.headers().contains_key(NOT_RUN) || status == StatusCode::MISDIRECTED_REQUEST;
+    let said = says_not_run(reply);
     match status.as_u16() {
         _ if said && failure => Event::NotRun,
         // One that says that it has not run and what came of it.
--- a/glenfall/src/proxy/origins.rs
+++ b/glenfall/src/proxy/origins.rs
@@ -9,6 +9,7 @@
 
 use glenfall_balancer::mix;
 use glenfall_plane::fleet::edge_mark;
+use glenfall_plane::invariant::Invariant;
 use glenfall_plane::messages::Server;
 use tokio::time::Instant;
 
@@ -132,6 +133,8 @@
             let k = known.entry(server.id.clone()).or_insert_with(fresh);
             // How warm it is was told when it came or changed, and runs off since.
             if k.server != *server {
+                let back = !k.server.ready && server.ready;
+                Invariant::DrainIsFinal.check(!back, || server.id.clone());
                 (k.server, k.warm_at) = (server.clone(), warm_at);
             }
         }
--- a/glenfall/src/session/link.rs
+++ b/glenfall/src/session/link.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, BytesMut};
+use glenfall_plane::invariant;
 use glenfall_plane::messages::LONGEST_FRAME;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -52,15 +53,21 @@
     }
 }
 
-/// Counters for `status`, with a word in front of each name.
-pub fn report(before: &str) -> [(String, u64); 4] {
-    let told = |name: &str, count: &AtomicU64| (format!("{before}{name}"), count.load(Ordering::Relaxed));
+/// What this process has said and heard on held connections since its start.
+pub fn traffic() -> [(&'static str, u64); 4] {
     [
-        told("messages_said", &SAID.messages),
-        told("message_bytes_said", &SAID.bytes),
-        told("messages_heard", &HEARD.messages),
-        told("message_bytes_heard", &HEARD.bytes),
+        ("messages_said", &SAID.messages),
+        ("message_bytes_said", &SAID.bytes),
+        ("messages_heard", &HEARD.messages),
+        ("message_bytes_heard", &HEARD.bytes),
     ]
+    .map(|(name, count)| (name, count.load(Ordering::Relaxed)))
+}
+
+/// Counters of this process for `status`, with a word in front of each name: its traffic, and the invariants broken in it.
+pub fn report(before: &str) -> Vec<(String, u64)> {
+    let traffic = traffic().into_iter().map(|(name, count)| (name.to_owned(), count));
+    traffic.chain(invariant::report()).map(|(name, count)| (format!("{before}{name}"), count)).collect()
 }
 
 fn invalid(what: impl std::fmt::Display) -> io::Error {
--- a/glenfall/src/session/publisher.rs
+++ b/glenfall/src/session/publisher.rs
@@ -10,6 +10,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use glenfall_plane::invariant::Invariant;
 use glenfall_plane::lease::Grants;
 use glenfall_plane::messages::{Down, Member, News, Up};
 use glenfall_plane::Millis;
@@ -280,6 +281,8 @@
             }
             Up::Report(report) => session.report = report,
             Up::Applied(number) => {
+                let sent = session.sent;
+                Invariant::AppliedWasSent.check(number <= sent, || format!("{number} of {sent}"));
                 session.applied = session.applied.max(number);
                 if self.note_applied(id, session.applied) {
                     // It asked for a lease meanwhile, and was to get none before.
@@ -353,6 +356,19 @@
         }
     }
 
+    /// The sessions that stand, each with the number of the last change that it was sent.
+    pub fn pushed(&self) -> Vec<(u64, u64)> {
+        self.all.borrow().iter().map(|(id, session)| (*id, session.sent)).collect()
+    }
+
+    /// Those of these sessions that stand, hold a lease, and have not applied what they had been sent then.
+    pub fn holders_behind(&self, pushed: &[(u64, u64)]) -> Vec<String> {
+        let (all, grants, now) = (self.all.borrow(), self.grants.borrow(), self.now());
+        let holders = pushed.iter().filter(|(id, _)| grants.ends(now, id).is_some());
+        let behind = holders.filter_map(|(id, sent)| all.get(id).filter(|session| session.applied < *sent));
+        behind.map(|session| session.node.clone()).collect()
+    }
+
     /// The sessions that have leases, ended ones too, each with what it was sent.
     fn holders(&self) -> Vec<(u64, u64)> {
         let all = self.all.borrow();
--- a/glenfall/src/session/subscriber.rs
+++ b/glenfall/src/session/subscriber.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use glenfall_plane::invariant::Invariant;
+use glenfall_plane::lease::VOTER_LEASE;
 use glenfall_plane::messages::{Down, Up};
 use glenfall_plane::Millis;
 use tokio::sync::Notify;
@@ -38,6 +40,7 @@
     }
     let mut ping = interval(PING);
     ping.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = 0;
     loop {
         tokio::select! {
             down = frames.next_in_time::<Down>() => {
@@ -47,6 +50,15 @@
                     Down::Leaving => return,
                     _ => None,
                 };
+                if let Some(number) = number {
+                    Invariant::PushesInOrder.check(number == last + 1, || format!("{number} after {last}"));
+                    last = number;
+                }
+                if let Down::Granted { sent, lasts } = down {
+                    // It may answer a request of a while ago; what is left of the lease counts.
+                    let left = sent.saturating_add(lasts).saturating_sub(now());
+                    Invariant::LeaseIsBounded.check(left <= VOTER_LEASE, || format!("{left} ms left"));
+                }
                 if !matches!(down, Down::Ping) && !take(down).await {
                     return;
                 }
--- a/glenfall/tests/common/mod.rs
+++ b/glenfall/tests/common/mod.rs
@@ -9,6 +9,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use glenfall_plane::invariant::BROKEN;
+
 /// Conditions are waited for so long, also on a busy machine.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -32,7 +34,12 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        let logs = (1..=EDGE).filter_map(|n| std::fs::read_to_string(self.log(n)).ok());
+        let broken: Vec<String> = logs
+            .flat_map(|log| log.lines().filter(|l| l.contains(BROKEN)).map(str::to_owned).collect::<Vec<_>>())
+            .collect();
         let _ = std::fs::remove_dir_all(&self.folder);
+        assert!(std::thread::panicking() || broken.is_empty(), "{broken:?}");
     }
 }
 
--- a/glenfall/tests/unit/support.rs
+++ b/glenfall/tests/unit/support.rs
@@ -14,7 +14,10 @@
 /// Runs a test with tasks of its own, in real time.
 pub fn run_local<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, test)
+    let ended = LocalSet::new().block_on(&runtime, test);
+    // Of all tests of this process so far.
+    assert_eq!(glenfall_plane::invariant::violations(), 0);
+    ended
 }
 
 /// A listener on a free port, and its address.
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -38,6 +38,8 @@
     Io(#[from] std::io::Error),
     #[error("{0}")]
     Ops(#[from] OpsError),
+    #[error("{count} invariants broken: {first}")]
+    Invariant { count: usize, first: String },
     #[error("the system is not up after {} s", START.as_secs())]
     NotUp,
     #[error("histogram: {0}")]
@@ -80,6 +82,10 @@
         service.arrivals += origin.arrivals.get();
         service.turned_away += origin.turned_away.get();
     }
+    let broken = local.borrow().broken_invariants();
+    if let Some(first) = broken.first() {
+        return Err(LabError::Invariant { count: broken.len(), first: first.clone() });
+    }
     let seen = seen.borrow();
     Ok(Report::new(plan, &seen, services, counters, &ledger.broken()))
 }
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -358,14 +358,13 @@
     fn sample(&self) -> Sample {
         let of = |node: &str, role| self.local.pids(node, Some(role)).into_iter().next().map(usage::of);
         let core = |n| of(&format!("core-{n}"), "control").unwrap_or_default();
-        let told = glenfall::session::link::report("");
         Sample {
             at: Instant::now(),
             controls: (1..=self.controls.controls.len()).map(core).collect(),
             agent: of("edge-1", "agent").unwrap_or_default(),
             edge: of("edge-1", "edge").unwrap_or_default(),
             lab: usage::of(std::process::id()),
-            said: told.map(|(_, count)| count),
+            said: glenfall::session::link::traffic().map(|(_, count)| count),
             lost: self.seen.lost.load(Ordering::Relaxed),
             failed_beats: self.failed_beats.get(),
         }
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -15,6 +15,7 @@
 #[allow(missing_docs)]
 pub mod fleet;
 pub mod ids;
+pub mod invariant;
 pub mod lease;
 #[allow(missing_docs)]
 pub mod messages;
--- /dev/null
+++ b/plane/tests/unit/invariant.rs
@@ -0,0 +1,16 @@
+//! Checks that run in the code: a violation is counted under its name, and what holds costs nothing.
+
+use glenfall_plane::invariant::{report, violations, Invariant, COUNTER};
+
+#[test]
+fn violations_are_counted_by_name_and_details_are_made_for_them_only() {
+    let before = violations();
+    Invariant::OneDocument.check(true, || unreachable!("it holds"));
+    assert_eq!(violations(), before);
+    Invariant::OneDocument.check(false, || "two of them".into());
+    assert_eq!((violations(), Invariant::OneDocument.violations()), (before + 1, 1));
+    let told: Vec<(String, u64)> = report().collect();
+    assert_eq!(told, [(format!("{COUNTER}one_document"), 1)]);
+    let names: std::collections::BTreeSet<&str> = Invariant::ALL.iter().map(|i| i.name()).collect();
+    assert_eq!(names.len(), Invariant::ALL.len(), "each has a name of its own");
+}
--- a/plane/tests/unit/main.rs
+++ b/plane/tests/unit/main.rs
@@ -4,6 +4,7 @@
 mod ceiling;
 mod config;
 mod fleet;
+mod invariant;
 mod peers;
 mod purges;
 mod registry;
