Control that could not hear forgets no server, and a young core tells of goodbyes

Cause, one class in two places: a list that is not whole was told as if it were. (1) Servers that had said nothing for four beats were forgotten also while the node was stopped or turned their beats away for want of a majority; when it was back it told all proxies that there were none. (2) While a node has not heard of all, agents keep what its list lacks, and so kept servers that had said goodbye to it. Change: the time in which a node is deaf counts for no server's silence, and after a stretch of a beat its list is incomplete until it has listened for four; an incomplete list names the servers that have ended, as not ready. Control logs whom it forgets.

--- a/glenfall/src/control/membership.rs
+++ b/glenfall/src/control/membership.rs
@@ -10,11 +10,24 @@
 use glenfall_plane::registry::{Entry, EntryStatus, Heard};
 use tokio::time::{sleep, timeout};
 
-use super::{Control, BEATS_TO_HEAR_ALL, DRAIN, GATHER, GATHER_FOR_EACH};
+use super::{Control, BEFORE, DRAIN, GATHER, GATHER_FOR_EACH};
+
+/// Servers that are named in the log at most where many are forgotten at once.
+const MOST_NAMED: usize = 20;
 
 impl Control {
+    /// Whether this node has heard of every server that there is.
     pub(super) fn complete(&self) -> bool {
-        self.began.elapsed() >= Duration::from_millis(self.boot.beat_ms) * BEATS_TO_HEAR_ALL
+        self.registry.borrow().has_heard_all(self.now(), BEFORE)
+    }
+
+    /// Forgets servers that have been silent for too long; whether there were any.
+    pub(super) fn expire_servers(&self) -> bool {
+        let silent = self.registry.borrow_mut().expire(self.now());
+        for server in silent.iter().take(MOST_NAMED) {
+            tracing::warn!(%server, of = silent.len(), "server forgotten: it has said nothing for too long");
+        }
+        !silent.is_empty()
     }
 
     pub(super) fn members_changed(&self) {
@@ -30,9 +43,11 @@
     pub(super) fn present_fleet(&self) -> Fleet {
         let members = self.sessions.members().into_iter().chain(self.peers.members());
         let (shields, edges): (Vec<_>, Vec<_>) = members.partition(|member| member.proxy == Proxy::Shield);
+        let complete = self.complete();
         let mut fleet = Fleet {
-            complete: self.complete(),
-            servers: self.registry.borrow().servers(self.now()),
+            complete,
+            // Agents keep what an incomplete list lacks.
+            servers: self.registry.borrow().servers(self.now(), !complete),
             shields,
             edges: edges.iter().map(|edge| edge_mark(&edge.node)).collect(),
             cores: self.chain.borrow().members().voters.len() as u32,
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -54,8 +54,6 @@
 const GATHER_FOR_EACH: Duration = Duration::from_micros(50);
 /// How long the word of a server that leaves waits for all who have to know it.
 const DRAIN: Duration = Duration::from_millis(400);
-/// A node that has run for so many beats has heard of every server that there is.
-const BEATS_TO_HEAR_ALL: u32 = 4;
 /// A node that has not reached a majority for so long turns agents away. Shorter, and each mend of the chain
 /// would; longer, and agents hear of a configuration too late.
 const CUT_OFF: Duration = Duration::from_millis(700);
@@ -314,14 +312,18 @@
             self.renew_leases();
             // Seen here also where no session asks.
             self.cut_off();
+            let listens = self.in_majority();
+            self.registry.borrow_mut().listens(now, listens);
             if expire.elapsed() >= EXPIRE {
                 expire = Instant::now();
                 if *self.cut_off.borrow() {
                     self.know_seeds();
                 }
                 self.vouch();
-                let silent = self.registry.borrow_mut().expire(now);
-                if silent || self.peers.expire() || self.complete() != self.fleet.borrow().fleet().complete {
+                if self.expire_servers()
+                    || self.peers.expire()
+                    || self.complete() != self.fleet.borrow().fleet().complete
+                {
                     self.fleet_changed.notify_one();
                 }
             }
--- a/lab/src/fleet/telling.rs
+++ b/lab/src/fleet/telling.rs
@@ -126,7 +126,7 @@
             let edges = node.sessions.iter().chain(node.others.iter().flatten());
             let mut fleet = Fleet {
                 complete: true,
-                servers: node.registry.servers(self.now),
+                servers: node.registry.servers(self.now, false),
                 shields: Vec::new(),
                 edges: edges.map(|edge| edge_mark(&edge.node)).collect(),
                 cores: u32::from(self.cores),
--- a/plane/src/registry.rs
+++ b/plane/src/registry.rs
@@ -1,5 +1,9 @@
 //! The servers, as their own beats tell of them. Soft state: it is rebuilt from beats, and each control node
 //! passes on to its peers what it hears.
+//!
+//! Silence says something of a server only while this node could have heard it. A node that is stopped, or turns servers away
+//! as it reaches no majority, is *deaf*: that time counts for no server's silence, and after a stretch of a beat or more the
+//! node has not heard of all servers until it has listened for as long as silent ones are remembered.
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -13,6 +17,9 @@
 const MISSED_BEATS: u64 = 4;
 /// Servers and tombstones kept at most; what beats beyond is turned away.
 pub const MOST: usize = 4096;
+/// A process that has not looked at its clock for so long was stopped, and may have missed what servers said. Shorter than
+/// a beat, and longer than a busy machine takes between two looks.
+const LONGEST_LOOK: Millis = 400;
 /// How long the end of a server is remembered: its last beats may still be under way.
 const TOMBSTONE: Millis = 60_000;
 /// Longest name that is believed.
@@ -91,6 +98,8 @@
 struct Known {
     entry: Entry,
     heard: Millis,
+    /// How long this node had been deaf in all by then.
+    deaf_before: Millis,
     /// All control nodes that are there know the status that it has now.
     spread: bool,
 }
@@ -112,15 +121,55 @@
 pub struct Registry {
     beat: Millis,
     known: BTreeMap<String, Known>,
+    hearing: Hearing,
     /// The last calls of servers that have fallen silent, and when they were forgotten: what was sent before may still
     /// be under way, or on the list of a node that was cut off.
     forgotten: BTreeMap<String, (u64, Millis)>,
 }
 
+/// When this node could hear servers.
+#[derive(Default)]
+struct Hearing {
+    /// When it was last told whether it listens.
+    looked: Option<Millis>,
+    /// How long it has been deaf in all, and without a pause until now.
+    deaf: Millis,
+    stretch: Millis,
+    /// Since when it has listened without a long stretch of deafness.
+    since: Millis,
+}
+
 impl Registry {
     /// `beat` is how often servers call.
     pub fn new(beat: Millis) -> Self {
-        Registry { beat: beat.max(1), known: BTreeMap::new(), forgotten: BTreeMap::new() }
+        Registry {
+            beat: beat.max(1),
+            known: BTreeMap::new(),
+            hearing: Hearing::default(),
+            forgotten: BTreeMap::new(),
+        }
+    }
+
+    /// Notes whether this node takes what servers say; to be told at short intervals, as a long one without a word means
+    /// that the process was stopped.
+    pub fn listens(&mut self, now: Millis, listens: bool) {
+        let hearing = &mut self.hearing;
+        let passed = now.saturating_sub(hearing.looked.unwrap_or(now));
+        hearing.looked = Some(now);
+        if listens && passed < LONGEST_LOOK {
+            hearing.stretch = 0;
+            return;
+        }
+        hearing.deaf += passed;
+        hearing.stretch += passed;
+        if hearing.stretch >= self.beat {
+            hearing.since = now;
+        }
+    }
+
+    /// Whether every server that there is has been heard of, for a node that began to listen at this time.
+    pub fn has_heard_all(&self, now: Millis, began: Millis) -> bool {
+        now >= self.hearing.since.max(began) + self.beat * MISSED_BEATS
     }
 
     /// Takes what a server said `age` ago.
@@ -139,7 +188,9 @@
             };
             let changed = !same(&known.entry, &entry);
             known.spread &= known.entry.status == entry.status;
-            known.heard = known.heard.max(heard);
+            if heard >= known.heard {
+                (known.heard, known.deaf_before) = (heard, self.hearing.deaf);
+            }
             known.entry = entry;
             return if changed { Heard::Changed } else { Heard::Alive };
         }
@@ -169,7 +220,8 @@
                 known.spread = false;
             }
         }
-        self.known.insert(entry.id.clone(), Known { entry, heard, spread: false });
+        let deaf_before = self.hearing.deaf;
+        self.known.insert(entry.id.clone(), Known { entry, heard, deaf_before, spread: false });
         Heard::Changed
     }
 
@@ -191,7 +243,8 @@
                 warmup_left_ms: 0,
                 call_seq: 0,
             };
-            self.known.insert(id.to_owned(), Known { entry, heard: now, spread: false });
+            let deaf_before = self.hearing.deaf;
+            self.known.insert(id.to_owned(), Known { entry, heard: now, deaf_before, spread: false });
         }
         let known = self.known.get_mut(id)?;
         if known.entry.status != EntryStatus::Gone {
@@ -217,12 +270,17 @@
         }
     }
 
-    /// Forgets who has been silent for too long; says whether proxies have to know.
-    pub fn expire(&mut self, now: Millis) -> bool {
-        let silent: Vec<(String, u64)> = {
-            let past = self.known.iter().filter(|(_, k)| now >= k.heard + self.remembered(k.entry.status));
-            past.map(|(id, known)| (id.clone(), known.entry.call_seq)).collect()
+    /// Forgets who has been silent for too long, and the ends of others after a while; gives the names of the silent, of
+    /// whom proxies have to know.
+    pub fn expire(&mut self, now: Millis) -> Vec<String> {
+        let deaf = self.hearing.deaf;
+        let is_past = |known: &Known| {
+            let deaf_since =
+                if known.entry.status == EntryStatus::Gone { 0 } else { deaf - known.deaf_before };
+            now >= known.heard + deaf_since + self.remembered(known.entry.status)
         };
+        let past = self.known.iter().filter(|(_, known)| is_past(known));
+        let silent: Vec<(String, u64)> = past.map(|(id, known)| (id.clone(), known.entry.call_seq)).collect();
         self.forgotten.retain(|_, (_, at)| now < *at + TOMBSTONE);
         for (id, call_seq) in &silent {
             self.known.remove(id);
@@ -230,7 +288,7 @@
                 self.forgotten.insert(id.clone(), (*call_seq, now));
             }
         }
-        !silent.is_empty()
+        silent.into_iter().map(|(id, _)| id).collect()
     }
 
     /// How long after it was last heard of a server is known.
@@ -241,9 +299,10 @@
         }
     }
 
-    /// All that are not gone, as proxies see them.
-    pub fn servers(&self, now: Millis) -> Vec<Server> {
-        let present = self.known.values().filter(|known| known.entry.status != EntryStatus::Gone);
+    /// All that are not gone, as proxies see them. With `ended` those as well that have said goodbye or lost their address,
+    /// as servers that take nothing: whoever keeps what a list lacks would keep them ready otherwise.
+    pub fn servers(&self, now: Millis, ended: bool) -> Vec<Server> {
+        let present = self.known.values().filter(|known| ended || known.entry.status != EntryStatus::Gone);
         present
             .map(|known| Server {
                 id: known.entry.id.clone(),
--- a/plane/tests/unit/registry.rs
+++ b/plane/tests/unit/registry.rs
@@ -22,7 +22,7 @@
 }
 
 fn ready(registry: &Registry, now: Millis) -> Vec<String> {
-    registry.servers(now).into_iter().filter(|server| server.ready).map(|server| server.id).collect()
+    registry.servers(now, false).into_iter().filter(|server| server.ready).map(|server| server.id).collect()
 }
 
 #[test]
@@ -37,7 +37,10 @@
         assert_eq!(registry.leave(30, id).map(|entry| entry.status), Some(EntryStatus::Gone));
         assert_eq!(registry.hear(40, 0, entry(id, 1, EntryStatus::Ready, 9)), Heard::Late);
     }
-    assert!(registry.servers(40).is_empty());
+    assert!(registry.servers(40, false).is_empty());
+    // Whoever keeps what a list lacks has to be told.
+    let ended = registry.servers(40, true);
+    assert_eq!(ended.iter().map(|s| (&s.id[..], s.ready)).collect::<Vec<_>>(), [("a", false), ("b", false)]);
 }
 
 #[test]
@@ -71,10 +74,10 @@
     registry.hear(0, 0, entry("a", 1, EntryStatus::Ready, 1));
     registry.hear(4000, 0, entry("b", 2, EntryStatus::Ready, 1));
     assert_eq!(registry.hear(4000, 500, entry("a", 1, EntryStatus::Ready, 2)), Heard::Alive);
-    assert!(!registry.expire(9000));
-    let warmup: Vec<u64> = registry.servers(5000).iter().map(|server| server.warmup_left_ms).collect();
+    assert!(registry.expire(9000).is_empty());
+    let warmup: Vec<u64> = registry.servers(5000, false).iter().map(|server| server.warmup_left_ms).collect();
     assert_eq!(warmup, [1500, 2000]);
-    assert!(registry.expire(9600));
+    assert_eq!(registry.expire(9600), ["a"]);
     assert_eq!(ready(&registry, 9600), ["b"]);
 }
 
@@ -109,13 +112,13 @@
 fn what_a_frozen_node_finds_waiting_does_not_bring_back_who_has_fallen_silent() {
     let mut registry = Registry::new(BEAT);
     registry.hear(0, 0, entry("s", 1, EntryStatus::Ready, 9));
-    assert!(registry.expire(4 * BEAT));
+    assert_eq!(registry.expire(4 * BEAT), ["s"]);
     // The same call as before, or an older one, heard late; and an entry as old as its age tells.
     let now = 5 * BEAT;
     assert_eq!(registry.hear(now, 0, entry("s", 1, EntryStatus::Ready, 9)), Heard::Late);
     assert_eq!(registry.hear(now, 0, entry("s", 1, EntryStatus::Draining, 8)), Heard::Late);
     assert_eq!(registry.hear(now, 4 * BEAT, entry("t", 2, EntryStatus::Ready, 3)), Heard::Late);
-    assert_eq!(registry.servers(now), []);
+    assert_eq!(registry.servers(now, true), []);
     // It was cut off itself, and goes on.
     assert_eq!(registry.hear(now, 0, entry("s", 1, EntryStatus::Ready, 10)), Heard::Changed);
 }
@@ -127,3 +130,55 @@
     assert_eq!(registry.hear(4000, 2000, entry("old", 1, EntryStatus::Ready, 9)), Heard::Late);
     assert_eq!(ready(&registry, 4000), ["new"]);
 }
+
+/// What a node does from one moment to the next.
+#[derive(Clone, Copy)]
+enum Does {
+    /// It takes what servers say.
+    Listens,
+    /// It turns them away, as it reaches no majority.
+    TurnsAway,
+    /// It is stopped, and looks at nothing.
+    Stands,
+}
+
+/// Plays what a node does, each until a moment; then whether it knows a server that it heard at 0, and all there are.
+fn after(does: &[(Does, Millis)]) -> (bool, bool) {
+    let mut registry = Registry::new(BEAT);
+    registry.hear(0, 0, entry("s", 1, EntryStatus::Ready, 1));
+    registry.listens(0, true);
+    let mut now = 0;
+    for (does, until) in does {
+        while now < *until {
+            now += if matches!(does, Does::Stands) { *until - now } else { 25 };
+            registry.listens(now, !matches!(does, Does::TurnsAway));
+            registry.expire(now);
+        }
+    }
+    (!ready(&registry, now).is_empty(), registry.has_heard_all(now, 0))
+}
+
+#[test]
+fn silence_counts_only_while_a_node_could_have_heard() {
+    use Does::{Listens, Stands, TurnsAway};
+    let table: [(&str, &[(Does, Millis)], (bool, bool)); 9] = [
+        ("it listens", &[(Listens, 5900)], (true, false)),
+        ("long enough", &[(Listens, 6000)], (false, true)),
+        ("deaf for long", &[(TurnsAway, 60_000)], (true, false)),
+        ("stopped for long", &[(Stands, 60_000)], (true, false)),
+        (
+            "deaf, then it listens for less than four beats",
+            &[(TurnsAway, 9000), (Listens, 14_900)],
+            (true, false),
+        ),
+        ("deaf, then for four", &[(TurnsAway, 9000), (Listens, 15_000)], (false, true)),
+        ("stopped, then for four", &[(Stands, 9000), (Listens, 15_000)], (false, true)),
+        // What it heard before and after counts together.
+        ("between", &[(Listens, 3000), (Stands, 9000), (Listens, 12_000)], (false, false)),
+        // A moment in which it hears nothing leaves its list as whole as it was.
+        ("a moment", &[(Listens, 5000), (TurnsAway, 6000), (Listens, 6500)], (true, true)),
+    ];
+    for (name, does, expected) in table {
+        assert_eq!(after(does), expected, "{name}");
+    }
+}
