A purge is acknowledged once its record is on one disk more than may be lost

Cause: it was acknowledged once all who serve from copies had taken it, with its record on the disk of the node that took it, or on none where that disk needed over 0.15 s. Where that disk is lost and all others lose power at the same moment, nobody knew of it, and shields would have served from their disks what it had ended. Change: control nodes tell the origin once a purge is on their disk; it counts them, itself among them, and acknowledges with survive.hosts + 1. A question to peers whose caller has gone is forgotten (it stayed until a peer was lost).

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -39,6 +39,7 @@
 use lease::Leases;
 use peers::Peers;
 use purge_log::PurgeLog;
+use purging::PurgeWrites;
 use relay::BeatRelay;
 use store::Found;
 
@@ -85,6 +86,7 @@
     purges: RefCell<Purges>,
     purge_log: PurgeLog,
     next_purge: Cell<u64>,
+    purge_writes: PurgeWrites,
     /// Peers that have told all the purges that they remember, and whether with this node they are a majority: then it
     /// knows every purge that was acknowledged, and whoever hears from it what was missed has missed nothing else.
     told_purges: RefCell<BTreeSet<Ipv4Addr>>,
@@ -182,6 +184,7 @@
             purges: RefCell::new(remembered),
             purge_log,
             next_purge: Cell::new(0),
+            purge_writes: PurgeWrites::default(),
             told_purges: RefCell::default(),
             vouches: Cell::new(false),
             life,
--- a/glenfall/src/control/peers.rs
+++ b/glenfall/src/control/peers.rs
@@ -9,7 +9,7 @@
 
 use glenfall_plane::fleet::Members;
 use glenfall_plane::messages::{CallId, Instance, Member, Open, Peer, Proxy, Stamped};
-use tokio::sync::Notify;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 
@@ -56,6 +56,18 @@
     changed: Notify,
 }
 
+/// A question that is remembered until this is dropped, also where whoever waits for its answers has gone.
+struct Question<'a> {
+    peers: &'a Peers,
+    id: u64,
+}
+
+impl Drop for Question<'_> {
+    fn drop(&mut self) {
+        self.peers.asked.borrow_mut().remove(&self.id);
+    }
+}
+
 impl Peers {
     pub fn new(me: Ipv4Addr, life: u64) -> Self {
         Peers {
@@ -115,6 +127,7 @@
         let id = self.next.replace(self.next.get() + 1);
         let asked = Asked { left: whom.iter().copied().collect(), complete: Vec::new() };
         self.asked.borrow_mut().insert(id, asked);
+        let _question = Question { peers: self, id };
         for ip in whom {
             self.send(*ip, question(CallId { life: self.life, number: id }));
         }
@@ -345,8 +358,7 @@
             confirm_urgent(control, (from, id), pass_on.then_some(on));
         }
         Peer::Purges { id, purges, asked } => {
-            // Whoever asked waits for its own disk only.
-            drop(control.take_purges(purges.clone()));
+            tell_written(control, from, &purges, control.take_purges(purges.clone()));
             match id {
                 None => {
                     control.told_purges.borrow_mut().insert(from);
@@ -355,6 +367,10 @@
                 Some(id) => confirm_purges(control, (from, id), purges, asked),
             }
         }
+        Peer::PurgeWritten { life, number } if life == control.life => {
+            control.purge_writes.note(from, number)
+        }
+        Peer::PurgeWritten { .. } => {}
         Peer::Done { id, complete } => control.peers.answer(from, id, complete),
         Peer::Renew { id } => control.grant_lease(from, id),
         Peer::Granted { id, lasts } => control.lease_granted(from, id, lasts),
@@ -390,6 +406,26 @@
     });
 }
 
+/// Tells the origin of purges once they are on the disk of this node.
+fn tell_written(
+    control: &Rc<Control>,
+    origin: Ipv4Addr,
+    purges: &[Stamped],
+    written: Option<oneshot::Receiver<()>>,
+) {
+    let own = |purge: &&Stamped| purge.origin == origin;
+    let names: Vec<(u64, u64)> = purges.iter().filter(own).map(|purge| (purge.life, purge.number)).collect();
+    let Some(written) = written.filter(|_| !names.is_empty()) else { return };
+    let control = Rc::clone(control);
+    spawn_local(async move {
+        if written.await.is_ok() {
+            for (life, number) in names {
+                control.peers.send(origin, Peer::PurgeWritten { life, number });
+            }
+        }
+    });
+}
+
 /// Tells a peer once no session here can serve from copies that purges ended, nor any at those that this node reaches
 /// and the peer has not asked.
 fn confirm_purges(
--- a/glenfall/src/control/purging.rs
+++ b/glenfall/src/control/purging.rs
@@ -1,11 +1,15 @@
 //! Purges at a control node: which it knows, whom it tells, and when it acknowledges one.
 
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use glenfall_plane::invariant::Invariant;
 use glenfall_plane::messages::{News, Peer, Purge, Stamped};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::Control;
@@ -14,8 +18,56 @@
 /// A purge waits this long at most for all who may serve from copies; then it is refused, and asked for again when the
 /// leases of whoever was late are over. Operators move on after a second.
 pub(super) const PURGE: Duration = Duration::from_millis(750);
-/// It waits this long at most to be on the disk of this node: that is for the loss of all control nodes at once.
-const WRITTEN: Duration = Duration::from_millis(150);
+
+/// The purges that are being acknowledged here, by their numbers, each with the control nodes on whose disks it is.
+#[derive(Default)]
+pub(super) struct PurgeWrites {
+    nodes: RefCell<BTreeMap<u64, BTreeSet<Ipv4Addr>>>,
+    noted: Notify,
+}
+
+/// A purge whose writes are counted until this is dropped, also where its caller has gone.
+struct CountedPurge<'a> {
+    writes: &'a PurgeWrites,
+    number: u64,
+}
+
+impl Drop for CountedPurge<'_> {
+    fn drop(&mut self) {
+        self.writes.nodes.borrow_mut().remove(&self.number);
+    }
+}
+
+impl PurgeWrites {
+    fn count(&self, number: u64) -> CountedPurge<'_> {
+        self.nodes.borrow_mut().insert(number, BTreeSet::new());
+        CountedPurge { writes: self, number }
+    }
+
+    /// A purge is on the disk of a node.
+    pub(super) fn note(&self, node: Ipv4Addr, number: u64) {
+        if let Some(nodes) = self.nodes.borrow_mut().get_mut(&number) {
+            nodes.insert(node);
+            self.noted.notify_waiters();
+        }
+    }
+}
+
+impl CountedPurge<'_> {
+    /// Waits until the purge is on so many disks; false where that takes longer.
+    async fn is_on(&self, disks: usize, most: Duration) -> bool {
+        let written = async {
+            loop {
+                let noted = self.writes.noted.notified();
+                if self.writes.nodes.borrow().get(&self.number).is_some_and(|nodes| nodes.len() >= disks) {
+                    return;
+                }
+                noted.await;
+            }
+        };
+        timeout(most, written).await.is_ok()
+    }
+}
 
 impl Control {
     /// Tells sessions once nothing that was purged can have been missed here.
@@ -31,25 +83,29 @@
     }
 
     /// Ends all copies that a purge names, wherever they are. False where not all who may serve from some were reached
-    /// or had lost their leases in time.
-    pub(super) async fn purge(&self, purge: Purge) -> bool {
+    /// or had lost their leases in time, or its record is not on one disk more than may be lost: shields keep copies on
+    /// theirs, and where all others lose power meanwhile, what is on disk is all that is known of it.
+    pub(super) async fn purge(self: &Rc<Self>, purge: Purge) -> bool {
         let number = self.next_purge.replace(self.next_purge.get() + 1);
         let stamped = Stamped { origin: self.boot.bind_ip, life: self.life, number, age_ms: 0, purge };
+        let counted = self.purge_writes.count(number);
         let written = self.take_purges(vec![stamped.clone()]);
+        self.note_own_write(number, written);
         let pushed = self.sessions.pushed();
         let asked = self.peers.instances();
         let up: Vec<Ipv4Addr> = asked.iter().map(|instance| instance.ip).collect();
         let question =
             |id| Peer::Purges { id: Some(id), purges: vec![stamped.clone()], asked: Some(asked.clone()) };
         let peers = self.peers.ask(&up, question, PURGE);
-        let written = async {
-            if let Some(written) = written {
-                let _ = timeout(WRITTEN, written).await;
-            }
-        };
         let others = self.no_lease_but_of(&asked, PURGE);
-        let (complete, purged, others, ()) = tokio::join!(peers, self.purge_sessions(PURGE), others, written);
-        let acknowledged = others && purged && complete.is_some_and(|complete| self.bars_leases(&complete));
+        let durable = counted.is_on(self.boot.survive.hosts + 1, PURGE);
+        let (complete, purged, others, durable) =
+            tokio::join!(peers, self.purge_sessions(PURGE), others, durable);
+        if !durable {
+            tracing::warn!("purge not acknowledged: its record is on too few disks");
+        }
+        let acknowledged =
+            durable && others && purged && complete.is_some_and(|complete| self.bars_leases(&complete));
         if acknowledged {
             let behind = self.sessions.holders_behind(&pushed);
             Invariant::PurgeIsApplied.check(behind.is_empty(), || format!("{behind:?} have a lease"));
@@ -57,6 +113,17 @@
         acknowledged
     }
 
+    /// Notes a purge as written once it is on the disk of this node.
+    fn note_own_write(self: &Rc<Self>, number: u64, written: Option<oneshot::Receiver<()>>) {
+        let Some(written) = written else { return };
+        let control = Rc::clone(self);
+        spawn_local(async move {
+            if written.await.is_ok() {
+                control.purge_writes.note(control.boot.bind_ip, number);
+            }
+        });
+    }
+
     /// Waits until no session that has a lease of this node can serve from copies that a purge ended; false where that
     /// takes longer.
     pub(super) async fn purge_sessions(&self, most: Duration) -> bool {
--- a/plane/src/messages.rs
+++ b/plane/src/messages.rs
@@ -122,6 +122,11 @@
         purges: Vec<Stamped>,
         asked: Option<Vec<Instance>>,
     },
+    /// A purge of the receiver's is on the sender's disk; by its number in that life.
+    PurgeWritten {
+        life: u64,
+        number: u64,
+    },
     /// What `Urgent` or `Purges` asked for is done at the sender and its sessions. `complete`: of a purge, whoever else
     /// may still use a lease that the sender granted has taken it as well.
     Done {
--- a/plane/tests/unit/registry.rs
+++ b/plane/tests/unit/registry.rs
@@ -161,7 +161,8 @@
 #[test]
 fn silence_counts_only_while_a_node_could_have_heard() {
     use Does::{Listens, Stands, TurnsAway};
-    let table: [(&str, &[(Does, Millis)], (bool, bool)); 9] = [
+    type Row<'a> = (&'a str, &'a [(Does, Millis)], (bool, bool));
+    let table: [Row; 9] = [
         ("it listens", &[(Listens, 5900)], (true, false)),
         ("long enough", &[(Listens, 6000)], (false, true)),
         ("deaf for long", &[(TurnsAway, 60_000)], (true, false)),
