Test that fails: shields forget all servers when all control nodes start again

All control nodes are killed and start again; their lists are empty until servers call, and a shield takes them for whole: 60 of 60 reads of objects that no shield has are refused, though the servers are there. Edges keep what they know, as their agents put the lists together.

--- a/glenfall/tests/silence.rs
+++ b/glenfall/tests/silence.rs
@@ -150,3 +150,17 @@
     }
     assert_eq!(servers[0].runs.load(Ordering::Relaxed) - before, 0, "requests after the 2xx");
 }
+
+#[test]
+fn a_shield_serves_on_by_the_servers_it_knows_when_all_control_nodes_have_started_again() {
+    // Servers say nothing more before the end of the test.
+    let (mut system, _servers) = start(Duration::from_secs(120));
+    system.await_ready();
+    system.kill_all(|_| ());
+    system.await_chain(&[1, 2, 3], 3);
+    await_that("all have their sessions again", || {
+        (1..=3).filter_map(|n| system.agents_at(n)).sum::<usize>() == 4
+    });
+    let refused = (0..60).filter(|number| ask(&system, &format!("GET /r/again-{number}")) != 200).count();
+    assert_eq!(refused, 0, "reads of objects that no shield has, while the servers are there");
+}
