Shields keep what they know while a control node has not heard of all

Cause: agents put the list of a control node that has just started together with what is known; a shield is fed by the control node beside it and took that list for whole, without any server until servers called again. Change: what agents did moves to plane/src/known_fleet.rs, and every proxy takes lists by it.

--- a/glenfall/src/agent.rs
+++ b/glenfall/src/agent.rs
@@ -2,14 +2,13 @@
 //! configuration and the fleet, so that an edge that starts again, or control that is away, costs nothing.
 
 use std::cell::RefCell;
-use std::collections::HashSet;
 use std::future::ready;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use glenfall_plane::fleet::{Fleet, Gap, Numbered, Told};
+use glenfall_plane::known_fleet::KnownFleet;
 use glenfall_plane::lease::{waits_for, SESSION_LEASE};
 use glenfall_plane::messages::{Aged, Down, News, Open, Purge, Up};
 use tokio::net::{TcpListener, TcpStream};
@@ -36,23 +35,12 @@
 #[derive(Default)]
 struct Known {
     config: Option<(u64, Arc<Vec<u8>>)>,
-    fleet: RelayedFleet,
+    fleet: KnownFleet,
     controls: Vec<Ipv4Addr>,
     /// Control has told all that was missed.
     in_touch: bool,
 }
 
-/// The fleet on its way from control to the proxy.
-#[derive(Default)]
-pub struct RelayedFleet {
-    /// What the control node of this session has told.
-    told: Numbered,
-    /// What the proxy goes by: nothing yet, or that and what is known from others.
-    relayed: Option<Numbered>,
-    /// Both are the same fleet, so that a change of one is a change of the other.
-    in_step: bool,
-}
-
 struct Agent {
     boot: Rc<Boot>,
     known: RefCell<Known>,
@@ -244,43 +232,3 @@
         }
     }
 }
-
-impl RelayedFleet {
-    /// All that the proxy goes by, for one that knows nothing.
-    pub fn whole(&self) -> Option<Told> {
-        self.relayed.as_ref().map(Numbered::whole)
-    }
-
-    /// Takes what control tells of the fleet; gives what the proxy has to be told of it.
-    pub fn take(&mut self, told: Told) -> Result<Option<Told>, Gap> {
-        if let (true, Told::Change(change), Some(relayed)) = (self.in_step, &told, &mut self.relayed) {
-            // Without putting the two together: with thousands of servers that is most of what a change costs.
-            if change.is_complete() || change.takes_none_off() {
-                let change = change.clone();
-                self.told.take(told)?;
-                return Ok(Some(relayed.take_over(&change)));
-            }
-        }
-        self.told.take(told)?;
-        let first = self.relayed.is_none();
-        let fleet = self.relayed.get_or_insert_default();
-        let next = merged(fleet.fleet(), self.told.fleet().clone());
-        let told = fleet.become_next(next);
-        self.in_step = fleet.fleet() == self.told.fleet();
-        Ok(if first { Some(fleet.whole()) } else { told })
-    }
-}
-
-/// A control node that has just started has not heard of all: until it has, what is known stays.
-fn merged(known: &Fleet, mut fleet: Fleet) -> Fleet {
-    if !fleet.complete {
-        let addrs: HashSet<_> = fleet.servers.iter().map(|server| server.addr).collect();
-        let kept = known.servers.iter().filter(|server| !addrs.contains(&server.addr));
-        // Sorting keeps the first of a name: what is told now.
-        fleet.servers.extend(kept.cloned().collect::<Vec<_>>());
-        fleet.shields.extend(known.shields.iter().cloned());
-        fleet.edges.extend(&known.edges);
-        fleet.sort();
-    }
-    fleet
-}
--- a/glenfall/src/proxy/feed.rs
+++ b/glenfall/src/proxy/feed.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use glenfall_plane::config::Config;
-use glenfall_plane::fleet::{Fleet, Numbered};
+use glenfall_plane::fleet::{Fleet, Told};
+use glenfall_plane::known_fleet::KnownFleet;
 use glenfall_plane::messages::{Aged, Down, Member, News, Open, Proxy, Up};
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep, Instant};
@@ -39,8 +40,7 @@
     proxy: Proxy,
     incarnation: u64,
     config: RefCell<Option<Arc<Config>>>,
-    fleet: RefCell<Numbered>,
-    fleet_known: Cell<bool>,
+    fleet: RefCell<KnownFleet>,
     /// Once the process is told to stop: when it gives up what is not answered.
     grace_ends: Cell<Option<Instant>>,
     changed: Notify,
@@ -60,7 +60,6 @@
             incarnation: crate::session::incarnation(),
             config: RefCell::default(),
             fleet: RefCell::default(),
-            fleet_known: Cell::new(false),
             grace_ends: Cell::new(None),
             changed: Notify::new(),
             rev: watch::Sender::new(0),
@@ -82,7 +81,7 @@
 
     /// Knows enough to serve, and does not leave.
     pub fn ready(&self) -> bool {
-        self.config.borrow().is_some() && self.fleet_known.get() && !self.leaving()
+        self.config.borrow().is_some() && self.fleet.borrow().fleet().is_some() && !self.leaving()
     }
 
     /// Whether no purge can have been acknowledged that this process has not taken: looked at whenever a copy is served.
@@ -153,12 +152,9 @@
         match news {
             News::Config { rev, document } => self.take_config(rev, &document, follower),
             News::Fleet(told) => {
-                if let Err(gap) = self.fleet.borrow_mut().take(told) {
-                    tracing::warn!(%gap, "the session with the agent begins anew");
+                if !self.take_fleet(told, follower) {
                     return false;
                 }
-                follower.fleet(self.fleet.borrow().fleet());
-                self.fleet_known.set(true);
             }
             News::Purges(purges) => follower.purge(&purges),
             News::InTouch(yes) => self.touch(yes, follower),
@@ -169,6 +165,22 @@
         true
     }
 
+    /// A shield has no agent beside it: the lists of a control node that has just started come here as they are.
+    fn take_fleet(&self, told: Told, follower: &impl Follower) -> bool {
+        match self.fleet.borrow_mut().take(told) {
+            Ok(None) => return true,
+            Ok(Some(_)) => {}
+            Err(gap) => {
+                tracing::warn!(%gap, "the session with whoever feeds this proxy begins anew");
+                return false;
+            }
+        }
+        if let Some(fleet) = self.fleet.borrow().fleet() {
+            follower.fleet(fleet);
+        }
+        true
+    }
+
     fn take_config(&self, rev: u64, document: &[u8], follower: &impl Follower) {
         // Never backwards in one life, whoever is asked.
         if rev <= *self.rev.borrow() {
--- a/glenfall/tests/unit/agent.rs
+++ b/glenfall/tests/unit/agent.rs
@@ -1,7 +1,7 @@
 //! The fleet on its way from control to the proxy.
 
-use glenfall::agent::RelayedFleet;
 use glenfall_plane::fleet::{Fleet, Numbered, Told};
+use glenfall_plane::known_fleet::KnownFleet;
 use glenfall_plane::messages::Server;
 
 use rand::seq::IndexedRandom;
@@ -24,7 +24,7 @@
     // `b` drains, and a new server has the address of `c`.
     let new = fleet(false, vec![server("b", 2, false), server("d", 3, true)]);
     let merged_ids = |new| {
-        let (mut relayed, mut proxy) = (RelayedFleet::default(), Numbered::default());
+        let (mut relayed, mut proxy) = (KnownFleet::default(), Numbered::default());
         for fleet in [known.clone(), new] {
             let told = relayed.take(Told::Whole { number: 1, fleet }).unwrap().expect("a change");
             proxy.take(told).unwrap();
@@ -40,7 +40,7 @@
 #[test]
 fn the_proxy_is_told_all_once_and_then_what_changes() {
     let mut control = Numbered::default();
-    let mut relayed = RelayedFleet::default();
+    let mut relayed = KnownFleet::default();
     let mut proxy = Numbered::default();
     control.become_next(fleet(true, vec![server("a", 1, true), server("b", 2, true)]));
     let first = relayed.take(control.whole()).unwrap().expect("all of it");
@@ -85,7 +85,7 @@
 fn a_relayed_change_comes_to_the_same_as_being_told_all() {
     for seed in 0..2000 {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let (mut by_changes, mut by_wholes) = (RelayedFleet::default(), RelayedFleet::default());
+        let (mut by_changes, mut by_wholes) = (KnownFleet::default(), KnownFleet::default());
         let (mut proxy, mut reference) = (Numbered::default(), Numbered::default());
         let mut controls = [Numbered::default(), Numbered::default()];
         for control in &mut controls {
--- a/plane/src/lib.rs
+++ b/plane/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod fleet;
 pub mod ids;
 pub mod invariant;
+pub mod known_fleet;
 pub mod lease;
 #[allow(missing_docs)]
 pub mod messages;
