--- a/glenfall/src/boot.rs
+++ b/glenfall/src/boot.rs
@@ -33,6 +33,10 @@
     /// are played on one.
     #[serde(default = "default_feed_ip")]
     pub feed_ip: Ipv4Addr,
+    /// Where control's links and shields' reads are taken, if not at `bindIp`; only where a relay that plays troubles of the
+    /// network stands at that address.
+    #[serde(default)]
+    pub listen_ip: Option<Ipv4Addr>,
     /// This machine's control node may vote; the seeds of the first start do whatever is said here.
     #[serde(default)]
     pub voter: bool,
@@ -218,6 +222,11 @@
         SocketAddrV4::new(self.bind_ip, self.port_range.0 + SHIELD)
     }
 
+    /// The address to listen at for what comes to one of this machine's.
+    pub fn listener(&self, announced: SocketAddrV4) -> SocketAddrV4 {
+        SocketAddrV4::new(self.listen_ip.unwrap_or(*announced.ip()), announced.port())
+    }
+
     /// Where the proxy of this machine is fed.
     pub fn feed(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.feed_ip, self.port_range.0 + FEED)
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -134,7 +134,7 @@
     let seeds: Vec<Ipv4Addr> = boot.seed_nodes.iter().map(|seed| *seed.ip()).collect();
     let (synced, syncs) = mpsc::unbounded_channel();
     let control = Rc::new(Control::open(Rc::clone(&boot), &seeds, synced)?);
-    let links = TcpListener::bind(boot.link(boot.bind_ip)).await?;
+    let links = TcpListener::bind(boot.listener(boot.link(boot.bind_ip))).await?;
     let feed = TcpListener::bind(boot.feed()).await?;
     for (listener, beside) in [(links, false), (feed, true)] {
         spawn_local(Rc::clone(&control).accept(listener, beside));
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -400,7 +400,11 @@
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
         let read = whole.head.method == Method::GET;
-        let answer = self.0.serve(&whole).await;
+        let mut answer = self.0.serve(&whole).await;
+        if answer.failure().is_some() {
+            // By it clients and logs know which request this answers.
+            answer.set_try_id(whole.head.headers.get(TRY_ID));
+        }
         if let Some(failure) = answer.failure() {
             let sealed = answer.headers().contains_key(SEAL);
             let is_servers = failure.cause == Cause::ServerError;
--- a/glenfall/src/lib.rs
+++ b/glenfall/src/lib.rs
@@ -210,7 +210,7 @@
     spawn_local(async move { pool.sweep().await });
     let stopping = stopping(&feed);
     let terms = serve::Terms {
-        listen: boot.shield(),
+        listen: boot.listener(boot.shield()),
         most: descriptors / 2,
         most_bodies: 0,
         still_accepting: SHIELD_STILL_ACCEPTING.min(boot.grace()),
--- a/glenfall/src/operator/demo.rs
+++ b/glenfall/src/operator/demo.rs
@@ -92,6 +92,8 @@
         zones: CORES,
         beat_ms: BEAT_MS,
         mem_mb: 256,
+        losses: 0,
+        relayed: false,
     };
     let program = std::env::current_exe()?;
     let mut local = Local::start(layout, &program).await?;
--- a/glenfall/src/operator/local_system.rs
+++ b/glenfall/src/operator/local_system.rs
@@ -1,9 +1,10 @@
 //! A whole system on loopback: each machine an address of its own, each role a process. For the demo and for
 //! experiments.
 
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command};
+use std::process::{Child, Command, ExitStatus};
 
 use glenfall_plane::invariant::BROKEN;
 use tokio::net::TcpListener;
@@ -30,6 +31,10 @@
     pub zones: u8,
     pub beat_ms: u64,
     pub mem_mb: u64,
+    /// Core machines that may be lost at once with their disks; all may vote then.
+    pub losses: usize,
+    /// Core processes listen at hidden addresses, so that relays can stand at those that they announce.
+    pub relayed: bool,
 }
 
 struct Process {
@@ -46,6 +51,8 @@
     pub folder: PathBuf,
     processes: Vec<Process>,
     keeps_folder: bool,
+    /// Machines that have lost their disks, and do not start for the first time.
+    wiped: BTreeSet<String>,
 }
 
 impl Drop for Local {
@@ -85,7 +92,15 @@
         let folder = std::env::temp_dir().join(format!("glenfall-local-{}-{base}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let program = program.to_owned();
-        let mut local = Local { layout, program, base, folder, processes: Vec::new(), keeps_folder: false };
+        let mut local = Local {
+            layout,
+            program,
+            base,
+            folder,
+            processes: Vec::new(),
+            keeps_folder: false,
+            wiped: BTreeSet::new(),
+        };
         for number in 1..=layout.cores + layout.edges {
             let (node, roles) = (local.node(number), local.roles(number));
             std::fs::write(local.settings_file(&node), local.settings(&node, number))?;
@@ -114,7 +129,8 @@
         &self.folder
     }
 
-    fn node(&self, number: u8) -> String {
+    /// The name of a machine.
+    pub fn node(&self, number: u8) -> String {
         match number.checked_sub(self.layout.cores + 1) {
             None => format!("core-{number}"),
             Some(edge) => format!("edge-{}", edge + 1),
@@ -134,6 +150,25 @@
         Ipv4Addr::new(127, 0, self.layout.net, number)
     }
 
+    /// Where the processes of a machine listen.
+    fn listens(&self, number: u8) -> Ipv4Addr {
+        match self.layout.relayed && number <= self.layout.cores {
+            true => Ipv4Addr::new(127, 1, self.layout.net, number),
+            false => self.machine(number),
+        }
+    }
+
+    /// For each core machine, the addresses that it announces with those where it listens: links, reads, calls.
+    pub fn relayed(&self) -> Vec<(u8, [(SocketAddrV4, SocketAddrV4); 3])> {
+        let pair = |number, offset| {
+            let port = self.base + offset;
+            let announced = SocketAddrV4::new(self.machine(number), port);
+            (announced, SocketAddrV4::new(self.listens(number), port))
+        };
+        let cores = 1..=self.layout.cores;
+        cores.map(|number| (number, [0, 1, CONTROL].map(|offset| pair(number, offset)))).collect()
+    }
+
     /// The zone of a machine.
     pub fn zone(&self, number: u8) -> String {
         format!("zone-{}", number % self.layout.zones.max(1) + 1)
@@ -145,17 +180,22 @@
 
     fn settings(&self, node: &str, number: u8) -> String {
         let (ip, base) = (self.machine(number), self.base);
+        let listens = self.listens(number);
+        let bootstrap = !self.wiped.contains(node);
+        let voter = self.layout.losses > 0 && number <= self.layout.cores;
         let seeds: Vec<String> = self.seeds().iter().map(|control| format!("\"{control}\"")).collect();
         format!(
-            "node = \"{node}\"\nzone = \"{}\"\nbindIp = \"{ip}\"\nfeedIp = \"{ip}\"\n\
-             portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = true\nstateDir = \"{}\"\nbeatMs = {}\n\
-             [listeners]\ncontrolAddr = \"{ip}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n\
+            "node = \"{node}\"\nzone = \"{}\"\nbindIp = \"{ip}\"\nlistenIp = \"{listens}\"\nfeedIp = \"{listens}\"\n\
+             portRange = [{base}, {}]\nseedNodes = [{}]\nbootstrap = {bootstrap}\nvoter = {voter}\nstateDir = \"{}\"\n\
+             beatMs = {}\n[survive]\nhosts = {}\n\
+             [listeners]\ncontrolAddr = \"{listens}:{}\"\nhttp = \"{ip}:{}\"\nreadyAddr = \"{ip}:{}\"\n\
              [reqLimits]\nmemMb = {}\nmaxFds = 4096\n",
             self.zone(number),
             base + CONTROL - 1,
             seeds.join(", "),
             self.folder.join(node).display(),
             self.layout.beat_ms,
+            self.layout.losses,
             base + CONTROL,
             base + HTTP,
             base + READY,
@@ -205,6 +245,35 @@
         self.processes.iter().filter(named).map(|process| process.child.id()).collect()
     }
 
+    /// The ids of all processes, with the names of their machines.
+    pub fn all_pids(&self) -> Vec<(u32, &str)> {
+        self.processes.iter().map(|process| (process.child.id(), &process.node[..])).collect()
+    }
+
+    /// Processes that have ended: machine, role, and how.
+    pub fn ended(&mut self) -> std::io::Result<Vec<(String, &'static str, ExitStatus)>> {
+        let mut ended = Vec::new();
+        for process in &mut self.processes {
+            if let Some(status) = process.child.try_wait()? {
+                ended.push((process.node.clone(), process.role, status));
+            }
+        }
+        Ok(ended)
+    }
+
+    /// Removes what the processes of a machine have on disk; they must have ended.
+    pub fn wipe(&mut self, node: &str) -> std::io::Result<()> {
+        self.wiped.insert(node.to_owned());
+        let last = self.layout.cores + self.layout.edges;
+        if let Some(number) = (1..=last).find(|number| self.node(*number) == node) {
+            std::fs::write(self.settings_file(node), self.settings(node, number))?;
+        }
+        match std::fs::remove_dir_all(self.folder.join(node)) {
+            Err(error) if error.kind() != std::io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
     /// Starts the processes of a machine again that have ended.
     pub fn start_again(&mut self, node: &str) -> std::io::Result<()> {
         for at in 0..self.processes.len() {
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -57,6 +57,8 @@
         zones: system.zones,
         beat_ms: BEAT.as_millis() as u64,
         mem_mb: system.mem_mb,
+        losses: 0,
+        relayed: false,
     };
     let local = Local::start(layout, program).await?;
     let controls = local.controls();
@@ -104,7 +106,8 @@
             let seed = plan.seed ^ u64::from(place);
             let origin = Origin::new(number, service, &plan.classes, ledger, seed);
             let zone = local.zone(place);
-            spawn_local(Rc::clone(&origin).run(SocketAddrV4::new(ip, port), zone, local.controls()));
+            let addr = SocketAddrV4::new(ip, port);
+            spawn_local(Rc::clone(&origin).run(addr, addr, zone, local.controls()));
             origins.push(origin);
         }
     }
--- a/lab/src/hollow/mod.rs
+++ b/lab/src/hollow/mod.rs
@@ -232,6 +232,8 @@
         zones: 3,
         beat_ms: BEAT.as_millis() as u64,
         mem_mb: 256,
+        losses: 0,
+        relayed: false,
     };
     let local = Local::start(layout, program).await?;
     let controls = local.controls();
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -24,6 +24,16 @@
     pub stale: u64,
 }
 
+/// What an answer is, held against what servers hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judgement {
+    Sound,
+    /// Not the server's whole answer.
+    Mixed,
+    /// An old version, long after its purge.
+    Stale,
+}
+
 #[derive(Default)]
 struct Object {
     version: u64,
@@ -80,6 +90,11 @@
         }
     }
 
+    /// Whether a try that may run once has run.
+    pub fn has_run(&self, id: &str) -> bool {
+        self.runs.borrow().contains_key(id)
+    }
+
     /// A client was told that a try had not run.
     pub fn told_not_run(&self, id: &str) {
         if self.runs.borrow().contains_key(id) {
@@ -89,18 +104,27 @@
 
     /// A client got a success for a request that it sent at `sent`.
     pub fn got(&self, path: &str, sent: Instant, sealed: bool, got: &[u8], length: usize) {
+        match self.judge(path, sent, sealed, got, length) {
+            Judgement::Sound => {}
+            Judgement::Mixed => self.broken.borrow_mut().mixed += 1,
+            Judgement::Stale => self.broken.borrow_mut().stale += 1,
+        }
+    }
+
+    /// What a success is that a client got for a request that it sent at `sent`.
+    pub fn judge(&self, path: &str, sent: Instant, sealed: bool, got: &[u8], length: usize) -> Judgement {
         let head = format!("{path} v");
         let text = got.split(|byte| *byte == b'\n').next().and_then(|line| std::str::from_utf8(line).ok());
         let version = text.and_then(|line| line.strip_prefix(&head)?.parse::<u64>().ok());
         let Some(version) = version.filter(|v| sealed && got == &body(path, *v, length)[..]) else {
-            self.broken.borrow_mut().mixed += 1;
-            return;
+            return Judgement::Mixed;
         };
         let objects = self.objects.borrow();
         let ended = objects.get(path).and_then(|object| object.ended.get(&version));
         if ended.is_some_and(|ended| sent >= *ended + PURGED) {
-            self.broken.borrow_mut().stale += 1;
+            return Judgement::Stale;
         }
+        Judgement::Sound
     }
 
     pub fn broken(&self) -> Broken {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 mod processor;
 pub mod report;
 mod schedules;
+mod soak;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -55,6 +56,8 @@
     },
     /// Play random schedules of the core's chain, without sockets or disks, and name those in which a promise is broken
     Schedules(schedules::Wanted),
+    /// Run the system's processes under random troubles, and name the seeds in which a promise is broken
+    Soak(soak::SoakPlan),
     /// Hold sessions of many hollow nodes at real control processes; write hollow.json, hollow.csv, hollow.md and plots
     Hollow {
         #[command(flatten)]
@@ -122,6 +125,10 @@
             Ok(true)
         }
         Command::Schedules(wanted) => schedules::play(&wanted),
+        Command::Soak(plan) => {
+            let program = beside(plan.program.clone())?;
+            soak::run(&plan, &program)
+        }
         Command::Hollow { plan, out, program } => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
             let report = LocalSet::new().block_on(&runtime, hollow::play(&plan, &beside(program)?))?;
--- a/lab/src/origin.rs
+++ b/lab/src/origin.rs
@@ -28,8 +28,8 @@
 pub const BEAT: Duration = Duration::from_millis(500);
 /// One call to control; then the next node is called.
 const CALL: Duration = Duration::from_secs(1);
-/// Serves on for so long after its goodbye was acknowledged.
-const DRAIN: Duration = Duration::from_millis(3000);
+/// Serves on for so long after its leaving was acknowledged; later nothing may come any more.
+pub const DRAIN: Duration = Duration::from_millis(3000);
 /// A server that is full is called again no sooner.
 const FULL: Duration = Duration::from_millis(100);
 
@@ -43,6 +43,16 @@
     /// How many times as long as usual its work takes.
     pub slow: Cell<f64>,
     draining: Cell<bool>,
+    /// Says goodbye first, and never that it drains.
+    says_goodbye_first: Cell<bool>,
+    /// Serves on for so much longer than it has to.
+    pub lingers: Cell<Duration>,
+    /// When its leaving was acknowledged.
+    leaving_since: Cell<Option<Instant>>,
+    /// When requests came later than they may after that.
+    pub late_arrivals: RefCell<Vec<Instant>>,
+    /// The control node that took its last beat.
+    called: Cell<usize>,
     rng: RefCell<ChaCha8Rng>,
     /// Arrivals, and those that it turned away.
     pub arrivals: Cell<u64>,
@@ -67,6 +77,11 @@
             waiting: Cell::new(0),
             slow: Cell::new(1.0),
             draining: Cell::new(false),
+            says_goodbye_first: Cell::new(false),
+            lingers: Cell::new(Duration::ZERO),
+            leaving_since: Cell::new(None),
+            late_arrivals: RefCell::default(),
+            called: Cell::new(0),
             rng: RefCell::new(ChaCha8Rng::seed_from_u64(seed)),
             arrivals: Cell::new(0),
             turned_away: Cell::new(0),
@@ -74,10 +89,16 @@
         })
     }
 
-    /// Serves, and beats, until it crashes or has drained.
-    pub async fn run(self: Rc<Self>, addr: SocketAddrV4, zone: String, controls: Controls) {
+    /// Serves, and beats, until it crashes or has drained. `announced` is where others reach it.
+    pub async fn run(
+        self: Rc<Self>,
+        listen: SocketAddrV4,
+        announced: SocketAddrV4,
+        zone: String,
+        controls: Controls,
+    ) {
         let terms = serve::Terms {
-            listen: addr,
+            listen,
             most: 256,
             most_bodies: 8 << 20,
             still_accepting: Duration::ZERO,
@@ -91,7 +112,7 @@
                     eprintln!("{}: {e}", self.id);
                 }
             }
-            () = self.beat(addr, zone, &controls) => {}
+            () = self.beat(announced, zone, &controls) => {}
             _ = crash.wait_for(|crashed| *crashed) => {}
         }
     }
@@ -101,15 +122,24 @@
         let uri = format!("/api/servers/{}", self.id);
         for seq in 1u64.. {
             let draining = self.draining.get();
+            if draining && self.says_goodbye_first.get() {
+                while !self.call(&pool, controls, Method::DELETE, &uri, Bytes::new()).await {
+                    sleep(BEAT).await;
+                }
+                self.leaving_since.set(Some(Instant::now()));
+                sleep(DRAIN + self.lingers.get()).await;
+                return;
+            }
             let status = if draining { "draining" } else { "ready" };
             let beat = json!({
                 "backend": self.plan.name, "addr": addr, "zone": zone, "rev": "v1",
                 "capacity": self.plan.slots, "status": status, "warmupLeftMs": 0, "callSeq": seq,
             });
-            let told = call(&pool, controls, Method::PUT, &uri, beat.to_string().into()).await;
+            let told = self.call(&pool, controls, Method::PUT, &uri, beat.to_string().into()).await;
             if draining && told {
-                sleep(DRAIN).await;
-                call(&pool, controls, Method::DELETE, &uri, Bytes::new()).await;
+                self.leaving_since.set(Some(Instant::now()));
+                sleep(DRAIN + self.lingers.get()).await;
+                self.call(&pool, controls, Method::DELETE, &uri, Bytes::new()).await;
                 return;
             }
             let asked_to_leave = async {
@@ -121,10 +151,23 @@
         }
     }
 
+    /// Calls control nodes in turn until one takes it, beginning with the one that took the last call.
+    async fn call(&self, pool: &Pool, controls: &Controls, method: Method, uri: &str, body: Bytes) -> bool {
+        let taken = call_from(self.called.get(), pool, controls, method, uri, body).await;
+        self.called.set(taken.unwrap_or(self.called.get()));
+        taken.is_some()
+    }
+
     pub fn drain(&self) {
         self.draining.set(true);
     }
 
+    /// It leaves without saying that it drains.
+    pub fn say_goodbye(&self) {
+        self.says_goodbye_first.set(true);
+        self.draining.set(true);
+    }
+
     /// It says nothing any more.
     pub fn crash(&self) {
         self.crash.send_replace(true);
@@ -152,6 +195,9 @@
 
     async fn work(&self, whole: &Whole) -> Answer {
         self.arrivals.set(self.arrivals.get() + 1);
+        if self.leaving_since.get().is_some_and(|since| since.elapsed() > DRAIN) {
+            self.late_arrivals.borrow_mut().push(Instant::now());
+        }
         let text = |name: &str| whole.head.headers.get(name).and_then(|value| value.to_str().ok());
         if text("x-glenfall-want-server").is_some_and(|wanted| wanted != self.id) {
             return self.not_run(StatusCode::MISDIRECTED_REQUEST, "another server");
@@ -240,19 +286,36 @@
 
 /// Calls control nodes in turn until one takes it.
 pub async fn call(pool: &Pool, controls: &Controls, method: Method, uri: &str, body: Bytes) -> bool {
-    for control in &controls.controls {
-        let request = || {
-            let mut request = Request::new(Full::new(body.clone()));
-            *request.method_mut() = method.clone();
-            *request.uri_mut() = uri.parse().unwrap_or_default();
-            request.headers_mut().insert(header::HOST, HeaderValue::from_static("control"));
-            request
-        };
-        let reply =
-            pool.exchange((*control).into(), request, Instant::now() + CALL, Trust::Ours, || true).await;
-        if reply.is_ok_and(|reply| reply.status().is_success()) {
-            return true;
+    call_from(0, pool, controls, method, uri, body).await.is_some()
+}
+
+/// The same, beginning with this one; which has taken it.
+async fn call_from(
+    first: usize,
+    pool: &Pool,
+    controls: &Controls,
+    method: Method,
+    uri: &str,
+    body: Bytes,
+) -> Option<usize> {
+    let count = controls.controls.len();
+    for at in (first..first + count).map(|at| at % count) {
+        if call_one(pool, controls.controls[at], method.clone(), uri, body.clone()).await {
+            return Some(at);
         }
     }
-    false
+    None
+}
+
+/// Calls a control node; whether it takes the call.
+async fn call_one(pool: &Pool, control: SocketAddrV4, method: Method, uri: &str, body: Bytes) -> bool {
+    let request = || {
+        let mut request = Request::new(Full::new(body.clone()));
+        *request.method_mut() = method.clone();
+        *request.uri_mut() = uri.parse().unwrap_or_default();
+        request.headers_mut().insert(header::HOST, HeaderValue::from_static("control"));
+        request
+    };
+    let reply = pool.exchange(control.into(), request, Instant::now() + CALL, Trust::Ours, || true).await;
+    reply.is_ok_and(|reply| reply.status().is_success())
 }
--- a/lab/src/processor/mod.rs
+++ b/lab/src/processor/mod.rs
@@ -142,6 +142,8 @@
             zones,
             beat_ms: BEAT.as_millis() as u64,
             mem_mb: plan.system.mem_mb,
+            losses: 0,
+            relayed: false,
         };
         let local = Local::start(layout, program).await?;
         let servers = start_servers(&plan, &local, &Rc::new(Ledger::default())).await?;
