Soak: what was read shows in the logs; causes of failures are summed

An edge now logs requests whose connections end before their answer (client-gone), and the soak goes by that and by what servers ran.

--- a/glenfall/src/control/purging.rs
+++ b/glenfall/src/control/purging.rs
@@ -91,7 +91,7 @@
         let counted = self.purge_writes.count(number);
         let written = self.take_purges(vec![stamped.clone()]);
         self.note_own_write(number, written);
-        let pushed = self.sessions.pushed();
+        let leased = self.sessions.leased();
         let asked = self.peers.instances();
         let up: Vec<Ipv4Addr> = asked.iter().map(|instance| instance.ip).collect();
         let question =
@@ -107,7 +107,7 @@
         let acknowledged =
             durable && others && purged && complete.is_some_and(|complete| self.bars_leases(&complete));
         if acknowledged {
-            let behind = self.sessions.holders_behind(&pushed);
+            let behind = self.sessions.still_behind(&leased);
             Invariant::PurgeIsApplied.check(behind.is_empty(), || format!("{behind:?} have a lease"));
         }
         acknowledged
--- a/glenfall/src/edge.rs
+++ b/glenfall/src/edge.rs
@@ -400,7 +400,10 @@
     async fn answer(&self, whole: Whole) -> Answer {
         let began = Instant::now();
         let read = whole.head.method == Method::GET;
+        let mut unanswered = Unanswered { edge: &self.0, head: &whole.head, began, is_answered: false };
         let mut answer = self.0.serve(&whole).await;
+        unanswered.is_answered = true;
+        drop(unanswered);
         if answer.failure().is_some() {
             // By it clients and logs know which request this answers.
             answer.set_try_id(whole.head.headers.get(TRY_ID));
@@ -434,6 +437,27 @@
     }
 }
 
+/// A request that has no answer yet. Dropped so, its client's connection has ended.
+struct Unanswered<'a> {
+    edge: &'a Edge,
+    head: &'a Parts,
+    began: Instant,
+    is_answered: bool,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.edge.note_failure(
+                &Cause::ClientGone.into(),
+                self.head,
+                StatusCode::from_u16(499).unwrap_or_default(),
+                self.began,
+            );
+        }
+    }
+}
+
 /// Tells whoever asks whether new clients should come here.
 pub struct Readiness(pub Rc<Feed>);
 
--- a/glenfall/src/proxy/failure.rs
+++ b/glenfall/src/proxy/failure.rs
@@ -93,6 +93,8 @@
     BodyTooLarge = "body-too-large",
     /// The body did not come whole in time.
     BodyTooSlow = "body-too-slow",
+    /// The client's connection ended before the answer was ready.
+    ClientGone = "client-gone",
     /// The head did not come whole in time.
     HeadTooSlow = "head-too-slow",
 }
--- a/glenfall/src/session/publisher.rs
+++ b/glenfall/src/session/publisher.rs
@@ -74,6 +74,13 @@
     Lost,
 }
 
+/// A session and its lease at some moment.
+pub struct LeasedSession {
+    id: u64,
+    sent: u64,
+    until: Millis,
+}
+
 /// What `status` tells of a session.
 pub struct Seen {
     /// The subscriber's name.
@@ -356,16 +363,22 @@
         }
     }
 
-    /// The sessions that stand, each with the number of the last change that it was sent.
-    pub fn pushed(&self) -> Vec<(u64, u64)> {
-        self.all.borrow().iter().map(|(id, session)| (*id, session.sent)).collect()
+    /// The sessions that hold a lease, each with the number of the last change that it was sent.
+    pub fn leased(&self) -> Vec<LeasedSession> {
+        let (all, grants, now) = (self.all.borrow(), self.grants.borrow(), self.now());
+        let leased = |(id, session): (&u64, &Session)| {
+            grants.ends(now, id).map(|until| LeasedSession { id: *id, sent: session.sent, until })
+        };
+        all.iter().filter_map(leased).collect()
     }
 
-    /// Those of these sessions that stand, hold a lease, and have not applied what they had been sent then.
-    pub fn holders_behind(&self, pushed: &[(u64, u64)]) -> Vec<String> {
-        let (all, grants, now) = (self.all.borrow(), self.grants.borrow(), self.now());
-        let holders = pushed.iter().filter(|(id, _)| grants.ends(now, id).is_some());
-        let behind = holders.filter_map(|(id, sent)| all.get(id).filter(|session| session.applied < *sent));
+    /// Those of these sessions that stand, whose leases of then are not over, and that have not applied what they had been
+    /// sent. A lease that was granted since follows that on the same connection.
+    pub fn still_behind(&self, leased: &[LeasedSession]) -> Vec<String> {
+        let (all, now) = (self.all.borrow(), self.now());
+        let standing = leased.iter().filter(|then| now < then.until);
+        let behind =
+            standing.filter_map(|then| all.get(&then.id).filter(|session| session.applied < then.sent));
         behind.map(|session| session.node.clone()).collect()
     }
 
--- a/lab/src/soak/observed.rs
+++ b/lab/src/soak/observed.rs
@@ -88,6 +88,7 @@
     troubled: RefCell<BTreeMap<(u8, Kind), (u32, Option<Instant>)>>,
     cores: Cell<u8>,
     failed: RefCell<Vec<Failed>>,
+    causes: RefCell<BTreeMap<String, u64>>,
 }
 
 /// Violations of one promise that are kept.
@@ -102,6 +103,7 @@
             troubled: RefCell::default(),
             cores: Cell::new(cores),
             failed: RefCell::default(),
+            causes: RefCell::default(),
         }
     }
 
@@ -165,6 +167,15 @@
         self.failed.take()
     }
 
+    /// What the logs tell of the causes of failures.
+    pub fn set_causes(&self, causes: BTreeMap<String, u64>) {
+        self.causes.replace(causes);
+    }
+
+    pub fn causes(&self) -> BTreeMap<String, u64> {
+        self.causes.borrow().clone()
+    }
+
     pub fn violations(&self) -> Vec<Violation> {
         self.violations.borrow().clone()
     }
--- a/lab/src/soak/schedule.rs
+++ b/lab/src/soak/schedule.rs
@@ -4,7 +4,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 /// The first trouble begins so long after the start of the load, in seconds.
 const FIRST: f64 = 1.0;
@@ -14,7 +14,7 @@
 const LONGEST: f64 = 5.0;
 
 /// Which processes of a machine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Part {
     Both,
     /// The edge or the shield.
@@ -24,7 +24,7 @@
 }
 
 /// Whom a machine is cut off from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CutKind {
     Both,
     /// Only what it says is lost.
@@ -34,7 +34,7 @@
 }
 
 /// One trouble. Machines are numbered from 1, those of the core first; servers are numbered within their service.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Trouble {
     /// SIGKILL, and started again at the end.
     Kill { machine: u8, part: Part },
@@ -73,7 +73,7 @@
 }
 
 /// A trouble and its time, in seconds from the start of the load.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Timed {
     pub at: f64,
     pub for_s: f64,
@@ -81,7 +81,7 @@
 }
 
 /// The size of what is played.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Size {
     pub cores: u8,
     pub edges: u8,
@@ -89,7 +89,7 @@
 }
 
 /// All troubles of a play.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Schedule {
     pub seed: u64,
     pub size: Size,
--- a/plane/src/invariant.rs
+++ b/plane/src/invariant.rs
@@ -51,7 +51,7 @@
     DrainIsTold = "drain_is_told",
     /// An edge serves no copy of its own that a purge of the last moments names.
     CopyNotPurged = "copy_not_purged",
-    /// A purge is acknowledged only once each session that holds a lease has applied it.
+    /// A purge is acknowledged only once each session that held a lease has applied it, or that lease is over.
     PurgeIsApplied = "purge_is_applied",
     /// No lease stands for longer than leases last.
     LeaseIsBounded = "lease_is_bounded",
