--- a/glenfall/src/proxy/serve.rs
+++ b/glenfall/src/proxy/serve.rs
@@ -36,8 +36,20 @@
 pub const TRY_ID: HeaderName = HeaderName::from_static("x-glenfall-try-id");
 /// How long the sender of a request waits, in milliseconds.
 pub const DEADLINE: HeaderName = HeaderName::from_static("x-glenfall-deadline");
-/// What begins the names that are the system's own.
-const OWN: &str = "x-glenfall-";
+/// Headers that the system sets itself, on its own ways or for servers: what others say under these names goes no further.
+const OWN: [&str; 9] = [
+    "x-glenfall-deadline",
+    "x-glenfall-want-server",
+    "x-glenfall-not-run",
+    "x-glenfall-rev",
+    "x-glenfall-again",
+    "x-glenfall-sends",
+    "x-glenfall-shield",
+    "x-glenfall-failure",
+    "x-glenfall-age-ms",
+];
+/// Labels of an object go as far as copies are kept, and not to clients.
+const TAGS: &str = "x-glenfall-tags";
 
 /// Pause when no descriptor is left for a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -122,7 +134,8 @@
         ];
         hop.contains(name)
             || matches!(name.as_str(), "keep-alive" | "proxy-connection")
-            || (name.as_str().starts_with(OWN) && *name != TRY_ID && name.as_str() != "x-glenfall-seal")
+            || OWN.contains(&name.as_str())
+            || name.as_str() == TAGS
             || named.iter().any(|word| name.as_str().eq_ignore_ascii_case(word))
     };
     headers
--- a/glenfall/src/session/publisher.rs
+++ b/glenfall/src/session/publisher.rs
@@ -372,11 +372,11 @@
         all.iter().filter_map(leased).collect()
     }
 
-    /// Those of these sessions that stand, whose leases of then are not over, and that have not applied what they had been
-    /// sent. A lease that was granted since follows that on the same connection.
+    /// Those of these sessions that stand, whose leases of then are neither over nor given back, and that have not applied
+    /// what they had been sent. A lease that was granted since follows that on the same connection.
     pub fn still_behind(&self, leased: &[LeasedSession]) -> Vec<String> {
-        let (all, now) = (self.all.borrow(), self.now());
-        let standing = leased.iter().filter(|then| now < then.until);
+        let (all, grants, now) = (self.all.borrow(), self.grants.borrow(), self.now());
+        let standing = leased.iter().filter(|then| now < then.until && grants.ends(now, &then.id).is_some());
         let behind =
             standing.filter_map(|then| all.get(&then.id).filter(|session| session.applied < then.sent));
         behind.map(|session| session.node.clone()).collect()
--- a/glenfall/tests/unit/serve.rs
+++ b/glenfall/tests/unit/serve.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use glenfall::proxy::serve::{plain, serve_at, Answer, Handler, Terms, Whole};
+use glenfall::proxy::serve::{passed_on, plain, serve_at, Answer, Handler, Terms, Whole};
 use glenfall_plane::config::ReqLimits;
 use hyper::header::HeaderValue;
 use hyper::StatusCode;
@@ -234,3 +234,28 @@
         assert!(open.is_err(), "it still waits");
     });
 }
+
+#[test]
+fn headers_go_along_but_for_those_of_one_connection_and_of_the_system_itself() {
+    let kept = ["x-glenfall-try-id", "x-glenfall-seal", "x-glenfall-key", "x-other", "host", "etag"];
+    let taken_off = [
+        "connection",
+        "keep-alive",
+        "transfer-encoding",
+        "x-named",
+        "x-glenfall-deadline",
+        "x-glenfall-want-server",
+        "x-glenfall-rev",
+        "x-glenfall-sends",
+        "x-glenfall-again",
+        "x-glenfall-failure",
+        "x-glenfall-shield",
+    ];
+    let mut headers = hyper::HeaderMap::new();
+    for name in kept.iter().chain(&taken_off) {
+        headers.insert(*name, hyper::header::HeaderValue::from_static("x-named"));
+    }
+    let names: Vec<String> = passed_on(&headers).keys().map(ToString::to_string).collect();
+    let expected = kept.map(str::to_owned);
+    assert!(names.len() == expected.len() && expected.iter().all(|name| names.contains(name)), "{names:?}");
+}
