--- a/glenfall/src/session/publisher.rs
+++ b/glenfall/src/session/publisher.rs
@@ -2,6 +2,8 @@
 //! applied. It grants them leases on copies out of its own, and keeps in mind what it has granted also once a session is
 //! lost: until then its other side may serve from copies.
 
+mod leased;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -74,13 +76,6 @@
     Lost,
 }
 
-/// A session and its lease at some moment.
-pub struct LeasedSession {
-    id: u64,
-    sent: u64,
-    until: Millis,
-}
-
 /// What `status` tells of a session.
 pub struct Seen {
     /// The subscriber's name.
@@ -363,25 +358,6 @@
         }
     }
 
-    /// The sessions that hold a lease, each with the number of the last change that it was sent.
-    pub fn leased(&self) -> Vec<LeasedSession> {
-        let (all, grants, now) = (self.all.borrow(), self.grants.borrow(), self.now());
-        let leased = |(id, session): (&u64, &Session)| {
-            grants.ends(now, id).map(|until| LeasedSession { id: *id, sent: session.sent, until })
-        };
-        all.iter().filter_map(leased).collect()
-    }
-
-    /// Those of these sessions that stand, whose leases of then are neither over nor given back, and that have not applied
-    /// what they had been sent. A lease that was granted since follows that on the same connection.
-    pub fn still_behind(&self, leased: &[LeasedSession]) -> Vec<String> {
-        let (all, grants, now) = (self.all.borrow(), self.grants.borrow(), self.now());
-        let standing = leased.iter().filter(|then| now < then.until && grants.ends(now, &then.id).is_some());
-        let behind =
-            standing.filter_map(|then| all.get(&then.id).filter(|session| session.applied < then.sent));
-        behind.map(|session| session.node.clone()).collect()
-    }
-
     /// The sessions that have leases, ended ones too, each with what it was sent.
     fn holders(&self) -> Vec<(u64, u64)> {
         let all = self.all.borrow();
