--- a/glenfall/src/control/api.rs
+++ b/glenfall/src/control/api.rs
@@ -368,6 +368,9 @@
             .collect();
         let fleet = control.fleet.borrow();
         let fleet = fleet.fleet();
+        // An incomplete list names to proxies those as well that have ended.
+        let registry = control.registry.borrow();
+        let servers: Vec<_> = fleet.servers.iter().filter(|server| !registry.has_ended(&server.id)).collect();
         json!({
             "node": control.boot.node,
             "rev": chain.committed().rev,
@@ -376,7 +379,7 @@
             "view": chain.view().map(|view| json!({ "name": view.name(), "chain": view.chain })),
             "inMajority": chain.in_majority(),
             "peers": control.peers.up(),
-            "servers": fleet.servers,
+            "servers": servers,
             "shields": fleet.shields,
             "sessions": sessions,
             "counters": crate::session::link::report("").into_iter().collect::<std::collections::BTreeMap<_, _>>(),
--- a/plane/src/registry.rs
+++ b/plane/src/registry.rs
@@ -264,6 +264,11 @@
         self.known.get(id).map(|known| &known.entry)
     }
 
+    /// Whether a server has said goodbye, or lost its address to another.
+    pub fn has_ended(&self, id: &str) -> bool {
+        self.entry(id).is_some_and(|entry| entry.status == EntryStatus::Gone)
+    }
+
     /// Whether all control nodes that are there have been told what status a server has.
     pub fn is_spread(&self, id: &str) -> bool {
         self.known.get(id).is_some_and(|known| known.spread)
