Reads after a purge don't get content from a fetch that began before it

Cause: a shield went on handing a fetch in flight to reads that came after the purge, because the labels are known only with the response; it checked them only before storing. An edge remembered a purge for 3 s (PURGE_BARRIER_TIME) and stored what came later, whenever it had been fetched.

Evidence: the new tests on: reads_after_a_purge_by_label_... got "1" where "2" is due, a_shared_response_that_is_not_ storable_... the same, a_response_that_was_fetched_before_a_purge_... was stored 4 s after the purge. A fourth, reads_share_a_fetch_if_..., failed as a history of old purges ended the sharing of a fetch that began after them.

Change: one type, RecentPurges, compares by order in both tiers. A fetch keeps the position in the sequence of received purges at which it began, a joined read the one at which it joined; a read whose response a purge between them covers is made again, and such reads share one new fetch. An edge stores a response only if it was fetched after each purge that covers it; what was evicted counts as covering. The age that a shield states is rounded up, and a late confirmation makes no copy older.

The edge's constant PURGE_BARRIER_TIME is gone: its test keeps its 3 s as a number and gains the case 1 ms before the purge.

--- a/control-plane/src/messages.rs
+++ b/control-plane/src/messages.rs
@@ -139,6 +139,17 @@
     Everything,
 }
 
+impl Purge {
+    /// Total length of its host, path and label, in bytes.
+    pub fn text_bytes(&self) -> usize {
+        match self {
+            Purge::Object { hostname, path } => hostname.len() + path.len(),
+            Purge::Label(label) => label.len(),
+            Purge::Everything => 0,
+        }
+    }
+}
+
 /// A purge as proxies receive it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgedPurge {
--- a/control-plane/src/purge_history.rs
+++ b/control-plane/src/purge_history.rs
@@ -41,21 +41,12 @@
     }
 }
 
-/// Total length of the strings in a purge, in bytes.
-fn text_bytes(purge: &Purge) -> usize {
-    match purge {
-        Purge::Object { hostname, path } => hostname.len() + path.len(),
-        Purge::Label(label) => label.len(),
-        Purge::Everything => 0,
-    }
-}
-
 /// The purges of the last [`PURGE_RETENTION`], in the order in which this node received them.
 #[derive(Default)]
 pub struct PurgeHistory {
     purges: VecDeque<RetainedPurge>,
     ids: HashSet<PurgeId>,
-    /// Sum of [`text_bytes`] over all retained purges.
+    /// Sum of [`Purge::text_bytes`] over all retained purges.
     bytes: usize,
     /// When a purge was last evicted before the end of its retention; `None` if that has never happened. Reset by the
     /// first [`add`](Self::add) after [`PURGE_RETENTION`].
@@ -72,7 +63,7 @@
             if self.ids.insert(id) {
                 new.push(record.clone());
                 let accepted_at = now.saturating_sub(record.age_ms);
-                self.bytes += text_bytes(&record.purge);
+                self.bytes += record.purge.text_bytes();
                 self.purges.push_back(RetainedPurge { id, accepted_at, purge: record.purge });
             }
         }
@@ -97,7 +88,7 @@
     fn remove_oldest(&mut self) {
         if let Some(oldest) = self.purges.pop_front() {
             self.ids.remove(&oldest.id);
-            self.bytes -= text_bytes(&oldest.purge);
+            self.bytes -= oldest.purge.text_bytes();
         }
     }
 
--- a/glenfall/src/cache/memory_cache.rs
+++ b/glenfall/src/cache/memory_cache.rs
@@ -3,17 +3,15 @@
 
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
 
 use glenfall_control_plane::messages::{AgedPurge, Purge};
 use lru::LruCache;
+use tokio::time::Instant;
 
 use super::object_key::ObjectKey;
+use super::recent_purges::latest_acceptance;
 use super::stored_response::StoredResponse;
 
-/// A purge also removes responses whose request was sent up to this long after it. The age of a purge does not include
-/// the transit time of its message, so that the order of purge and request is not known more precisely.
-const PURGE_ORDER_TOLERANCE: Duration = Duration::from_secs(1);
 /// Responses larger than the capacity divided by this are not stored.
 const MAX_ENTRY_DIVISOR: usize = 8;
 
@@ -89,11 +87,11 @@
     /// Removes all responses that a purge covers, except those whose request was sent after the purge. Returns their
     /// keys.
     pub fn purge(&mut self, aged_purge: &AgedPurge) -> Vec<ObjectKey> {
-        let purge_age = Duration::from_millis(aged_purge.age_ms);
+        let Some(accepted_by) = latest_acceptance(aged_purge, Instant::now()) else { return Vec::new() };
         let mut keys = self.keys_covered_by(&aged_purge.purge);
         keys.retain(|key| {
             let response = self.entries.peek(key);
-            response.is_none_or(|response| response.age() + PURGE_ORDER_TOLERANCE >= purge_age)
+            response.is_none_or(|response| response.requested_at.get() <= accepted_by)
         });
         for key in &keys {
             self.remove(key);
--- a/glenfall/src/cache/stored_response.rs
+++ b/glenfall/src/cache/stored_response.rs
@@ -10,9 +10,7 @@
 
 use super::byte_range::ByteRange;
 use crate::http::headers::{forwardable_headers, TRY_ID_HEADER};
-use crate::http::response::{
-    CachedResponse, ProxyResponse, ServerResponse, AGE_HEADER, LABELS_HEADER, SEAL_HEADER,
-};
+use crate::http::response::{CachedResponse, ProxyResponse, ServerResponse, AGE_HEADER, SEAL_HEADER};
 
 /// Memory that a stored response takes in addition to its body: headers, keys and table entries.
 pub const ENTRY_OVERHEAD_BYTES: usize = 1024;
@@ -39,8 +37,6 @@
         if !is_storable(response) {
             return None;
         }
-        let labels = response.headers().get_all(LABELS_HEADER).iter().filter_map(|value| value.to_str().ok());
-        let labels = labels.flat_map(str::split_whitespace).map(Box::from).collect();
         let mut headers = forwardable_headers(response.headers());
         headers.remove(TRY_ID_HEADER);
         headers.remove(header::AGE);
@@ -48,10 +44,16 @@
             headers,
             body: response.body().clone(),
             requested_at: Cell::new(requested_at),
-            labels,
+            labels: response.labels().map(Box::from).collect(),
         })
     }
 
+    /// Records that a server has confirmed the content, by a response to a request that was sent at `requested_at`. The
+    /// confirmation may be older than one that is already recorded.
+    pub fn revalidate(&self, requested_at: Instant) {
+        self.requested_at.set(self.requested_at.get().max(requested_at));
+    }
+
     /// Adds to a response what an edge needs to store it as well: its age and its labels.
     pub fn add_cache_details(&self, response: &mut ProxyResponse) {
         response.set_cache_details(self.age(), &self.labels.join(" "));
@@ -74,11 +76,6 @@
         self.requested_at.get().elapsed()
     }
 
-    /// Whether a purge of this label covers it.
-    pub fn has_label(&self, label: &str) -> bool {
-        self.labels.iter().any(|stored_label| **stored_label == *label)
-    }
-
     /// The response to a request with these headers: the complete object, the requested range, or that the object is
     /// not modified.
     pub fn respond_to(&self, request: &HeaderMap) -> CachedResponse {
--- a/glenfall/src/edge/mod.rs
+++ b/glenfall/src/edge/mod.rs
@@ -27,7 +27,6 @@
 use self::counters::Counters;
 pub use self::handler::{EdgeHandler, ReadinessHandler};
 use self::local_cache::LocalCache;
-pub use self::local_cache::{MAX_RECENT_PURGES, PURGE_BARRIER_TIME};
 use self::read::attempt_log::AttemptCounts;
 use self::routed_request::{is_cacheable_read, RoutedRequest};
 use self::shield_selector::ShieldSelector;
--- a/glenfall/src/edge/read/attempts.rs
+++ b/glenfall/src/edge/read/attempts.rs
@@ -288,7 +288,7 @@
         if let (StatusCode::NOT_MODIFIED, Some(stale)) = (response.status(), &self.stale) {
             self.edge.counters.revalidated.increment();
             if let Some(fetch_time) = StoredResponse::fetched_at(&response, sent) {
-                stale.requested_at.set(fetch_time);
+                stale.revalidate(fetch_time);
             }
             return stale.respond_to(client_headers).into();
         }
--- a/glenfall/src/http/response/proxy.rs
+++ b/glenfall/src/http/response/proxy.rs
@@ -13,6 +13,8 @@
 use crate::http::headers::TRY_ID_HEADER;
 use crate::http::send_budget::{SendReport, SENDS_HEADER};
 
+const NANOS_PER_MILLI: u128 = 1_000_000;
+
 /// The response that a proxy returns to its client. Only headers for other processes of the system can still be set.
 #[derive(Debug)]
 pub struct ProxyResponse {
@@ -64,7 +66,7 @@
     /// Adds what an edge needs to store the response: its age, and its labels separated by spaces.
     pub fn set_cache_details(&mut self, age: Duration, labels: &str) {
         let headers = self.response.headers_mut();
-        headers.insert(AGE_HEADER, HeaderValue::from(age.as_millis() as u64));
+        headers.insert(AGE_HEADER, HeaderValue::from(age.as_nanos().div_ceil(NANOS_PER_MILLI) as u64));
         if let Ok(labels) = HeaderValue::from_str(labels) {
             headers.insert(LABELS_HEADER, labels);
         }
--- a/glenfall/src/http/response/server.rs
+++ b/glenfall/src/http/response/server.rs
@@ -7,6 +7,7 @@
 
 use super::accessors::response_accessors;
 use super::shield_source::{ShieldSource, SHIELD_HEADER};
+use super::LABELS_HEADER;
 use crate::http::failure::{Cause, Failure, FAILURE_HEADER};
 
 /// A complete response of an upstream: a server, or a shield that forwards one.
@@ -46,6 +47,12 @@
         is_failure.then(|| Failure::with_attempts(Cause::ServerError, self.attempts.clone()))
     }
 
+    /// The labels by which its object can be purged.
+    pub fn labels(&self) -> impl Iterator<Item = &str> {
+        let values = self.headers.get_all(LABELS_HEADER).iter().filter_map(|value| value.to_str().ok());
+        values.flat_map(str::split_whitespace)
+    }
+
     /// Where the shield that sent this response got it; `None` if it was not sent by a shield.
     pub fn shield_source(&self) -> Option<ShieldSource> {
         ShieldSource::parse(self.headers.get(SHIELD_HEADER)?)
--- a/glenfall/src/shield/counters.rs
+++ b/glenfall/src/shield/counters.rs
@@ -11,6 +11,8 @@
     pub misses: Counter,
     /// Reads that shared the fetch of another read.
     pub collapsed: Counter,
+    /// Reads that did not use the response of the fetch that they shared, as it was from before a purge.
+    pub outdated_joins: Counter,
     /// Stored responses that a server has confirmed as unchanged.
     pub revalidated: Counter,
     pub rejected: Counter,
@@ -22,11 +24,12 @@
 
 impl Counters {
     /// The counters and the size of the cache, under their names in `status`.
-    pub fn counts(&self, cache: &Cache) -> [(&'static str, u64); 8] {
+    pub fn counts(&self, cache: &Cache) -> [(&'static str, u64); 9] {
         [
             ("hits", self.hits.get()),
             ("misses", self.misses.get()),
             ("joined", self.collapsed.get()),
+            ("joined_outdated", self.outdated_joins.get()),
             ("refreshed", self.revalidated.get()),
             ("refused", self.rejected.get()),
             ("found_on_disk", self.warm_start.get()),
--- a/glenfall/src/shield/fetch.rs
+++ b/glenfall/src/shield/fetch.rs
@@ -138,7 +138,7 @@
         self.fetches.finish(started_fetch);
         if let FetchOutcome::Storable(stored_response) = &outcome {
             let is_revalidated = stale.is_some_and(|stale| Rc::ptr_eq(&stale, stored_response));
-            if !started_fetch.is_purged(stored_response) {
+            if !self.fetches.is_purged(started_fetch, stored_response) {
                 self.store(key, stored_response, is_revalidated);
             }
         }
@@ -157,7 +157,7 @@
         if let (StatusCode::NOT_MODIFIED, Some(stale)) = (response.status(), stale) {
             tracing::debug!(path = %key.path, "stored response revalidated");
             self.counters.revalidated.increment();
-            stale.requested_at.set(sent_at);
+            stale.revalidate(sent_at);
             return FetchOutcome::Storable(Rc::clone(stale));
         }
         match StoredResponse::from_response(&response, sent_at) {
--- a/glenfall/src/shield/mod.rs
+++ b/glenfall/src/shield/mod.rs
@@ -135,7 +135,7 @@
             let mut purged = self.cache.borrow_mut().purge(aged);
             purged.extend(self.warm_start.purge(aged));
             self.remove_from_disk(&purged);
-            self.fetches.purge(&aged.purge);
+            self.fetches.purge(aged);
         }
     }
 
--- a/glenfall/src/shield/read.rs
+++ b/glenfall/src/shield/read.rs
@@ -12,7 +12,7 @@
 use super::fetch::FetchRequest;
 use super::fetch_result::{FetchOutcome, FetchResult};
 use super::freshness::max_age;
-use super::singleflight::{FetchReceiver, TooManyFetches};
+use super::singleflight::{FetchReceiver, JoinedFetch, TooManyFetches};
 use super::{object_fraction, Shield, CONFIG_VERSION_HEADER, REPEATED_REQUEST_HEADER};
 use crate::cache::{ObjectKey, StoredResponse};
 use crate::http::failure::Cause;
@@ -63,6 +63,16 @@
     }
 }
 
+/// A read whose route and object are known.
+#[derive(Clone, Copy)]
+struct Read<'a> {
+    config: &'a Arc<Config>,
+    route: &'a Route,
+    key: &'a ObjectKey,
+    deadline: Instant,
+    request: &'a FullRequest,
+}
+
 impl Shield {
     /// Answers a read.
     pub(super) async fn read(self: &Rc<Self>, request: &FullRequest) -> ReadResult {
@@ -77,29 +87,56 @@
         if !request.head.headers.contains_key(REPEATED_REQUEST_HEADER) {
             self.forwarder.record_client_request(&key.service);
         }
-        let stored = self.cache.borrow_mut().get(&key);
+        let read = Read { config: &config, route, key: &key, deadline, request };
+        loop {
+            if let Some(result) = self.try_read(&read).await {
+                return result;
+            }
+            self.counters.outdated_joins.increment();
+            tracing::debug!(path = %key.path, "shared fetch began before a purge of its object: reading again");
+            if Instant::now() >= deadline {
+                return ReadResult::local(LocalResponse::gateway_timeout(Cause::NoResponse));
+            }
+        }
+    }
+
+    /// Answers a read from the cache, from a fetch in flight, or by a new fetch. `None` if the fetch in flight returned
+    /// content from before a purge that was received before the read joined it.
+    async fn try_read(self: &Rc<Self>, read: &Read<'_>) -> Option<ReadResult> {
+        let Read { route, key, request, .. } = *read;
+        let stored = self.cache.borrow_mut().get(key);
         let max_age = max_age(route);
         if let Some(stored_response) =
             stored.as_ref().filter(|stored_response| stored_response.age() < max_age)
         {
             self.counters.hits.increment();
-            return ReadResult::from_stored(
+            return Some(ReadResult::from_stored(
                 stored_response,
                 &request.head.headers,
                 self.with_lease_status(ShieldSource::Hit),
-            );
+            ));
         }
-        if let Some(receiver) = self.fetches.join(&key) {
+        if let Some(joined) = self.fetches.join(key) {
             self.counters.collapsed.increment();
-            return self.await_joined_fetch(receiver, deadline, request).await;
+            return self.await_joined_fetch(joined, read).await;
         }
+        Some(self.read_by_new_fetch(read, stored).await)
+    }
+
+    async fn read_by_new_fetch(
+        self: &Rc<Self>,
+        read: &Read<'_>,
+        stored: Option<Rc<StoredResponse>>,
+    ) -> ReadResult {
+        let Read { config, route, key, deadline, request } = *read;
         let allowance = Allowance::from_request(&request.head.headers, route.tries);
         if allowance.sends == 0 {
             let report = SendReport { used: 0, exhausted: true };
             let no_send_left = LocalResponse::gateway_timeout(Cause::NoSendLeft);
             return ReadResult { report, ..ReadResult::local(no_send_left) };
         }
-        let fetch = FetchRequest::new(&config, route, key, &request.head, stored, allowance, deadline);
+        let key = key.clone();
+        let fetch = FetchRequest::new(config, route, key, &request.head, stored, allowance, deadline);
         match self.start_fetch(fetch) {
             Ok(receiver) => self.await_started_fetch(receiver, deadline, allowance, request).await,
             Err(TooManyFetches) => {
@@ -155,27 +192,25 @@
     }
 
     /// Waits for a fetch that another read has started. Servers receive it under the id of that read, so that it uses
-    /// none of this read's sends.
-    async fn await_joined_fetch(
-        &self,
-        receiver: FetchReceiver,
-        deadline: Instant,
-        request: &FullRequest,
-    ) -> ReadResult {
-        // Determined before the wait: a fetch that began before a purge may return content that the purge has
-        // invalidated.
+    /// none of this read's sends. `None` if its response is from before a purge that this read has to respect.
+    async fn await_joined_fetch(&self, joined: JoinedFetch, read: &Read<'_>) -> Option<ReadResult> {
+        // Determined before the wait: a shield without a lease may not have received a purge that the read has to
+        // respect.
         let source = self.with_lease_status(ShieldSource::Miss);
-        let result = match await_fetch_result(receiver, deadline).await {
+        let result = match await_fetch_result(joined.receiver.clone(), read.deadline).await {
             Ok(FetchResult { outcome, report }) => {
+                if self.fetches.is_outdated(read.key, &joined, &outcome) {
+                    return None;
+                }
                 let report = SendReport { used: 0, exhausted: report.exhausted };
-                ReadResult { report, ..self.shared_result(outcome, request) }
+                ReadResult { report, ..self.shared_result(outcome, read.request) }
             }
-            Err(outcome) => self.shared_result(outcome, request),
+            Err(outcome) => self.shared_result(outcome, read.request),
         };
-        match result.source {
+        Some(match result.source {
             ShieldSource::Miss => ReadResult { source, ..result },
             _ => result,
-        }
+        })
     }
 
     /// The result of a fetch for any of the reads that wait for it.
--- a/glenfall/tests/unit/edge_cache.rs
+++ b/glenfall/tests/unit/edge_cache.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenfall::edge::{Edge, MAX_RECENT_PURGES, PURGE_BARRIER_TIME};
+use glenfall::cache::MAX_RECENT_PURGES;
+use glenfall::edge::Edge;
 use glenfall::http::response::ServerResponse;
 use glenfall::memory_budget::MemoryBudget;
 use glenfall::upstream::pool::Pool;
@@ -17,6 +18,9 @@
 
 use crate::support::{object_key, settings};
 
+/// Longer than any request takes.
+const LONG_TIME: Duration = Duration::from_mins(2);
+
 fn edge() -> (Rc<Edge>, Rc<WatchClient>) {
     let node_settings = Rc::new(settings(""));
     let watch_client = WatchClient::new(Rc::clone(&node_settings), ProxyRole::Edge);
@@ -50,7 +54,7 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn a_purge_removes_stored_responses_and_prevents_storing_them_for_the_barrier_time() {
+async fn a_purge_removes_stored_responses_and_prevents_storing_those_that_were_fetched_before_it() {
     tokio::time::advance(Duration::from_secs(10)).await;
     let (edge, watch_client) = edge();
     connect_with_lease(&edge, &watch_client, Duration::from_mins(10));
@@ -66,11 +70,53 @@
     edge.cache_response(&object_key("/a"), &shield_response("t"), Instant::now());
     edge.cache_response(&object_key("/c"), &shield_response("u"), Instant::now());
     assert!(!is_cached(&edge, "/a") && !is_cached(&edge, "/c"));
-    tokio::time::advance(PURGE_BARRIER_TIME).await;
+    tokio::time::advance(Duration::from_millis(1499)).await;
+    edge.cache_response(&object_key("/a"), &shield_response("t"), Instant::now());
+    assert!(!is_cached(&edge, "/a"), "fetched 1 ms before the purge");
+    tokio::time::advance(Duration::from_millis(1501)).await;
     edge.cache_response(&object_key("/a"), &shield_response("t"), Instant::now());
     assert!(is_cached(&edge, "/a"));
 }
 
+/// Guards against an edge that stores the response of a slow fetch, because it comes long after the purge.
+#[tokio::test(start_paused = true)]
+async fn a_response_that_was_fetched_before_a_purge_is_not_stored_however_late_it_arrives() {
+    tokio::time::advance(Duration::from_secs(10)).await;
+    let (edge, watch_client) = edge();
+    connect_with_lease(&edge, &watch_client, Duration::from_mins(10));
+    let sent_before = Instant::now();
+    let object = Purge::Object { hostname: "h".into(), path: "/c".into() };
+    for purge in [Purge::Label("t".into()), object] {
+        edge.purge(&[AgedPurge { purge, age_ms: 0 }]);
+    }
+    for time_since_purge in [Duration::from_secs(4), LONG_TIME] {
+        tokio::time::advance(time_since_purge).await;
+        edge.cache_response(&object_key("/a"), &shield_response("t"), sent_before);
+        edge.cache_response(&object_key("/c"), &shield_response("u"), sent_before);
+        edge.cache_response(&object_key("/d"), &shield_response("u"), sent_before);
+        assert!(!is_cached(&edge, "/a") && !is_cached(&edge, "/c"));
+        assert!(is_cached(&edge, "/d"), "no purge covers it");
+    }
+    edge.cache_response(&object_key("/a"), &shield_response("t"), Instant::now());
+    edge.cache_response(&object_key("/c"), &shield_response("u"), Instant::now());
+    assert!(is_cached(&edge, "/a") && is_cached(&edge, "/c"), "fetched after the purges");
+}
+
+/// Guards against an edge that stores nothing for a while after a session begins with the history of purges.
+#[tokio::test(start_paused = true)]
+async fn a_purge_that_was_accepted_before_the_fetch_of_a_response_does_not_prevent_storing_it() {
+    tokio::time::advance(LONG_TIME).await;
+    let (edge, watch_client) = edge();
+    connect_with_lease(&edge, &watch_client, Duration::from_mins(10));
+    // The history that a control node sends when a session begins.
+    let aged = |label: &str, age_ms| AgedPurge { purge: Purge::Label(label.into()), age_ms };
+    edge.purge(&[aged("t", 60_000), aged("u", 2_000)]);
+    edge.cache_response(&object_key("/a"), &shield_response("t"), Instant::now());
+    edge.cache_response(&object_key("/b"), &shield_response("u"), Instant::now());
+    assert!(is_cached(&edge, "/a"), "fetched 58.5 s after the purge");
+    assert!(!is_cached(&edge, "/b"), "the order is known to a second only");
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_stored_while_disconnected_and_remembered_purges_are_bounded() {
     tokio::time::advance(Duration::from_secs(10)).await;
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -27,6 +27,8 @@
 mod pool;
 mod proxies;
 mod purge_log;
+mod purge_order;
+mod recent_purges;
 mod send_limit;
 mod settings;
 mod shield_recovery;
