Departures of servers outlast a kill of all control nodes

What callers saw: a server whose DELETE (or draining) was acknowledged got requests again after all of the core was killed and started: by a heartbeat that arrives late, and from an edge that stood still meanwhile.

Cause: tombstones and the last call's number were in memory only, and the registry took an unknown id for a new server; an agent kept servers that an incomplete list doesn't name.

Change: each control node logs departures on disk; a draining or deregistration is acknowledged once it is on the disk of the node that answers and on those of a quorum with it, else 503. A node restores its log before any session opens; since it accepts heartbeats only in contact with a quorum, whose registries it has received by then, it knows every acknowledged departure. What it learns from peers it writes too. Messages keep their form: a peer's acknowledgement says whether it is on its disk in the field complete, which was always true. Tombstones are published without an address: an agent dropped a server that it knew at the same one. The thread and queue of the purge log are shared with the new log (log_writer).

--- a/control-plane/src/messages.rs
+++ b/control-plane/src/messages.rs
@@ -235,7 +235,8 @@
     Acknowledged {
         /// Correlation id of the request.
         id: CallId,
-        /// For a purge: whether every other process that may still use a lease from the sender has applied the purge.
+        /// For a purge: whether every other process that may still use a lease from the sender has applied the purge. For
+        /// a server's status: whether it is on the sender's disk.
         complete: bool,
     },
     /// Requests a lease from a voter, or its renewal. It is sent at regular intervals.
--- a/control-plane/src/registry/entry.rs
+++ b/control-plane/src/registry/entry.rs
@@ -11,6 +11,9 @@
 /// sent to every control node and every proxy, so their length has to be bounded.
 pub(super) const MAX_NAME_BYTES: usize = 128;
 
+/// The address of a server that has none.
+const NO_ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0);
+
 /// Status that a server reports in its heartbeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -113,7 +116,7 @@
         ServerEntry {
             id: id.to_owned(),
             backend: String::new(),
-            addr: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+            addr: NO_ADDRESS,
             zone: String::new(),
             capacity: 0,
             status: EntryStatus::Deregistered,
@@ -136,12 +139,13 @@
             && self.status == other.status
     }
 
-    /// The description of the server that is published to proxies, `age` milliseconds after its heartbeat.
+    /// The description of the server that is published to proxies, `age` milliseconds after its heartbeat. A deregistered
+    /// server has no address: another server may use it, of which this node has received no heartbeat yet.
     pub(super) fn to_published_server(&self, age: Millis) -> Server {
         Server {
             id: self.id.clone(),
             backend: self.backend.clone(),
-            addr: self.addr,
+            addr: if self.is_deregistered() { NO_ADDRESS } else { self.addr },
             zone: self.zone.clone(),
             capacity: self.capacity,
             ready: self.status == EntryStatus::Ready,
--- a/control-plane/src/registry/mod.rs
+++ b/control-plane/src/registry/mod.rs
@@ -1,6 +1,7 @@
 //! Registry of the origin servers that one control node knows, built from their heartbeats.
 //!
-//! The registry is soft state: it is not stored, and a node that restarts rebuilds it from heartbeats. Each control
+//! The registry is soft state: a node that restarts rebuilds it from heartbeats. Only departures, which no heartbeat
+//! repeats, are stored: see [`Registry::restore`]. Each control
 //! node forwards the heartbeats that it receives to its peers. A server expires if no heartbeat of it has arrived for
 //! `HEARTBEAT_TIMEOUT_INTERVALS` intervals; time during which this node could not accept heartbeats does not count (see
 //! `acceptance`). After a downtime of a heartbeat interval or more, the registry is incomplete until this node has
@@ -34,7 +35,7 @@
 /// the registry for servers, so that callers cannot fill it by deregistering arbitrary ids.
 const MAX_ENTRIES_FOR_UNKNOWN_IDS: usize = MAX_SERVERS / 2;
 /// How long a tombstone is retained. It has to outlast heartbeats of the server that are still in transit.
-const TOMBSTONE_RETENTION: Millis = 60_000;
+pub const TOMBSTONE_RETENTION: Millis = 60_000;
 
 /// Effect of an observed entry on the registry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,6 +126,15 @@
         now >= accepting_since + self.heartbeat_timeout()
     }
 
+    /// Adds the draining and deregistered servers that were on disk when this node started. A server that still drains may
+    /// have sent heartbeats that were not stored, so that it counts as observed now.
+    pub fn restore(&mut self, now: Millis, departed: Vec<ObservedServer>) {
+        for ObservedServer { entry, age_ms } in departed {
+            let age = if entry.is_deregistered() { age_ms } else { 0 };
+            self.observe(now, age, entry);
+        }
+    }
+
     // ---- Heartbeats ----
 
     /// Records an entry whose heartbeat this node or a peer received `age` milliseconds ago.
--- a/control-plane/tests/unit/registry.rs
+++ b/control-plane/tests/unit/registry.rs
@@ -3,7 +3,9 @@
 
 use std::net::SocketAddrV4;
 
-use glenfall_control_plane::registry::{EntryStatus, ExpiredServer, HeartbeatOutcome, Registry, ServerEntry};
+use glenfall_control_plane::registry::{
+    EntryStatus, ExpiredServer, HeartbeatOutcome, ObservedServer, Registry, ServerEntry,
+};
 use glenfall_control_plane::Millis;
 
 const HEARTBEAT_INTERVAL: Millis = 1500;
@@ -259,3 +261,36 @@
     let tombstone = ExpiredServer { status: EntryStatus::Deregistered, ..expired("a", 60_000) };
     assert_eq!(registry.expire(61_000), [tombstone]);
 }
+
+/// Guards against a departure that is forgotten as all control nodes restart.
+#[test]
+fn a_restored_departure_outlasts_late_heartbeats_and_keeps_no_address() {
+    let mut before = Registry::new(HEARTBEAT_INTERVAL);
+    before.observe(0, 0, entry("gone", 1, EntryStatus::Ready, 5));
+    before.observe(0, 0, entry("drained", 2, EntryStatus::Draining, 5));
+    assert!(before.deregister(1_000, "gone").is_some());
+    // Stored a second before the end of a tombstone's retention; heartbeats of draining servers are not stored.
+    let now = 600_000;
+    let departed: Vec<ObservedServer> = before
+        .snapshot(1_000)
+        .into_iter()
+        .map(|departed| ObservedServer { age_ms: 59_000, ..departed })
+        .collect();
+    let mut restarted = Registry::new(HEARTBEAT_INTERVAL);
+    restarted.restore(now, departed);
+    for id in ["gone", "drained"] {
+        let late = entry(id, 1, EntryStatus::Ready, 4);
+        assert_eq!(restarted.observe(now, 0, late), HeartbeatOutcome::Stale, "{id}");
+    }
+    assert_eq!(ready(&restarted, now), [""; 0]);
+    let addresses = |registry: &Registry| {
+        let servers = registry.servers(now, true);
+        servers.into_iter().map(|server| (server.id, server.addr.port())).collect::<Vec<_>>()
+    };
+    assert_eq!(addresses(&restarted), [("drained".to_owned(), 2), ("gone".to_owned(), 0)]);
+    // What stays possible: a later call of a server that only drained, and a new server at the address of the other.
+    restarted.observe(now, 0, entry("drained", 2, EntryStatus::Ready, 6));
+    restarted.observe(now, 0, entry("new", 1, EntryStatus::Ready, 0));
+    assert_eq!(ready(&restarted, now), ["drained", "new"]);
+    assert_eq!(restarted.expire(now + 1_000).len(), 1, "the tombstone, at the end of its retention");
+}
--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -7,7 +7,8 @@
 //! | --- | --- |
 //! | `clock` | the start time of the process, to which all clock readings are relative |
 //! | `store`, `backup` | the hard state of the chain: on disk, and as a backup file for operators |
-//! | `purge_log` | the log of recent purges on disk |
+//! | `log_writer` | the queue of writes to a log on disk |
+//! | `purge_log`, `departure_log` | the logs of recent purges and of departed servers on disk |
 //! | `peers` | links to other control nodes, requests to them, and the members whose sessions are at them |
 //! | `chain_driver` | the chain, the queue of its writes, and the calls that wait for an outcome |
 //! | `quorum_contact` | the last contact with a quorum, and whether this node is isolated |
@@ -31,10 +32,12 @@
 pub mod backup;
 mod chain_driver;
 mod clock;
+pub mod departure_log;
 mod fleet_publisher;
 pub mod heartbeat_relay;
 mod inbound;
 mod local_members;
+mod log_writer;
 mod node;
 mod peer_events;
 pub mod peers;
--- a/glenfall/src/control/node.rs
+++ b/glenfall/src/control/node.rs
@@ -12,6 +12,7 @@
 
 use super::chain_driver::ChainDriver;
 use super::clock::Clock;
+use super::departure_log::DepartureLog;
 use super::fleet_publisher::FleetPublisher;
 use super::local_members::LocalMembers;
 use super::peers::Peers;
@@ -104,6 +105,7 @@
         let start = chain_start(recovered, settings.bootstrap, seeds);
         let is_first_start = matches!(start, Start::Fresh(_));
         let (purge_log, logged_purges) = PurgeLog::open(&folder)?;
+        let (departure_log, departed) = DepartureLog::open(&folder)?;
         let local = ProcessId { ip: settings.bind_ip, incarnation: crate::session::incarnation() };
         let clock = Clock::start();
         let peers = Peers::new(Rc::clone(&settings), local);
@@ -133,18 +135,21 @@
         let required_disks = settings.survive.hosts + 1;
         let purges = PurgeCoordinator::new(purge_dependencies, purge_log, logged_purges, required_disks);
         let shared = SharedParts { clock, peers, sessions, chain };
-        Ok(Control::assemble(settings, shared, leases, purges))
+        let registry = ServerRegistry::new(clock, settings.beat_ms, departed);
+        Ok(Control::assemble(settings, shared, leases, purges, registry, departure_log))
     }
 
-    /// Adds the parts that start without stored state.
+    /// Connects the parts, and adds those that start without stored state.
     fn assemble(
         settings: Rc<Settings>,
         shared: SharedParts,
         leases: Rc<VoterLeaseManager>,
         purges: PurgeCoordinator,
+        registry: ServerRegistry,
+        departure_log: DepartureLog,
     ) -> Control {
         let SharedParts { clock, peers, sessions, chain } = shared;
-        let registry = Rc::new(ServerRegistry::new(clock, settings.beat_ms));
+        let registry = Rc::new(registry);
         let quorum_reads = Rc::new(QuorumReads::new(Rc::clone(&chain)));
         let fleet = Rc::new(FleetPublisher::new(
             Rc::clone(&chain),
@@ -161,6 +166,7 @@
             registry: Rc::clone(&registry),
             fleet: Rc::clone(&fleet),
             sessions: Rc::clone(&sessions),
+            departure_log,
         });
         let (links, local) = (&peers.links, peers.links.local().ip);
         Control {
@@ -186,6 +192,8 @@
     pub fn start(self: &Rc<Self>, completed_writes: mpsc::UnboundedReceiver<u64>) {
         spawn_local(Rc::clone(&self.chain).report_completed_writes(completed_writes));
         spawn_local(Rc::clone(self).run_ticks());
+        // The servers that have departed are published before any session opens.
+        self.fleet.publish_now();
         spawn_local(Rc::clone(&self.fleet).run());
         spawn_local(Rc::clone(&self.quorum_reads).run());
     }
--- a/glenfall/src/control/purge_log.rs
+++ b/glenfall/src/control/purge_log.rs
@@ -5,14 +5,13 @@
 //! chain, so that a burst of purges does not delay a change of the configuration.
 
 use std::path::{Path, PathBuf};
-use std::sync::mpsc;
-use std::time::Duration;
 
 use glenfall_control_plane::messages::PurgeRecord;
 use glenfall_control_plane::purge_history::{MAX_PURGES, PURGE_RETENTION};
 use rusqlite::Connection;
 use tokio::sync::oneshot;
 
+use super::log_writer::{LogFile, LogWriter};
 use crate::disk::{self, now_ms};
 
 const DATABASE_FILE: &str = "purges.sqlite";
@@ -23,22 +22,12 @@
 /// Limit on the purges in the log. It is one more than the history holds, so that a reader can tell that older purges
 /// were dropped.
 const MAX_ROWS: i64 = MAX_PURGES as i64 + 1;
-/// Pause before a failed write is retried.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
-/// Limit on the queued writes. While the disk hangs, purges beyond the limit are held in memory only.
-const MAX_QUEUED_WRITES: usize = 1024;
 /// How long purges are retained, in milliseconds.
 const RETENTION_MS: i64 = PURGE_RETENTION as i64;
 
-/// Purges to be written, and the sender that reports their durability.
-struct PendingWrite {
-    purges: Vec<PurgeRecord>,
-    completion: oneshot::Sender<()>,
-}
-
 /// The log of purges, and the queue to the thread that writes it.
 pub struct PurgeLog {
-    queue: mpsc::SyncSender<PendingWrite>,
+    writer: LogWriter<PurgeRecord>,
 }
 
 impl PurgeLog {
@@ -46,46 +35,24 @@
     /// is recreated empty, as the other control nodes have logs of their own.
     pub fn open(folder: &Path) -> std::io::Result<(PurgeLog, Vec<PurgeRecord>)> {
         std::fs::create_dir_all(folder)?;
-        let mut file = LogFile { path: folder.join(DATABASE_FILE), db: None };
+        let mut file = PurgeFile { path: folder.join(DATABASE_FILE), db: None };
         let retained = file.read_or_recreate();
-        let (queue, writes) = mpsc::sync_channel(MAX_QUEUED_WRITES);
-        std::thread::Builder::new().name("purges".into()).spawn(move || write_all(file, &writes))?;
-        Ok((PurgeLog { queue }, retained))
+        Ok((PurgeLog { writer: LogWriter::start(file)? }, retained))
     }
 
     /// Queues purges to be written. The receiver completes once they are on disk, and fails if the queue is full.
     pub fn write(&self, purges: Vec<PurgeRecord>) -> oneshot::Receiver<()> {
-        let (completion, receiver) = oneshot::channel();
-        if self.queue.try_send(PendingWrite { purges, completion }).is_err() {
-            tracing::warn!("purges not written to the log: the write queue is full");
-        }
-        receiver
-    }
-}
-
-fn write_all(mut file: LogFile, writes: &mpsc::Receiver<PendingWrite>) {
-    while let Ok(first) = writes.recv() {
-        // One sync covers all writes that were queued in the meantime.
-        let batch: Vec<PendingWrite> = std::iter::once(first).chain(writes.try_iter()).collect();
-        let purges: Vec<&PurgeRecord> = batch.iter().flat_map(|write| &write.purges).collect();
-        while let Err(error) = file.append(&purges) {
-            tracing::error!(%error, "writing purges to the log failed; retrying");
-            std::thread::sleep(RETRY_PAUSE);
-        }
-        for write in batch {
-            // The receiver is dropped if its caller has stopped waiting.
-            let _ = write.completion.send(());
-        }
+        self.writer.write(purges)
     }
 }
 
-struct LogFile {
+struct PurgeFile {
     path: PathBuf,
     /// `None` until the file has been opened.
     db: Option<Connection>,
 }
 
-impl LogFile {
+impl PurgeFile {
     fn read_or_recreate(&mut self) -> Vec<PurgeRecord> {
         match self.connect().and_then(read_recent) {
             Ok(purges) => purges,
@@ -106,6 +73,11 @@
             closed => Ok(closed.insert(open(&self.path)?)),
         }
     }
+}
+
+impl LogFile for PurgeFile {
+    type Record = PurgeRecord;
+    const NAME: &'static str = "purges";
 
     /// Appends purges and deletes those beyond the retention time or the limit on rows, in one transaction.
     fn append(&mut self, purges: &[&PurgeRecord]) -> rusqlite::Result<()> {
--- a/glenfall/src/control/server_registry.rs
+++ b/glenfall/src/control/server_registry.rs
@@ -22,9 +22,12 @@
 }
 
 impl ServerRegistry {
-    /// Starts empty. Servers send a heartbeat every `heartbeat_interval` milliseconds.
-    pub fn new(clock: Clock, heartbeat_interval: Millis) -> Self {
-        ServerRegistry { clock, registry: RefCell::new(Registry::new(heartbeat_interval)) }
+    /// Starts with the draining and deregistered servers in `departed`, which were read from the log. Servers send a
+    /// heartbeat every `heartbeat_interval` milliseconds.
+    pub fn new(clock: Clock, heartbeat_interval: Millis, departed: Vec<ObservedServer>) -> Self {
+        let mut registry = Registry::new(heartbeat_interval);
+        registry.restore(PROCESS_START, departed);
+        ServerRegistry { clock, registry: RefCell::new(registry) }
     }
 
     /// Records whether this node accepts heartbeats. Must be called at short intervals, see
--- a/glenfall/src/control/server_replication.rs
+++ b/glenfall/src/control/server_replication.rs
@@ -9,11 +9,13 @@
 use glenfall_control_plane::messages::{CallId, PeerMessage};
 use glenfall_control_plane::registry::{EntryStatus, HeartbeatOutcome, ObservedServer, ServerEntry};
 use glenfall_control_plane::Millis;
+use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::chain_driver::ChainDriver;
 use super::clock::Clock;
+use super::departure_log::DepartureLog;
 use super::fleet_publisher::FleetPublisher;
 use super::heartbeat_relay::HeartbeatRelay;
 use super::peers::links::PeerLinks;
@@ -44,6 +46,12 @@
         /// The connected peers.
         connected: Vec<Ipv4Addr>,
     },
+    /// It is known to all control nodes, but not on the disks of a quorum: it would be lost if all processes were killed.
+    #[error("durable on {durable_on:?}, which do not form a quorum")]
+    NotDurable {
+        /// The nodes that have it on disk.
+        durable_on: Vec<Ipv4Addr>,
+    },
     /// It was replicated earlier, but a quorum read did not confirm in time that this node is still in contact with a
     /// quorum.
     #[error("quorum read not completed within the time limit")]
@@ -65,12 +73,19 @@
     pub registry: Rc<ServerRegistry>,
     pub fleet: Rc<FleetPublisher>,
     pub sessions: Rc<Sessions>,
+    /// The log of departures on the disk of this node.
+    pub departure_log: DepartureLog,
 }
 
+/// The peers that have a departure on disk.
+struct DurablePeers(Vec<Ipv4Addr>);
+
 /// Replicates heartbeats, draining and deregistration of servers.
 ///
-/// Owns the heartbeats that wait to be relayed. A server's draining or deregistration is acknowledged only once all
-/// connected peers, and the peers that only those reach, have acknowledged it, as this node may fail right after.
+/// Owns the heartbeats that wait to be relayed, and the log of departures. A server's draining or deregistration is
+/// acknowledged only once all connected peers, and the peers that only those reach, have acknowledged it, as this node
+/// may fail right after, and once it is on the disks of a quorum, as all nodes may be killed at once. A node that has
+/// contact with a quorum again then learns of it from one of these disks.
 pub struct ServerReplication {
     dependencies: ReplicationDependencies,
     heartbeats: HeartbeatRelay,
@@ -132,20 +147,46 @@
     /// # Errors
     ///
     /// When a peer does not acknowledge the request in time, or the peers are no quorum.
-    pub async fn replicate_to_all_peers(
+    async fn replicate_to_all_peers(
         &self,
         request: impl Fn(CallId) -> PeerMessage,
         time_limit: Duration,
-    ) -> Result<(), ReplicationError> {
+    ) -> Result<DurablePeers, ReplicationError> {
         let connected = self.dependencies.links.connected();
-        self.dependencies.requests.send_to_all(&connected, request, time_limit).await?;
+        let durable_on = self.dependencies.requests.send_to_all(&connected, request, time_limit).await?;
         if self.dependencies.chain.state().is_quorum(&connected) {
-            Ok(())
+            Ok(DurablePeers(durable_on))
         } else {
             Err(ReplicationError::NoQuorum { connected })
         }
     }
 
+    /// Queues the departure of a server, as this node knows it, for the log. `None` if the server has not departed, by a
+    /// later call.
+    fn log_departure(&self, id: &str) -> Option<oneshot::Receiver<()>> {
+        let departed = self.dependencies.registry.draining_or_deregistered(id)?;
+        Some(self.dependencies.departure_log.write(departed))
+    }
+
+    /// Waits until a departure is on disk. A server that has not departed needs no record.
+    async fn wait_until_durable(written: Option<oneshot::Receiver<()>>, time_limit: Duration) -> bool {
+        match written {
+            Some(written) => timeout(time_limit, written).await.is_ok_and(|result| result.is_ok()),
+            None => true,
+        }
+    }
+
+    fn check_durable(&self, own: bool, peers: DurablePeers) -> Result<(), ReplicationError> {
+        let DurablePeers(mut durable_on) = peers;
+        if own && self.dependencies.chain.state().is_quorum(&durable_on) {
+            return Ok(());
+        }
+        if own {
+            durable_on.push(self.dependencies.links.local().ip);
+        }
+        Err(ReplicationError::NotDurable { durable_on })
+    }
+
     /// Replicates the status of a server that is draining or deregistered to all control nodes and proxies.
     async fn replicate_status(&self, entry: &ServerEntry) -> Result<(), ReplicationError> {
         let ReplicationDependencies { registry, links, quorum_reads, fleet, sessions, .. } =
@@ -158,13 +199,16 @@
                 .map_err(|_| ReplicationError::QuorumReadTimedOut);
         }
         fleet.publish_now();
+        let written = self.log_departure(&entry.id);
         let request = |id| PeerMessage::ReplicateServer { id, entry: entry.clone(), forward: true };
         // A proxy that exceeds the time limit does not fail the replication: it receives the update as long as its
         // session lasts, and when its session ends it connects to another node.
-        let (replicated, _applied) = tokio::join!(
+        let (replicated, is_durable, _applied) = tokio::join!(
             self.replicate_to_all_peers(request, DRAIN_REPLICATION_TIMEOUT),
+            Self::wait_until_durable(written, DRAIN_REPLICATION_TIMEOUT),
             sessions.wait_until_applied(DRAIN_REPLICATION_TIMEOUT)
         );
+        let replicated = replicated.and_then(|peers| self.check_durable(is_durable, peers));
         match &replicated {
             Ok(()) => {
                 let is_listed = fleet.published().servers.iter().any(|s| s.id == entry.id && s.ready);
@@ -191,7 +235,12 @@
             if !forward_to.is_empty() && registry.is_newer(&server.entry) {
                 new.push(server.clone());
             }
-            changed |= registry.observe(server.age_ms, server.entry) == HeartbeatOutcome::Changed;
+            let id = server.entry.id.clone();
+            if registry.observe(server.age_ms, server.entry) == HeartbeatOutcome::Changed {
+                changed = true;
+                // The node that has it on disk may be lost later. Nobody waits for this write.
+                let _ = self.log_departure(&id);
+            }
         }
         if !new.is_empty() {
             for peer in forward_to {
@@ -203,8 +252,8 @@
         }
     }
 
-    /// Records a status that a peer replicates, and acknowledges it once all sessions at this node have applied it or
-    /// the time limit has passed. With `forward`, the peers that this node reaches and the sender does not must also
+    /// Records a status that a peer replicates, and acknowledges it once all sessions at this node have applied it and it
+    /// is on the disk of this node, or the time limit has passed. The acknowledgement is complete if it is on disk. With `forward`, the peers that this node reaches and the sender does not must also
     /// have acknowledged it.
     pub fn replicate_for_peer(
         self: &Rc<Self>,
@@ -217,6 +266,7 @@
         if registry.observe(0, entry.clone()) == HeartbeatOutcome::Changed {
             fleet.publish_now();
         }
+        let written = self.log_departure(&entry.id);
         // Selected by the connections of the sender at the time of its request: it notifies peers that connect to it
         // later.
         let forward_to = if forward { self.peers_not_reached_by(from) } else { Vec::new() };
@@ -224,12 +274,13 @@
         let replication = Rc::clone(self);
         spawn_local(async move {
             let ReplicationDependencies { links, sessions, .. } = &replication.dependencies;
-            let (_applied, forwarded) = tokio::join!(
+            let (_applied, is_durable, forwarded) = tokio::join!(
                 sessions.wait_until_applied(time_limit),
+                Self::wait_until_durable(written, time_limit),
                 replication.forward(&forward_to, &entry)
             );
             if forwarded.is_ok() {
-                links.send(from, PeerMessage::Acknowledged { id, complete: true });
+                links.send(from, PeerMessage::Acknowledged { id, complete: is_durable });
             }
         });
     }
--- a/glenfall/tests/missed_heartbeats.rs
+++ b/glenfall/tests/missed_heartbeats.rs
@@ -156,10 +156,7 @@
         servers.iter().all(|server| server.request_count.load(Ordering::Relaxed) > 2)
     });
     system.restart_control_nodes(|_| ());
-    system.wait_for_chain(&[1, 2, 3], 3);
-    wait_until("all shields and the agent have their sessions again", || {
-        (1..=3).filter_map(|node| system.session_count(node)).sum::<usize>() == 4
-    });
+    wait_until_control_is_back(&system);
     let deregister = || {
         request(system.control_addr(2), "DELETE /api/servers/a", "Host: c\r\n", "").map(|response| response.0)
     };
@@ -175,16 +172,102 @@
     );
 }
 
+/// Calls of the server `a` that control has to acknowledge.
+fn call_until_acknowledged(system: &System, node: u8, line: &str, body: &str) {
+    wait_until("the call is acknowledged", || {
+        request(system.control_addr(node), line, "Host: c\r\n", body)
+            .is_some_and(|response| response.0 == 200)
+    });
+}
+
+fn heartbeat_body(server: &Server, status: &str, seq: usize) -> String {
+    format!(
+        r#"{{"backend":"s","addr":"{}","zone":"z","capacity":8,"status":"{status}","callSeq":{seq}}}"#,
+        server.addr
+    )
+}
+
+/// Waits until control serves all sessions again after a restart of all its nodes.
+fn wait_until_control_is_back(system: &System) {
+    system.wait_for_chain(&[1, 2, 3], 3);
+    wait_until("all shields and the agent have their sessions again", || total_session_count(system) == 4);
+}
+
+fn total_session_count(system: &System) -> usize {
+    (1..=3).filter_map(|node| system.session_count(node)).sum()
+}
+
+/// How often the edge has acquired a lease, which is granted once it has applied the state of its publisher.
+fn edge_lease_count(system: &System) -> usize {
+    let log = std::fs::read_to_string(system.log_path(EDGE_MACHINE)).expect("the log of the edge machine");
+    log.matches("lease acquired").count()
+}
+
+fn assert_gets_no_requests(system: &System, server: &Server) {
+    let count_before = server.request_count.load(Ordering::Relaxed);
+    for number in 0..60 {
+        assert_eq!(send_request(system, &format!("POST /w/{number}")), 200);
+    }
+    let requests = server.request_count.load(Ordering::Relaxed) - count_before;
+    assert_eq!(requests, 0, "requests after the departure was acknowledged");
+}
+
+/// Guards against a server that comes back by a late heartbeat, after all control nodes were killed that knew of its
+/// departure. One of them loses its disk as well.
+#[test]
+fn a_late_heartbeat_after_a_restart_of_all_control_nodes_does_not_revive_a_departed_server() {
+    for disk_is_lost in [false, true] {
+        let departures =
+            [("DELETE /api/servers/a", String::new()), ("PUT /api/servers/a", "draining".to_owned())];
+        for (line, status) in departures {
+            // No further heartbeat is due before the end of the test.
+            let (mut system, servers) = start(Duration::from_mins(2));
+            let body = if status.is_empty() { status } else { heartbeat_body(&servers[0], &status, 9) };
+            call_until_acknowledged(&system, 1, line, &body);
+            system.restart_control_nodes(|system| {
+                if disk_is_lost {
+                    std::fs::remove_dir_all(system.state_dir(1))
+                        .expect("the state of the node that acknowledged");
+                }
+            });
+            wait_until_control_is_back(&system);
+            let late = heartbeat_body(&servers[0], "ready", 8);
+            call_until_acknowledged(&system, 2, "PUT /api/servers/a", &late);
+            assert_gets_no_requests(&system, &servers[0]);
+        }
+    }
+}
+
+/// Guards against an edge that goes on using a departed server, because it stood still while the server deregistered, and
+/// the control nodes that it then connects to have restarted.
+#[test]
+fn an_edge_that_stood_still_learns_of_a_deregistration_from_before_a_restart_of_all_control_nodes() {
+    // No further heartbeat is due before the end of the test, so the restarted nodes never know all servers.
+    let (mut system, servers) = start(Duration::from_mins(2));
+    wait_until("the edge has a lease", || edge_lease_count(&system) > 0);
+    let leases_before = edge_lease_count(&system);
+    for role in ["agent", "edge"] {
+        system.signal(EDGE_MACHINE, role, "-STOP");
+    }
+    wait_until("control has closed the session of the agent", || total_session_count(&system) == 3);
+    call_until_acknowledged(&system, 1, "DELETE /api/servers/a", "");
+    system.restart_control_nodes(|_| ());
+    system.wait_for_chain(&[1, 2, 3], 3);
+    for role in ["agent", "edge"] {
+        system.signal(EDGE_MACHINE, role, "-CONT");
+    }
+    wait_until_control_is_back(&system);
+    wait_until("the edge has applied what control knows", || edge_lease_count(&system) > leases_before);
+    assert_gets_no_requests(&system, &servers[0]);
+}
+
 #[test]
 fn a_shield_keeps_using_known_servers_after_all_control_nodes_restart() {
     // No further heartbeat is due before the end of the test.
     let (mut system, _servers) = start(Duration::from_mins(2));
     system.wait_until_ready();
     system.restart_control_nodes(|_| ());
-    system.wait_for_chain(&[1, 2, 3], 3);
-    wait_until("all shields and the agent have their sessions again", || {
-        (1..=3).filter_map(|node| system.session_count(node)).sum::<usize>() == 4
-    });
+    wait_until_control_is_back(&system);
     let failed =
         (0..60).filter(|number| send_request(&system, &format!("GET /r/again-{number}")) != 200).count();
     assert_eq!(failed, 0, "failed reads of objects that are not cached, while the servers are up");
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -12,6 +12,7 @@
 mod deadline_propagation;
 mod deadlines;
 mod declarative_config;
+mod departure_log;
 mod disk_cache;
 mod edge_cache;
 mod failure;
