--- a/glenfall/src/control/departure_log.rs
+++ b/glenfall/src/control/departure_log.rs
@@ -4,19 +4,22 @@
 //! deregistered says nothing more, and a late heartbeat, or a proxy that was stopped meanwhile, still takes it for ready.
 //! After all control nodes were killed, the log tells which servers have departed.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use glenfall_control_plane::registry::{ObservedServer, ServerEntry, MAX_SERVERS, TOMBSTONE_RETENTION};
 use rusqlite::Connection;
 use tokio::sync::oneshot;
 
+use super::log_database::{LogDatabase, LogFormat};
 use super::log_writer::{LogFile, LogWriter};
 use super::purge_log::MAX_CLOCK_ERROR_MS;
-use crate::disk::{self, now_ms};
+use crate::disk::now_ms;
 
-const DATABASE_FILE: &str = "departures.sqlite";
-/// Page size in bytes; small, as the entries of servers are small.
-const PAGE_BYTES: usize = 4 << 10;
+const FORMAT: LogFormat = LogFormat {
+    name: "log of departures",
+    file: "departures.sqlite",
+    schema: "CREATE TABLE IF NOT EXISTS departures (id TEXT PRIMARY KEY, at INTEGER NOT NULL, entry BLOB NOT NULL)",
+};
 /// How long entries are retained by the wall clock, in milliseconds: as long as a tombstone in the registry.
 const RETENTION_MS: i64 = TOMBSTONE_RETENTION as i64 + MAX_CLOCK_ERROR_MS;
 
@@ -33,10 +36,9 @@
     ///
     /// When the folder can't be created, or the thread that writes the log can't be started.
     pub fn open(folder: &Path) -> std::io::Result<(DepartureLog, Vec<ObservedServer>)> {
-        std::fs::create_dir_all(folder)?;
-        let mut file = DepartureFile { path: folder.join(DATABASE_FILE), db: None };
-        let departed = file.read_or_recreate();
-        Ok((DepartureLog { writer: LogWriter::start(file)? }, departed))
+        let mut database = LogDatabase::new(folder, FORMAT)?;
+        let departed = database.read_or_recreate(read_recent);
+        Ok((DepartureLog { writer: LogWriter::start(DepartureFile(database))? }, departed))
     }
 
     /// Queues a departure to be written, which replaces an earlier one of the same server. The receiver completes once it
@@ -46,34 +48,7 @@
     }
 }
 
-struct DepartureFile {
-    path: PathBuf,
-    /// `None` until the file has been opened.
-    db: Option<Connection>,
-}
-
-impl DepartureFile {
-    fn read_or_recreate(&mut self) -> Vec<ObservedServer> {
-        match self.connect().and_then(|db| read_recent(db)) {
-            Ok(departed) => departed,
-            Err(error) => {
-                tracing::warn!(%error, "log of departures unreadable; recreating it");
-                self.db = None;
-                disk::remove_database(&self.path);
-                // If this fails, the first write opens the file.
-                let _ = self.connect();
-                Vec::new()
-            }
-        }
-    }
-
-    fn connect(&mut self) -> rusqlite::Result<&mut Connection> {
-        match &mut self.db {
-            Some(db) => Ok(db),
-            closed => Ok(closed.insert(open(&self.path)?)),
-        }
-    }
-}
+struct DepartureFile(LogDatabase);
 
 impl LogFile for DepartureFile {
     type Record = ServerEntry;
@@ -82,7 +57,7 @@
     /// Writes departures, and deletes those beyond the retention time or the limit of the registry.
     fn append(&mut self, departed: &[&ServerEntry]) -> rusqlite::Result<()> {
         let now = now_ms();
-        let transaction = self.connect()?.transaction()?;
+        let transaction = self.0.connect()?.transaction()?;
         for entry in departed {
             let Ok(bytes) = postcard::to_stdvec(entry) else { continue };
             transaction
@@ -99,14 +74,6 @@
     }
 }
 
-fn open(path: &Path) -> rusqlite::Result<Connection> {
-    let db = disk::open_database(path, PAGE_BYTES)?;
-    db.execute_batch(
-        "CREATE TABLE IF NOT EXISTS departures (id TEXT PRIMARY KEY, at INTEGER NOT NULL, entry BLOB NOT NULL)",
-    )?;
-    Ok(db)
-}
-
 /// The departures within the retention time, oldest first.
 fn read_recent(db: &Connection) -> rusqlite::Result<Vec<ObservedServer>> {
     let now = now_ms();
--- a/glenfall/src/control/purge_log.rs
+++ b/glenfall/src/control/purge_log.rs
@@ -4,19 +4,22 @@
 //! purges the stored responses have missed. The log has its own thread and its own file, separate from that of the
 //! chain, so that a burst of purges does not delay a change of the configuration.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use glenfall_control_plane::messages::PurgeRecord;
 use glenfall_control_plane::purge_history::{MAX_PURGES, PURGE_RETENTION};
 use rusqlite::Connection;
 use tokio::sync::oneshot;
 
+use super::log_database::{LogDatabase, LogFormat};
 use super::log_writer::{LogFile, LogWriter};
-use crate::disk::{self, now_ms};
+use crate::disk::now_ms;
 
-const DATABASE_FILE: &str = "purges.sqlite";
-/// Page size in bytes; small, as purge records are small.
-const PAGE_BYTES: usize = 4 << 10;
+const FORMAT: LogFormat = LogFormat {
+    name: "purge log",
+    file: "purges.sqlite",
+    schema: "CREATE TABLE IF NOT EXISTS purges (at INTEGER NOT NULL, purge BLOB NOT NULL)",
+};
 /// Largest error of the wall clock that is tolerated, in milliseconds.
 pub const MAX_CLOCK_ERROR_MS: i64 = 2000;
 /// Limit on the purges in the log. It is one more than the history holds, so that a reader can tell that older purges
@@ -34,10 +37,9 @@
     /// Opens the log in a folder; returns the purges in it that are within the retention time. A log that can't be read
     /// is recreated empty, as the other control nodes have logs of their own.
     pub fn open(folder: &Path) -> std::io::Result<(PurgeLog, Vec<PurgeRecord>)> {
-        std::fs::create_dir_all(folder)?;
-        let mut file = PurgeFile { path: folder.join(DATABASE_FILE), db: None };
-        let retained = file.read_or_recreate();
-        Ok((PurgeLog { writer: LogWriter::start(file)? }, retained))
+        let mut database = LogDatabase::new(folder, FORMAT)?;
+        let retained = database.read_or_recreate(read_recent);
+        Ok((PurgeLog { writer: LogWriter::start(PurgeFile(database))? }, retained))
     }
 
     /// Queues purges to be written. The receiver completes once they are on disk, and fails if the queue is full.
@@ -46,34 +48,7 @@
     }
 }
 
-struct PurgeFile {
-    path: PathBuf,
-    /// `None` until the file has been opened.
-    db: Option<Connection>,
-}
-
-impl PurgeFile {
-    fn read_or_recreate(&mut self) -> Vec<PurgeRecord> {
-        match self.connect().and_then(read_recent) {
-            Ok(purges) => purges,
-            Err(error) => {
-                tracing::warn!(%error, "purge log unreadable; recreating it");
-                self.db = None;
-                disk::remove_database(&self.path);
-                // If this fails, the first write opens the file.
-                let _ = self.connect();
-                Vec::new()
-            }
-        }
-    }
-
-    fn connect(&mut self) -> rusqlite::Result<&mut Connection> {
-        match &mut self.db {
-            Some(db) => Ok(db),
-            closed => Ok(closed.insert(open(&self.path)?)),
-        }
-    }
-}
+struct PurgeFile(LogDatabase);
 
 impl LogFile for PurgeFile {
     type Record = PurgeRecord;
@@ -82,7 +57,7 @@
     /// Appends purges and deletes those beyond the retention time or the limit on rows, in one transaction.
     fn append(&mut self, purges: &[&PurgeRecord]) -> rusqlite::Result<()> {
         let now = now_ms();
-        let transaction = self.connect()?.transaction()?;
+        let transaction = self.0.connect()?.transaction()?;
         insert(&transaction, now, purges)?;
         transaction.execute("DELETE FROM purges WHERE at <= ?1", [now - RETENTION_MS])?;
         transaction
@@ -91,12 +66,6 @@
     }
 }
 
-fn open(path: &Path) -> rusqlite::Result<Connection> {
-    let db = disk::open_database(path, PAGE_BYTES)?;
-    db.execute_batch("CREATE TABLE IF NOT EXISTS purges (at INTEGER NOT NULL, purge BLOB NOT NULL)")?;
-    Ok(db)
-}
-
 fn insert(db: &Connection, now: i64, purges: &[&PurgeRecord]) -> rusqlite::Result<()> {
     let mut statement = db.prepare_cached("INSERT INTO purges (at, purge) VALUES (?1, ?2)")?;
     for purge in purges {
@@ -124,7 +93,7 @@
 }
 
 /// The purges within the retention time, oldest first.
-fn read_recent(db: &mut Connection) -> rusqlite::Result<Vec<PurgeRecord>> {
+fn read_recent(db: &Connection) -> rusqlite::Result<Vec<PurgeRecord>> {
     let now = now_ms();
     let mut query = db.prepare("SELECT at, purge FROM purges WHERE at > ?1 ORDER BY rowid")?;
     let rows = query
