Purge order tests share their set-up; two comments are wrapped

The sequence of a read, a change and a purge stood three times in purge_order.rs, the check of both edges twice. Each assertion is kept. The change is in comments and tests only.

--- a/control-plane/src/registry/mod.rs
+++ b/control-plane/src/registry/mod.rs
@@ -1,11 +1,12 @@
 //! Registry of the origin servers that one control node knows, built from their heartbeats.
 //!
 //! The registry is soft state: a node that restarts rebuilds it from heartbeats. Only departures, which no heartbeat
-//! repeats, are stored: see [`Registry::restore`]. Each control
-//! node forwards the heartbeats that it receives to its peers. A server expires if no heartbeat of it has arrived for
-//! `HEARTBEAT_TIMEOUT_INTERVALS` intervals; time during which this node could not accept heartbeats does not count (see
-//! `acceptance`). After a downtime of a heartbeat interval or more, the registry is incomplete until this node has
-//! accepted heartbeats for as long as a server takes to expire.
+//! repeats, are stored: see [`Registry::restore`].
+//!
+//! Each control node forwards the heartbeats that it receives to its peers. A server expires if no heartbeat of it has
+//! arrived for `HEARTBEAT_TIMEOUT_INTERVALS` intervals; time during which this node could not accept heartbeats does not
+//! count (see `acceptance`). After a downtime of a heartbeat interval or more, the registry is incomplete until this node
+//! has accepted heartbeats for as long as a server takes to expire.
 //!
 //! Calls of a server, which are its heartbeat requests, may arrive out of order, and a peer that was stopped or
 //! partitioned sends old entries. Three rules prevent such messages from reviving a server:
--- a/glenfall/src/control/server_replication.rs
+++ b/glenfall/src/control/server_replication.rs
@@ -253,8 +253,8 @@
     }
 
     /// Records a status that a peer replicates, and acknowledges it once all sessions at this node have applied it and it
-    /// is on the disk of this node, or the time limit has passed. The acknowledgement is complete if it is on disk. With `forward`, the peers that this node reaches and the sender does not must also
-    /// have acknowledged it.
+    /// is on the disk of this node, or the time limit has passed. The acknowledgement is complete if it is on disk. With
+    /// `forward`, the peers that this node reaches and the sender does not must also have acknowledged it.
     pub fn replicate_for_peer(
         self: &Rc<Self>,
         from: Ipv4Addr,
--- a/glenfall/tests/unit/purge_order.rs
+++ b/glenfall/tests/unit/purge_order.rs
@@ -127,9 +127,19 @@
         counters.iter().find(|(known, _)| known == name).map_or(0, |(_, count)| *count)
     }
 
-    /// Replaces the object by version 2.
-    fn change_object(&self) {
+    /// Starts a read whose fetch is in flight while the object is replaced by version 2 and purged.
+    async fn begin_read_before_purge(&self, purge: Purge) -> JoinHandle<String> {
+        let read = self.read(0);
+        self.wait_for_requests(1).await;
         self.origin.version.set(2);
+        self.purge(purge, 0);
+        read
+    }
+
+    async fn assert_both_edges_read_the_new_version(&self) {
+        for edge in [0, 1] {
+            assert_eq!(self.read(edge).await.expect("a read"), "2", "edge {edge}");
+        }
     }
 
     /// Publishes a purge to the shield and to all edges.
@@ -155,10 +165,7 @@
 fn reads_after_a_purge_by_label_do_not_get_the_response_of_a_fetch_from_before_it() {
     run_local(async {
         let system = System::start().await;
-        let before = system.read(0);
-        system.wait_for_requests(1).await;
-        system.change_object();
-        system.purge(label_purge(LABEL), 0);
+        let before = system.begin_read_before_purge(label_purge(LABEL)).await;
         let after = [system.read(1), system.read(1)];
         system.wait_for_joined_reads(2).await;
         system.release();
@@ -166,8 +173,7 @@
             assert_eq!(read.await.expect("a read"), "2", "it was sent after the purge");
         }
         before.await.expect("a read");
-        assert_eq!(system.read(0).await.expect("a read"), "2");
-        assert_eq!(system.read(1).await.expect("a read"), "2");
+        system.assert_both_edges_read_the_new_version().await;
         assert_eq!(system.origin.requests.get(), 2, "the reads after the purge share one fetch");
         assert_eq!(system.counter("joined_outdated"), 2);
     });
@@ -179,10 +185,7 @@
     run_local(async {
         let system = System::start().await;
         system.origin.headers.replace("X-Glenfall-Seal: s\r\nCache-Control: no-store\r\n".into());
-        let before = system.read(0);
-        system.wait_for_requests(1).await;
-        system.change_object();
-        system.purge(label_purge(LABEL), 0);
+        let before = system.begin_read_before_purge(label_purge(LABEL)).await;
         let after = system.read(1);
         system.wait_for_joined_reads(1).await;
         system.release();
@@ -218,15 +221,11 @@
     for purge in [object, Purge::Everything] {
         run_local(async {
             let system = System::start().await;
-            let before = system.read(0);
-            system.wait_for_requests(1).await;
-            system.change_object();
-            system.purge(purge, 0);
+            let before = system.begin_read_before_purge(purge).await;
             assert_eq!(system.read(1).await.expect("a read"), "2", "it does not wait for the old fetch");
             system.release();
             before.await.expect("a read");
-            assert_eq!(system.read(0).await.expect("a read"), "2");
-            assert_eq!(system.read(1).await.expect("a read"), "2");
+            system.assert_both_edges_read_the_new_version().await;
         });
     }
 }
