Both logs of a control node are one generic type, DiskLog

The purge log and the log of departures still opened, read, queued and dated their records by two pieces of code of the same shape. A format now says only what a log holds: its table, how records are appended and read.

--- a/glenfall/src/control/mod.rs
+++ b/glenfall/src/control/mod.rs
@@ -7,7 +7,7 @@
 //! | --- | --- |
 //! | `clock` | the start time of the process, to which all clock readings are relative |
 //! | `store`, `backup` | the hard state of the chain: on disk, and as a backup file for operators |
-//! | `log_database`, `log_writer` | the database of a log on disk, and the queue of writes to it |
+//! | `disk_log` | the database of a log on disk, and the queue of writes to it |
 //! | `purge_log`, `departure_log` | the logs of recent purges and of departed servers on disk |
 //! | `peers` | links to other control nodes, requests to them, and the members whose sessions are at them |
 //! | `chain_driver` | the chain, the queue of its writes, and the calls that wait for an outcome |
@@ -33,12 +33,11 @@
 mod chain_driver;
 mod clock;
 pub mod departure_log;
+pub mod disk_log;
 mod fleet_publisher;
 pub mod heartbeat_relay;
 mod inbound;
 mod local_members;
-mod log_database;
-mod log_writer;
 mod node;
 mod peer_events;
 pub mod peers;
--- a/glenfall/src/control/purge_log.rs
+++ b/glenfall/src/control/purge_log.rs
@@ -4,75 +4,54 @@
 //! purges the stored responses have missed. The log has its own thread and its own file, separate from that of the
 //! chain, so that a burst of purges does not delay a change of the configuration.
 
-use std::path::Path;
-
 use glenfall_control_plane::messages::PurgeRecord;
 use glenfall_control_plane::purge_history::{MAX_PURGES, PURGE_RETENTION};
 use rusqlite::Connection;
-use tokio::sync::oneshot;
 
-use super::log_database::{LogDatabase, LogFormat};
-use super::log_writer::{LogFile, LogWriter};
-use crate::disk::now_ms;
+pub use super::disk_log::MAX_CLOCK_ERROR_MS;
+use super::disk_log::{age_ms, DiskLog, LogFormat};
 
-const FORMAT: LogFormat = LogFormat {
-    name: "purge log",
-    file: "purges.sqlite",
-    schema: "CREATE TABLE IF NOT EXISTS purges (at INTEGER NOT NULL, purge BLOB NOT NULL)",
-};
-/// Largest error of the wall clock that is tolerated, in milliseconds.
-pub const MAX_CLOCK_ERROR_MS: i64 = 2000;
 /// Limit on the purges in the log. It is one more than the history holds, so that a reader can tell that older purges
 /// were dropped.
 const MAX_ROWS: i64 = MAX_PURGES as i64 + 1;
 /// How long purges are retained, in milliseconds.
 const RETENTION_MS: i64 = PURGE_RETENTION as i64;
 
-/// The log of purges, and the queue to the thread that writes it.
-pub struct PurgeLog {
-    writer: LogWriter<PurgeRecord>,
-}
-
-impl PurgeLog {
-    /// Opens the log in a folder; returns the purges in it that are within the retention time. A log that can't be read
-    /// is recreated empty, as the other control nodes have logs of their own.
-    pub fn open(folder: &Path) -> std::io::Result<(PurgeLog, Vec<PurgeRecord>)> {
-        let mut database = LogDatabase::new(folder, FORMAT)?;
-        let retained = database.read_or_recreate(read_recent);
-        Ok((PurgeLog { writer: LogWriter::start(PurgeFile(database))? }, retained))
-    }
+/// The log of purges. It is read as the purges within the retention time, with their ages.
+pub type PurgeLog = DiskLog<Purges>;
 
-    /// Queues purges to be written. The receiver completes once they are on disk, and fails if the queue is full.
-    pub fn write(&self, purges: Vec<PurgeRecord>) -> oneshot::Receiver<()> {
-        self.writer.write(purges)
-    }
-}
+/// The format of a [`PurgeLog`].
+pub struct Purges;
 
-struct PurgeFile(LogDatabase);
-
-impl LogFile for PurgeFile {
+impl LogFormat for Purges {
     type Record = PurgeRecord;
-    const NAME: &'static str = "purges";
+    type Stored = PurgeRecord;
+    const RECORD: &'static str = "purge";
+    const SCHEMA: &'static str =
+        "CREATE TABLE IF NOT EXISTS purges (at INTEGER NOT NULL, purge BLOB NOT NULL)";
 
-    /// Appends purges and deletes those beyond the retention time or the limit on rows, in one transaction.
-    fn append(&mut self, purges: &[&PurgeRecord]) -> rusqlite::Result<()> {
-        let now = now_ms();
-        let transaction = self.0.connect()?.transaction()?;
-        insert(&transaction, now, purges)?;
-        transaction.execute("DELETE FROM purges WHERE at <= ?1", [now - RETENTION_MS])?;
-        transaction
-            .execute("DELETE FROM purges WHERE rowid <= (SELECT max(rowid) FROM purges) - ?1", [MAX_ROWS])?;
-        transaction.commit()
+    /// Appends purges, and deletes those beyond the retention time or the limit on rows.
+    fn append(db: &Connection, now: i64, purges: &[&PurgeRecord]) -> rusqlite::Result<()> {
+        let mut insert = db.prepare_cached("INSERT INTO purges (at, purge) VALUES (?1, ?2)")?;
+        for purge in purges {
+            let bytes = postcard::to_stdvec(purge).unwrap_or_default();
+            insert.execute((now - purge.age_ms as i64, bytes))?;
+        }
+        db.execute("DELETE FROM purges WHERE at <= ?1", [now - RETENTION_MS])?;
+        db.execute("DELETE FROM purges WHERE rowid <= (SELECT max(rowid) FROM purges) - ?1", [MAX_ROWS])?;
+        Ok(())
     }
-}
 
-fn insert(db: &Connection, now: i64, purges: &[&PurgeRecord]) -> rusqlite::Result<()> {
-    let mut statement = db.prepare_cached("INSERT INTO purges (at, purge) VALUES (?1, ?2)")?;
-    for purge in purges {
-        let bytes = postcard::to_stdvec(purge).unwrap_or_default();
-        statement.execute((now - purge.age_ms as i64, bytes))?;
+    fn read(db: &Connection, now: i64) -> rusqlite::Result<Vec<PurgeRecord>> {
+        let mut query = db.prepare("SELECT at, purge FROM purges WHERE at > ?1 ORDER BY rowid")?;
+        let rows = query
+            .query_map([now - RETENTION_MS], |row| Ok(Row { at: row.get(0)?, encoded_purge: row.get(1)? }))?;
+        let mut purges = Vec::new();
+        for row in rows {
+            purges.extend(row?.decode(now));
+        }
+        Ok(purges)
     }
-    Ok(())
 }
 
 struct Row {
@@ -85,22 +64,6 @@
     /// The purge with its age; `None` if the row can't be decoded.
     fn decode(self, now: i64) -> Option<PurgeRecord> {
         let purge: PurgeRecord = postcard::from_bytes(&self.encoded_purge).ok()?;
-        // The age is underestimated by the largest clock error, so that no response from before the purge counts as
-        // newer.
-        let age_ms = (now - self.at - MAX_CLOCK_ERROR_MS).max(0) as u64;
-        Some(PurgeRecord { age_ms, ..purge })
-    }
-}
-
-/// The purges within the retention time, oldest first.
-fn read_recent(db: &Connection) -> rusqlite::Result<Vec<PurgeRecord>> {
-    let now = now_ms();
-    let mut query = db.prepare("SELECT at, purge FROM purges WHERE at > ?1 ORDER BY rowid")?;
-    let rows = query
-        .query_map([now - RETENTION_MS], |row| Ok(Row { at: row.get(0)?, encoded_purge: row.get(1)? }))?;
-    let mut purges = Vec::new();
-    for row in rows {
-        purges.extend(row?.decode(now));
+        Some(PurgeRecord { age_ms: age_ms(now, self.at), ..purge })
     }
-    Ok(purges)
 }
--- a/glenfall/src/control/server_replication.rs
+++ b/glenfall/src/control/server_replication.rs
@@ -165,7 +165,7 @@
     /// later call.
     fn log_departure(&self, id: &str) -> Option<oneshot::Receiver<()>> {
         let departed = self.dependencies.registry.draining_or_deregistered(id)?;
-        Some(self.dependencies.departure_log.write(departed))
+        Some(self.dependencies.departure_log.write(vec![departed]))
     }
 
     /// Waits until a departure is on disk. A server that has not departed needs no record.
--- a/glenfall/tests/unit/departure_log.rs
+++ b/glenfall/tests/unit/departure_log.rs
@@ -27,7 +27,7 @@
     for number in 1..=10 {
         let other = entry(&format!("s{number}"), EntryStatus::Deregistered, number);
         for departed in [entry("s", EntryStatus::Draining, number), other.clone()] {
-            log.write(departed).blocking_recv().expect("written");
+            log.write(vec![departed]).blocking_recv().expect("written");
         }
         // A new folder each time: the writer thread of the previous log may still remove its files.
         let snapshot = Folder::new(&format!("departures-{number}"));
@@ -47,5 +47,5 @@
     std::fs::write(folder.join("departures.sqlite"), "no database").expect("a file");
     let (log, found) = DepartureLog::open(&folder).expect("a log");
     assert_eq!(found, []);
-    log.write(entry("s", EntryStatus::Deregistered, 1)).blocking_recv().expect("written");
+    log.write(vec![entry("s", EntryStatus::Deregistered, 1)]).blocking_recv().expect("written");
 }
