Routes, stored objects and purges compare one canonical form of a host

Cause: routing left out the port, the key of a copy kept the header as sent, and a purge compared its hostname with that.

Change: canonical_host (without port, lower case) in one place, for routes, keys in all tiers, the choice of shield and service, and purges. Rows on disk whose key no request can have are removed as they are read; so are those that a warm start can't hold or that were purged meanwhile, which no later purge would have found.

--- a/control-plane/src/config/mod.rs
+++ b/control-plane/src/config/mod.rs
@@ -5,6 +5,7 @@
 
 mod change;
 mod document;
+mod host;
 mod routing;
 mod validation;
 
@@ -14,6 +15,7 @@
 
 pub use change::{ConfigChange, NewDocument};
 pub use document::{Backend, RequestLimits, Route, RouteKind, WeightedBackend};
+pub use host::canonical_host;
 pub use validation::InvalidConfig;
 
 /// Maximum size of a document, also after a patch. A document of this size fits into one frame
--- a/control-plane/src/config/routing.rs
+++ b/control-plane/src/config/routing.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::host::canonical_host;
 use crate::config::document::Route;
 
 /// Indexes of routes, by path prefix.
@@ -10,7 +11,7 @@
 /// Index of the routes of a document, by host and path prefix.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RouteTable {
-    /// Routes by host in lower case.
+    /// Routes by canonical host.
     by_host: HashMap<String, RoutesByPrefix>,
 }
 
@@ -27,7 +28,7 @@
 
     /// Index of the route of this host that has the longest matching path prefix. `host` may have a port.
     pub(super) fn find(&self, host: &str, path: &str) -> Option<usize> {
-        let prefixes = self.prefixes_of(without_port(host))?;
+        let prefixes = self.by_host.get(&*canonical_host(host))?;
         // Prefixes end with a slash, so that only the parts of the path that end with a slash can match.
         let mut end = path.len();
         while let Some(slash) = path[..end].rfind('/') {
@@ -38,17 +39,4 @@
         }
         None
     }
-
-    /// The routes of a host by path prefix. Most clients send the host in lower case, so it is first looked up as sent,
-    /// without a copy.
-    fn prefixes_of(&self, host: &str) -> Option<&RoutesByPrefix> {
-        self.by_host.get(host).or_else(|| self.by_host.get(&host.to_ascii_lowercase()))
-    }
-}
-
-fn without_port(host: &str) -> &str {
-    match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
-        _ => host,
-    }
 }
--- a/control-plane/tests/unit/config.rs
+++ b/control-plane/tests/unit/config.rs
@@ -1,6 +1,6 @@
 //! Configuration documents: route lookup, validation and patches.
 
-use glenfall_control_plane::config::{Config, ConfigChange, InvalidConfig, NewDocument};
+use glenfall_control_plane::config::{canonical_host, Config, ConfigChange, InvalidConfig, NewDocument};
 use serde_json::Value;
 
 fn document() -> Value {
@@ -100,3 +100,23 @@
     assert_eq!(config.backend("s").unwrap().rate_per_s, Some(9.0));
     assert_eq!(change.apply(&current, 8), Err(InvalidConfig::OldVersion { current: 8, got: 8 }));
 }
+
+#[test]
+fn a_host_is_compared_without_port_and_in_lower_case() {
+    let forms = [
+        ("a.example", "a.example"),
+        ("A.Example", "a.example"),
+        ("a.example:8161", "a.example"),
+        ("a.example:", "a.example"),
+        ("A.EXAMPLE:80", "a.example"),
+        ("a.example:x", "a.example:x"),
+        ("[::1]:80", "[::1]"),
+        ("[::1]", "[::1]"),
+        ("a.example.", "a.example."),
+        ("", ""),
+    ];
+    for (host, canonical) in forms {
+        assert_eq!(canonical_host(host), canonical, "{host}");
+        assert_eq!(canonical_host(canonical), canonical, "it is a fixed point");
+    }
+}
--- a/glenfall/src/edge/mod.rs
+++ b/glenfall/src/edge/mod.rs
@@ -94,7 +94,8 @@
             return LocalResponse::rejected(Cause::NoConfiguration, NOT_READY_RETRY_AFTER).into();
         };
         self.check_config_order(config.rev);
-        let Some(route) = config.route(request.host(), request.head.uri.path()) else {
+        let host = request.host();
+        let Some(route) = config.route(&host, request.head.uri.path()) else {
             self.counters.no_route.increment();
             return LocalResponse::no_route().into();
         };
@@ -103,7 +104,7 @@
         // The draw is a number from 0 to 1 that selects a service of the route. For a read it depends only on the object,
         // so that a shield chooses the same service as the edge.
         let draw = match is_read {
-            true => object_fraction(request.host(), request.path_and_query()),
+            true => object_fraction(&host, request.path_and_query()),
             false => self.forwarder.origins.next_random(),
         };
         let Some(service) = route.choose_backend(draw) else {
--- a/glenfall/src/edge/read/attempts.rs
+++ b/glenfall/src/edge/read/attempts.rs
@@ -123,7 +123,7 @@
     /// The shield for the object among those that are not excluded; `None` if none is likely to answer.
     fn choose_shield(&self) -> Option<ServerId> {
         let request = self.routed.request;
-        let key = Key(object_hash(request.host(), request.path_and_query()));
+        let key = Key(object_hash(&request.host(), request.path_and_query()));
         self.edge.shields.choose(key, &self.excluded_shields)
     }
 
--- a/glenfall/src/edge/routed_request.rs
+++ b/glenfall/src/edge/routed_request.rs
@@ -32,7 +32,7 @@
     pub fn object(&self) -> ObjectKey {
         ObjectKey {
             service: self.service.into(),
-            host: self.request.host().into(),
+            host: (*self.request.host()).into(),
             path: self.request.path_and_query().into(),
         }
     }
--- a/glenfall/src/http_server/message.rs
+++ b/glenfall/src/http_server/message.rs
@@ -1,8 +1,10 @@
 //! The complete requests and responses that handlers work with.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenfall_control_plane::config::canonical_host;
 use http_body_util::Full;
 use hyper::header;
 use hyper::http::request::Parts;
@@ -22,9 +24,10 @@
 }
 
 impl FullRequest {
-    /// The value of the `Host` header; empty if it is missing or not text.
-    pub fn host(&self) -> &str {
-        self.head.headers.get(header::HOST).and_then(|host| host.to_str().ok()).unwrap_or("")
+    /// The host of the `Host` header in its canonical form; empty if it is missing or not text.
+    pub fn host(&self) -> Cow<'_, str> {
+        let value = self.head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+        canonical_host(value.unwrap_or_default())
     }
 
     /// Path and query, as in the request line; `/` if there are none.
--- a/glenfall/src/shield/mod.rs
+++ b/glenfall/src/shield/mod.rs
@@ -78,7 +78,8 @@
         if let Some(stored_rows) = stored_rows {
             let shield = Rc::clone(&shield);
             spawn_local(async move {
-                shield.warm_start.load(stored_rows.await.unwrap_or_default());
+                let unused = shield.warm_start.load(stored_rows.await.unwrap_or_default());
+                shield.remove_from_disk(&unused);
                 shield.finish_warm_start();
             });
         }
@@ -94,7 +95,8 @@
         for (key, response) in stored_responses.into_entries() {
             // A response fetched since the start is newer.
             if cache.get(&key).is_none() {
-                cache.insert(key, response);
+                let evicted = cache.insert(key, response);
+                self.remove_from_disk(&evicted);
             }
         }
     }
--- a/glenfall/src/shield/read.rs
+++ b/glenfall/src/shield/read.rs
@@ -249,10 +249,10 @@
 /// The route of a read and the key of its object; `None` if no route matches.
 fn route_and_object<'a>(config: &'a Config, request: &FullRequest) -> Option<(&'a Route, ObjectKey)> {
     let (host, path) = (request.host(), request.path_and_query());
-    let route = config.route(host, request.head.uri.path());
+    let route = config.route(&host, request.head.uri.path());
     let route = route.filter(|_| request.head.method == Method::GET)?;
-    let service = route.choose_backend(object_fraction(host, path))?;
-    Some((route, ObjectKey { service: service.into(), host: host.into(), path: path.into() }))
+    let service = route.choose_backend(object_fraction(&host, path))?;
+    Some((route, ObjectKey { service: service.into(), host: (*host).into(), path: path.into() }))
 }
 
 /// Waits for the result of a fetch until a deadline. The error is the outcome that the read gets if no result arrives.
--- a/glenfall/src/shield/warm_start.rs
+++ b/glenfall/src/shield/warm_start.rs
@@ -32,23 +32,29 @@
         }
     }
 
-    /// Stores what was read from disk, and applies the purges received meanwhile.
-    pub fn load(&self, rows: Vec<StoredRow>) {
+    /// Stores what was read from disk, and applies the purges received meanwhile. Returns the keys of the rows that are
+    /// not used: they have to be removed from the disk, where no later purge would find them.
+    pub fn load(&self, rows: Vec<StoredRow>) -> Vec<ObjectKey> {
         let now = Instant::now();
         let stored = rows.len();
+        let mut unused = Vec::new();
         if let Some(responses) = self.responses.borrow_mut().as_mut() {
             for row in rows {
-                let Some(requested_at) = now.checked_sub(row.age) else { continue };
+                let requested_at = now.checked_sub(row.age).filter(|_| row.key.is_canonical());
+                let Some(requested_at) = requested_at else {
+                    unused.push(row.key);
+                    continue;
+                };
                 let response = StoredResponse {
                     headers: row.headers,
                     body: row.body,
                     requested_at: Cell::new(requested_at),
                     labels: row.labels,
                 };
-                responses.insert(row.key, Rc::new(response));
+                unused.extend(responses.insert(row.key, Rc::new(response)));
             }
             for purge in self.purges_while_loading.take() {
-                responses.purge(&purge);
+                unused.extend(responses.purge(&purge));
             }
         }
         tracing::info!(
@@ -56,6 +62,7 @@
             "disk cache read: its responses stay unused until control has sent all purges"
         );
         self.is_loaded.set(true);
+        unused
     }
 
     /// Records that control has published all purges from before this process began.
--- a/glenfall/tests/unit/main.rs
+++ b/glenfall/tests/unit/main.rs
@@ -23,6 +23,7 @@
 mod known_fleet;
 mod latency;
 mod memory_budget;
+mod object_host;
 mod origins;
 mod peer_requests;
 mod pool;
--- a/glenfall/tests/unit/purge_order.rs
+++ b/glenfall/tests/unit/purge_order.rs
@@ -10,6 +10,7 @@
 use glenfall::watch_client::{WatchClient, WatchHandler};
 use glenfall_control_plane::messages::{AgedPurge, Purge};
 use http_body_util::BodyExt;
+use hyper::header::{HeaderValue, HOST};
 use hyper::StatusCode;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -20,7 +21,7 @@
 use crate::proxies::{pool, request, start_edge_with, DownShield, ROUTE_DEADLINE};
 use crate::support::{run_local, server, start_fake_server};
 
-const PATH: &str = "/1/object";
+pub const PATH: &str = "/1/object";
 const LABEL: &str = "t1";
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// An age that shows that a purge was accepted before any fetch of a test began.
@@ -29,9 +30,9 @@
 /// A server with one object. It reads the version of the object when it begins to work on a request, and holds its first
 /// response until it is released.
 #[derive(Clone)]
-struct Origin {
-    version: Rc<Cell<u32>>,
-    requests: Rc<Cell<usize>>,
+pub struct Origin {
+    pub version: Rc<Cell<u32>>,
+    pub requests: Rc<Cell<usize>>,
     released: watch::Sender<bool>,
     /// Header lines of the responses.
     headers: Rc<RefCell<String>>,
@@ -64,7 +65,7 @@
 }
 
 /// Waits for a condition; panics if it doesn't hold within the deadline of a read.
-async fn wait_until(condition: impl Fn() -> bool) {
+pub async fn wait_until(condition: impl Fn() -> bool) {
     let polls = async {
         while !condition() {
             sleep(POLL_INTERVAL).await;
@@ -74,15 +75,15 @@
 }
 
 /// Two edges that read through one shield, and the origin.
-struct System {
-    origin: Origin,
+pub struct System {
+    pub origin: Origin,
     shield: Rc<Shield>,
     edges: Vec<(Rc<Edge>, Rc<WatchClient>)>,
     _running: watch::Sender<bool>,
 }
 
 impl System {
-    async fn start() -> System {
+    pub async fn start() -> System {
         let origin = Origin {
             version: Rc::new(Cell::new(1)),
             requests: Rc::default(),
@@ -105,9 +106,16 @@
 
     /// Starts a read at an edge; its result is the version of the object that it got.
     fn read(&self, edge: usize) -> JoinHandle<String> {
+        self.read_as(edge, "h")
+    }
+
+    /// As [`read`](Self::read), with this `Host`.
+    pub fn read_as(&self, edge: usize, host: &'static str) -> JoinHandle<String> {
         let handler = edge::EdgeHandler(Rc::clone(&self.edges[edge].0));
+        let mut request = request("GET", PATH, "t");
+        request.head.headers.insert(HOST, HeaderValue::from_static(host));
         spawn_local(async move {
-            let response = handler.handle(request("GET", PATH, "t")).await;
+            let response = handler.handle(request).await;
             assert_eq!(response.status(), StatusCode::OK);
             let body = response.into_body().collect().await.expect("a body").to_bytes();
             String::from_utf8(body.to_vec()).expect("a version")
@@ -143,7 +151,7 @@
     }
 
     /// Publishes a purge to the shield and to all edges.
-    fn purge(&self, purge: Purge, age_ms: u64) {
+    pub fn purge(&self, purge: Purge, age_ms: u64) {
         let purges = [AgedPurge { purge, age_ms }];
         self.shield.purge(&purges);
         for (edge, _) in &self.edges {
@@ -151,7 +159,7 @@
         }
     }
 
-    fn release(&self) {
+    pub fn release(&self) {
         self.origin.released.send_replace(true);
     }
 }
