--- a/review/support-2/harness.rs
+++ b/review/support-2/harness.rs
@@ -250,6 +250,27 @@
         self.spawn(machine, role);
     }
 
+    /// SIGKILL to all processes, which are then started again, as the whole system no longer starts for the first time.
+    pub fn kill_all_and_restart(&self, pause: Duration) {
+        let killed: Vec<(u8, &'static str)> = {
+            let mut processes = PROCESSES.lock().unwrap();
+            for process in processes.iter_mut() {
+                let _ = process.child.kill();
+            }
+            for process in processes.iter_mut() {
+                let _ = process.child.wait();
+            }
+            processes.drain(..).map(|process| (process.machine, process.role)).collect()
+        };
+        thread::sleep(pause);
+        for machine in 1..=self.layout.cores + self.layout.edges {
+            self.write_settings(machine, false);
+        }
+        for (machine, role) in killed {
+            self.spawn(machine, role);
+        }
+    }
+
     /// Whether a process has ended by itself.
     pub fn ended(&self) -> Vec<String> {
         let mut processes = PROCESSES.lock().unwrap();
