--- a/review/support-2/main.rs
+++ b/review/support-2/main.rs
@@ -3,6 +3,7 @@
 mod harness;
 mod late_beat;
 mod crash;
+mod drain;
 mod early;
 mod memory;
 mod surplus;
@@ -19,6 +20,7 @@
         "late-beat" => late_beat::run(&folder),
         "memory" => memory::run(&folder),
         "crash" => crash::run(&folder),
+        "drain" => drain::run(&folder),
         "early" => early::run(&folder),
         "surplus" => surplus::run(&folder),
         _ => harness::cannot_run("no such case"),
